--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# The two commands of the project are `make demo` and `make test`.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := packages/mustardlb packages/mustardlbd packages/mustardlb-cli \
+	packages/mustardlb-standins
+CODE := packages tests tools
+
+.PHONY: demo test format lint check bench clean
+
+$(VENV)/ready: constraints.txt requirements-dev.txt $(PACKAGES:=/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+	    -c constraints.txt -r requirements-dev.txt setuptools wheel
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+	    --no-build-isolation -c constraints.txt $(PACKAGES:%=-e %)
+	touch $@
+
+demo: $(VENV)/ready
+	$(BIN)/python tools/demo.py
+
+test: lint
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/ready
+	$(BIN)/ruff format --check --quiet $(CODE)
+	$(BIN)/ruff check --quiet $(CODE)
+	$(BIN)/flake8 $(CODE)
+	$(BIN)/mypy --no-error-summary packages tools
+
+format: $(VENV)/ready
+	$(BIN)/ruff check --fix --quiet $(CODE) || true
+	$(BIN)/ruff format --quiet $(CODE)
+
+clean:
+	rm -rf $(VENV) .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/packages/mustardlb-cli/mustardlb_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of mustardlb operators."""
--- /dev/null
+++ b/packages/mustardlb-standins/mustardlb_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the targets of mustardlb."""
--- /dev/null
+++ b/packages/mustardlb/mustardlb/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Schemas of the messages between nodes, loaded by pycapnp."""
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/__init__.py
@@ -0,0 +1,1 @@
+"""The entry node of mustardlb."""
