--- a/packages/mustardlb/mustardlb/configuration.py
+++ b/packages/mustardlb/mustardlb/configuration.py
@@ -6,9 +6,10 @@
 docs/design/configuration.md has the reasons.
 """
 
+from collections import abc
 import dataclasses
 import hashlib
-from types import MappingProxyType
+import types
 
 import msgspec
 
@@ -100,5 +101,7 @@
     """
 
     revision: int = 0
-    values: MappingProxyType[str, bytes] = MappingProxyType({})
+    values: abc.Mapping[str, bytes] = dataclasses.field(
+        default_factory=lambda: types.MappingProxyType({})
+    )
     invalid: tuple[InvalidObject, ...] = ()
