--- /dev/null
+++ b/packages/mustardlb-standins/mustardlb_standins/web.py
@@ -0,0 +1,81 @@
+"""What the HTTP forms of the stand-ins share."""
+
+from collections import abc
+import contextlib
+import json
+from typing import Any
+
+from hypercorn import config as hypercorn_config
+from hypercorn import trio as hypercorn_trio
+import msgspec
+import quart
+import quart_trio
+import trio
+
+from mustardlb_standins import faults
+
+# What a view returns.
+Answer = Any
+
+# Pending connections of a listening socket.
+BACKLOG = 512
+
+
+def build_app(plan: faults.Faults) -> quart_trio.QuartTrio:
+    """Make an application with `PUT /faults` and `GET /faults`."""
+    app = quart_trio.QuartTrio('mustardlb_standins')
+
+    @app.put('/faults')
+    async def put_faults() -> Answer:
+        plan.plan(*faults.decode_plan(await quart.request.get_data()))
+        return '', 204
+
+    @app.get('/faults')
+    async def get_faults() -> Answer:
+        return json_answer({'hits': plan.hits})
+
+    @app.errorhandler(faults.NoAnswer)
+    async def no_answer(error: faults.NoAnswer) -> Answer:
+        return '', 503
+
+    return app
+
+
+def json_answer(value: object, status: int = 200, **headers: str) -> Answer:
+    """Give a JSON answer of anything that msgspec can write."""
+    headers['Content-Type'] = 'application/json'
+    return msgspec.json.encode(value), status, headers
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    app: quart_trio.QuartTrio,
+    port: int = 0,
+    background: abc.Callable[[], abc.Awaitable[None]] | None = None,
+) -> abc.AsyncIterator[str]:
+    """Serve on loopback, with a task beside it; gives the address."""
+    config = hypercorn_config.Config()
+    config.bind = [f'127.0.0.1:{port}']
+    config.backlog = BACKLOG
+    config.accesslog = None
+    config.errorlog = None
+    config.graceful_timeout = 1.0
+    config.keep_alive_timeout = 60.0
+    async with trio.open_nursery() as nursery:
+        if background is not None:
+            nursery.start_soon(background)
+        binds = await nursery.start(hypercorn_trio.serve, app, config)
+        yield binds[0]
+        nursery.cancel_scope.cancel()
+
+
+async def run(
+    app: quart_trio.QuartTrio,
+    port: int = 0,
+    background: abc.Callable[[], abc.Awaitable[None]] | None = None,
+) -> None:
+    """Serve until ended, having printed one JSON line with the address."""
+    async with serving(app, port, background) as address:
+        line = json.dumps({'listening': address})
+        print(line, flush=True)  # noqa: T201
+        await trio.sleep_forever()
