Add the shared state of a node: spread, freshness, membership and transport

Nodes poll their parents up a tree, watchers ask the object API, and a node knows as of when its knowledge is by evidence from the API, from a peer or from a majority. _state.State is what the composition root wires.

--- /dev/null
+++ b/packages/mustardlb/mustardlb/schema/state.capnp
@@ -0,0 +1,48 @@
+@0xd2f0c47a9be38b55;
+
+# Messages by which nodes spread shared state.
+
+# Attestations by VMs that hold the same versions of the tracked objects.
+struct Group {
+  versions @0 :List(UInt64);
+  members @1 :List(UInt64);      # hash of the vm_id
+  incarnations @2 :List(UInt64);
+  ages @3 :List(UInt32);         # ms since made, rounded up
+}
+
+struct Poll {
+  versions @0 :List(UInt64);     # held by the poller, in the fixed order
+  stamp @1 :Float64;             # last stamp of the polled node
+  stampIncarnation @2 :UInt64;   # incarnation that gave it, 0 if none
+  sinceStamp @3 :Float64;        # seconds since the poller got it
+  hold @4 :Float64;              # seconds to wait for news
+  accepted @5 :List(UInt64);     # known to be accepted, by the poller
+  groups @6 :List(Group);
+}
+
+struct PollReply {
+  versions @0 :List(UInt64);
+  stamp @1 :Float64;             # clock of the polled node
+  stampIncarnation @2 :UInt64;
+  age @3 :Float64;               # of its knowledge, infinite if none
+  held @4 :Float64;              # seconds between request and reply
+  accepted @5 :List(UInt64);
+}
+
+struct ObjectRequest {
+  index @0 :UInt16;              # of the tracked object
+}
+
+struct ObjectReply {
+  version @0 :UInt64;
+  value @1 :Data;
+}
+
+struct PartRequest {
+  hash @0 :Text;
+}
+
+struct PartReply {
+  found @0 :Bool;
+  value @1 :Data;
+}
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_attestations.py
@@ -0,0 +1,95 @@
+"""Which VMs are known to hold which versions, and since when."""
+
+from collections import abc
+import dataclasses
+import math
+
+from mustardlb import clock
+from mustardlbd import _ranks
+
+# Attestations older than this are dropped, seconds.
+ATTESTATION_LIFE = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attestation:
+    """A VM held (at least) these versions at some moment after `made`.
+
+    :ivar member: weight of the vm_id
+    :ivar incarnation: its process; a restart loses what was held
+    :ivar made: lower bound of the moment, on the clock of this node
+    """
+
+    member: int
+    incarnation: int
+    versions: tuple[int, ...]
+    made: float
+
+
+def majority(electorate: abc.Collection[str]) -> int:
+    """How many VMs are a majority.
+
+    >>> majority(['a', 'b', 'c', 'd'])
+    3
+    """
+    return len(electorate) // 2 + 1
+
+
+class Attestations:
+    """The newest attestation of each VM that reached this node."""
+
+    def __init__(self, now: clock.Clock) -> None:
+        self._now = now
+        self._by_member: dict[int, Attestation] = {}
+
+    def add(self, attestation: Attestation) -> None:
+        """Note an attestation unless a newer one is known."""
+        before = self._by_member.get(attestation.member)
+        if before is not None and before.made >= attestation.made:
+            return
+        if attestation.made > self._now():
+            return
+        self._by_member[attestation.member] = attestation
+
+    def recent(self) -> list[Attestation]:
+        """Every attestation that is not too old to be of use."""
+        horizon = self._now() - ATTESTATION_LIFE
+        self._by_member = {
+            member: one
+            for member, one in self._by_member.items()
+            if one.made >= horizon
+        }
+        return list(self._by_member.values())
+
+    def of(self, vm_ids: abc.Iterable[str]) -> list[Attestation]:
+        """Return the recent attestations of some VMs."""
+        self.recent()
+        found = (self._by_member.get(_ranks.weight(one)) for one in vm_ids)
+        return [one for one in found if one is not None]
+
+    def made(self, vm_id: str) -> float:
+        """When a VM attested last, minus infinity where it did not."""
+        found = self._by_member.get(_ranks.weight(vm_id))
+        return found.made if found is not None else -math.inf
+
+
+def as_of_majority(
+    attestations: list[Attestation], versions: tuple[int, ...], needed: int
+) -> float:
+    """Return the moment as of which a majority proves `versions` newest.
+
+    What was accepted before that moment was held by a majority; it shares a
+    VM with the one counted here, which attested nothing above `versions`.
+    Minus infinity where there is no such majority.
+    """
+    made = [
+        one.made
+        for one in attestations
+        if all(
+            held <= ours
+            for held, ours in zip(one.versions, versions, strict=False)
+        )
+    ]
+    if len(made) < needed:
+        return -math.inf
+    return sorted(made, reverse=True)[needed - 1]
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_poll_messages.py
@@ -0,0 +1,165 @@
+"""Messages by which a node polls another, to bytes and back."""
+
+from collections import abc
+import dataclasses
+import itertools
+import math
+
+from mustardlb import schema
+from mustardlbd import _attestations
+
+# An attestation's age is sent in milliseconds, rounded up.
+_MS = 1000
+
+
+class BadMessage(ValueError):
+    """The bytes are not the message expected."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stamp:
+    """A reading of a node's clock, which only that process can use.
+
+    :ivar time: the reading
+    :ivar incarnation: the process that read it, 0 for no stamp
+    """
+
+    time: float = 0.0
+    incarnation: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Poll:
+    """What a node tells the one it polls.
+
+    :ivar stamp: the last stamp that the poller got from it
+    :ivar since_stamp: seconds from then to the sending of this message
+    :ivar hold: seconds to wait for news
+    :ivar attestations: of the poller and of those below it; `made` is
+        relative to the moment of the stamp
+    """
+
+    versions: tuple[int, ...]
+    accepted: tuple[int, ...]
+    stamp: Stamp
+    since_stamp: float
+    hold: float
+    attestations: list[_attestations.Attestation]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PollReply:
+    """What a polled node answers.
+
+    :ivar age: seconds since the moment that its knowledge is as of
+    :ivar held: seconds from its getting the poll to this reply
+    """
+
+    versions: tuple[int, ...]
+    accepted: tuple[int, ...]
+    stamp: Stamp
+    age: float
+    held: float
+
+
+def encode_poll(poll: Poll) -> bytes:
+    """Serialize a poll, its attestations grouped by versions."""
+
+    def versions(one: _attestations.Attestation) -> tuple[int, ...]:
+        return one.versions
+
+    groups = [
+        {
+            'versions': held,
+            'members': [one.member for one in group],
+            'incarnations': [one.incarnation for one in group],
+            'ages': [
+                math.ceil((poll.since_stamp - one.made) * _MS) for one in group
+            ],
+        }
+        for held, group in (
+            (held, list(found))
+            for held, found in itertools.groupby(
+                sorted(poll.attestations, key=versions), versions
+            )
+        )
+    ]
+    return (
+        schema.load('state')
+        .Poll.new_message(
+            versions=poll.versions,
+            accepted=poll.accepted,
+            stamp=poll.stamp.time,
+            stampIncarnation=poll.stamp.incarnation,
+            sinceStamp=poll.since_stamp,
+            hold=poll.hold,
+            groups=groups,
+        )
+        .to_bytes_packed()
+    )
+
+
+def decode_poll(payload: bytes) -> Poll:
+    """Read a poll. Raises BadMessage."""
+    try:
+        found = schema.load('state').Poll.from_bytes_packed(payload)
+        attestations = [
+            _attestations.Attestation(
+                member, incarnation, held, found.sinceStamp - age / _MS
+            )
+            for group in found.groups
+            for held in (tuple(group.versions),)
+            for member, incarnation, age in zip(
+                group.members, group.incarnations, group.ages, strict=True
+            )
+        ]
+        return Poll(
+            tuple(found.versions),
+            tuple(found.accepted),
+            Stamp(found.stamp, found.stampIncarnation),
+            found.sinceStamp,
+            found.hold,
+            attestations,
+        )
+    except Exception as error:  # the library's own exceptions
+        raise BadMessage(str(error).partition('\n')[0]) from error
+
+
+def encode_reply(reply: PollReply) -> bytes:
+    """Serialize a reply."""
+    return (
+        schema.load('state')
+        .PollReply.new_message(
+            versions=reply.versions,
+            accepted=reply.accepted,
+            stamp=reply.stamp.time,
+            stampIncarnation=reply.stamp.incarnation,
+            age=reply.age,
+            held=reply.held,
+        )
+        .to_bytes_packed()
+    )
+
+
+def decode_reply(payload: bytes) -> PollReply:
+    """Read a reply. Raises BadMessage."""
+    try:
+        found = schema.load('state').PollReply.from_bytes_packed(payload)
+        return PollReply(
+            tuple(found.versions),
+            tuple(found.accepted),
+            Stamp(found.stamp, found.stampIncarnation),
+            found.age,
+            found.held,
+        )
+    except Exception as error:  # the library's own exceptions
+        raise BadMessage(str(error).partition('\n')[0]) from error
+
+
+def has_news(ours: abc.Iterable[int], theirs: abc.Iterable[int]) -> bool:
+    """Whether any of our versions is above theirs.
+
+    >>> has_news((1, 3), (1, 2))
+    True
+    """
+    return any(mine > other for mine, other in zip(ours, theirs, strict=False))
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_spread_server.py
@@ -0,0 +1,95 @@
+"""Answers to the polls and requests of the nodes below this one."""
+
+import dataclasses
+
+import trio
+
+from mustardlb import errors
+from mustardlb import schema
+from mustardlb import steps
+from mustardlbd import _documents
+from mustardlbd import _parts
+from mustardlbd import _peer_server
+from mustardlbd import _poll_messages
+
+POLL = 'state.poll'
+OBJECT = 'state.object'
+PART = 'state.part'
+
+# Longest hold that a polled node grants, seconds.
+HOLD_LIMIT = 2.0
+
+
+class SpreadServer:
+    """Gives what this node holds to the nodes that ask."""
+
+    def __init__(self, parts: _parts.Parts) -> None:
+        self._parts = parts
+
+    def register(self, server: _peer_server.PeerServer) -> None:
+        """Register the services of shared state."""
+        server.register(POLL, self._answer_poll)
+        server.register(OBJECT, self._answer_object)
+        server.register(PART, self._answer_part)
+
+    async def _answer_poll(
+        self, sender: _peer_server.Sender, payload: bytes
+    ) -> bytes:
+        got = self._parts.now()
+        poll = _poll_messages.decode_poll(payload)
+        self._note_attestations(poll)
+        with trio.move_on_after(min(poll.hold, HOLD_LIMIT)):
+            while not self._has_news(poll):
+                await self._parts.news.wait()
+        now = self._parts.now()
+        return _poll_messages.encode_reply(
+            _poll_messages.PollReply(
+                self._parts.documents.versions(),
+                self._parts.acceptance.accepted(),
+                _poll_messages.Stamp(now, self._parts.identity.incarnation),
+                self._parts.freshness.age(),
+                now - got,
+            )
+        )
+
+    def _has_news(self, poll: _poll_messages.Poll) -> bool:
+        return _poll_messages.has_news(
+            self._parts.documents.versions(), poll.versions
+        ) or _poll_messages.has_news(
+            self._parts.acceptance.accepted(), poll.accepted
+        )
+
+    def _note_attestations(self, poll: _poll_messages.Poll) -> None:
+        if poll.stamp.incarnation != self._parts.identity.incarnation:
+            return
+        for one in poll.attestations:
+            self._parts.attestations.add(
+                dataclasses.replace(one, made=poll.stamp.time + one.made)
+            )
+
+    async def _answer_object(
+        self, sender: _peer_server.Sender, payload: bytes
+    ) -> bytes:
+        with schema.load('state').ObjectRequest.from_bytes(payload) as asked:
+            index = asked.index
+        if index >= len(_documents.TRACKED):
+            raise errors.Error(
+                errors.Code.BAD_REQUEST,
+                f'no tracked object {index}',
+                steps.Step.SPREAD,
+            )
+        found = self._parts.documents.tracked(index)
+        reply = schema.load('state').ObjectReply.new_message(
+            version=found.version, value=found.value
+        )
+        return reply.to_bytes_packed()
+
+    async def _answer_part(
+        self, sender: _peer_server.Sender, payload: bytes
+    ) -> bytes:
+        with schema.load('state').PartRequest.from_bytes(payload) as asked:
+            part = self._parts.documents.part(asked.hash)
+        reply = schema.load('state').PartReply.new_message(
+            found=part is not None, value=part or b''
+        )
+        return reply.to_bytes_packed()
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_state.py
@@ -0,0 +1,272 @@
+"""Shared state of a node: configuration, freshness, members and owners.
+
+The composition root makes one State, takes its plain functions, serves its
+PeerServer and runs it.
+"""
+
+import collections
+import dataclasses
+
+import trio
+
+from mustardlb import clock
+from mustardlb import configuration
+from mustardlb import object_api
+from mustardlb import steps
+from mustardlb import vm_list
+from mustardlbd import _acceptance
+from mustardlbd import _api_source
+from mustardlbd import _attestations
+from mustardlbd import _documents
+from mustardlbd import _fetching
+from mustardlbd import _freshness
+from mustardlbd import _membership
+from mustardlbd import _owners
+from mustardlbd import _parts
+from mustardlbd import _peer_server
+from mustardlbd import _peers
+from mustardlbd import _signal
+from mustardlbd import _spread
+from mustardlbd import _spread_server
+
+# Head versions remembered with the revision that each brought.
+REVISION_HISTORY = 64
+
+# How often a waiting operator's condition is looked at, seconds.
+WAIT_INTERVAL = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Platform:
+    """What a node needs of the platform and of the network.
+
+    :ivar open_stream: opens a stream to a peer; _peers.open_tcp in
+        production
+    """
+
+    api: object_api.ObjectApi
+    vms: vm_list.VmList
+    open_stream: _peers.OpenStream
+    now: clock.Clock
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """What operators are told of the shared state of a node.
+
+    :ivar revision: revision of the configuration in force
+    :ivar accepted_revision: newest revision known to be accepted: stored,
+        and held by a majority of the VMs
+    :ivar age: seconds since the moment the knowledge is as of; None before
+        the first evidence
+    :ivar evidence: kind of evidence that came last
+    :ivar current: whether the node admits, as far as freshness goes
+    :ivar versions: versions held of the tracked objects, by name
+    """
+
+    vm_id: str
+    incarnation: int
+    revision: int
+    accepted_revision: int
+    age: float | None
+    evidence: str
+    current: bool
+    watcher: bool
+    parents: tuple[str, ...]
+    invalid: tuple[configuration.InvalidObject, ...]
+    versions: dict[str, int]
+    members: tuple[str, ...]
+    leaving: tuple[str, ...]
+    unreachable: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RevisionState:
+    """How far a revision has come, as one node knows it.
+
+    :ivar in_force: in force at this node
+    :ivar accepted: stored, and held by a majority of the VMs: it is in
+        force or the node refuses, everywhere, within SETTLE_TIME
+    """
+
+    revision: int
+    in_force: bool
+    accepted: bool
+
+
+class State:
+    """The shared state of one node."""
+
+    def __init__(
+        self,
+        identity: _peers.Identity,
+        platform: Platform,
+        server: _peer_server.PeerServer,
+        validate: _documents.Validate,
+    ) -> None:
+        now = platform.now
+        news = _signal.Signal()
+        tracked = len(_documents.TRACKED)
+        membership = _membership.Membership(platform.vms, now)
+        self._parts = _parts.Parts(
+            identity=identity,
+            now=now,
+            documents=_documents.Documents(validate, _owners.validate, news),
+            freshness=_freshness.Freshness(now, tracked),
+            membership=membership,
+            attestations=_attestations.Attestations(now),
+            acceptance=_acceptance.Acceptance(now, tracked, news),
+            peers=_peers.Peers(
+                identity,
+                platform.open_stream,
+                membership.find_vm,
+                membership.heard,
+            ),
+            news=news,
+        )
+        fetch_part = _fetching.part_fetcher(
+            self._parts.peers,
+            self._parts.parents,
+            _api_source.part_reader(platform.api),
+        )
+        source = _api_source.ApiSource(
+            platform.api,
+            self._parts.documents,
+            self._parts.freshness,
+            now,
+            fetch_part,
+        )
+        self._spread = _spread.Spread(self._parts, source, fetch_part)
+        _spread_server.SpreadServer(self._parts).register(server)
+        self._owners = _owners.Owners()
+        self._revisions: collections.deque[tuple[int, int]] = (
+            collections.deque(maxlen=REVISION_HISTORY)
+        )
+
+    async def run(self) -> None:
+        """Keep the state for ever."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._parts.membership.run)
+                nursery.start_soon(self._follow)
+                await self._parts.membership.ready.wait()
+                nursery.start_soon(self._spread.run)
+        finally:
+            with trio.CancelScope(shield=True):
+                await self._parts.peers.close_all()
+
+    async def call(
+        self, vm_id: str, service: str, payload: bytes, timeout: float
+    ) -> bytes:
+        """Send one request to a peer; see Peers.call."""
+        return await self._parts.peers.call(vm_id, service, payload, timeout)
+
+    def now(self) -> float:
+        """Seconds on the clock that counts suspended time."""
+        return self._parts.now()
+
+    def snapshot(self) -> configuration.Snapshot:
+        """Return the configuration in force."""
+        return self._parts.documents.snapshot()
+
+    def age(self) -> float:
+        """Seconds since the moment that the knowledge is as of."""
+        return self._parts.freshness.age()
+
+    def check_fresh(self, step: steps.Step) -> None:
+        """Raise NODE_NOT_CURRENT unless knowledge is recent enough."""
+        self._parts.freshness.check_fresh(step)
+
+    def members(self) -> _membership.Members:
+        """Return the VMs of the fleet."""
+        return self._parts.membership.members()
+
+    def owners(self) -> _owners.Owners:
+        """Return the table of owners in force."""
+        return self._owners
+
+    def settled(self, version: int) -> bool:
+        """Whether that version of the table of owners binds everyone.
+
+        Then every VM that acts knows it or a later one.
+        """
+        return self._parts.acceptance.settled(_documents.OWNERS_INDEX, version)
+
+    async def wait_changed(self) -> None:
+        """Wait until an object is adopted or known to be accepted."""
+        await self._parts.news.wait()
+
+    async def wait_revision(
+        self, revision: int, timeout: float
+    ) -> RevisionState:
+        """Wait until a revision is in force here and accepted."""
+        with trio.move_on_after(timeout):
+            while not self._is_done(self.revision_state(revision)):
+                with trio.move_on_after(WAIT_INTERVAL):
+                    await self._parts.news.wait()
+        return self.revision_state(revision)
+
+    def revision_state(self, revision: int) -> RevisionState:
+        """How far a revision has come."""
+        return RevisionState(
+            revision,
+            self.snapshot().revision >= revision,
+            self._accepted_revision() >= revision,
+        )
+
+    def status(self) -> Status:
+        """Tell what operators are told."""
+        members = self.members()
+        age = self.age()
+        return Status(
+            vm_id=self._parts.identity.vm_id,
+            incarnation=self._parts.identity.incarnation,
+            revision=self.snapshot().revision,
+            accepted_revision=self._accepted_revision(),
+            age=None if age == float('inf') else age,
+            evidence=str(self._parts.freshness.evidence),
+            current=age <= _freshness.MAX_AGE,
+            watcher=self._parts.is_watcher(),
+            parents=tuple(self._parts.parents()),
+            invalid=self.snapshot().invalid,
+            versions=dict(
+                zip(
+                    _documents.TRACKED,
+                    self._parts.documents.versions(),
+                    strict=True,
+                )
+            ),
+            members=tuple(sorted(members.vms_by_id)),
+            leaving=tuple(sorted(members.vms_by_id.keys() - members.live)),
+            unreachable=tuple(sorted(members.unreachable)),
+        )
+
+    @staticmethod
+    def _is_done(state: RevisionState) -> bool:
+        return state.in_force and state.accepted
+
+    def _accepted_revision(self) -> int:
+        accepted = self._parts.acceptance.accepted()[_documents.HEAD_INDEX]
+        return max(
+            (
+                revision
+                for version, revision in self._revisions
+                if version <= accepted
+            ),
+            default=0,
+        )
+
+    async def _follow(self) -> None:
+        while True:
+            self._note_adopted()
+            await self._parts.news.wait()
+
+    def _note_adopted(self) -> None:
+        documents = self._parts.documents
+        head = documents.tracked(_documents.HEAD_INDEX).version
+        self._revisions.append((head, self.snapshot().revision))
+        table = documents.owners()
+        if table.version != self._owners.version:
+            self._owners = _owners.Owners(
+                table.version, _owners.decode(table.value)
+            )
--- /dev/null
+++ b/tests/mustardlbd/fleet.py
@@ -0,0 +1,352 @@
+"""A fake network and nodes on it, in virtual time, with faults.
+
+A stream behaves as TCP: bytes come in order and, over a link that is cut,
+they come when it is mended; the caller has to time out. A paused node does
+nothing at its edges, while its clock goes on.
+"""
+
+import collections
+import dataclasses
+import random
+
+import trio
+
+from mustardlb import configuration
+from mustardlb import errors
+from mustardlb import object_api
+from mustardlb import steps
+from mustardlb import vm_list
+from mustardlb_standins import object_api as object_api_standin
+from mustardlbd import _peer_server
+from mustardlbd import _peers
+from mustardlbd import _state
+
+# Transit from node to node, seconds.
+DELAY = 0.002
+
+# The name by which cuts speak of the object API and of the VM list.
+API = 'api'
+VMS = 'vms'
+
+
+class Network:
+    """Links between named ends, each way with its own faults."""
+
+    def __init__(self, delay=DELAY):
+        self.delay = delay
+        self.delay_by_link = {}
+        self.bytes_by_node = collections.Counter()
+        self._cuts = set()
+        self._paused = set()
+        self._changed = trio.Event()
+
+    def cut(self, source, target):
+        """Let nothing pass from source to target."""
+        self._cuts.add((source, target))
+        self._notify()
+
+    def part(self, ones, others):
+        """Cut every link between two groups, both ways."""
+        for one in ones:
+            for other in others:
+                self.cut(one, other)
+                self.cut(other, one)
+
+    def mend(self):
+        """Mend every cut."""
+        self._cuts.clear()
+        self._notify()
+
+    def pause(self, node):
+        self._paused.add(node)
+        self._notify()
+
+    def resume(self, node):
+        self._paused.discard(node)
+        self._notify()
+
+    def is_cut(self, source, target):
+        return (source, target) in self._cuts
+
+    def is_paused(self, node):
+        return node in self._paused
+
+    async def wait_open(self, source, target):
+        """Wait until the link is not cut and the target is not paused."""
+        while self.is_cut(source, target) or target in self._paused:
+            await self._changed.wait()
+
+    async def wait_running(self, node):
+        while node in self._paused:
+            await self._changed.wait()
+
+    def transit(self, source, target):
+        return self.delay_by_link.get((source, target), self.delay)
+
+    def pair(self, one, other):
+        """Two ends of a stream."""
+        there, back = _Channel(), _Channel()
+        return (
+            FakeStream(self, one, other, there, back),
+            FakeStream(self, other, one, back, there),
+        )
+
+    def _notify(self):
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+class _Channel:
+    def __init__(self):
+        self.send, self.receive = trio.open_memory_channel(float('inf'))
+
+
+class FakeStream(trio.abc.Stream):
+    """One end of a stream over the fake network."""
+
+    def __init__(self, network, own, other, outgoing, incoming):
+        self._network = network
+        self._own = own
+        self._other = other
+        self._outgoing = outgoing
+        self._incoming = incoming
+        self._rest = b''
+        self._closed = False
+
+    async def send_all(self, data):
+        await self._network.wait_running(self._own)
+        await trio.lowlevel.checkpoint()
+        if self._closed:
+            raise trio.ClosedResourceError
+        self._network.bytes_by_node[self._own] += len(data)
+        self._network.bytes_by_node[self._other] += len(data)
+        arrival = trio.current_time() + self._network.transit(
+            self._own, self._other
+        )
+        try:
+            self._outgoing.send.send_nowait((arrival, bytes(data)))
+        except trio.BrokenResourceError:
+            raise trio.BrokenResourceError from None
+
+    async def wait_send_all_might_not_block(self):
+        await trio.lowlevel.checkpoint()
+
+    async def receive_some(self, max_bytes=None):
+        if not self._rest:
+            try:
+                arrival, data = await self._incoming.receive.receive()
+            except trio.EndOfChannel:
+                await self._network.wait_open(self._other, self._own)
+                return b''
+            await trio.sleep_until(max(arrival, trio.current_time()))
+            await self._network.wait_open(self._other, self._own)
+            self._rest = data
+        if self._closed:
+            raise trio.ClosedResourceError
+        count = max_bytes or len(self._rest)
+        data, self._rest = self._rest[:count], self._rest[count:]
+        return data
+
+    async def aclose(self):
+        self._closed = True
+        self._outgoing.send.close()
+        self._incoming.receive.close()
+        await trio.lowlevel.checkpoint()
+
+
+class NodeApi:
+    """The object API as one node reaches it."""
+
+    def __init__(self, network, vm_id, api):
+        self._network = network
+        self._vm_id = vm_id
+        self._api = api
+
+    async def get(self, name):
+        return await self._through(self._api.get(name))
+
+    async def list_versions(self, prefix):
+        return await self._through(self._api.list_versions(prefix))
+
+    async def put(self, name, value, expected):
+        return await self._through(self._api.put(name, value, expected))
+
+    async def delete(self, name, expected):
+        return await self._through(self._api.delete(name, expected))
+
+    async def watch(self, name, after, wait):
+        return await self._through(self._api.watch(name, after, wait))
+
+    async def _through(self, call):
+        """Let a call pass there, and its answer or refusal back."""
+        refusal = None
+        try:
+            await self._pass(self._vm_id, API)
+            try:
+                answer = await call
+            except (
+                object_api.VersionConflict,
+                object_api.ApiRejected,
+            ) as error:
+                refusal = error
+            await self._pass(API, self._vm_id)
+        finally:
+            call.close()
+        await self._network.wait_running(self._vm_id)
+        if refusal is not None:
+            raise refusal
+        return answer
+
+    async def _pass(self, source, target):
+        await self._network.wait_running(self._vm_id)
+        await trio.sleep(self._network.delay)
+        if self._network.is_cut(source, target):
+            await trio.sleep(3.0)
+            raise object_api.ApiUnavailable('cut off')
+
+
+class FakeVmList:
+    """The VM list; `vms_by_id` is what it shows."""
+
+    def __init__(self, vms=()):
+        self.vms_by_id = {vm.vm_id: vm for vm in vms}
+        self.down = False
+
+    async def list_vms(self):
+        await trio.lowlevel.checkpoint()
+        if self.down:
+            raise vm_list.VmListUnavailable
+        return tuple(self.vms_by_id.values())
+
+    def add(self, vm_id):
+        self.vms_by_id[vm_id] = vm_list.Vm(vm_id, '127.0.0.1', 1, 2, 'dc-1')
+
+    def leave(self, vm_id):
+        self.vms_by_id[vm_id] = dataclasses.replace(
+            self.vms_by_id[vm_id], state=vm_list.VmState.LEAVING
+        )
+
+    def remove(self, vm_id):
+        self.vms_by_id.pop(vm_id, None)
+
+
+@dataclasses.dataclass
+class Node:
+    """One running node."""
+
+    vm_id: str
+    state: _state.State
+    server: _peer_server.PeerServer
+    scope: trio.CancelScope
+    nursery: trio.Nursery = None
+
+    def admits(self):
+        """Whether a request would pass the check of freshness."""
+        try:
+            self.state.check_fresh(steps.Step.ADMISSION)
+        except errors.Error:
+            return False
+        return True
+
+
+def accept_all(name, value):
+    """Validate nothing but the marker of an invalid object."""
+    if value.startswith(b'invalid'):
+        raise ValueError('the value is invalid')
+
+
+class Fleet:
+    """Nodes on one network, with one object API and one VM list."""
+
+    def __init__(self, nursery, seed=0, make_state=_state.State):
+        self.network = Network()
+        self.api = object_api_standin.MemoryObjectApi()
+        self.vms = FakeVmList()
+        self.nodes_by_id = {}
+        self._nursery = nursery
+        self._random = random.Random(seed)
+        self._make_state = make_state
+
+    def start(self, vm_id, listed=True):
+        """Start the process of a node, afresh where it ran before."""
+        self.kill(vm_id)
+        if listed:
+            self.vms.add(vm_id)
+        identity = _peers.Identity(vm_id, self._random.getrandbits(63) | 1)
+
+        async def open_stream(vm):
+            return await self._open_stream(vm_id, vm.vm_id)
+
+        platform = _state.Platform(
+            NodeApi(self.network, vm_id, self.api),
+            self.vms,
+            open_stream,
+            trio.current_time,
+        )
+        server = _peer_server.PeerServer(vm_id)
+        state = self._make_state(identity, platform, server, accept_all)
+        node = Node(vm_id, state, server, trio.CancelScope())
+        self.nodes_by_id[vm_id] = node
+        self._nursery.start_soon(self._run, node)
+        return node
+
+    def kill(self, vm_id):
+        """End the process of a node at once."""
+        node = self.nodes_by_id.pop(vm_id, None)
+        if node is not None:
+            node.scope.cancel()
+
+    async def _run(self, node):
+        with node.scope:
+            async with trio.open_nursery() as nursery:
+                node.nursery = nursery
+                await node.state.run()
+
+    async def _open_stream(self, source, target):
+        await self.network.wait_running(source)
+        await trio.sleep(self.network.transit(source, target))
+        await self.network.wait_open(source, target)
+        await self.network.wait_open(target, source)
+        node = self.nodes_by_id.get(target)
+        if node is None or node.nursery is None:
+            raise ConnectionRefusedError(target)
+        near, far = self.network.pair(source, target)
+        node.nursery.start_soon(node.server.serve_connection, far)
+        return near
+
+
+class Operator:
+    """Writes configuration as the command line does."""
+
+    def __init__(self, api):
+        self._api = api
+
+    async def apply(self, change, values):
+        """Write objects; None withdraws one. Returns the new revision."""
+        found = await self._api.get(configuration.HEAD)
+        head = configuration.Head()
+        if found.version != object_api.ABSENT:
+            head = configuration.decode_head(found.value)
+        revision = head.revision + 1
+        entries = dict(head.entries)
+        for name, value in values.items():
+            if value is None:
+                entries.pop(name, None)
+                continue
+            parts = configuration.split_parts(value)
+            for digest, part in parts.items():
+                await self._create(configuration.PART_PREFIX + digest, part)
+            entries[name] = configuration.Entry(revision, tuple(parts))
+        new = configuration.Head(
+            revision, change, entries, (change, *head.recent)[:20]
+        )
+        await self._api.put(
+            configuration.HEAD, configuration.encode_head(new), found.version
+        )
+        return revision
+
+    async def _create(self, name, value):
+        try:
+            await self._api.put(name, value, object_api.ABSENT)
+        except object_api.VersionConflict:
+            return
