Fuzz the shared state against an oracle, and count majorities of each recent VM list

Two nodes that read the VM list at different times could count majorities that share no VM; now a list counts for six seconds after the next one, and a process counts none before it has read the list that long.

--- a/packages/mustardlbd/mustardlbd/_acceptance.py
+++ b/packages/mustardlbd/mustardlbd/_acceptance.py
@@ -8,7 +8,7 @@
 from mustardlbd import _freshness
 from mustardlbd import _signal
 
-# A candidate that gets no second majority in this time is begun anew.
+# A candidate without a second majority in this time is begun anew.
 CANDIDATE_TIME = 2.0  # seconds
 
 # Accepted versions remembered with the moment at which they were known.
@@ -63,7 +63,9 @@
         self._news.notify()
 
     def count(
-        self, attestations: list[_attestations.Attestation], needed: int
+        self,
+        attestations: list[_attestations.Attestation],
+        electorates: tuple[frozenset[str], ...],
     ) -> None:
         """Look for majorities among the attestations.
 
@@ -73,50 +75,60 @@
         moment all together.
         """
         for index in range(len(self._accepted)):
-            self._count_one(index, attestations, needed)
+            self._count_one(index, attestations, electorates)
 
     def _count_one(
         self,
         index: int,
         attestations: list[_attestations.Attestation],
-        needed: int,
+        electorates: tuple[frozenset[str], ...],
     ) -> None:
-        held = sorted(one.versions[index] for one in attestations)
-        if len(held) < needed or held[-needed] <= self._accepted[index]:
-            return
         candidate = self._candidates[index]
-        if candidate is not None and _confirmed(
-            candidate, index, attestations, needed
+        if candidate is not None and _attestations.has_majorities(
+            _still_holding(candidate, index, attestations), electorates
         ):
             self._candidates[index] = None
             self.learn(index, candidate.version)
-            return
         now = self._now()
         if candidate is not None and now - candidate.since < CANDIDATE_TIME:
             return
-        version = held[-needed]
-        self._candidates[index] = _Candidate(
-            version,
-            now,
-            {
+        self._candidates[index] = self._propose(
+            index, attestations, electorates
+        )
+
+    def _propose(
+        self,
+        index: int,
+        attestations: list[_attestations.Attestation],
+        electorates: tuple[frozenset[str], ...],
+    ) -> _Candidate | None:
+        newer = {
+            one.versions[index]
+            for one in attestations
+            if one.versions[index] > self._accepted[index]
+        }
+        for version in sorted(newer, reverse=True):
+            incarnations_by_member = {
                 one.member: one.incarnation
                 for one in attestations
                 if one.versions[index] >= version
-            },
-        )
+            }
+            if _attestations.has_majorities(
+                incarnations_by_member.keys(), electorates
+            ):
+                return _Candidate(version, self._now(), incarnations_by_member)
+        return None
 
 
-def _confirmed(
+def _still_holding(
     candidate: _Candidate,
     index: int,
     attestations: list[_attestations.Attestation],
-    needed: int,
-) -> bool:
-    again = [
-        one
+) -> set[int]:
+    return {
+        one.member
         for one in attestations
         if one.versions[index] >= candidate.version
         and one.made >= candidate.since
         and candidate.incarnations_by_member.get(one.member) == one.incarnation
-    ]
-    return len(again) >= needed
+    }
--- a/packages/mustardlbd/mustardlbd/_attestations.py
+++ b/packages/mustardlbd/mustardlbd/_attestations.py
@@ -26,13 +26,20 @@
     made: float
 
 
-def majority(electorate: abc.Collection[str]) -> int:
-    """How many VMs are a majority.
-
-    >>> majority(['a', 'b', 'c', 'd'])
-    3
+def has_majorities(
+    members: abc.Set[int], electorates: abc.Iterable[frozenset[str]]
+) -> bool:
+    """Whether the members are a majority of each electorate.
+
+    >>> weights = {_ranks.weight('a'), _ranks.weight('b')}
+    >>> has_majorities(weights, [frozenset('abc'), frozenset('abcd')])
+    False
     """
-    return len(electorate) // 2 + 1
+    return all(
+        2 * sum(_ranks.weight(vm_id) in members for vm_id in electorate)
+        > len(electorate)
+        for electorate in electorates
+    )
 
 
 class Attestations:
@@ -61,12 +68,6 @@
         }
         return list(self._by_member.values())
 
-    def of(self, vm_ids: abc.Iterable[str]) -> list[Attestation]:
-        """Return the recent attestations of some VMs."""
-        self.recent()
-        found = (self._by_member.get(_ranks.weight(one)) for one in vm_ids)
-        return [one for one in found if one is not None]
-
     def made(self, vm_id: str) -> float:
         """When a VM attested last, minus infinity where it did not."""
         found = self._by_member.get(_ranks.weight(vm_id))
@@ -74,22 +75,30 @@
 
 
 def as_of_majority(
-    attestations: list[Attestation], versions: tuple[int, ...], needed: int
+    attestations: list[Attestation],
+    versions: tuple[int, ...],
+    electorates: tuple[frozenset[str], ...],
 ) -> float:
-    """Return the moment as of which a majority proves `versions` newest.
+    """Return the moment as of which majorities prove `versions` newest.
 
     What was accepted before that moment was held by a majority; it shares a
     VM with the one counted here, which attested nothing above `versions`.
     Minus infinity where there is no such majority.
     """
-    made = [
-        one.made
+    made_by_member = {
+        one.member: one.made
         for one in attestations
-        if all(
-            held <= ours
+        if not any(
+            held > ours
             for held, ours in zip(one.versions, versions, strict=False)
         )
-    ]
-    if len(made) < needed:
-        return -math.inf
-    return sorted(made, reverse=True)[needed - 1]
+    }
+    as_of = math.inf
+    for electorate in electorates:
+        made = sorted(
+            made_by_member.get(_ranks.weight(vm_id), -math.inf)
+            for vm_id in electorate
+        )
+        # The greatest moment that more than half were made after.
+        as_of = min(as_of, made[(len(made) - 1) // 2])
+    return as_of if electorates else -math.inf
--- a/packages/mustardlbd/mustardlbd/_membership.py
+++ b/packages/mustardlbd/mustardlbd/_membership.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import math
 import types
 
 import structlog
@@ -18,9 +19,10 @@
 # How long one reading may take, seconds.
 LIST_TIMEOUT = 2.0
 
-# How long a VM that left the list still counts towards majorities, so that
-# nodes which read the list at different times agree on them, seconds.
-ELECTORATE_MEMORY = 15.0
+# How long a list that was read counts for majorities after the next one,
+# and how long a process reads the list before it counts any, seconds. Longer
+# than two working readers can be apart, so that they share a list.
+ELECTORATE_MEMORY = 6.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,14 +31,15 @@
 
     :ivar vms_by_id: every VM on the list
     :ivar unreachable: those that did not answer this node's last call
-    :ivar electorate: the VMs that majorities are counted over
+    :ivar electorates: the VM lists of the last seconds; a majority is one
+        of each of them. Empty until the list was read for long enough.
     """
 
     vms_by_id: abc.Mapping[str, vm_list.Vm] = dataclasses.field(
         default_factory=lambda: types.MappingProxyType({})
     )
     unreachable: frozenset[str] = frozenset()
-    electorate: frozenset[str] = frozenset()
+    electorates: tuple[frozenset[str], ...] = ()
 
     @property
     def live(self) -> frozenset[str]:
@@ -60,7 +63,8 @@
         self._source = source
         self._now = now
         self._members = Members()
-        self._seen_by_id: dict[str, float] = {}
+        self._started = math.inf
+        self._seen_by_list: dict[frozenset[str], float] = {}
         self.ready = trio.Event()
 
     def members(self) -> Members:
@@ -108,16 +112,18 @@
     def _adopt(self, vms_by_id: dict[str, vm_list.Vm]) -> None:
         now = self._now()
         before = self._members
-        self._seen_by_id.update(dict.fromkeys(vms_by_id, now))
-        self._seen_by_id = {
-            vm_id: seen
-            for vm_id, seen in self._seen_by_id.items()
+        self._started = min(self._started, now)
+        self._seen_by_list[frozenset(vms_by_id)] = now
+        self._seen_by_list = {
+            listed: seen
+            for listed, seen in self._seen_by_list.items()
             if now - seen < ELECTORATE_MEMORY
         }
+        old_enough = now - self._started >= ELECTORATE_MEMORY
         self._members = Members(
             types.MappingProxyType(vms_by_id),
             before.unreachable & vms_by_id.keys(),
-            frozenset(self._seen_by_id),
+            tuple(self._seen_by_list) if old_enough else (),
         )
         if before.vms_by_id.keys() != vms_by_id.keys():
             log.info('MLB-2012', vms=sorted(vms_by_id))
--- a/packages/mustardlbd/mustardlbd/_spread.py
+++ b/packages/mustardlbd/mustardlbd/_spread.py
@@ -206,16 +206,15 @@
     def _count(self) -> None:
         for one in self._attested():
             self._parts.attestations.add(one)
-        electorate = self._parts.membership.members().electorate
-        if not electorate:
+        electorates = self._parts.membership.members().electorates
+        if not electorates:
             return
-        needed = _attestations.majority(electorate)
-        attestations = self._parts.attestations.of(electorate)
-        if len(attestations) < needed:
+        attestations = self._parts.attestations.recent()
+        if 2 * len(attestations) <= min(map(len, electorates)):
             return
-        self._parts.acceptance.count(attestations, needed)
+        self._parts.acceptance.count(attestations, electorates)
         as_of = _attestations.as_of_majority(
-            attestations, self._parts.documents.versions(), needed
+            attestations, self._parts.documents.versions(), electorates
         )
         if as_of > -math.inf:
             self._parts.freshness.confirm_all(
--- a/packages/mustardlbd/mustardlbd/_state.py
+++ b/packages/mustardlbd/mustardlbd/_state.py
@@ -62,6 +62,7 @@
     :ivar evidence: kind of evidence that came last
     :ivar current: whether the node admits, as far as freshness goes
     :ivar versions: versions held of the tracked objects, by name
+    :ivar accepted_versions: the newest ones known to be accepted
     """
 
     vm_id: str
@@ -75,6 +76,7 @@
     parents: tuple[str, ...]
     invalid: tuple[configuration.InvalidObject, ...]
     versions: dict[str, int]
+    accepted_versions: dict[str, int]
     members: tuple[str, ...]
     leaving: tuple[str, ...]
     unreachable: tuple[str, ...]
@@ -229,13 +231,8 @@
             watcher=self._parts.is_watcher(),
             parents=tuple(self._parts.parents()),
             invalid=self.snapshot().invalid,
-            versions=dict(
-                zip(
-                    _documents.TRACKED,
-                    self._parts.documents.versions(),
-                    strict=True,
-                )
-            ),
+            versions=_by_name(self._parts.documents.versions()),
+            accepted_versions=_by_name(self._parts.acceptance.accepted()),
             members=tuple(sorted(members.vms_by_id)),
             leaving=tuple(sorted(members.vms_by_id.keys() - members.live)),
             unreachable=tuple(sorted(members.unreachable)),
@@ -270,3 +267,7 @@
             self._owners = _owners.Owners(
                 table.version, _owners.decode(table.value)
             )
+
+
+def _by_name(versions: tuple[int, ...]) -> dict[str, int]:
+    return dict(zip(_documents.TRACKED, versions, strict=True))
--- a/tests/mustardlbd/fleet.py
+++ b/tests/mustardlbd/fleet.py
@@ -7,9 +7,12 @@
 
 import collections
 import dataclasses
+import logging
 import random
 
+import structlog
 import trio
+import trio.testing
 
 from mustardlb import configuration
 from mustardlb import errors
@@ -263,7 +266,7 @@
         self.api = object_api_standin.MemoryObjectApi()
         self.vms = FakeVmList()
         self.nodes_by_id = {}
-        self._nursery = nursery
+        self.nursery = nursery
         self._random = random.Random(seed)
         self._make_state = make_state
 
@@ -287,7 +290,7 @@
         state = self._make_state(identity, platform, server, accept_all)
         node = Node(vm_id, state, server, trio.CancelScope())
         self.nodes_by_id[vm_id] = node
-        self._nursery.start_soon(self._run, node)
+        self.nursery.start_soon(self._run, node)
         return node
 
     def kill(self, vm_id):
@@ -340,9 +343,8 @@
         new = configuration.Head(
             revision, change, entries, (change, *head.recent)[:20]
         )
-        await self._api.put(
-            configuration.HEAD, configuration.encode_head(new), found.version
-        )
+        value = configuration.encode_head(new)
+        await self._api.put(configuration.HEAD, value, found.version)
         return revision
 
     async def _create(self, name, value):
@@ -350,3 +352,27 @@
             await self._api.put(name, value, object_api.ABSENT)
         except object_api.VersionConflict:
             return
+
+
+# Time in which a new fleet becomes current, seconds.
+WARM_UP = 10.0
+
+
+def run(scenario, size=7, seed=0, make_state=_state.State):
+    """Run `await scenario(fleet)` on a fleet that is current."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, seed, make_state)
+            for number in range(size):
+                fleet.start(f'vm-{number}')
+            await trio.sleep(WARM_UP)
+            await scenario(fleet)
+            nursery.cancel_scope.cancel()
+
+    random.seed(seed)
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(main, clock=clock)
--- /dev/null
+++ b/tests/mustardlbd/state_oracle.py
@@ -0,0 +1,131 @@
+"""What must hold of the configuration at every moment, told from outside.
+
+The oracle looks into the running nodes and the object API themselves, so it
+knows the truth that the nodes only have evidence of.
+"""
+
+import itertools
+
+import trio
+
+from mustardlb import configuration
+from mustardlbd import _freshness
+
+# How often the nodes are looked at, seconds.
+LOOK_INTERVAL = 0.1
+
+# What one look may be late by, seconds.
+SLACK = 2 * LOOK_INTERVAL
+
+
+class Oracle:
+    """Watches a fleet."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._values_by_revision = {0: {}}
+        self._stored = 0
+        self._accepted = []
+        self._newest_by_process = {}
+
+    async def run(self):
+        while True:
+            self.look()
+            await trio.sleep(LOOK_INTERVAL)
+
+    def look(self):
+        """Check every promise now."""
+        self._note_stored()
+        self._note_accepted()
+        for node in list(self._fleet.nodes_by_id.values()):
+            self._check_forwards(node)
+            self._check_values(node)
+            if not self._fleet.network.is_paused(node.vm_id):
+                self._check_admission(node)
+            self._check_belief(node)
+
+    def accepted_version(self, before=None):
+        """Newest head version accepted before a moment."""
+        before = trio.current_time() if before is None else before
+        versions = [
+            version for version, moment in self._accepted if moment <= before
+        ]
+        return max(versions, default=0)
+
+    def _note_accepted(self):
+        stored = self._fleet.api.peek(configuration.HEAD).version
+        listed = self._fleet.vms.vms_by_id
+        held = [
+            min(held_version(self._fleet.nodes_by_id[vm_id]), stored)
+            if vm_id in self._fleet.nodes_by_id
+            else 0
+            for vm_id in listed
+        ]
+        # The greatest version that more than half of the VMs hold.
+        version = sorted(held)[(len(held) - 1) // 2]
+        if version > self.accepted_version():
+            self._accepted.append((version, trio.current_time()))
+
+    def _check_forwards(self, node):
+        process = (node.vm_id, node.state.status().incarnation)
+        seen = (held_version(node), node.state.snapshot().revision)
+        before = self._newest_by_process.get(process, (0, 0))
+        assert seen[0] >= before[0], f'{process} went back to {seen}'
+        assert seen[1] >= before[1], f'{process} went back to {seen}'
+        self._newest_by_process[process] = seen
+
+    def _check_values(self, node):
+        """Check the values in force against the head that was stored."""
+        snapshot = node.state.snapshot()
+        expected = self._values_by_revision.get(snapshot.revision, {})
+        invalid = {one.name for one in snapshot.invalid}
+        assert invalid == {
+            name
+            for name, value in expected.items()
+            if value.startswith(b'invalid')
+        }, (node.vm_id, snapshot, expected)
+        for name, value in expected.items():
+            if name not in invalid:
+                assert snapshot.values.get(name) == value, (node, snapshot)
+        assert snapshot.values.keys() <= expected.keys(), (node, snapshot)
+
+    def _note_stored(self):
+        """Note the values of every head that was stored since."""
+        newest = self._stored
+        for back in itertools.count():
+            found = self._fleet.api.peek(configuration.HEAD, back)
+            if found.version <= self._stored:
+                break
+            newest = max(newest, found.version)
+            head = configuration.decode_head(found.value)
+            self._values_by_revision[head.revision] = {
+                name: self._value(entry)
+                for name, entry in head.entries.items()
+            }
+        self._stored = newest
+
+    def _value(self, entry):
+        return b''.join(
+            self._fleet.api.peek(configuration.PART_PREFIX + digest).value
+            for digest in entry.parts
+        )
+
+    def _check_admission(self, node):
+        """Check that nobody admits on knowledge that is too old."""
+        needed = self.accepted_version(
+            trio.current_time() - _freshness.MAX_AGE - SLACK
+        )
+        assert not node.admits() or held_version(node) >= needed, (
+            f'{node.vm_id} admits with {held_version(node)} although '
+            f'{needed} was accepted: {node.state.status()}'
+        )
+
+    def _check_belief(self, node):
+        """Check that nobody calls accepted what is not."""
+        believed = node.state.status().accepted_versions[configuration.HEAD]
+        true = self.accepted_version()
+        assert believed <= true, (node.vm_id, believed, self._accepted)
+
+
+def held_version(node):
+    return node.state.status().versions[configuration.HEAD]
