Match grants in linear time and never resolve a malformed name

Cause: grants were compiled to regular expressions, which backtrack over names that callers choose; a bare name with a space or line end resolved through a wildcard to a version that could not be asked for in full. Both tests failed first (the first by not ending within 100 s).

--- a/packages/mustardlb/mustardlb/contracts.py
+++ b/packages/mustardlb/mustardlb/contracts.py
@@ -151,6 +151,8 @@
 
 
 def _version_of_bare_name(contract: Contract, adapter: str) -> str:
+    if not _is_model(adapter):
+        raise _not_granted(contract, adapter)
     if adapter in contract.current:
         return contract.current[adapter]
     versions = set(contract.exact_versions_by_adapter.get(adapter, ()))
@@ -208,6 +210,26 @@
 _is_version = re.compile(_VERSION).fullmatch
 
 
-def _compile(pattern: str) -> abc.Callable[[str], re.Match | None]:
-    parts = (re.escape(part) for part in pattern.split(WILDCARD))
-    return re.compile('.*'.join(parts)).fullmatch
+def _compile(pattern: str) -> abc.Callable[[str], bool]:
+    """Return a match function that takes linear time.
+
+    A regular expression would backtrack, over names that callers choose.
+    """
+    first, *middle = pattern.split(WILDCARD)
+    if not middle:
+        return pattern.__eq__
+    last = middle.pop()
+
+    def matches(text: str) -> bool:
+        end = len(text) - len(last)
+        if not text.startswith(first) or not text.endswith(last):
+            return False
+        place = len(first)
+        for piece in middle:
+            place = text.find(piece, place, end)
+            if place < 0:
+                return False
+            place += len(piece)
+        return place <= end
+
+    return matches
