--- a/packages/mustardlb-standins/mustardlb_standins/object_api.py
+++ b/packages/mustardlb-standins/mustardlb_standins/object_api.py
@@ -39,7 +39,7 @@
     )
 
     def peek(self, name: str, back: int = 0) -> object_api.Object:
-        """The object, or its state `back` writes ago; not a call."""
+        """Look at an object, or its state `back` writes ago; not a call."""
         absent = object_api.Object(name, object_api.ABSENT, b'')
         history = self._histories.get(name, [])
         return history[-1 - back] if len(history) > back else absent
@@ -173,7 +173,7 @@
 
     @app.put('/objects/<path:name>')
     async def put(name: str) -> web.Answer:
-        value = await quart.request.get_data()
+        value = await quart.request.get_data(as_text=False)
         version = await api.put(name, value, _expected())
         return '', 200, {'ETag': f'"{version}"'}
 
--- a/packages/mustardlb-standins/mustardlb_standins/vm_list.py
+++ b/packages/mustardlb-standins/mustardlb_standins/vm_list.py
@@ -55,7 +55,7 @@
 
     @app.put('/vms')
     async def put() -> web.Answer:
-        body = await quart.request.get_data()
+        body = await quart.request.get_data(as_text=False)
         vms = msgspec.json.decode(body, type=dict[str, list[vm_list.Vm]])
         listing.set_vms(*vms['vms'])
         return '', 204
--- a/packages/mustardlb-standins/mustardlb_standins/web.py
+++ b/packages/mustardlb-standins/mustardlb_standins/web.py
@@ -27,7 +27,9 @@
 
     @app.put('/faults')
     async def put_faults() -> Answer:
-        plan.plan(*faults.decode_plan(await quart.request.get_data()))
+        plan.plan(
+            *faults.decode_plan(await quart.request.get_data(as_text=False))
+        )
         return '', 204
 
     @app.get('/faults')
@@ -79,3 +81,35 @@
         line = json.dumps({'listening': address})
         print(line, flush=True)  # noqa: T201
         await trio.sleep_forever()
+
+
+class Received(msgspec.Struct, frozen=True):
+    """A request as it came."""
+
+    method: str
+    path: str
+    query: str
+    headers: list[tuple[str, str]]
+    body: str
+
+
+async def record(received: list[Any]) -> bytes:
+    """Read the body, and keep the whole request for checks."""
+    request = quart.request
+    body = await request.get_data(as_text=False)
+    note(received, body)
+    return body
+
+
+def note(received: list[Any], body: bytes) -> None:
+    """Keep the request, with what is given as its body, for checks."""
+    request = quart.request
+    received.append(
+        Received(
+            request.method,
+            request.path,
+            request.query_string.decode('latin-1'),
+            list(request.headers.items()),
+            body.decode('latin-1'),
+        )
+    )
--- /dev/null
+++ b/packages/mustardlb-standins/mustardlb_standins/weight_store.py
@@ -0,0 +1,106 @@
+"""The stand-in of the weight store, in memory and over HTTP."""
+
+from collections import abc
+import dataclasses
+
+import httpx
+import quart_trio
+import trio
+
+from mustardlb import weight_store
+from mustardlb_standins import faults
+from mustardlb_standins import web
+
+# Seconds between two looks at the speed of a load.
+TICK = 0.025
+
+# Fetches the weights of a model. Raises OSError.
+Fetch = abc.Callable[[str], abc.Awaitable[None]]
+
+
+@dataclasses.dataclass(slots=True)
+class MemoryWeightStore:
+    """A rate-limited store; the fault steps are 'fetch:<model>'.
+
+    :ivar load_time: seconds of a load at full speed
+    """
+
+    load_time: float = weight_store.LOAD_TIME
+    plan: faults.Faults = dataclasses.field(default_factory=faults.Faults)
+    in_transit: int = 0
+    most_in_transit: int = 0
+    loads: int = 0
+    models: list[str] = dataclasses.field(default_factory=list)
+
+    async def fetch(self, model: str) -> None:
+        """Send the weights of a model. Raises OSError."""
+        fault = self.plan.take(f'fetch:{model}')
+        if fault is not None and fault.kind is faults.Kind.FAIL:
+            await trio.sleep(fault.seconds)
+            raise OSError('the weights did not arrive')
+
+        async def effect() -> None:
+            await self._send(model)
+
+        if fault is None:
+            return await effect()
+        try:
+            return await faults.strike(fault, effect)
+        except faults.NoAnswer as error:
+            raise OSError('the store gave no answer') from error
+
+    async def transit_report(self) -> weight_store.TransitReport:
+        """See WeightStore."""
+        return weight_store.TransitReport(
+            self.in_transit, self.most_in_transit, self.loads
+        )
+
+    async def _send(self, model: str) -> None:
+        self.loads += 1
+        self.models.append(model)
+        self.in_transit += 1
+        self.most_in_transit = max(self.most_in_transit, self.in_transit)
+        try:
+            rest = self.load_time
+            while rest > 1e-9:
+                tick = min(TICK, rest)
+                await trio.sleep(tick)
+                rest -= tick * self._speed()
+        finally:
+            self.in_transit -= 1
+
+    def _speed(self) -> float:
+        return min(1.0, weight_store.TRANSIT_LIMIT / max(self.in_transit, 1))
+
+
+def build(store: MemoryWeightStore) -> quart_trio.QuartTrio:
+    """Make the HTTP form, as docs/interfaces/weight-store.md describes it."""
+    app = web.build_app(store.plan)
+
+    @app.get('/weights/<path:model>')
+    async def fetch(model: str) -> web.Answer:
+        try:
+            await store.fetch(model)
+        except OSError:
+            return '', 503
+        return model, 200
+
+    @app.get('/transit')
+    async def transit() -> web.Answer:
+        return web.json_answer(await store.transit_report())
+
+    return app
+
+
+def http_fetch(url: str) -> Fetch:
+    """Make the function by which an engine pulls from a store."""
+    client = httpx.AsyncClient(base_url=url, timeout=60.0, trust_env=False)
+
+    async def fetch(model: str) -> None:
+        try:
+            answer = await client.get(f'/weights/{model}')
+            answer.raise_for_status()
+        except httpx.HTTPError as error:
+            raise OSError(repr(error)) from error
+
+    return fetch
--- /dev/null
+++ b/tests/mustardlb_standins/test_engine.py
@@ -0,0 +1,126 @@
+"""The engine's stand-in through HTTP, with the typed client."""
+
+import contextlib
+
+import httpx
+import pytest
+
+from mustardlb import engine
+from mustardlb import weight_store
+from mustardlb_standins import desk
+from mustardlb_standins import engine as engine_standin
+from mustardlb_standins import engine_app
+from mustardlb_standins import faults
+from mustardlb_standins import web
+from mustardlb_standins import weight_store as weight_store_standin
+
+SETTINGS = engine_standin.Settings(slots=2, step_time=0.001, report_lag=0.0)
+
+
+@contextlib.asynccontextmanager
+async def running(settings=SETTINGS):
+    store = weight_store_standin.MemoryWeightStore(load_time=0.01)
+    one = engine_standin.Engine(settings, store.fetch)
+    app = engine_app.build(one)
+    async with web.serving(app, background=one.run) as address:
+        client = engine.HttpEngine(address)
+        async with httpx.AsyncClient(base_url=address) as callers:
+            yield one, client, callers
+        await client.close()
+
+
+def body(model='oak@1', **rest):
+    messages = [{'role': 'user', 'content': 'Draft'}]
+    return {'model': model, 'messages': messages, 'max_tokens': 4, **rest}
+
+
+async def test_orders_and_reports():
+    async with running() as (one, client, callers):
+        answer = await callers.post(engine.CHAT_PATH, json=body())
+        assert answer.status_code == 404
+        assert answer.json()['error']['code'] == engine.NOT_LOADED
+        await client.load('oak@1', 3)
+        await client.load('ash@1', 3)
+        with pytest.raises(engine.SlotsFull):
+            await client.load('elm@1', 3)
+        with pytest.raises(engine.Fenced) as fenced:
+            await client.evict('oak@1', 2)
+        assert fenced.value.highest == 3
+        one.plan.add('load:elm@1', faults.Kind.FAIL)
+        await client.evict('ash@1', 4)
+        with pytest.raises(engine.LoadFailed):
+            await client.load('elm@1', 4)
+        await client.load_report()
+        report = await client.load_report()
+        assert report.resident == ('oak@1',)
+        answer = await callers.post(engine.CHAT_PATH, json=body())
+        assert answer.headers[engine.SERVED_MODEL] == 'oak@1'
+        text = answer.json()['choices'][0]['message']['content']
+        assert text == ' t1 t2 t3 t4'
+        events = await client.cache_events(0)
+        assert events.events[0].prefix == engine.prefix_hash('oak@1', 'Draft')
+
+
+async def test_a_cut_stream_is_resumed_and_a_restart_loses_it():
+    async with running() as (one, client, callers):
+        await client.load('oak@1', 1)
+        one.plan.add('stream:*', faults.Kind.CUT, count=2)
+        headers = {engine.REQUEST_ID: 'a/1'}
+        call = body(stream=True, stream_options={'include_usage': True})
+        seen = b''
+        with pytest.raises(httpx.HTTPError):
+            async with callers.stream(
+                'POST', engine.CHAT_PATH, json=call, headers=headers
+            ) as answer:
+                async for chunk in answer.aiter_bytes():
+                    seen += chunk
+        assert seen.count(b'data: ') == 2
+        answer = await callers.get(engine.resume_path('a/1', 2))
+        assert answer.content.startswith(b'id: 3\n')
+        assert b'"usage"' in answer.content
+        assert answer.content.endswith(b'data: [DONE]\n\n')
+        one.restart()
+        answer = await callers.get(engine.resume_path('a/1', 2))
+        assert answer.json()['error']['code'] == engine.STREAM_LOST
+        assert not one.resident
+
+
+async def test_the_store_slows_beyond_its_limit(autojump_clock):
+    import trio
+
+    store = weight_store_standin.MemoryWeightStore()
+
+    async def time_of(loads):
+        started = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for number in range(loads):
+                nursery.start_soon(store.fetch, f'm{number}@1')
+        return trio.current_time() - started
+
+    assert await time_of(8) == pytest.approx(weight_store.LOAD_TIME)
+    assert await time_of(16) == pytest.approx(2 * weight_store.LOAD_TIME)
+    assert store.most_in_transit == 16
+
+
+async def test_the_desk_counts_runs_and_streams_both_ways():
+    one = desk.Desk()
+    one.plan.add('booking:a', faults.Kind.ANSWER_LOST)
+    async with (
+        web.serving(desk.build(one)) as address,
+        httpx.AsyncClient(base_url=address) as client,
+    ):
+        booking = {'reference': 'a'}
+        lost = await client.post('/bookings', json=booking)
+        assert lost.status_code == 503
+        again = await client.post('/bookings', json=booking)
+        assert again.json()['runs'] == 2
+        assert one.doubled() == {'a': 2}
+        sent = await client.post('/upload', content=b'y' * 100_000)
+        assert sent.json()['size'] == 100_000
+        got = await client.get('/download/100000')
+        assert len(got.content) == 100_000
+        echo = await client.patch('/echo/x?q=1', content=b'z')
+        assert (echo.json()['method'], echo.json()['query']) == (
+            'PATCH',
+            'q=1',
+        )
