--- a/packages/mustardlb-standins/mustardlb_standins/object_api.py
+++ b/packages/mustardlb-standins/mustardlb_standins/object_api.py
@@ -173,7 +173,7 @@
 
     @app.put('/objects/<path:name>')
     async def put(name: str) -> web.Answer:
-        value = await quart.request.get_data(as_text=False)
+        value = await web.read_body()
         version = await api.put(name, value, _expected())
         return '', 200, {'ETag': f'"{version}"'}
 
--- a/packages/mustardlb-standins/mustardlb_standins/vm_list.py
+++ b/packages/mustardlb-standins/mustardlb_standins/vm_list.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 import msgspec
-import quart
 import quart_trio
 
 from mustardlb import vm_list
@@ -55,7 +54,7 @@
 
     @app.put('/vms')
     async def put() -> web.Answer:
-        body = await quart.request.get_data(as_text=False)
+        body = await web.read_body()
         vms = msgspec.json.decode(body, type=dict[str, list[vm_list.Vm]])
         listing.set_vms(*vms['vms'])
         return '', 204
--- a/packages/mustardlb-standins/mustardlb_standins/web.py
+++ b/packages/mustardlb-standins/mustardlb_standins/web.py
@@ -27,9 +27,7 @@
 
     @app.put('/faults')
     async def put_faults() -> Answer:
-        plan.plan(
-            *faults.decode_plan(await quart.request.get_data(as_text=False))
-        )
+        plan.plan(*faults.decode_plan(await read_body()))
         return '', 204
 
     @app.get('/faults')
@@ -93,10 +91,15 @@
     body: str
 
 
+async def read_body() -> bytes:
+    """Read the whole body of the request."""
+    body = await quart.request.get_data(as_text=False)
+    return body if isinstance(body, bytes) else body.encode()
+
+
 async def record(received: list[Any]) -> bytes:
     """Read the body, and keep the whole request for checks."""
-    request = quart.request
-    body = await request.get_data(as_text=False)
+    body = await read_body()
     note(received, body)
     return body
 
