--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_admission.py
@@ -0,0 +1,88 @@
+"""Who calls, and whether the call may still run."""
+
+from collections import abc
+import dataclasses
+
+from mustardlb import contracts
+from mustardlb import directory as directories
+from mustardlb import errors
+from mustardlb import keys
+from mustardlb import steps
+
+# Headers that carry a caller's key; none of them reaches a target.
+KEY_HEADERS = (b'authorization', b'x-api-key', b'api-key')
+
+_BEARER = 'bearer '
+
+Headers = abc.Iterable[tuple[bytes, bytes]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Caller:
+    """A client account that presented a valid key.
+
+    :ivar record: the stored record of the key
+    :ivar contract: the account's contract when the call was admitted
+    :ivar key: the key's text, never logged
+    """
+
+    record: keys.KeyRecord
+    contract: contracts.Contract
+    key: str = dataclasses.field(repr=False)
+
+
+def presented_key(headers: Headers) -> str:
+    """Return the key that a request carries, '' where there is none."""
+    for name, value in headers:
+        if name not in KEY_HEADERS:
+            continue
+        text = value.decode('latin-1').strip()
+        if text[: len(_BEARER)].lower() == _BEARER:
+            text = text[len(_BEARER) :].strip()
+        if text:
+            return text
+    return ''
+
+
+def admit(directory: directories.Directory, headers: Headers) -> Caller:
+    """Return who calls. Raises UNAUTHENTICATED or KEY_WITHDRAWN."""
+    key = presented_key(headers)
+    record = keys.authenticate(key, directory.keys_by_id)
+    return Caller(record, _contract_of(directory, record), key)
+
+
+def check_again(
+    directory: directories.Directory, caller: Caller, model: str = ''
+) -> None:
+    """Raise unless the key is still valid and the model still granted."""
+    record = directory.keys_by_id.get(caller.record.key_id)
+    if record is None or record.digest != caller.record.digest:
+        raise _key_withdrawn(caller)
+    if record.withdrawn_at is not None:
+        raise _key_withdrawn(caller)
+    contract = _contract_of(directory, record)
+    if model:
+        contracts.resolve(contract, model)
+
+
+def _contract_of(
+    directory: directories.Directory, record: keys.KeyRecord
+) -> contracts.Contract:
+    contract = directory.contracts_by_account.get(record.account)
+    if contract is None:
+        raise errors.Error(
+            errors.Code.NOT_GRANTED,
+            f'the client account {record.account} has no contract',
+            steps.Step.ADMISSION,
+            not_run=True,
+        )
+    return contract
+
+
+def _key_withdrawn(caller: Caller) -> errors.Error:
+    return errors.Error(
+        errors.Code.KEY_WITHDRAWN,
+        f'the key {caller.record.key_id} was withdrawn',
+        steps.Step.ADMISSION,
+        not_run=True,
+    )
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_dependencies.py
@@ -0,0 +1,87 @@
+"""What the callers' side needs of the rest of the node."""
+
+from collections import abc
+import contextlib
+import dataclasses
+from typing import Any
+from typing import Protocol
+
+from mustardlb import directory as directories
+from mustardlb import steps
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """A target that holds a model, guarded until it is released.
+
+    :ivar target_name: name of the target
+    :ivar url: its base URL
+    :ivar model: 'adapter@version' that the request is for
+    """
+
+    target_name: str
+    url: str
+    model: str
+
+
+class Reservation(Protocol):
+    """Tokens set aside for one request."""
+
+    def settle(self, tokens: int) -> None:
+        """Charge what was used; the rest is free again."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordedOutcome:
+    """The answer that an earlier call with the same key was given."""
+
+    status: int
+    headers: abc.Sequence[tuple[bytes, bytes]]
+    body: bytes
+
+
+class Attempt(Protocol):
+    """The one run of a booking, recorded before it begins."""
+
+    async def finish(
+        self,
+        status: int,
+        headers: abc.Sequence[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> None:
+        """Record the answer."""
+
+    async def not_run(self) -> None:
+        """Record that nothing ran, so that a repeated call may run."""
+
+
+Place = abc.Callable[
+    [str, str, float, frozenset[str]],
+    contextlib.AbstractAsyncContextManager[Placement],
+]
+Begin = abc.Callable[
+    [str, str, bytes], abc.Awaitable[Attempt | RecordedOutcome]
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dependencies:
+    """The rest of the node, as plain functions.
+
+    :ivar directory: the configuration in force
+    :ivar check_fresh: raises NODE_NOT_CURRENT where it may be outdated
+    :ivar status: what `GET /v1/status` shows, without `draining`
+    :ivar wait_revision: return once that revision is in force, or after
+        that many seconds
+    :ivar reserve: set tokens of an account aside, waiting at most so long
+    :ivar place: model, account, longest wait, targets to avoid
+    :ivar begin: account, idempotency key, fingerprint of the call
+    """
+
+    directory: abc.Callable[[], directories.Directory]
+    check_fresh: abc.Callable[[steps.Step], None]
+    status: abc.Callable[[], abc.Mapping[str, Any]]
+    wait_revision: abc.Callable[[int, float], abc.Awaitable[None]]
+    reserve: abc.Callable[[str, int, float], abc.Awaitable[Reservation]]
+    place: Place
+    begin: Begin
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_event_relay.py
@@ -0,0 +1,157 @@
+"""Passing an engine's event stream on, in blocks of whole events.
+
+Blocks go on as they come. Only the ends of a block are looked at, but for
+the usage event, which is found by a search and then parsed alone.
+"""
+
+from collections import abc
+import re
+from typing import Any
+
+import msgspec
+
+from mustardlb import errors
+from mustardlb import steps
+
+# The event that ends every whole stream.
+DONE = b'data: [DONE]\n\n'
+
+# Largest event, bytes.
+MAX_EVENT = 1_048_576
+
+_END = b'\n\n'
+_DATA = b'data: '
+_ID = re.compile(rb'^id: (\d{1,18})$', re.MULTILINE)
+
+# Within a JSON text the quotes would be escaped, so this is a field.
+_USAGE = re.compile(rb'"usage" ?: ?\{')
+
+
+class EventRelay:
+    """What has been passed on of one stream.
+
+    :ivar used: tokens that the engine reported, None before that
+    :ivar done: whether the last event was passed on
+    """
+
+    def __init__(self, usage_wanted: bool) -> None:
+        self.used: int | None = None
+        self.done = False
+        self._usage_wanted = usage_wanted
+        self._partial = b''
+        self._last = b''
+        self._expected = 1
+
+    async def run(
+        self,
+        blocks: abc.AsyncIterable[bytes],
+        write: abc.Callable[[bytes], abc.Awaitable[None]],
+        peer: str,
+    ) -> None:
+        """Pass on what comes; returns when the stream ended or is done.
+
+        Raises TARGET_FAILED where events are missing or much too large.
+        """
+        self._partial = b''
+        first = True
+        async for block in blocks:
+            events = self._whole_events(block, peer)
+            if not events:
+                continue
+            if first:
+                self._check_first(events, peer)
+                first = False
+            self._last = events
+            if _USAGE.search(events) is not None:
+                events = self._take_usage(events)
+            if events:
+                await write(events)
+            if self._last.endswith(DONE):
+                self.done = True
+
+    def last_id(self) -> int:
+        """Return the number of the last event passed on, 0 for none."""
+        found = _ID.findall(self._last)
+        if not found:
+            return 0
+        return int(found[-1])
+
+    def prepare_resume(self) -> int:
+        """Return after which event to resume, and expect the next."""
+        last = self.last_id()
+        self._expected = last + 1
+        return last
+
+    def _whole_events(self, block: bytes, peer: str) -> bytes:
+        if self._partial:
+            block = self._partial + block
+        if block.endswith(_END):
+            self._partial = b''
+            return block
+        cut = block.rfind(_END) + len(_END)
+        if cut < len(_END):
+            cut = 0
+        self._partial = block[cut:]
+        if len(self._partial) > MAX_EVENT:
+            raise _failed('an event of the target is too large', peer)
+        return block[:cut]
+
+    def _check_first(self, events: bytes, peer: str) -> None:
+        match = _ID.search(events)
+        number = int(match[1]) if match else 0
+        if number != self._expected:
+            raise _failed(
+                f'event {self._expected} was due and {number} came', peer
+            )
+
+    def _take_usage(self, events: bytes) -> bytes:
+        """Note the usage; drop its event unless the caller wants it."""
+        kept = []
+        for event in events.split(_END)[:-1]:
+            fields = _parse(event)
+            used = used_tokens(fields)
+            if used is not None:
+                self.used = used
+            if used is None or self._usage_wanted or fields.get('choices'):
+                kept.append(event + _END)
+        return b''.join(kept)
+
+
+def used_tokens(fields: dict[str, Any]) -> int | None:
+    """Return the tokens of an answer's usage field, None without one.
+
+    >>> used_tokens({'usage': {'prompt_tokens': 3, 'completion_tokens': 4}})
+    7
+    """
+    usage = fields.get('usage')
+    if not isinstance(usage, dict):
+        return None
+    prompt = usage.get('prompt_tokens')
+    completion = usage.get('completion_tokens', 0)
+    if not isinstance(prompt, int) or not isinstance(completion, int):
+        return None
+    if prompt < 0 or completion < 0:
+        return None
+    return prompt + completion
+
+
+def parse_object(data: bytes) -> dict[str, Any]:
+    """Read a JSON object; empty for anything else."""
+    try:
+        fields = msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return {}
+    return fields if isinstance(fields, dict) else {}
+
+
+def _parse(event: bytes) -> dict[str, Any]:
+    for line in event.split(b'\n'):
+        if line.startswith(_DATA):
+            return parse_object(line[len(_DATA) :])
+    return {}
+
+
+def _failed(message: str, peer: str) -> errors.Error:
+    return errors.Error(
+        errors.Code.TARGET_FAILED, message, steps.Step.STREAM, peer
+    )
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_model_service.py
@@ -0,0 +1,399 @@
+"""Running a model call on an engine and passing its answer on."""
+
+from collections import abc
+import contextlib
+import dataclasses
+import secrets
+
+import httpx
+import structlog
+import trio
+
+from mustardlb import engine
+from mustardlb import errors
+from mustardlb import steps
+from mustardlbd import _admission
+from mustardlbd import _asgi
+from mustardlbd import _caller_settings
+from mustardlbd import _dependencies
+from mustardlbd import _event_relay
+from mustardlbd import _http_server
+from mustardlbd import _model_call
+from mustardlbd import _retries
+from mustardlbd import _targets_http
+
+log = structlog.get_logger()
+
+# Times that a broken stream is taken up again.
+MAX_RESUMES = 3
+
+# Pause before a broken stream is taken up again, seconds.
+RESUME_PAUSE = 0.1
+
+# Random bytes in the id of an attempt.
+REQUEST_ID_BYTES = 16
+
+_RETRYABLE = frozenset(
+    {
+        errors.Code.TARGET_FAILED,
+        errors.Code.TARGET_TIMEOUT,
+        errors.Code.WRONG_ADAPTER,
+    }
+)
+
+_SERVED_MODEL = engine.SERVED_MODEL.lower().encode()
+_JSON = [(b'content-type', b'application/json')]
+_EVENTS = [
+    (b'content-type', b'text/event-stream'),
+    (b'cache-control', b'no-cache'),
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelService:
+    """What every model call needs.
+
+    :ivar retries: shared by all calls of the node
+    """
+
+    dependencies: _dependencies.Dependencies
+    settings: _caller_settings.CallerSettings
+    client: _targets_http.Client
+    retries: _retries.RetryBudget
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Attempt:
+    """One dispatch of a call to one engine."""
+
+    service: ModelService
+    caller: _admission.Caller
+    path: str
+    call: _model_call.ModelCall
+    placement: _dependencies.Placement
+    request_id: str
+
+    @property
+    def peer(self) -> str:
+        """Name of the engine."""
+        return self.placement.target_name
+
+
+async def run(
+    service: ModelService,
+    caller: _admission.Caller,
+    path: str,
+    call: _model_call.ModelCall,
+    reply: _asgi.Reply,
+) -> int:
+    """Answer a call; returns the tokens to charge.
+
+    Raises errors.Error where nothing was answered yet.
+    """
+    service.retries.add_request()
+    may_have_run = False
+    avoid: set[str] = set()
+    while True:
+        _check_again(service, caller, call, may_have_run)
+        failure, used = None, None
+        account = caller.record.account
+        with _ran_before(may_have_run):
+            placing = service.dependencies.place(
+                call.model,
+                account,
+                service.settings.queue_timeout,
+                frozenset(avoid),
+            )
+            async with placing as placement:
+                request_id = secrets.token_hex(REQUEST_ID_BYTES)
+                attempt = _Attempt(
+                    service, caller, path, call, placement, request_id
+                )
+                _check_again(service, caller, call, may_have_run)
+                try:
+                    used = await _run_attempt(attempt, reply)
+                except errors.Error as error:
+                    failure = error
+        if failure is None:
+            return call.cost if used is None else used
+        may_have_run = may_have_run or not failure.not_run
+        avoid.add(placement.target_name)
+        if not _may_retry(service, failure, len(avoid), reply):
+            failure.not_run = not may_have_run
+            raise failure
+        log.info(
+            'MLB-4010', code=str(failure.code), peer=placement.target_name
+        )
+
+
+def _may_retry(
+    service: ModelService,
+    failure: errors.Error,
+    attempts: int,
+    reply: _asgi.Reply,
+) -> bool:
+    if reply.started or failure.code not in _RETRYABLE:
+        return False
+    if attempts >= service.settings.max_attempts:
+        return False
+    return service.retries.take()
+
+
+def _check_again(
+    service: ModelService,
+    caller: _admission.Caller,
+    call: _model_call.ModelCall,
+    may_have_run: bool,
+) -> None:
+    """Check freshness, key and grant right before work is given out."""
+    with _ran_before(may_have_run):
+        service.dependencies.check_fresh(steps.Step.DISPATCH)
+        _admission.check_again(
+            service.dependencies.directory(), caller, call.model
+        )
+
+
+@contextlib.contextmanager
+def _ran_before(may_have_run: bool) -> abc.Iterator[None]:
+    """Keep `not_run` true to an earlier attempt that may have run."""
+    try:
+        yield
+    except errors.Error as error:
+        error.not_run = error.not_run and not may_have_run
+        raise
+
+
+async def _run_attempt(attempt: _Attempt, reply: _asgi.Reply) -> int | None:
+    """Dispatch, and pass the answer on; cancel what was not finished."""
+    settings = attempt.service.settings
+    timeouts = _targets_http.Timeouts(
+        settings.connect_timeout,
+        settings.response_timeout,
+        settings.event_timeout,
+    )
+    headers = [
+        (b'Content-Type', b'application/json'),
+        (b'Accept-Encoding', b'identity'),
+        (engine.REQUEST_ID.encode(), attempt.request_id.encode()),
+        (engine.PRIORITY.encode(), _priority(attempt.caller)),
+    ]
+    finished = False
+    try:
+        async with attempt.service.client.exchange(
+            'POST',
+            attempt.placement.url + attempt.path,
+            headers,
+            attempt.call.body,
+            timeouts,
+            attempt.peer,
+        ) as response:
+            await _check_answer(attempt, response)
+            if attempt.call.streamed:
+                used = await _pass_stream(attempt, response, reply)
+            else:
+                used = await _pass_whole(attempt, response, reply)
+        finished = True
+        return used
+    except errors.Error as error:
+        finished = error.not_run
+        raise
+    finally:
+        if not finished:
+            await attempt.service.client.cancel(
+                attempt.placement.url, attempt.request_id
+            )
+
+
+def _priority(caller: _admission.Caller) -> bytes:
+    """Contracts count up to the most urgent, engines down to it."""
+    return b'%d' % (engine.BACKGROUND - caller.contract.priority)
+
+
+async def _check_answer(attempt: _Attempt, response: httpx.Response) -> None:
+    """Raise unless this is the answer to this attempt, by its model."""
+    if response.status_code != 200:
+        raise await _refusal(attempt, response)
+    served = response.headers.get(engine.SERVED_MODEL)
+    echoed = response.headers.get(engine.REQUEST_ID)
+    if served == attempt.call.model and echoed == attempt.request_id:
+        return
+    log.error(
+        'MLB-4011',
+        peer=attempt.peer,
+        model=attempt.call.model,
+        served=served,
+        same_request=echoed == attempt.request_id,
+    )
+    raise errors.Error(
+        errors.Code.WRONG_ADAPTER,
+        'the target answered another request or ran another adapter',
+        steps.Step.DISPATCH,
+        attempt.peer,
+    )
+
+
+async def _refusal(
+    attempt: _Attempt, response: httpx.Response
+) -> errors.Error:
+    """Build the error for an engine's answer other than 200."""
+    status = response.status_code
+    body = await _read(attempt, response)
+    detail = _event_relay.parse_object(body).get('error')
+    fields = detail if isinstance(detail, dict) else {}
+    code = fields.get('code')
+    if status == 400:
+        message = str(fields.get('message', 'no reason given'))
+        return errors.Error(
+            errors.Code.BAD_REQUEST,
+            f'the engine refused the request: {message[:200]}',
+            steps.Step.DISPATCH,
+            attempt.peer,
+            not_run=True,
+        )
+    not_run = (status, code) in (
+        (404, engine.NOT_LOADED),
+        (429, engine.QUEUE_FULL),
+    )
+    return errors.Error(
+        errors.Code.TARGET_FAILED,
+        f'the engine answered with status {status}',
+        steps.Step.DISPATCH,
+        attempt.peer,
+        not_run=not_run,
+        retry_after=1.0 if not_run else None,
+    )
+
+
+async def _read(attempt: _Attempt, response: httpx.Response) -> bytes:
+    """Read an answer whole. Raises TARGET_FAILED where it is too large."""
+    limit = attempt.service.settings.max_answer
+    body = bytearray()
+    with _targets_http.translated(attempt.peer, steps.Step.STREAM):
+        async for block in response.stream:  # type: ignore[union-attr]
+            body += block
+            if len(body) > limit:
+                raise errors.Error(
+                    errors.Code.TARGET_FAILED,
+                    'the answer is too large',
+                    steps.Step.STREAM,
+                    attempt.peer,
+                )
+    return bytes(body)
+
+
+async def _pass_whole(
+    attempt: _Attempt, response: httpx.Response, reply: _asgi.Reply
+) -> int | None:
+    body = await _read(attempt, response)
+    fields = _event_relay.parse_object(body)
+    if not fields:
+        raise errors.Error(
+            errors.Code.TARGET_FAILED,
+            'the answer is not a JSON object',
+            steps.Step.STREAM,
+            attempt.peer,
+        )
+    length = (b'content-length', b'%d' % len(body))
+    await reply.start(200, [*_JSON, length, _served(attempt)])
+    await reply.write(body)
+    await reply.finish()
+    return _event_relay.used_tokens(fields)
+
+
+async def _pass_stream(
+    attempt: _Attempt, response: httpx.Response, reply: _asgi.Reply
+) -> int | None:
+    """Pass a stream on, taking it up again where it breaks."""
+    relay = _event_relay.EventRelay(attempt.call.usage_wanted)
+
+    async def write(events: bytes) -> None:
+        if not reply.started:
+            await reply.start(200, [*_EVENTS, _served(attempt)])
+        await reply.write(events)
+
+    failure = await _follow(attempt, relay, response, write)
+    for _ in range(MAX_RESUMES):
+        if relay.done:
+            break
+        if not reply.started:
+            raise failure or _cut(attempt)
+        log.info('MLB-4012', peer=attempt.peer, after=relay.last_id())
+        await trio.sleep(RESUME_PAUSE)
+        failure = await _resume(attempt, relay, write) or failure
+    if not relay.done:
+        await _say_cut(attempt, reply)
+        return relay.used
+    await reply.finish()
+    return relay.used
+
+
+async def _follow(
+    attempt: _Attempt,
+    relay: _event_relay.EventRelay,
+    response: httpx.Response,
+    write: abc.Callable[[bytes], abc.Awaitable[None]],
+) -> errors.Error | None:
+    """Pass on until the stream ends; gives what broke it."""
+    try:
+        with _targets_http.translated(attempt.peer, steps.Step.STREAM):
+            await relay.run(
+                response.stream,  # type: ignore[arg-type]
+                write,
+                attempt.peer,
+            )
+    except errors.Error as error:
+        return error
+    return None
+
+
+async def _resume(
+    attempt: _Attempt,
+    relay: _event_relay.EventRelay,
+    write: abc.Callable[[bytes], abc.Awaitable[None]],
+) -> errors.Error | None:
+    settings = attempt.service.settings
+    timeouts = _targets_http.Timeouts(
+        settings.connect_timeout,
+        settings.event_timeout,
+        settings.event_timeout,
+    )
+    path = engine.resume_path(attempt.request_id, relay.prepare_resume())
+    try:
+        async with attempt.service.client.exchange(
+            'GET',
+            attempt.placement.url + path,
+            [(b'Accept-Encoding', b'identity')],
+            b'',
+            timeouts,
+            attempt.peer,
+        ) as response:
+            await _check_answer(attempt, response)
+            return await _follow(attempt, relay, response, write)
+    except errors.Error as error:
+        return error
+
+
+async def _say_cut(attempt: _Attempt, reply: _asgi.Reply) -> None:
+    """End the stream with an error event and without `[DONE]`."""
+    error = _cut(attempt)
+    log.warning('MLB-4013', peer=attempt.peer, model=attempt.call.model)
+    body = _http_server.error_body(error)
+    await reply.write(b'event: error\ndata: ' + body + b'\n\n')
+    await reply.finish()
+    # The engine may still be at work on it.
+    await attempt.service.client.cancel(
+        attempt.placement.url, attempt.request_id
+    )
+
+
+def _cut(attempt: _Attempt) -> errors.Error:
+    return errors.Error(
+        errors.Code.ANSWER_CUT,
+        'the answer broke off and could not be taken up again',
+        steps.Step.STREAM,
+        attempt.peer,
+    )
+
+
+def _served(attempt: _Attempt) -> tuple[bytes, bytes]:
+    return _SERVED_MODEL, attempt.call.model.encode()
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_targets_http.py
@@ -0,0 +1,150 @@
+"""HTTP towards targets: one pool, no cookies, redirects or own headers."""
+
+from collections import abc
+import contextlib
+import dataclasses
+import ssl
+
+import httpx
+import trio
+
+from mustardlb import errors
+from mustardlb import steps
+
+# Idle connections to targets are closed after so long, seconds; below what
+# common servers wait, so that a request seldom meets a closing connection.
+KEEPALIVE = 4.0
+
+# For telling a target that a request is not wanted any more, seconds.
+CANCEL_TIMEOUT = 2.0
+
+Headers = abc.Sequence[tuple[bytes, bytes]]
+Content = bytes | abc.AsyncIterable[bytes]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timeouts:
+    """Limits of one exchange, seconds.
+
+    :ivar connect: until the connection stands
+    :ivar response: until the answer begins
+    :ivar between: between two pieces of the answer
+    """
+
+    connect: float
+    response: float
+    between: float
+
+
+class Client:
+    """Connections to all targets."""
+
+    def __init__(self, tls: ssl.SSLContext | None = None) -> None:
+        limits = httpx.Limits(
+            max_connections=None,
+            max_keepalive_connections=None,
+            keepalive_expiry=KEEPALIVE,
+        )
+        single = httpx.Limits(
+            max_connections=None, max_keepalive_connections=0
+        )
+        context = tls or ssl.create_default_context()
+        self._shared = httpx.AsyncHTTPTransport(
+            verify=context, limits=limits, trust_env=False
+        )
+        self._fresh = httpx.AsyncHTTPTransport(
+            verify=context, limits=single, trust_env=False
+        )
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._shared.aclose()
+        await self._fresh.aclose()
+
+    @contextlib.asynccontextmanager
+    async def exchange(
+        self,
+        method: str,
+        url: str,
+        headers: Headers,
+        content: Content,
+        timeouts: Timeouts,
+        peer: str,
+        *,
+        fresh: bool = False,
+    ) -> abc.AsyncIterator[httpx.Response]:
+        """Send a request; gives the answer with its body still to come.
+
+        `fresh` takes a new connection, for what may not be repeated: an
+        idle one may be closing, and then nobody knows whether it ran.
+        Raises TARGET_FAILED or TARGET_TIMEOUT.
+        """
+        limits = {
+            'connect': timeouts.connect,
+            'read': timeouts.response,
+            'write': timeouts.response,
+            'pool': timeouts.connect,
+        }
+        request = httpx.Request(
+            method,
+            url,
+            headers=list(headers),
+            content=content,
+            extensions={'timeout': limits},
+        )
+        transport = self._fresh if fresh else self._shared
+        with translated(peer, steps.Step.DISPATCH):
+            response = await transport.handle_async_request(request)
+        limits['read'] = timeouts.between
+        try:
+            yield response
+        finally:
+            with trio.CancelScope(shield=True):
+                await response.stream.aclose()  # type: ignore[union-attr]
+
+    async def cancel(self, url: str, request_id: str) -> None:
+        """Tell an engine that the answer is not wanted any more."""
+        timeouts = Timeouts(CANCEL_TIMEOUT, CANCEL_TIMEOUT, CANCEL_TIMEOUT)
+        with trio.move_on_after(CANCEL_TIMEOUT, shield=True):
+            with contextlib.suppress(errors.Error):
+                async with self.exchange(
+                    'DELETE',
+                    f'{url}/v1/streams/{request_id}',
+                    [],
+                    b'',
+                    timeouts,
+                    '',
+                ):
+                    pass
+
+
+@contextlib.contextmanager
+def translated(peer: str, step: steps.Step) -> abc.Iterator[None]:
+    """Turn the client library's errors into ours.
+
+    Only where no connection came about can nothing have run.
+    """
+    try:
+        yield
+    except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
+        raise errors.Error(
+            errors.Code.TARGET_FAILED,
+            'the target could not be reached',
+            step,
+            peer,
+            not_run=True,
+        ) from None
+    except httpx.TimeoutException:
+        raise errors.Error(
+            errors.Code.TARGET_TIMEOUT,
+            'the target did not answer in time',
+            step,
+            peer,
+        ) from None
+    except httpx.TransportError:
+        raise errors.Error(
+            errors.Code.TARGET_FAILED,
+            'the connection to the target broke',
+            step,
+            peer,
+        ) from None
