--- a/packages/mustardlbd/mustardlbd/_admission.py
+++ b/packages/mustardlbd/mustardlbd/_admission.py
@@ -31,6 +31,16 @@
     key: str = dataclasses.field(repr=False)
 
 
+def bad_request(message: str) -> errors.Error:
+    """Build the error of a request that makes no sense."""
+    return errors.Error(
+        errors.Code.BAD_REQUEST,
+        message,
+        steps.Step.ADMISSION,
+        not_run=True,
+    )
+
+
 def presented_key(headers: Headers) -> str:
     """Return the key that a request carries, '' where there is none."""
     for name, value in headers:
--- a/packages/mustardlbd/mustardlbd/_caller_settings.py
+++ b/packages/mustardlbd/mustardlbd/_caller_settings.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from mustardlbd import _http_server
+from mustardlbd import _http_connection
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,7 +27,7 @@
     :ivar notice_time: a stopping node goes on accepting for so long
     """
 
-    server: _http_server.ServerSettings = _http_server.ServerSettings()
+    server: _http_connection.ServerSettings = _http_connection.ServerSettings()
     max_body: int = 8_388_608
     max_answer: int = 16_777_216
     body_timeout: float = 30.0
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_http1.py
@@ -0,0 +1,78 @@
+"""HTTP/1.1 of callers: hypercorn's, with JSON errors and no upgrades."""
+
+import h11
+from hypercorn.protocol import events
+from hypercorn.protocol import h11 as hypercorn_h11
+from hypercorn.protocol import http_stream
+import msgspec
+
+from mustardlb import errors
+from mustardlb import steps
+from mustardlbd import _asgi
+
+
+def _protocol_error(status: int, begun: bool) -> errors.Error:
+    """Build the error of a request that could not be read."""
+    code = errors.Code.BAD_REQUEST
+    message = 'the request is not valid HTTP'
+    if status == 431:
+        code = errors.Code.HEADERS_TOO_LARGE
+        message = 'the headers are too large'
+    if status == 408:
+        code = errors.Code.REQUEST_TIMEOUT
+        message = 'the request took too long to arrive'
+    return errors.Error(code, message, steps.Step.ADMISSION, not_run=not begun)
+
+
+class Http1(hypercorn_h11.H11Protocol):
+    """HTTP/1.1 with JSON errors, without WebSocket and h2c upgrades."""
+
+    async def refuse_unread(self) -> None:
+        """Tell a caller whose request headers did not arrive in time."""
+        if self.stream is not None or not self.connection.trailing_data[0]:
+            return
+        await self._send_error_response(408)
+
+    async def _send_error_response(self, status_code: int) -> None:
+        begun = self.connection.our_state is not h11.IDLE
+        error = _protocol_error(status_code, begun)
+        body = msgspec.json.encode(_asgi.describe(error))
+        headers = [
+            (b'content-type', b'application/json'),
+            (b'content-length', b'%d' % len(body)),
+            (b'connection', b'close'),
+        ]
+        await self._send_h11_event(
+            h11.Response(status_code=error.status, headers=headers)
+        )
+        await self._send_h11_event(h11.Data(data=body))
+        await self._send_h11_event(h11.EndOfMessage())
+
+    async def _check_protocol(self, event: h11.Request) -> None:
+        if event.method == b'PRI':
+            await super()._check_protocol(event)
+
+    async def _create_stream(self, request: h11.Request) -> None:
+        stream = http_stream.HTTPStream(
+            self.app,
+            self.config,
+            self.context,
+            self.task_group,
+            self.ssl,
+            self.client,
+            self.server,
+            self.stream_send,
+            hypercorn_h11.STREAM_ID,
+        )
+        self.stream = stream
+        await stream.handle(
+            events.Request(
+                stream_id=hypercorn_h11.STREAM_ID,
+                headers=list(request.headers),
+                http_version=request.http_version.decode(),
+                method=request.method.decode('ascii').upper(),
+                raw_path=request.target,
+                state=self.connection_state,
+            )
+        )
+        self.keep_alive_requests += 1
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_http2.py
@@ -0,0 +1,43 @@
+"""HTTP/2 of callers: hypercorn's, with cut answers shown as cut."""
+
+from typing import Any
+
+import h2.errors
+import h2.events
+import h2.exceptions
+from hypercorn.protocol import events
+from hypercorn.protocol import h2 as hypercorn_h2
+
+
+class Http2(hypercorn_h2.H2Protocol):
+    """HTTP/2 that resets a stream whose answer ended too early."""
+
+    async def stream_send(self, event: events.Event) -> None:
+        if isinstance(event, events.StreamClosed):
+            await self._reset_unfinished(event.stream_id)
+        await super().stream_send(event)
+
+    async def _reset_unfinished(self, stream_id: int) -> None:
+        buffer = self.stream_buffers.get(stream_id)
+        if self.closed or buffer is None or buffer.complete:
+            return
+        try:
+            self.connection.reset_stream(
+                stream_id, h2.errors.ErrorCodes.INTERNAL_ERROR
+            )
+        except h2.exceptions.ProtocolError:
+            return
+        await buffer.close()
+        await self._flush()
+
+    async def _handle_events(self, received: list[Any]) -> None:
+        for event in received:
+            late = isinstance(event, h2.events.DataReceived)
+            if late and event.stream_id not in self.streams:
+                # The answer went out before the whole body had come in.
+                self.connection.acknowledge_received_data(
+                    event.flow_controlled_length, event.stream_id
+                )
+                await self._flush()
+                continue
+            await super()._handle_events([event])
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_http_connection.py
@@ -0,0 +1,186 @@
+"""One connection of a caller: hypercorn's protocols on a trio stream."""
+
+import dataclasses
+import ssl
+from typing import Any
+
+import hypercorn.config
+import hypercorn.events
+from hypercorn.protocol import h11 as hypercorn_h11
+from hypercorn.trio import task_group
+from hypercorn.trio import worker_context
+import hypercorn.typing
+import structlog
+import trio
+
+from mustardlbd import _http1
+from mustardlbd import _http2
+
+log = structlog.get_logger()
+
+# Largest read from a connection, bytes.
+MAX_READ = 65_536
+
+# Longest wait for a connection's orderly close, seconds.
+CLOSE_TIMEOUT = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerSettings:
+    """How one port is served.
+
+    :ivar address: IP number
+    :ivar port: TCP port, 0 for one chosen by the operating system
+    :ivar max_headers: bytes of a request's headers
+    :ivar header_timeout: seconds for a request's headers, also the time a
+        connection may stay idle
+    :ivar write_timeout: seconds a caller may take to read one block
+    :ivar stop_timeout: seconds that requests in flight get when stopping
+    :ivar tls: the TLS context, None for plain text
+    """
+
+    address: str = '127.0.0.1'
+    port: int = 0
+    max_headers: int = 32_768
+    header_timeout: float = 15.0
+    write_timeout: float = 30.0
+    stop_timeout: float = 600.0
+    tls: ssl.SSLContext | None = None
+
+
+class Connection:
+    """One connection of a caller: hypercorn's protocols on a trio stream."""
+
+    def __init__(
+        self,
+        app: hypercorn.typing.AppWrapper,
+        config: hypercorn.config.Config,
+        context: worker_context.WorkerContext,
+        settings: ServerSettings,
+        stream: trio.SocketStream | trio.SSLStream[trio.SocketStream],
+    ) -> None:
+        self._app = app
+        self._config = config
+        self._context = context
+        self._settings = settings
+        self._stream = stream
+        self._send_lock = trio.Lock()
+        self._idle = worker_context.TrioSingleTask()
+        self._tasks = task_group.TaskGroup()
+        self._protocol: _http1.Http1 | _http2.Http2
+
+    async def run(self) -> None:
+        """Serve the connection until either side closes it."""
+        try:
+            is_h2 = await self._handshake()
+            async with self._tasks:
+                self._protocol = self._make_protocol(is_h2)
+                await self._protocol.initiate()
+                await self._idle.restart(self._tasks, self._idle_timeout)
+                await self._read()
+        except (OSError, trio.BrokenResourceError, trio.TooSlowError):
+            log.debug('MLB-4001')
+        except Exception as error:
+            # One caller's connection must not end the others'.
+            log.error('MLB-4002', error=type(error).__name__, exc_info=True)
+        finally:
+            with trio.CancelScope(shield=True):
+                await self._close()
+
+    async def _handshake(self) -> bool:
+        if not isinstance(self._stream, trio.SSLStream):
+            return False
+        with trio.fail_after(self._settings.header_timeout):
+            await self._stream.do_handshake()
+        return self._stream.selected_alpn_protocol() == 'h2'
+
+    def _make_protocol(self, is_h2: bool) -> _http1.Http1 | _http2.Http2:
+        stream: Any = self._stream
+        is_tls = isinstance(stream, trio.SSLStream)
+        raw = (stream.transport_stream if is_tls else stream).socket
+        make: Any = _http2.Http2 if is_h2 else _http1.Http1
+        return make(
+            self._app,
+            self._config,
+            self._context,
+            self._tasks,
+            hypercorn.typing.ConnectionState({}),
+            is_tls,
+            raw.getpeername()[:2],
+            raw.getsockname()[:2],
+            self._send,
+        )
+
+    async def _handle(self, event: hypercorn.events.Event) -> None:
+        try:
+            await self._protocol.handle(event)
+        except hypercorn_h11.H2ProtocolAssumedError as preface:
+            self._protocol = self._make_protocol(is_h2=True)
+            await self._protocol.initiate()
+            await self._protocol.handle(
+                hypercorn.events.RawData(data=preface.data)
+            )
+
+    async def _send(self, event: hypercorn.events.Event) -> None:
+        if isinstance(event, hypercorn.events.RawData):
+            await self._write(event.data)
+        elif isinstance(event, hypercorn.events.Closed):
+            await self._close()
+            await self._handle(hypercorn.events.Closed())
+        elif isinstance(event, hypercorn.events.Updated):
+            await self._mark_idle(event.idle)
+
+    async def _mark_idle(self, idle: bool) -> None:
+        if idle:
+            await self._idle.restart(self._tasks, self._idle_timeout)
+        else:
+            await self._idle.stop()
+
+    async def _write(self, data: bytes) -> None:
+        # Shielded, so that no answer is cut within a block.
+        async with self._send_lock:
+            scope = trio.move_on_after(self._settings.write_timeout)
+            scope.shield = True
+            try:
+                with scope:
+                    await self._stream.send_all(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                await self._handle(hypercorn.events.Closed())
+                return
+        if scope.cancelled_caught:
+            log.info('MLB-4003', write_timeout=self._settings.write_timeout)
+            await trio.aclose_forcefully(self._stream)
+            await self._handle(hypercorn.events.Closed())
+
+    async def _read(self) -> None:
+        while True:
+            try:
+                data = await self._stream.receive_some(MAX_READ)
+            except (trio.ClosedResourceError, trio.BrokenResourceError):
+                break
+            if not data:
+                break
+            await self._handle(hypercorn.events.RawData(bytes(data)))
+        await self._handle(hypercorn.events.Closed())
+
+    async def _close(self) -> None:
+        with trio.move_on_after(CLOSE_TIMEOUT):
+            try:
+                if isinstance(self._stream, trio.SocketStream):
+                    await self._stream.send_eof()
+            except (
+                trio.BrokenResourceError,
+                trio.BusyResourceError,
+                trio.ClosedResourceError,
+            ):
+                log.debug('MLB-4001')
+            await self._stream.aclose()
+
+    async def _idle_timeout(self) -> None:
+        with trio.move_on_after(self._settings.header_timeout):
+            await self._context.terminated.wait()
+        with trio.CancelScope(shield=True):
+            if isinstance(self._protocol, _http1.Http1):
+                await self._protocol.refuse_unread()
+            await self._protocol.handle(hypercorn.events.Closed())
+            await self._close()
--- a/packages/mustardlbd/mustardlbd/_model_call.py
+++ b/packages/mustardlbd/mustardlbd/_model_call.py
@@ -6,8 +6,6 @@
 import msgspec
 
 from mustardlb import contracts
-from mustardlb import errors
-from mustardlb import steps
 from mustardlbd import _admission
 from mustardlbd import _caller_settings
 from mustardlbd import _key_scan
@@ -59,23 +57,13 @@
     )
 
 
-def bad_request(message: str) -> errors.Error:
-    """Build the error of a request that makes no sense."""
-    return errors.Error(
-        errors.Code.BAD_REQUEST,
-        message,
-        steps.Step.ADMISSION,
-        not_run=True,
-    )
-
-
 def _decode(body: bytes) -> dict[str, Any]:
     try:
         fields = msgspec.json.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-        raise bad_request('the body is not valid JSON') from None
+        raise _admission.bad_request('the body is not valid JSON') from None
     if not isinstance(fields, dict):
-        raise bad_request('the body is not a JSON object')
+        raise _admission.bad_request('the body is not a JSON object')
     return fields
 
 
@@ -96,7 +84,7 @@
     }
     body = msgspec.json.encode(kept)
     if _key_scan.contains_key(body, secret):
-        raise bad_request('the body contains a key')
+        raise _admission.bad_request('the body contains a key')
     return body
 
 
@@ -107,14 +95,14 @@
 def _model_name(fields: dict[str, Any]) -> str:
     model = fields.get('model')
     if not isinstance(model, str) or not model:
-        raise bad_request('model must be a text that is not empty')
+        raise _admission.bad_request('model must be a text that is not empty')
     return model
 
 
 def _flag(fields: dict[str, Any], name: str) -> bool:
     value = fields.get(name)
     if value is not None and not isinstance(value, bool):
-        raise bad_request(f'{name} must be true or false')
+        raise _admission.bad_request(f'{name} must be true or false')
     return bool(value)
 
 
@@ -123,9 +111,9 @@
     if value is None:
         return None
     if isinstance(value, bool) or not isinstance(value, int):
-        raise bad_request(f'{name} must be a whole number')
+        raise _admission.bad_request(f'{name} must be a whole number')
     if not 1 <= value <= most:
-        raise bad_request(f'{name} must be from 1 to {most}')
+        raise _admission.bad_request(f'{name} must be from 1 to {most}')
     return value
 
 
@@ -162,7 +150,7 @@
     if options is None:
         options = {}
     if not isinstance(options, dict):
-        raise bad_request('stream_options must be an object')
+        raise _admission.bad_request('stream_options must be an object')
     wanted = _flag(options, 'include_usage')
     fields['stream_options'] = options | {'include_usage': True}
     return wanted
--- a/packages/mustardlbd/mustardlbd/_model_service.py
+++ b/packages/mustardlbd/mustardlbd/_model_service.py
@@ -6,6 +6,7 @@
 import secrets
 
 import httpx
+import msgspec
 import structlog
 import trio
 
@@ -17,7 +18,6 @@
 from mustardlbd import _caller_settings
 from mustardlbd import _dependencies
 from mustardlbd import _event_relay
-from mustardlbd import _http_server
 from mustardlbd import _model_call
 from mustardlbd import _retries
 from mustardlbd import _targets_http
@@ -51,10 +51,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ModelService:
-    """What every model call needs.
-
-    :ivar retries: shared by all calls of the node
-    """
+    """What every model call needs."""
 
     dependencies: _dependencies.Dependencies
     settings: _caller_settings.CallerSettings
@@ -86,7 +83,7 @@
     call: _model_call.ModelCall,
     reply: _asgi.Reply,
 ) -> int:
-    """Answer a call; returns the tokens to charge.
+    """Write the answer to a call; returns the tokens to charge.
 
     Raises errors.Error where nothing was answered yet.
     """
@@ -237,7 +234,9 @@
 ) -> errors.Error:
     """Build the error for an engine's answer other than 200."""
     status = response.status_code
-    body = await _read(attempt, response)
+    body = await _targets_http.read_whole(
+        response, attempt.service.settings.max_answer, attempt.peer
+    )
     detail = _event_relay.parse_object(body).get('error')
     fields = detail if isinstance(detail, dict) else {}
     code = fields.get('code')
@@ -264,27 +263,12 @@
     )
 
 
-async def _read(attempt: _Attempt, response: httpx.Response) -> bytes:
-    """Read an answer whole. Raises TARGET_FAILED where it is too large."""
-    limit = attempt.service.settings.max_answer
-    body = bytearray()
-    with _targets_http.translated(attempt.peer, steps.Step.STREAM):
-        async for block in response.stream:  # type: ignore[union-attr]
-            body += block
-            if len(body) > limit:
-                raise errors.Error(
-                    errors.Code.TARGET_FAILED,
-                    'the answer is too large',
-                    steps.Step.STREAM,
-                    attempt.peer,
-                )
-    return bytes(body)
-
-
 async def _pass_whole(
     attempt: _Attempt, response: httpx.Response, reply: _asgi.Reply
 ) -> int | None:
-    body = await _read(attempt, response)
+    body = await _targets_http.read_whole(
+        response, attempt.service.settings.max_answer, attempt.peer
+    )
     fields = _event_relay.parse_object(body)
     if not fields:
         raise errors.Error(
@@ -296,7 +280,6 @@
     length = (b'content-length', b'%d' % len(body))
     await reply.start(200, [*_JSON, length, _served(attempt)])
     await reply.write(body)
-    await reply.finish()
     return _event_relay.used_tokens(fields)
 
 
@@ -322,8 +305,6 @@
         failure = await _resume(attempt, relay, write) or failure
     if not relay.done:
         await _say_cut(attempt, reply)
-        return relay.used
-    await reply.finish()
     return relay.used
 
 
@@ -377,9 +358,8 @@
     """End the stream with an error event and without `[DONE]`."""
     error = _cut(attempt)
     log.warning('MLB-4013', peer=attempt.peer, model=attempt.call.model)
-    body = _http_server.error_body(error)
+    body = msgspec.json.encode(_asgi.describe(error))
     await reply.write(b'event: error\ndata: ' + body + b'\n\n')
-    await reply.finish()
     # The engine may still be at work on it.
     await attempt.service.client.cancel(
         attempt.placement.url, attempt.request_id
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_request_body.py
@@ -0,0 +1,128 @@
+"""Request bodies, read whole or passed on as they come."""
+
+from collections import abc
+
+import trio
+
+from mustardlb import errors
+from mustardlb import steps
+from mustardlbd import _asgi
+from mustardlbd import _caller_settings
+from mustardlbd import _key_scan
+
+# What is read of a refused request, so that its caller gets to read the
+# answer: bytes, and seconds.
+MAX_DISCARDED = 1_048_576
+DISCARD_TIMEOUT = 1.0
+
+
+async def read_whole(
+    request: _asgi.Request, settings: _caller_settings.CallerSettings
+) -> bytes:
+    """Read a body whole, within the limits of size and time."""
+    body = bytearray()
+    length = request.content_length
+    if length is not None and length > settings.max_body:
+        raise _too_large(settings)
+    async for block in _blocks(request, settings, not_run=True):
+        body += block
+        if len(body) > settings.max_body:
+            raise _too_large(settings)
+    return bytes(body)
+
+
+async def discard(request: _asgi.Request) -> None:
+    """Read on for a while after a refusal.
+
+    A connection that is closed with unread octets is reset, and the caller
+    may lose the answer.
+    """
+    left = MAX_DISCARDED
+    with trio.move_on_after(DISCARD_TIMEOUT):
+        async for block in request.body:
+            left -= len(block)
+            if left <= 0:
+                return
+
+
+class StreamedBody:
+    """A body on its way to a target, without any byte of a key.
+
+    :ivar begun: whether a part of it was taken, so that it cannot be sent
+        to another target
+    :ivar expected: whether the request has a body
+    """
+
+    def __init__(
+        self,
+        request: _asgi.Request,
+        settings: _caller_settings.CallerSettings,
+        secret: bytes,
+    ) -> None:
+        self.begun = False
+        names = {name for name, _ in request.scope['headers']}
+        self.expected = _has_body(names, request)
+        self._request = request
+        self._settings = settings
+        self._scanner = _key_scan.Scanner(secret)
+
+    async def __aiter__(self) -> abc.AsyncIterator[bytes]:
+        """Yield what may be sent on. Raises BAD_REQUEST at a key."""
+        self.begun = True
+        async for block in _blocks(self._request, self._settings, False):
+            try:
+                clean = self._scanner.feed(block)
+            except _key_scan.KeyFound:
+                raise errors.Error(
+                    errors.Code.BAD_REQUEST,
+                    'the body contains a key',
+                    steps.Step.DISPATCH,
+                ) from None
+            if clean:
+                yield clean
+        rest = self._scanner.finish()
+        if rest:
+            yield rest
+
+
+def _has_body(names: abc.Set[bytes], request: _asgi.Request) -> bool:
+    if b'transfer-encoding' in names:
+        return True
+    if request.content_length is not None:
+        return request.content_length > 0
+    # HTTP/2 needs no header for a body.
+    return request.http_version.startswith('2') and request.method not in (
+        'GET',
+        'HEAD',
+        'OPTIONS',
+    )
+
+
+async def _blocks(
+    request: _asgi.Request,
+    settings: _caller_settings.CallerSettings,
+    not_run: bool,
+) -> abc.AsyncIterator[bytes]:
+    blocks = aiter(request.body)
+    while True:
+        with trio.move_on_after(settings.body_timeout) as scope:
+            block = await anext(blocks, None)
+        if scope.cancelled_caught:
+            raise errors.Error(
+                errors.Code.REQUEST_TIMEOUT,
+                'the body took too long to arrive',
+                steps.Step.ADMISSION,
+                not_run=not_run,
+            )
+        if block is None:
+            return
+        yield block
+
+
+def _too_large(settings: _caller_settings.CallerSettings) -> errors.Error:
+    return errors.Error(
+        errors.Code.BODY_TOO_LARGE,
+        f'the body is over {settings.max_body} bytes',
+        steps.Step.ADMISSION,
+        not_run=True,
+    )
--- a/packages/mustardlbd/mustardlbd/_targets_http.py
+++ b/packages/mustardlbd/mustardlbd/_targets_http.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import ssl
+from typing import Any
 
 import httpx
 import trio
@@ -71,12 +72,14 @@
         timeouts: Timeouts,
         peer: str,
         *,
+        target: bytes = b'',
         fresh: bool = False,
     ) -> abc.AsyncIterator[httpx.Response]:
         """Send a request; gives the answer with its body still to come.
 
-        `fresh` takes a new connection, for what may not be repeated: an
-        idle one may be closing, and then nobody knows whether it ran.
+        `target` is path and query, to be sent as they are. `fresh` takes a
+        new connection, for what may not be repeated: an idle one may be
+        closing, and then nobody knows whether it ran.
         Raises TARGET_FAILED or TARGET_TIMEOUT.
         """
         limits = {
@@ -85,12 +88,15 @@
             'write': timeouts.response,
             'pool': timeouts.connect,
         }
+        extensions: dict[str, Any] = {'timeout': limits}
+        if target:
+            extensions['target'] = target
         request = httpx.Request(
             method,
             url,
             headers=list(headers),
             content=content,
-            extensions={'timeout': limits},
+            extensions=extensions,
         )
         transport = self._fresh if fresh else self._shared
         with translated(peer, steps.Step.DISPATCH):
@@ -141,6 +147,14 @@
             step,
             peer,
         ) from None
+    except httpx.LocalProtocolError:
+        raise errors.Error(
+            errors.Code.BAD_REQUEST,
+            'the request cannot be passed on over HTTP/1.1',
+            step,
+            peer,
+            not_run=True,
+        ) from None
     except httpx.TransportError:
         raise errors.Error(
             errors.Code.TARGET_FAILED,
@@ -148,3 +162,19 @@
             step,
             peer,
         ) from None
+
+
+async def read_whole(response: httpx.Response, limit: int, peer: str) -> bytes:
+    """Read an answer whole. Raises TARGET_FAILED where it is too large."""
+    body = bytearray()
+    with translated(peer, steps.Step.STREAM):
+        async for block in response.stream:  # type: ignore[union-attr]
+            body += block
+            if len(body) > limit:
+                raise errors.Error(
+                    errors.Code.TARGET_FAILED,
+                    f'the answer is over {limit} bytes',
+                    steps.Step.STREAM,
+                    peer,
+                )
+    return bytes(body)
--- /dev/null
+++ b/tests/mustardlbd/conftest.py
@@ -0,0 +1,247 @@
+"""One entry node's callers' side with stand-ins, over real sockets."""
+
+import contextlib
+import dataclasses
+import datetime
+
+import httpx
+import pytest
+import trio
+
+from mustardlb import contracts
+from mustardlb import directory
+from mustardlb import errors
+from mustardlb import keys
+from mustardlb import routes
+from mustardlb import steps
+from mustardlb_standins import desk
+from mustardlb_standins import engine
+from mustardlb_standins import engine_app
+from mustardlb_standins import web
+from mustardlbd import _caller_settings
+from mustardlbd import _callers
+from mustardlbd import _dependencies
+from mustardlbd import _http_connection
+from mustardlbd import _metrics
+
+NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+MODEL = 'oak@1'
+
+
+class Reservation:
+    """Tokens of the fake limits; each reservation is settled once."""
+
+    def __init__(self, cost):
+        self.cost = cost
+        self.used = None
+
+    def settle(self, tokens):
+        assert self.used is None
+        self.used = tokens
+
+
+class Front:
+    """The callers' side of a node, with a hand on what it depends on."""
+
+    def __init__(self, engines_by_url, desk_url, one_desk):
+        self.engines_by_url = engines_by_url
+        self.desk = one_desk
+        self.desk_url = desk_url
+        self.keys_by_account = {}
+        self.contracts = {}
+        self.routes = {}
+        self.records = {}
+        self.fresh = True
+        self.reservations = []
+        self.attempts_by_key = {}
+        self.gate = None
+        self.refusal = None
+        self.stop = trio.Event()
+        self.changed = trio.Event()
+        self.directory = directory.Directory()
+        self.add_account('canopy')
+        self.add_route('ledger', open=False)
+        self.add_route('public', open=True)
+        self.put()
+
+    @property
+    def engines(self):
+        return list(self.engines_by_url.values())
+
+    def add_account(self, name, **terms):
+        terms = {'rate': 10**6, 'burst': 10**7, 'grants': ('oak@*',)} | terms
+        self.contracts[name] = contracts.Contract(account=name, **terms)
+        key = keys.issue(name, NOW)
+        self.keys_by_account[name] = key.text
+        self.records[name] = key.record
+        self.put()
+
+    def add_route(self, name, **terms):
+        self.routes[name] = routes.Route(
+            name=name, prefix=f'/{name}', group='desk', **terms
+        )
+
+    def withdraw(self, name):
+        self.records[name] = dataclasses_replace(self.records[name])
+        self.put()
+
+    def put(self):
+        target = routes.Target(
+            name='desk-1',
+            kind=routes.TargetKind.SERVICE,
+            url=self.desk_url,
+            group='desk',
+            data_centre='dc',
+        )
+        self.directory = directory.Directory(
+            revision=self.directory.revision + 1,
+            contracts_by_account=dict(self.contracts),
+            keys_by_id={one.key_id: one for one in self.records.values()},
+            targets_by_name={'desk-1': target},
+            routes=tuple(self.routes.values()),
+        )
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def check_fresh(self, step):
+        if not self.fresh:
+            raise errors.Error(
+                errors.Code.NODE_NOT_CURRENT,
+                'not current',
+                step,
+                not_run=True,
+                retry_after=1.0,
+            )
+
+    async def reserve(self, account, tokens, wait):
+        if self.refusal is not None:
+            raise self.refusal
+        reservation = Reservation(tokens)
+        self.reservations.append(reservation)
+        return reservation
+
+    @contextlib.asynccontextmanager
+    async def place(self, model, account, wait, avoid):
+        if self.gate is not None:
+            await self.gate.wait()
+        for index, url in enumerate(self.engines_by_url):
+            if f'engine-{index}' not in avoid:
+                yield _dependencies.Placement(f'engine-{index}', url, model)
+                return
+        raise errors.Error(
+            errors.Code.NO_TARGET,
+            'no engine is left',
+            steps.Step.PLACEMENT,
+            not_run=True,
+        )
+
+    async def begin(self, account, key, fingerprint):
+        known = self.attempts_by_key.get((account, key))
+        if isinstance(known, _dependencies.RecordedOutcome):
+            return known
+        return Attempt(self.attempts_by_key, (account, key))
+
+    async def wait_revision(self, revision, wait):
+        with trio.move_on_after(wait):
+            while self.directory.revision < revision:
+                await self.changed.wait()
+
+    def status(self):
+        return {'vm_id': 'vm-1', 'revision': self.directory.revision}
+
+    def dependencies(self):
+        return _dependencies.Dependencies(
+            directory=lambda: self.directory,
+            check_fresh=self.check_fresh,
+            status=self.status,
+            wait_revision=self.wait_revision,
+            reserve=self.reserve,
+            place=self.place,
+            begin=self.begin,
+        )
+
+    def headers(self, account='canopy'):
+        return {'Authorization': f'Bearer {self.keys_by_account[account]}'}
+
+    def received(self):
+        """Everything that any stand-in was sent, as text."""
+        return repr([one.received for one in [*self.engines, self.desk]])
+
+
+def dataclasses_replace(record):
+    return keys.KeyRecord(
+        record.key_id, record.account, record.digest, record.issued_at, NOW
+    )
+
+
+class Attempt:
+    def __init__(self, attempts_by_key, key):
+        self.attempts_by_key = attempts_by_key
+        self.key = key
+        attempts_by_key[key] = self
+
+    async def finish(self, status, headers, body):
+        self.attempts_by_key[self.key] = _dependencies.RecordedOutcome(
+            status, headers, body
+        )
+
+    async def not_run(self):
+        del self.attempts_by_key[self.key]
+
+
+@dataclasses.dataclass
+class Site:
+    front: Front
+    url: str
+    client: httpx.AsyncClient
+    nursery: trio.Nursery
+    metrics: _metrics.Metrics
+
+
+@contextlib.asynccontextmanager
+async def open_site(engines=1, settings=None, **engine_settings):
+    terms = {'step_time': 0.001, 'prefill_time': 0.0} | engine_settings
+    settings = settings or _caller_settings.CallerSettings(
+        server=_http_connection.ServerSettings(stop_timeout=10.0),
+        notice_time=0.05,
+    )
+    async with contextlib.AsyncExitStack() as stack:
+        engines_by_url = {}
+        for _ in range(engines):
+            one = engine.Engine(engine.Settings(**terms))
+            one.resident.add(MODEL)
+            app = engine_app.build(one)
+            url = await stack.enter_async_context(
+                web.serving(app, background=one.run)
+            )
+            engines_by_url[url] = one
+        one_desk = desk.Desk(0.0)
+        desk_url = await stack.enter_async_context(
+            web.serving(desk.build(one_desk))
+        )
+        front = Front(engines_by_url, desk_url, one_desk)
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        metrics = _metrics.Metrics()
+
+        async def serve(task_status):
+            await _callers.serve(
+                front.dependencies(),
+                settings,
+                metrics,
+                stop=front.stop,
+                task_status=task_status,
+            )
+
+        port = await nursery.start(serve)
+        url = f'http://127.0.0.1:{port}'
+        client = await stack.enter_async_context(
+            httpx.AsyncClient(base_url=url, timeout=20.0, trust_env=False)
+        )
+        yield Site(front, url, client, nursery, metrics)
+        nursery.cancel_scope.cancel()
+
+
+@pytest.fixture
+def site():
+    """Open a site: `async with site(engines=2) as one:`."""
+    return open_site
