--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/__main__.py
@@ -0,0 +1,5 @@
+"""Run the entry node: `python -m mustardlbd SETTINGS.toml`."""
+
+import mustardlbd
+
+mustardlbd.main()
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_app.py
@@ -0,0 +1,209 @@
+"""The composition root: makes every part of a node and wires them."""
+
+import dataclasses
+import functools
+import json
+import pathlib
+import secrets
+import signal
+import sys
+from typing import Any
+
+import statsd
+import trio
+
+from mustardlb import clock
+from mustardlb import directory as directories
+from mustardlb import documents
+from mustardlb import http_object_api
+from mustardlb import http_vm_list
+from mustardlb import settings as settings_module
+from mustardlbd import _admin
+from mustardlbd import _caller_settings
+from mustardlbd import _callers
+from mustardlbd import _dependencies
+from mustardlbd import _first_placement
+from mustardlbd import _http_connection
+from mustardlbd import _http_server
+from mustardlbd import _logging
+from mustardlbd import _metrics
+from mustardlbd import _peer_server
+from mustardlbd import _peers
+from mustardlbd import _state
+from mustardlbd import _tls
+
+# Bits of the number that tells two processes of one VM apart.
+INCARNATION_BITS = 62
+
+
+class _Directory:
+    """The decoded configuration, made anew when the snapshot changed."""
+
+    def __init__(self, state: _state.State) -> None:
+        self._state = state
+        self._snapshot = state.snapshot()
+        self._directory = directories.build(self._snapshot)
+
+    def current(self) -> directories.Directory:
+        """Return the directory of the configuration in force."""
+        snapshot = self._state.snapshot()
+        if snapshot is not self._snapshot:
+            self._directory = directories.build(snapshot, self._directory)
+            self._snapshot = snapshot
+        return self._directory
+
+
+def _make_metrics(
+    settings: settings_module.Statsd | None,
+) -> _metrics.Metrics:
+    if settings is None:
+        return _metrics.Metrics()
+    client = statsd.StatsClient(
+        settings.address, settings.port, prefix=settings.prefix
+    )
+    return _metrics.Metrics(client)
+
+
+def _make_caller_settings(
+    settings: settings_module.NodeSettings,
+) -> _caller_settings.CallerSettings:
+    limits = settings.limits
+    server = _http_connection.ServerSettings(
+        address=settings.callers.address,
+        port=settings.callers.port,
+        max_headers=limits.header_bytes,
+        header_timeout=limits.header_time,
+        stop_timeout=settings.drain_time,
+        tls=_tls.callers_context(settings.callers.tls),
+    )
+    return _caller_settings.CallerSettings(
+        server=server,
+        max_body=limits.body_bytes,
+        body_timeout=limits.body_time,
+        response_timeout=limits.response_time,
+        event_timeout=limits.idle_time,
+        queue_timeout=limits.queue_time,
+        max_requests=limits.streams,
+    )
+
+
+async def _stop_on_signal(stop: trio.Event) -> None:
+    """Begin a graceful shutdown at the first SIGTERM or SIGINT."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            stop.set()
+            return
+
+
+def _show_status(state: _state.State) -> dict[str, Any]:
+    status = dataclasses.asdict(state.status())
+    return status | {'ready': status['current']}
+
+
+def _make_admin_settings(
+    settings: settings_module.NodeSettings,
+) -> _http_connection.ServerSettings:
+    return _http_connection.ServerSettings(
+        address=settings.admin.address,
+        port=settings.admin.port,
+        max_headers=settings.limits.header_bytes,
+        tls=_tls.server_context(settings.admin.tls),
+    )
+
+
+def _make_listener(listener: settings_module.Listener) -> trio.SocketListener:
+    raw = _http_server.open_socket(listener.address, listener.port)
+    return trio.SocketListener(trio.socket.from_stdlib_socket(raw))
+
+
+async def run(settings: settings_module.NodeSettings) -> None:
+    """Run a node until SIGTERM and the end of its graceful shutdown.
+
+    Prints one JSON line with its ports when it listens.
+    """
+    api = http_object_api.HttpObjectApi(settings.object_api.url)
+    vms = http_vm_list.HttpVmList(settings.vm_list.url)
+    peer_server = _peer_server.PeerServer(
+        settings.vm_id, _tls.server_context(settings.peers.tls)
+    )
+    state = _state.State(
+        _peers.Identity(settings.vm_id, secrets.randbits(INCARNATION_BITS)),
+        _state.Platform(
+            api=api,
+            vms=vms,
+            open_stream=_peers.open_tcp(_tls.peer_context(settings.peers.tls)),
+            now=clock.boottime,
+        ),
+        peer_server,
+        directories.validate,
+    )
+    directory = _Directory(state)
+    engines = _first_placement.Engines(directory.current)
+    stop = trio.Event()
+    end = trio.Event()
+    metrics = _make_metrics(settings.statsd)
+    dependencies = _dependencies.Dependencies(
+        directory=directory.current,
+        check_fresh=state.check_fresh,
+        status=functools.partial(_show_status, state),
+        wait_revision=functools.partial(_wait_revision, state),
+        reserve=_first_placement.reserve,
+        place=engines.place,
+        begin=_first_placement.begin,
+    )
+    serve_callers = functools.partial(
+        _callers.serve,
+        dependencies,
+        _make_caller_settings(settings),
+        metrics,
+        stop=stop,
+    )
+    serve_admin = functools.partial(
+        _admin.serve_admin,
+        dependencies,
+        _make_admin_settings(settings),
+        metrics,
+        stop=stop,
+        end=end,
+    )
+    peer_listener = _make_listener(settings.peers)
+    async with trio.open_nursery() as background:
+        background.start_soon(_stop_on_signal, stop)
+        background.start_soon(peer_server.serve, peer_listener)
+        background.start_soon(state.run)
+        async with trio.open_nursery() as beside:
+            admin_port = await beside.start(serve_admin)
+            async with trio.open_nursery() as serving:
+                callers_port = await serving.start(serve_callers)
+                _print_ports(settings, callers_port, admin_port)
+            end.set()
+        background.cancel_scope.cancel()
+    await api.close()
+    await vms.close()
+
+
+async def _wait_revision(
+    state: _state.State, revision: int, timeout: float
+) -> None:
+    await state.wait_revision(revision, timeout)
+
+
+def _print_ports(
+    settings: settings_module.NodeSettings, callers: int, admin: int
+) -> None:
+    """Tell whoever started the process that it listens."""
+    line = {'vm_id': settings.vm_id, 'callers': callers, 'admin': admin}
+    print(json.dumps(line), flush=True)  # noqa: T201
+
+
+def main() -> None:
+    """Run `mustardlbd SETTINGS`; exit code 2 for faulty settings."""
+    if len(sys.argv) != 2:
+        sys.exit('usage: mustardlbd SETTINGS.toml')
+    try:
+        settings = settings_module.load_node(pathlib.Path(sys.argv[1]))
+    except documents.InvalidDocument as error:
+        print(error, file=sys.stderr)  # noqa: T201
+        sys.exit(2)
+    _logging.configure(settings.vm_id)
+    trio.run(run, settings)
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_logging.py
@@ -0,0 +1,20 @@
+"""Logs: numbered events, one JSON object a line on standard error."""
+
+import sys
+
+import structlog
+
+
+def configure(vm_id: str) -> None:
+    """Set up the logs of the process; each line names the VM."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
+    )
+    structlog.contextvars.bind_contextvars(vm_id=vm_id)
