--- a/packages/mustardlbd/mustardlbd/_model_service.py
+++ b/packages/mustardlbd/mustardlbd/_model_service.py
@@ -1,8 +1,8 @@
 """Running a model call on an engine and passing its answer on."""
 
 from collections import abc
-import contextlib
 import dataclasses
+import itertools
 import secrets
 
 import httpx
@@ -41,6 +41,9 @@
     }
 )
 
+# Steps at which it is found out that no target is to be had.
+_PLACING = (steps.Step.PLACEMENT, steps.Step.LOAD)
+
 _SERVED_MODEL = engine.SERVED_MODEL.lower().encode()
 _JSON = [(b'content-type', b'application/json')]
 _EVENTS = [
@@ -88,39 +91,55 @@
     Raises errors.Error where nothing was answered yet.
     """
     service.retries.add_request()
-    may_have_run = False
     avoid: set[str] = set()
-    while True:
-        _check_again(service, caller, call, may_have_run)
-        failure, used = None, None
-        account = caller.record.account
-        with _ran_before(may_have_run):
-            placing = service.dependencies.place(
-                call.model,
-                account,
-                service.settings.queue_timeout,
-                frozenset(avoid),
+    failure: errors.Error | None = None
+    for attempts in itertools.count(1):
+        try:
+            used = await _place_and_run(
+                service, caller, path, call, reply, avoid
             )
-            async with placing as placement:
-                request_id = secrets.token_hex(REQUEST_ID_BYTES)
-                attempt = _Attempt(
-                    service, caller, path, call, placement, request_id
-                )
-                _check_again(service, caller, call, may_have_run)
-                try:
-                    used = await _run_attempt(attempt, reply)
-                except errors.Error as error:
-                    failure = error
-        if failure is None:
-            return call.cost if used is None else used
-        may_have_run = may_have_run or not failure.not_run
+        except errors.Error as error:
+            if failure is not None:
+                error.not_run = error.not_run and failure.not_run
+                if error.step in _PLACING:
+                    # No other engine can take it: say what went wrong.
+                    raise failure from None
+            if not _may_retry(service, error, attempts, reply):
+                raise
+            failure = error
+            log.info('MLB-4010', code=str(error.code), peer=error.peer)
+        else:
+            break
+    return call.cost if used is None else used
+
+
+async def _place_and_run(
+    service: ModelService,
+    caller: _admission.Caller,
+    path: str,
+    call: _model_call.ModelCall,
+    reply: _asgi.Reply,
+    avoid: set[str],
+) -> int | None:
+    """Make one attempt; returns the tokens used, None where unknown."""
+    _check_again(service, caller, call)
+    placing = service.dependencies.place(
+        call.model,
+        caller.record.account,
+        service.settings.queue_timeout,
+        frozenset(avoid),
+    )
+    async with placing as placement:
         avoid.add(placement.target_name)
-        if not _may_retry(service, failure, len(avoid), reply):
-            failure.not_run = not may_have_run
-            raise failure
-        log.info(
-            'MLB-4010', code=str(failure.code), peer=placement.target_name
-        )
+        request_id = secrets.token_hex(REQUEST_ID_BYTES)
+        attempt = _Attempt(service, caller, path, call, placement, request_id)
+        try:
+            _check_again(service, caller, call)
+            return await _run_attempt(attempt, reply)
+        except errors.Error as error:
+            failure = error
+    # Outside, so that the placement's own tasks do not wrap it in a group.
+    raise failure
 
 
 def _may_retry(
@@ -140,24 +159,11 @@
     service: ModelService,
     caller: _admission.Caller,
     call: _model_call.ModelCall,
-    may_have_run: bool,
 ) -> None:
     """Check freshness, key and grant right before work is given out."""
-    with _ran_before(may_have_run):
-        service.dependencies.check_fresh(steps.Step.DISPATCH)
-        _admission.check_again(
-            service.dependencies.directory(), caller, call.model
-        )
-
-
-@contextlib.contextmanager
-def _ran_before(may_have_run: bool) -> abc.Iterator[None]:
-    """Keep `not_run` true to an earlier attempt that may have run."""
-    try:
-        yield
-    except errors.Error as error:
-        error.not_run = error.not_run and not may_have_run
-        raise
+    service.dependencies.check_fresh(steps.Step.DISPATCH)
+    directory = service.dependencies.directory()
+    _admission.check_again(directory, caller, call.model)
 
 
 async def _run_attempt(attempt: _Attempt, reply: _asgi.Reply) -> int | None:
