Keep the table of owners: assignment on a hash ring, rewrites, releases

A slice is acted for once its record is settled or the old owner released it; the oracle of the fuzz checks that no two nodes ever act for one slice.

--- a/packages/mustardlb/mustardlb/schema/state.capnp
+++ b/packages/mustardlb/mustardlb/schema/state.capnp
@@ -46,3 +46,10 @@
   found @0 :Bool;
   value @1 :Data;
 }
+
+# An owner says that it no longer acts for slices that another owns now.
+struct Release {
+  kind @0 :Text;                 # what the slices hold: accounts, targets
+  slices @1 :List(UInt16);
+  epochs @2 :List(UInt64);       # of the new owner
+}
--- a/packages/mustardlbd/mustardlbd/_owners.py
+++ b/packages/mustardlbd/mustardlbd/_owners.py
@@ -37,16 +37,30 @@
 
     :ivar version: version of the object 'fleet/owners', 0 before the first
     :ivar slices: owner of each slice, in order
+    :ivar since: for each slice, a version by which it had this owner
     """
 
     version: int = 0
     slices: tuple[Slice, ...] = (Slice(),) * SLICES
+    since: tuple[int, ...] = (0,) * SLICES
 
     def owner_of(self, key: str) -> Slice:
         """Return the owner of an account or a target."""
         return self.slices[slice_of(key)]
 
 
+def follow(before: Owners, version: int, value: bytes) -> Owners:
+    """Make the next table, noting which slices have another owner."""
+    slices = decode(value)
+    since = tuple(
+        was if old == new else version
+        for old, new, was in zip(
+            before.slices, slices, before.since, strict=True
+        )
+    )
+    return Owners(version, slices, since)
+
+
 def encode(slices: tuple[Slice, ...]) -> bytes:
     """Serialize the slices."""
     return msgspec.json.encode(slices)
--- a/packages/mustardlbd/mustardlbd/_state.py
+++ b/packages/mustardlbd/mustardlbd/_state.py
@@ -21,10 +21,12 @@
 from mustardlbd import _fetching
 from mustardlbd import _freshness
 from mustardlbd import _membership
+from mustardlbd import _owner_table
 from mustardlbd import _owners
 from mustardlbd import _parts
 from mustardlbd import _peer_server
 from mustardlbd import _peers
+from mustardlbd import _releases
 from mustardlbd import _signal
 from mustardlbd import _spread
 from mustardlbd import _spread_server
@@ -140,6 +142,11 @@
         )
         self._spread = _spread.Spread(self._parts, source, fetch_part)
         _spread_server.SpreadServer(self._parts).register(server)
+        self._table = _owner_table.OwnerTable(
+            self._parts, platform.api, source
+        )
+        self._releases = _releases.Releases(self._parts.peers)
+        self._releases.register(server)
         self._owners = _owners.Owners()
         self._revisions: collections.deque[tuple[int, int]] = (
             collections.deque(maxlen=REVISION_HISTORY)
@@ -153,6 +160,7 @@
                 nursery.start_soon(self._follow)
                 await self._parts.membership.ready.wait()
                 nursery.start_soon(self._spread.run)
+                nursery.start_soon(self._table.run)
         finally:
             with trio.CancelScope(shield=True):
                 await self._parts.peers.close_all()
@@ -194,6 +202,26 @@
         """
         return self._parts.acceptance.settled(_documents.OWNERS_INDEX, version)
 
+    def may_act(self, kind: str, number: int) -> bool:
+        """Whether this node acts as the owner of a slice now.
+
+        Nobody else does at the same time: an old owner stops when it knows
+        of the new one, or for want of fresh knowledge.
+        """
+        owners = self._owners
+        owner = owners.slices[number]
+        if owner.vm_id != self._parts.identity.vm_id:
+            return False
+        if self.age() > _freshness.MAX_AGE:
+            return False
+        return self.settled(
+            owners.since[number]
+        ) or self._releases.is_released(kind, number, owner.epoch)
+
+    async def release(self, kind: str, numbers: list[int]) -> None:
+        """Tell new owners that this node no longer acts for their slices."""
+        await self._releases.release(kind, numbers, self._owners)
+
     async def wait_changed(self) -> None:
         """Wait until an object is adopted or known to be accepted."""
         await self._parts.news.wait()
@@ -264,8 +292,8 @@
         self._revisions.append((head, self.snapshot().revision))
         table = documents.owners()
         if table.version != self._owners.version:
-            self._owners = _owners.Owners(
-                table.version, _owners.decode(table.value)
+            self._owners = _owners.follow(
+                self._owners, table.version, table.value
             )
 
 
--- a/tests/mustardlbd/state_oracle.py
+++ b/tests/mustardlbd/state_oracle.py
@@ -14,6 +14,8 @@
 # How often the nodes are looked at, seconds.
 LOOK_INTERVAL = 0.1
 
+SLICES_LOOKED_AT = range(0, 256, 32)
+
 # What one look may be late by, seconds.
 SLACK = 2 * LOOK_INTERVAL
 
@@ -43,6 +45,7 @@
             if not self._fleet.network.is_paused(node.vm_id):
                 self._check_admission(node)
             self._check_belief(node)
+        self._check_owners()
 
     def accepted_version(self, before=None):
         """Newest head version accepted before a moment."""
@@ -120,6 +123,17 @@
             f'{needed} was accepted: {node.state.status()}'
         )
 
+    def _check_owners(self):
+        """Check that no two nodes act for a slice."""
+        for number in SLICES_LOOKED_AT:
+            acting = [
+                node.vm_id
+                for node in self._fleet.nodes_by_id.values()
+                if not self._fleet.network.is_paused(node.vm_id)
+                and node.state.may_act('accounts', number)
+            ]
+            assert len(acting) < 2, (number, acting)
+
     def _check_belief(self, node):
         """Check that nobody calls accepted what is not."""
         believed = node.state.status().accepted_versions[configuration.HEAD]
