--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_loads.py
@@ -0,0 +1,114 @@
+"""The loads that wait for one engine, joined by model, fair by account."""
+
+import collections
+import dataclasses
+
+import trio
+
+from mustardlbd import _target_messages as messages
+
+# Loads that may wait for one engine.
+QUEUE_LIMIT = 64
+
+# The account of loads that no caller waits for.
+BACKGROUND = ''
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Load:
+    """One load that waits or runs.
+
+    :ivar waiters: how many asks wait for it
+    :ivar kept: whether it runs although nobody waits
+    """
+
+    model: str
+    account: str
+    waiters: int = 0
+    kept: bool = False
+    outcome: messages.Outcome = messages.Outcome.BUSY
+    done: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+    def finish(self, outcome: messages.Outcome) -> None:
+        """Tell every waiter."""
+        self.outcome = outcome
+        self.done.set()
+
+
+class LoadQueue:
+    """Takes one load of each account in turn."""
+
+    def __init__(self) -> None:
+        self._loads_by_account: collections.OrderedDict[
+            str, collections.deque[Load]
+        ] = collections.OrderedDict()
+        self._load_by_model: dict[str, Load] = {}
+        self._added = trio.lowlevel.ParkingLot()
+
+    def __len__(self) -> int:
+        """Count the loads that wait or run."""
+        return len(self._load_by_model)
+
+    def join(
+        self, model: str, account: str, kept: bool = False
+    ) -> Load | None:
+        """Find or queue the load of a model; None where too many wait."""
+        load = self._load_by_model.get(model)
+        if load is not None:
+            return load
+        if len(self._load_by_model) >= QUEUE_LIMIT:
+            return None
+        load = Load(model, account, kept=kept)
+        self._load_by_model[model] = load
+        queue = self._loads_by_account.setdefault(account, collections.deque())
+        queue.append(load)
+        self._added.unpark_all()
+        return load
+
+    async def wait(self, load: Load, seconds: float) -> messages.Outcome:
+        """Wait for a load's outcome; BUSY when the time is over."""
+        load.waiters += 1
+        try:
+            with trio.move_on_after(seconds):
+                await load.done.wait()
+                return load.outcome
+        finally:
+            load.waiters -= 1
+        return messages.Outcome.BUSY
+
+    async def take(self) -> Load:
+        """Take the next load; callers' loads go before background ones."""
+        while True:
+            load = self._next()
+            if load is None:
+                await self._added.park()
+            elif load.waiters or load.kept:
+                return load
+            else:
+                self.finish(load, messages.Outcome.BUSY)
+
+    def finish(self, load: Load, outcome: messages.Outcome) -> None:
+        """Note that a load is over."""
+        self._load_by_model.pop(load.model, None)
+        load.finish(outcome)
+
+    def finish_all(self, outcome: messages.Outcome) -> None:
+        """Give up everything."""
+        for load in list(self._load_by_model.values()):
+            self.finish(load, outcome)
+        self._loads_by_account.clear()
+
+    def _next(self) -> Load | None:
+        accounts = [name for name in self._loads_by_account if name]
+        if not accounts:
+            accounts = list(self._loads_by_account)
+        if not accounts:
+            return None
+        account = accounts[0]
+        queue = self._loads_by_account[account]
+        load = queue.popleft()
+        if queue:
+            self._loads_by_account.move_to_end(account)
+        else:
+            del self._loads_by_account[account]
+        return load
