--- a/packages/mustardlbd/mustardlbd/_logging.py
+++ b/packages/mustardlbd/mustardlbd/_logging.py
@@ -1,5 +1,6 @@
 """Logs: numbered events, one JSON object a line on standard error."""
 
+import logging
 import sys
 
 import structlog
@@ -15,6 +16,7 @@
             structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(),
         ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
         logger_factory=structlog.WriteLoggerFactory(sys.stderr),
     )
     structlog.contextvars.bind_contextvars(vm_id=vm_id)
