--- a/packages/mustardlbd/mustardlbd/_orders.py
+++ b/packages/mustardlbd/mustardlbd/_orders.py
@@ -83,24 +83,28 @@
         check_start: abc.Callable[[], None],
     ) -> None:
         """Order a load. Raises NotOwner, EngineError, errors.Error."""
-        number = self.number(epoch)
+        number = self._number(epoch)
         check_start()
         await self._send(epoch, lambda: self._engine.load(model, number))
 
     async def evict(self, model: str, epoch: int) -> None:
         """Order an eviction. Raises NotOwner and EngineError."""
-        number = self.number(epoch)
+        number = self._number(epoch)
         await self._send(epoch, lambda: self._engine.evict(model, number))
 
     async def set_role(self, role: str, epoch: int) -> None:
         """Order a role. Raises NotOwner and EngineError."""
-        number = self.number(epoch)
+        number = self._number(epoch)
         await self._send(epoch, lambda: self._engine.set_role(role, number))
 
     async def load_report(self) -> engine.LoadReport:
         """Read the engine's report. Raises EngineError."""
         return await self._engine.load_report()
 
+    def _number(self, epoch: int) -> int:
+        """Take the fencing number of an order."""
+        return self.number(epoch)
+
     async def _send(
         self, epoch: int, order: abc.Callable[[], abc.Awaitable[None]]
     ) -> None:
--- a/packages/mustardlbd/mustardlbd/_placement.py
+++ b/packages/mustardlbd/mustardlbd/_placement.py
@@ -12,6 +12,7 @@
 from mustardlb import errors
 from mustardlb import routes
 from mustardlb import steps
+from mustardlbd import _dependencies
 from mustardlbd import _fleet
 from mustardlbd import _grants
 from mustardlbd import _target_messages as messages
@@ -48,20 +49,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Placement:
-    """A target that holds a model, guarded until it is released.
+class Placement(_dependencies.Placement):
+    """A placement that is told what became of the request.
 
-    :ivar target_name: name of the target
-    :ivar url: its base URL
-    :ivar model: 'adapter@version' that the request is for
     :ivar served: tell what the target says that it ran, '' where it says
         that it does not hold the model; raises WRONG_ADAPTER
     :ivar abandon: tell that the request may run on after the release
     """
 
-    target_name: str
-    url: str
-    model: str
     served: abc.Callable[[str], None]
     abandon: abc.Callable[[], None]
 
