--- /dev/null
+++ b/tests/mustardlbd/limits_scenario.py
@@ -0,0 +1,210 @@
+"""Scenarios of faults for the fleet of shares, run in virtual time."""
+
+import trio
+import trio.testing
+
+from mustardlbd import _bucket
+from mustardlbd import _share_messages
+from tools import limits_fleet
+
+LIMIT = _bucket.Limit(1000.0, 4000.0)
+
+# What rounding of binary fractions may add up to, tokens.
+ROUNDING = 0.001
+
+
+class OverGrant(Exception):
+    """More was granted, or could be, than the contract allows."""
+
+
+class Scenario:
+    """A fleet, with callers at every node that take all they get."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.greedy = False
+
+    def node(self, index):
+        nodes = self.fleet.live()
+        return nodes[index % len(nodes)] if nodes else None
+
+    async def start(self, size):
+        fleet = self.fleet
+        fleet.note_limits()
+        for _ in range(size):
+            self.add()
+        fleet.store_owner(self.node(0).vm_id, 0.2)
+        await trio.sleep(7)
+
+    def add(self, vm_id='', first=True):
+        node = self.fleet.add_node(vm_id, first)
+        node.known = max(0, len(self.fleet.table) - 2)
+        self.fleet.nursery.start_soon(self._call_greedily, node)
+        return node
+
+    async def _call_greedily(self, node):
+        chance = self.fleet.chance
+        while node.alive:
+            await trio.sleep(chance.uniform(0.02, 0.3))
+            if not self.greedy:
+                continue
+            burst = int(self.fleet.limit.burst)
+            tokens = chance.choice([20, 100, 400, burst // 4, burst])
+            used = chance.choice([tokens, tokens // 2, 0])
+            self.fleet.nursery.start_soon(
+                self.fleet.grant,
+                node,
+                tokens,
+                used,
+                chance.choice([0.0, 0.5, 2.0]),
+                chance.choice([0.1, 2.0, 9.0]),
+            )
+
+    async def watch(self):
+        while True:
+            self.check_fractions()
+            await trio.sleep(0.05)
+
+    def check_fractions(self):
+        total = 0
+        for node in self.fleet.live():
+            stale = node.ports.age() > 4.0
+            share = node.holder._shares_by_account.get(limits_fleet.ACCOUNT)
+            if stale or share is None or not node.running.is_set():
+                continue
+            share.refresh()
+            total += share.fraction
+        if total > _share_messages.WHOLE:
+            raise OverGrant(f'{total} parts per million in force')
+
+    def check_grants(self):
+        fleet = self.fleet
+        for events in (fleet.events, fleet.gross_events):
+            excess = limits_fleet.worst_excess(events, fleet.limits_seen)
+            if excess > ROUNDING:
+                raise OverGrant(f'{excess} tokens too many')
+
+    # The steps. Each takes an index that chooses nodes, and seconds.
+
+    async def rest(self, index, seconds):
+        self.greedy = False
+        await trio.sleep(seconds * 4)
+
+    async def load(self, index, seconds):
+        self.greedy = True
+        await trio.sleep(seconds * 2)
+
+    async def kill(self, index, seconds):
+        if len(self.fleet.live()) > 1:
+            self.fleet.kill(self.node(index))
+
+    async def kill_owner(self, index, seconds):
+        owner = self.fleet.table[-1].owners.slices[0].vm_id
+        node = self.fleet.nodes_by_id.get(owner)
+        if node is not None and len(self.fleet.live()) > 1:
+            self.fleet.kill(node)
+
+    async def join(self, index, seconds):
+        if len(self.fleet.live()) < 6:
+            self.add()
+
+    async def restart(self, index, seconds):
+        node = self.node(index)
+        self.fleet.kill(node)
+        self.add(node.vm_id, first=False)
+
+    async def pause(self, index, seconds):
+        node = self.node(index)
+        node.running = trio.Event()
+        self.fleet._soon(seconds * 4, node.running.set)
+
+    async def cut(self, index, seconds):
+        ids = [node.vm_id for node in self.fleet.live()]
+        pair = (ids[index % len(ids)], ids[index // 7 % len(ids)])
+        self.fleet.network.cut.add(pair)
+        if index % 2:
+            self.fleet.network.cut.add(pair[::-1])
+
+    async def heal(self, index, seconds):
+        self.fleet.network.cut.clear()
+        self.fleet.network.drop = 0.0
+        self.fleet.network.late = 0.0
+        for node in self.fleet.live():
+            node.connected = True
+
+    async def disconnect(self, index, seconds):
+        self.node(index).connected = False
+
+    async def weather(self, index, seconds):
+        network = self.fleet.network
+        network.drop = (0.0, 0.1, 0.4)[index % 3]
+        network.late = (0.0, 0.1, 0.4)[index // 3 % 3]
+        network.double = (0.0, 0.2)[index // 9 % 2]
+
+    async def move(self, index, seconds):
+        owner = self.node(index).vm_id
+        never = index // 7 % 4 == 0
+        self.fleet.store_owner(owner, 60.0 if never else seconds)
+
+    async def touch(self, index, seconds):
+        owner = self.fleet.table[-1].owners.slices[0].vm_id
+        self.fleet.store_owner(owner, seconds)
+
+    async def contract(self, index, seconds):
+        factor = (0.25, 0.5, 1.0, 2.0)[index % 4]
+        limit = _bucket.Limit(LIMIT.rate * factor, LIMIT.burst * factor)
+        self.fleet.change_contract(limit, seconds)
+
+
+STEPS = (
+    'rest',
+    'load',
+    'load',
+    'kill',
+    'kill_owner',
+    'join',
+    'restart',
+    'pause',
+    'cut',
+    'heal',
+    'disconnect',
+    'weather',
+    'move',
+    'move',
+    'touch',
+    'contract',
+)
+
+
+def run(seed, steps, size=4):
+    """Run the steps and raise OverGrant where the bound did not hold."""
+
+    async def script(scenario):
+        for name, index, seconds in steps:
+            await getattr(scenario, name)(index, seconds)
+            await trio.sleep(0.05)
+        await trio.sleep(1)
+
+    run_script(script, seed, size)
+
+
+def run_script(script, seed=0, size=4, limit=LIMIT):
+    """Run a script on a fleet; return what it returns, or OverGrant."""
+
+    async def main():
+        fleet = limits_fleet.Fleet(seed, limit)
+        async with trio.open_nursery() as nursery:
+            fleet.nursery = nursery
+            scenario = Scenario(fleet)
+            await scenario.start(size)
+            nursery.start_soon(scenario.watch)
+            result = await script(scenario)
+            nursery.cancel_scope.cancel()
+        scenario.check_grants()
+        return result
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    try:
+        return trio.run(main, clock=clock)
+    except* OverGrant as group:
+        raise OverGrant(str(group.exceptions[0])) from None
