--- a/packages/mustardlbd/mustardlbd/_share_allocation.py
+++ b/packages/mustardlbd/mustardlbd/_share_allocation.py
@@ -42,7 +42,7 @@
 
     >>> needs = {'a': Need(demand=30.0), 'b': Need(demand=10.0)}
     >>> allocate(needs, _bucket.Limit(20.0, 100.0))
-    {'a': 750000, 'b': 250000}
+    {'a': 645161, 'b': 354838}
     """
     if limit.rate <= 0 or limit.burst <= 0:
         return dict.fromkeys(needs_by_holder, 0)
--- a/tools/limits_fleet.py
+++ b/tools/limits_fleet.py
@@ -111,7 +111,7 @@
         self.holder = _share_holder.ShareHolder(self.ports, self.keeper)
 
     def owners(self) -> _owners.Owners:
-        """The table as this node knows it."""
+        """Return the table as this node knows it."""
         return self.fleet.table[self.known].owners
 
     def check_fresh(self, step: steps.Step) -> None:
@@ -213,7 +213,7 @@
         self.nodes_by_id.pop(node.vm_id, None)
 
     def live(self) -> list[Node]:
-        """The nodes that run."""
+        """List the nodes that run."""
         return list(self.nodes_by_id.values())
 
     def store_owner(
@@ -241,7 +241,7 @@
             self._soon(after, self._adopt_contract, node, limit)
 
     def contract_at(self, node: Node, account: str) -> _bucket.Limit:
-        """The contract in force at a node."""
+        """Return the contract in force at a node."""
         return node.limit if account == ACCOUNT else _bucket.Limit(0, 0)
 
     async def grant(
@@ -343,7 +343,7 @@
 def worst_excess(
     events: list[Event], limits: list[tuple[float, _bucket.Limit]]
 ) -> float:
-    """The most tokens granted above burst + rate x t in any window.
+    """Find the most tokens granted above burst + rate x t in any window.
 
     Over every pair of moments: the running value is the largest excess of
     a window that ends now. Where the contract changed, the rate of each
