--- /dev/null
+++ b/packages/mustardlb-cli/mustardlb_cli/__main__.py
@@ -0,0 +1,6 @@
+"""Run the command line: `python -m mustardlb_cli`."""
+
+from mustardlb_cli import _main
+
+if __name__ == '__main__':
+    _main.main()
--- /dev/null
+++ b/packages/mustardlb-cli/mustardlb_cli/_exit.py
@@ -0,0 +1,54 @@
+"""Exit codes, and the errors that lead to them."""
+
+from collections import abc
+import enum
+
+from mustardlb import errors
+
+
+class ExitCode(enum.IntEnum):
+    """What a command ended with; docs/operators/command-line.md."""
+
+    DONE = 0
+    FAILED = 1
+    USAGE = 2
+    INVALID = 3
+    CONFLICT = 4
+    NOT_FOUND = 5
+    UNAVAILABLE = 6
+    UNKNOWN = 7
+    NOT_ACCEPTED = 8
+    LAGGING = 9
+    NOT_LANDED = 10
+
+
+class CommandError(Exception):
+    """A command that ends with another code than DONE.
+
+    :ivar result: what is shown on standard output nevertheless
+    """
+
+    def __init__(
+        self,
+        code: ExitCode,
+        message: str,
+        result: abc.Mapping[str, object] | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.code = code
+        self.result = result
+
+
+_EXIT_CODES = {
+    errors.Code.CONFLICT: ExitCode.CONFLICT,
+    errors.Code.BAD_REQUEST: ExitCode.USAGE,
+    errors.Code.API_UNAVAILABLE: ExitCode.UNAVAILABLE,
+    errors.Code.PEER_UNAVAILABLE: ExitCode.UNAVAILABLE,
+    errors.Code.WRITE_UNKNOWN: ExitCode.UNKNOWN,
+    errors.Code.INVALID_OBJECT: ExitCode.INVALID,
+}
+
+
+def exit_code(error: errors.Error) -> ExitCode:
+    """Return the exit code that goes with an error."""
+    return _EXIT_CODES.get(error.code, ExitCode.FAILED)
--- /dev/null
+++ b/packages/mustardlb-cli/mustardlb_cli/_fleet_status.py
@@ -0,0 +1,91 @@
+"""The commands that show the VMs: status and top."""
+
+import trio
+
+from mustardlb import changes
+from mustardlb_cli import _changing
+from mustardlb_cli import _nodes
+from mustardlb_cli import _output
+from mustardlb_cli import _site
+
+
+async def show_status(open_site: _site.Open) -> _output.Result:
+    """Return what each VM says of itself, beside the stored revision."""
+    async with open_site() as site:
+        vms = await _nodes.list_vms(site)
+        replies = await _nodes.ask_status(site, vms)
+        with trio.move_on_after(site.wait) as scope:
+            base = await changes.read_base(site.api)
+    stored = None if scope.cancelled_caught else base.head.revision
+    return {
+        'stored_revision': stored,
+        'answering': f'{sum(r.status is not None for r in replies)} of '
+        f'{len(replies)}',
+        'vms': [_row(reply) for reply in replies],
+    }
+
+
+async def show_histograms(
+    open_site: _site.Open, account: str
+) -> _output.Result:
+    """Return the histograms of all VMs, by account, class and VM."""
+    async with open_site() as site:
+        vms = await _nodes.list_vms(site)
+        answers = await _nodes.ask_histograms(site, vms)
+    rows = [
+        {**histogram, 'vm_id': vm.vm_id}
+        for vm, histograms, _ in answers
+        for histogram in histograms
+        if account in ('', histogram.get('account'))
+    ]
+    rows.sort(
+        key=lambda row: [
+            str(row.get(key))
+            for key in ('account', 'traffic_class', 'measure', 'vm_id')
+        ]
+    )
+    silent = [
+        {'vm_id': vm.vm_id, 'problem': problem}
+        for vm, _, problem in answers
+        if problem
+    ]
+    return {'histograms': rows, 'not_answering': silent}
+
+
+async def settle_change(
+    open_site: _site.Open, change: str, wait: float | None
+) -> _output.Result:
+    """Find out whether a change landed, then wait for it if it did."""
+    async with open_site() as site:
+
+        async def settle() -> changes.Landed | None:
+            return await changes.settle(site.api, change)
+
+        landed = await _changing.bounded(site, settle)
+        if landed is None:
+            raise _changing.not_landed(change)
+        limit = site.wait if wait is None else wait
+        result: dict[str, object] = {
+            'landed': True,
+            'change': change,
+            'revision': landed.revision,
+        }
+        if not limit:
+            return result
+        return await _changing.follow(site, landed.revision, limit, result)
+
+
+def _row(reply: _nodes.Reply) -> dict[str, object]:
+    status = reply.status
+    return {
+        'vm_id': reply.vm.vm_id,
+        'data_centre': reply.vm.data_centre,
+        'address': f'{reply.vm.address}:{reply.vm.admin_port}',
+        'state': str(reply.vm.state),
+        'ready': status.ready if status else None,
+        'revision': status.revision if status else None,
+        'accepted': status.accepted_revision if status else None,
+        'age': status.age if status else None,
+        'version': (status.version or None) if status else None,
+        'problem': reply.problem or None,
+    }
--- a/packages/mustardlb/mustardlb/changes.py
+++ b/packages/mustardlb/mustardlb/changes.py
@@ -44,8 +44,9 @@
 
     :ivar name: the configuration object
     :ivar make: gives the new bytes from the stored ones, None for none
-    :ivar based_on: the entry's revision that the operator saw, 0 where
-        there was none; None where `make` suits whatever is stored
+    :ivar based_on: a revision of the configuration since which the object
+        must not have changed, 0 if there must be none; None where `make`
+        suits whatever is stored
     """
 
     name: str
@@ -237,6 +238,14 @@
     revision = entry.revision if entry else 0
     if edit.based_on is None or edit.based_on == revision:
         return
+    if edit.based_on > head.revision:
+        raise _error(
+            errors.Code.BAD_REQUEST,
+            f'{edit.name} cannot be based on revision {edit.based_on}, the '
+            f'newest is {head.revision}',
+        )
+    if 0 < revision < edit.based_on:
+        return
     now = f'is at revision {revision}' if revision else 'is not there'
     then = f'revision {edit.based_on}' if edit.based_on else 'its absence'
     raise Conflict(
--- a/tests/mustardlb/test_changes.py
+++ b/tests/mustardlb/test_changes.py
@@ -291,6 +291,9 @@
     assert caught.value.differences == (
         changes.Difference('contract/a', 'rate', '1', '2'),
     )
+    future = replace('contract/a', contract('a', 2), based_on=2)
+    with pytest.raises(errors.Error, match='the newest is 1'):
+        await changes.commit(api, [future])
     same = replace('contract/a', contract('a', 1))
     assert (await changes.commit(api, [same])).change == ''
 
