--- /dev/null
+++ b/tests/mustardlb_cli/test_commands.py
@@ -0,0 +1,341 @@
+"""The command line against the stand-ins, over real HTTP."""
+
+import contextlib
+import dataclasses
+import json
+
+import pytest
+import quart
+import quart_trio
+import trio
+
+from mustardlb import changes
+from mustardlb import configuration
+from mustardlb import keys
+from mustardlb import vm_list
+from mustardlb_cli import _exit
+from mustardlb_cli import _main
+from mustardlb_standins import faults
+from mustardlb_standins import object_api as api_standin
+from mustardlb_standins import vm_list as vm_list_standin
+from mustardlb_standins import web
+
+HEAD_PUT = f'put:{configuration.HEAD}'
+ACME = """
+account = 'acme'
+rate = 100
+burst = 200
+grants = ['draft@*']
+"""
+ENGINE = """
+name = 'engine-1'
+kind = 'engine'
+url = 'http://127.0.0.1:9'
+group = 'canopy'
+data_centre = 'dc-1'
+slots = 4
+base_model = 'canopy'
+"""
+LEDGER = """
+name = 'ledger'
+prefix = '/ledger'
+group = 'ledger'
+"""
+
+
+@dataclasses.dataclass
+class FakeNode:
+    """What a node's admin port answers."""
+
+    api: api_standin.MemoryObjectApi
+    vm_id: str
+    silent: bool = False
+    stuck: bool = False
+    restarts: bool = False
+    incarnation: int = 1
+
+    def revision(self):
+        found = self.api.peek(configuration.HEAD)
+        if self.stuck or not found.version:
+            return 0
+        return configuration.decode_head(found.value).revision
+
+    def build(self):
+        app = quart_trio.QuartTrio(self.vm_id)
+
+        @app.get('/v1/status')
+        async def status():
+            if self.silent:
+                return '', 503
+            wanted = int(quart.request.args['revision'])
+            with trio.move_on_after(float(quart.request.args['wait'])):
+                while self.revision() < wanted:
+                    await trio.sleep(0.01)
+            self.incarnation += self.restarts
+            return {
+                'vm_id': self.vm_id,
+                'incarnation': self.incarnation,
+                'revision': self.revision(),
+                'age': 0.1,
+                'ready': True,
+                'more': 'ignored',
+            }
+
+        @app.get('/v1/histograms')
+        async def histograms():
+            row = {'account': 'acme', 'traffic_class': 'standard', 'p99': 1.5}
+            return {'histograms': [row]}
+
+        return app
+
+
+@dataclasses.dataclass
+class LocalSite:
+    """A site in this process, and its command line."""
+
+    api: api_standin.MemoryObjectApi
+    vms: vm_list_standin.MemoryVmList
+    nodes: list[FakeNode]
+    directory: object
+    capsys: object
+
+    async def run(self, *arguments, code=0):
+        """Run one command line; return its JSON result."""
+        flags = ['--output', 'json', f'--settings={self.directory}/cli.toml']
+        found = await trio.to_thread.run_sync(_main.run, [*arguments, *flags])
+        self.out, self.err = self.capsys.readouterr()
+        assert found == code, (found, self.out, self.err)
+        return json.loads(self.out) if self.out else None
+
+    def file(self, text, name='file.toml'):
+        path = self.directory / name
+        path.write_text(text)
+        return str(path)
+
+    def head(self):
+        found = self.api.peek(configuration.HEAD)
+        if not found.version:
+            return configuration.Head()
+        return configuration.decode_head(found.value)
+
+
+@pytest.fixture
+async def site(tmp_path, capsys):
+    api = api_standin.MemoryObjectApi()
+    listing = vm_list_standin.MemoryVmList()
+    nodes = [FakeNode(api, f'vm-{number}') for number in (1, 2, 3)]
+    async with contextlib.AsyncExitStack() as stack:
+        addresses = [
+            await stack.enter_async_context(web.serving(app))
+            for app in (
+                api_standin.build(api),
+                vm_list_standin.build(listing),
+                *(node.build() for node in nodes),
+            )
+        ]
+        addresses = [a.removeprefix('http://') for a in addresses]
+        listing.set_vms(
+            *(
+                vm_list.Vm(node.vm_id, '127.0.0.1', 1, port, 'dc-1')
+                for node, port in zip(
+                    nodes,
+                    [int(a.rpartition(':')[2]) for a in addresses[2:]],
+                    strict=True,
+                )
+            )
+        )
+        (tmp_path / 'cli.toml').write_text(
+            'insecure = true\nwait = 1.5\n'
+            f"[object_api]\nurl = 'http://{addresses[0]}'\ntimeout = 0.3\n"
+            f"[vm_list]\nurl = 'http://{addresses[1]}'\n"
+        )
+        yield LocalSite(api, listing, nodes, tmp_path, capsys)
+
+
+async def test_an_operators_day(site):
+    acme = site.file(ACME)
+    found = await site.run('contract', 'apply', acme)
+    assert (found['changed'], found['revision']) == (True, 1)
+    assert found['accepted'] is True
+    assert (found['held_by'], found['in_force']) == ('3 of 3', '3 of 3')
+    assert (await site.run('contract', 'apply', acme))['changed'] is False
+
+    issued = await site.run('key', 'issue', 'acme')
+    listed = (await site.run('key', 'list'))['keys']
+    assert [key['key_id'] for key in listed] == [issued['key_id']]
+    stored = await stored_keys(site)
+    assert keys.authenticate(issued['key'], stored).account == 'acme'
+
+    await site.run('key', 'withdraw', issued['key_id'])
+    with pytest.raises(Exception, match='withdrawn'):
+        keys.authenticate(issued['key'], await stored_keys(site))
+    await site.run('key', 'issue', 'nobody', code=_exit.ExitCode.NOT_FOUND)
+
+    engine = site.file(ENGINE, 'engine.toml')
+    await site.run('target', 'apply', engine)
+    await site.run('target', 'drain', 'engine-1')
+    assert await target_state(site) == 'drain'
+    await site.run('target', 'drain', 'engine-1', '--undo')
+    assert await target_state(site) == 'serve'
+    await site.run('route', 'apply', site.file(LEDGER, 'ledger.toml'))
+    assert len((await site.run('route', 'list'))['routes']) == 1
+
+    shown = await site.run('contract', 'show', 'acme')
+    assert shown['contract']['rate'] == 100
+    await site.run('contract', 'withdraw', 'acme')
+    assert (await site.run('contract', 'list'))['contracts'] == []
+    gone = _exit.ExitCode.NOT_FOUND
+    await site.run('contract', 'withdraw', 'acme', code=gone)
+    status = await site.run('status')
+    assert status['answering'] == '3 of 3'
+    assert status['stored_revision'] == site.head().revision == 8
+    assert {vm['revision'] for vm in status['vms']} == {8}
+    assert len((await site.run('top'))['histograms']) == 3
+
+
+async def stored_keys(site):
+    value = await changes.read_object(site.api, site.head(), 'keys/acme')
+    return {record.key_id: record for record in keys.decode(value)}
+
+
+async def target_state(site):
+    return (await site.run('target', 'list'))['targets'][0]['state']
+
+
+async def test_the_secret_of_a_key_is_shown_once_and_stored_nowhere(site):
+    await site.run('contract', 'apply', site.file(ACME))
+    issued = await site.run('key', 'issue', 'acme')
+    secret = issued['key'].split('_', 2)[2]
+    values = [site.api.peek(name).value for name in site.api._histories]
+    assert values
+    assert not any(secret.encode() in value for value in values)
+    await site.run('key', 'list', '--verbose')
+    assert secret not in site.out + site.err
+
+
+async def test_the_loser_of_a_race_sees_what_differs(site):
+    await site.run('contract', 'apply', site.file(ACME))
+    mine = site.file(ACME.replace('100', '150'))
+    conflict = _exit.ExitCode.CONFLICT
+    await site.run('contract', 'apply', mine, code=conflict)
+    assert 'rate: stored 100, yours 150' in site.err
+    assert site.head().revision == 1
+    await site.run('contract', 'apply', mine, '--based-on=1')
+    theirs = site.file(ACME.replace('100', '170'))
+    await site.run('contract', 'apply', theirs, '--based-on=1', code=conflict)
+    assert 'rate: stored 150, yours 170' in site.err
+    withdraw = ('contract', 'withdraw', 'acme', '--based-on=1')
+    await site.run(*withdraw, code=conflict)
+    assert site.head().revision == 2
+
+
+@pytest.mark.parametrize(
+    'arguments',
+    [
+        ('--based-no=3',),
+        ('--wait=soon',),
+        ('--based-on=-1',),
+        ('--nowait',),
+    ],
+)
+async def test_a_line_that_is_not_understood_does_nothing(site, arguments):
+    apply = ('contract', 'apply', site.file(ACME))
+    with contextlib.suppress(SystemExit):
+        await trio.to_thread.run_sync(
+            _main.run,
+            [f'--settings={site.directory}/cli.toml', *apply, *arguments],
+        )
+    assert site.head().revision == 0
+
+
+async def test_every_fault_of_every_file_is_listed(site):
+    one = site.file(ACME.replace('100', '0'), 'one.toml')
+    two = site.file(ACME + 'burts = 5', 'two.toml')
+    apply = ('contract', 'apply', one, two)
+    await site.run(*apply, code=_exit.ExitCode.INVALID)
+    messages = json.loads(site.err)['messages']
+    assert messages[0].startswith(f'{one}: rate = 0: ')
+    assert messages[1].startswith(f'{two}: burts = 5: ')
+    assert site.head().revision == 0
+
+
+async def test_a_vm_that_lags_is_named(site):
+    site.nodes[2].stuck = True
+    apply = ('contract', 'apply', site.file(ACME))
+    found = await site.run(*apply, code=_exit.ExitCode.LAGGING)
+    assert found['accepted'] is True
+    assert (found['held_by'], found['in_force']) == ('2 of 3', '2 of 3')
+    assert [vm['vm_id'] for vm in found['lagging']] == ['vm-3']
+
+
+async def test_without_a_majority_nothing_is_called_accepted(site):
+    site.nodes[1].stuck = True
+    site.nodes[2].silent = True
+    code = _exit.ExitCode.NOT_ACCEPTED
+    apply = ('contract', 'apply', site.file(ACME))
+    found = await site.run(*apply, code=code)
+    assert found['accepted'] is False
+    assert found['held_by'] == '1 of 3'
+    reasons = {vm['vm_id']: vm['reason'] for vm in found['lagging']}
+    assert reasons == {'vm-2': 'has an older revision', 'vm-3': 'status 503'}
+
+
+async def test_vms_that_restart_are_no_majority(site):
+    # Each holds the revision when asked, and may have lost it at the moment
+    # when another one got it.
+    for node in site.nodes[:2]:
+        node.restarts = True
+    code = _exit.ExitCode.NOT_ACCEPTED
+    apply = ('contract', 'apply', site.file(ACME))
+    assert (await site.run(*apply, code=code))['held_by'] == '1 of 3'
+
+
+async def test_another_vm_at_an_address_does_not_count(site):
+    for node in site.nodes[:2]:
+        node.vm_id += '-new'
+    code = _exit.ExitCode.NOT_ACCEPTED
+    apply = ('contract', 'apply', site.file(ACME))
+    found = await site.run(*apply, code=code)
+    assert 'vm-1-new answers' in found['lagging'][0]['reason']
+
+
+async def test_a_leaving_vm_counts_for_the_majority_only(site):
+    *staying, leaving = site.vms.vms
+    leaving = dataclasses.replace(leaving, state=vm_list.VmState.LEAVING)
+    site.vms.set_vms(*staying, leaving)
+    site.nodes[2].silent = True
+    found = await site.run('contract', 'apply', site.file(ACME))
+    assert (found['held_by'], found['in_force']) == ('2 of 3', '2 of 2')
+
+
+async def test_a_lost_answer_is_settled_by_the_command_itself(site):
+    site.api.plan.add(HEAD_PUT, faults.Kind.ANSWER_LOST, skip=1)
+    found = await site.run('contract', 'apply', site.file(ACME))
+    assert found['revision'] == site.head().revision == 1
+
+
+@pytest.mark.parametrize(
+    ('kind', 'code'),
+    [
+        (faults.Kind.ANSWER_LOST, _exit.ExitCode.DONE),
+        (faults.Kind.DROP, _exit.ExitCode.NOT_LANDED),
+    ],
+)
+async def test_an_unknown_change_is_settled_by_its_command(site, kind, code):
+    # From the write on, the object API answers nothing.
+    site.api.plan.add(HEAD_PUT, kind, skip=1)
+    site.api.plan.add(HEAD_PUT, faults.Kind.DROP, skip=2, times=None)
+    apply = ('contract', 'apply', site.file(ACME))
+    await site.run(*apply, code=_exit.ExitCode.UNKNOWN)
+    message = json.loads(site.err)['messages'][0]
+    assert 'mustardlb change settle r1-' in message
+    site.api.plan.plan()
+    found = await site.run(*message.split()[-3:], code=code)
+    assert found['landed'] == ('acme' in str(site.head().entries))
+
+
+async def test_an_outage_before_the_write_leaves_nothing(site):
+    site.api.plan.add('*', faults.Kind.UNAVAILABLE, times=None)
+    apply = ('contract', 'apply', site.file(ACME))
+    await site.run(*apply, code=_exit.ExitCode.UNAVAILABLE)
+    assert 'nothing will be' in site.err
