--- a/packages/mustardlbd/mustardlbd/_callers.py
+++ b/packages/mustardlbd/mustardlbd/_callers.py
@@ -173,8 +173,9 @@
         peer=error.peer,
         not_run=error.not_run,
     )
-    await _request_body.discard(request)
     await reply.error(error)
+    # The caller has its answer; what it still sends is read for a while.
+    await _request_body.discard(request)
     await reply.finish()
 
 
--- a/packages/mustardlbd/mustardlbd/_key_scan.py
+++ b/packages/mustardlbd/mustardlbd/_key_scan.py
@@ -40,8 +40,9 @@
 
 
 def secret_of(key: str) -> bytes:
-    """Return the secret part of a key's text."""
-    return key[-_SECRET_LENGTH:].encode()
+    """Return the secret part of a key's text, b'' for what is no key."""
+    text = key.encode('latin-1', 'replace')
+    return text[-_SECRET_LENGTH:] if _SHAPE.fullmatch(text) else b''
 
 
 def unescape(data: bytes) -> bytes:
--- a/packages/mustardlbd/mustardlbd/_plain_service.py
+++ b/packages/mustardlbd/mustardlbd/_plain_service.py
@@ -120,8 +120,9 @@
     """Take a request apart. Raises BAD_REQUEST."""
     scope: Any = request.scope
     raw_headers = list(scope['headers'])
-    key = caller.key if caller else ''
-    secret = _key_scan.secret_of(key) if key else b''
+    # On an open route too: who calls may present a key all the same.
+    key = caller.key if caller else _admission.presented_key(raw_headers)
+    secret = _key_scan.secret_of(key)
     _passing.check_coding(raw_headers)
     _check_idempotency_key(raw_headers, secret)
     return PlainCall(
--- a/tests/mustardlbd/conftest.py
+++ b/tests/mustardlbd/conftest.py
@@ -50,6 +50,7 @@
         self.keys_by_account = {}
         self.contracts = {}
         self.routes = {}
+        self.targets = {}
         self.records = {}
         self.fresh = True
         self.reservations = []
@@ -59,10 +60,10 @@
         self.stop = trio.Event()
         self.changed = trio.Event()
         self.directory = directory.Directory()
+        self.add_route('ledger', '/')
+        self.add_route('open', '/echo/open', open=True)
+        self.add_target('desk-1', desk_url)
         self.add_account('canopy')
-        self.add_route('ledger', open=False)
-        self.add_route('public', open=True)
-        self.put()
 
     @property
     def engines(self):
@@ -76,29 +77,41 @@
         self.records[name] = key.record
         self.put()
 
-    def add_route(self, name, **terms):
+    def add_route(self, name, prefix, **terms):
         self.routes[name] = routes.Route(
-            name=name, prefix=f'/{name}', group='desk', **terms
+            name=name, prefix=prefix, group='desk', **terms
         )
 
+    def add_target(self, name, url):
+        self.targets[name] = routes.Target(
+            name=name,
+            kind=routes.TargetKind.SERVICE,
+            url=url,
+            group='desk',
+            data_centre='dc',
+        )
+        self.put()
+
+    def outcomes(self):
+        return {
+            key
+            for key, attempt in self.attempts_by_key.items()
+            if isinstance(attempt, _dependencies.RecordedOutcome)
+        }
+
     def withdraw(self, name):
         self.records[name] = dataclasses_replace(self.records[name])
         self.put()
 
     def put(self):
-        target = routes.Target(
-            name='desk-1',
-            kind=routes.TargetKind.SERVICE,
-            url=self.desk_url,
-            group='desk',
-            data_centre='dc',
-        )
         self.directory = directory.Directory(
             revision=self.directory.revision + 1,
             contracts_by_account=dict(self.contracts),
             keys_by_id={one.key_id: one for one in self.records.values()},
-            targets_by_name={'desk-1': target},
-            routes=tuple(self.routes.values()),
+            targets_by_name=dict(sorted(self.targets.items())),
+            routes=tuple(
+                sorted(self.routes.values(), key=lambda r: -len(r.prefix))
+            ),
         )
         self.changed.set()
         self.changed = trio.Event()
@@ -245,3 +258,20 @@
 def site():
     """Open a site: `async with site(engines=2) as one:`."""
     return open_site
+
+
+@pytest.fixture
+def caller_settings():
+    """Make settings, whose server takes what is meant for it."""
+
+    def make(**terms):
+        names = {
+            field.name
+            for field in dataclasses.fields(_http_connection.ServerSettings)
+        }
+        server = {name: terms.pop(name) for name in names & terms.keys()}
+        return _caller_settings.CallerSettings(
+            server=_http_connection.ServerSettings(**server), **terms
+        )
+
+    return make
