--- a/tests/mustardlbd/conftest.py
+++ b/tests/mustardlbd/conftest.py
@@ -209,6 +209,7 @@
     client: httpx.AsyncClient
     nursery: trio.Nursery
     metrics: _metrics.Metrics
+    served: trio.Event
 
 
 @contextlib.asynccontextmanager
@@ -235,6 +236,7 @@
         front = Front(engines_by_url, desk_url, one_desk)
         nursery = await stack.enter_async_context(trio.open_nursery())
         metrics = _metrics.Metrics()
+        served = trio.Event()
 
         async def serve(task_status):
             await _callers.serve(
@@ -244,13 +246,14 @@
                 stop=front.stop,
                 task_status=task_status,
             )
+            served.set()
 
         port = await nursery.start(serve)
         url = f'http://127.0.0.1:{port}'
         client = await stack.enter_async_context(
             httpx.AsyncClient(base_url=url, timeout=20.0, trust_env=False)
         )
-        yield Site(front, url, client, nursery, metrics)
+        yield Site(front, url, client, nursery, metrics, served)
         nursery.cancel_scope.cancel()
 
 
