--- a/tests/mustardlbd/fleet.py
+++ b/tests/mustardlbd/fleet.py
@@ -39,6 +39,7 @@
         self.delay = delay
         self.delay_by_link = {}
         self.bytes_by_node = collections.Counter()
+        self.sends_by_node = collections.Counter()
         self.lagging = set()
         self._cuts = set()
         self._paused = set()
@@ -133,8 +134,9 @@
         await trio.lowlevel.checkpoint()
         if self._closed:
             raise trio.ClosedResourceError
-        self._network.bytes_by_node[self._own] += len(data)
-        self._network.bytes_by_node[self._other] += len(data)
+        for node in (self._own, self._other):
+            self._network.bytes_by_node[node] += len(data)
+            self._network.sends_by_node[node] += 1
         arrival = trio.current_time() + self._network.transit(
             self._own, self._other
         )
