Answer polls when knowledge has moved on, and spend less on attestations

Ruled out: fewer watchers, since their children only grow. Change: a held poll is answered when the parent's knowledge is 0.7 s newer, fan-out 5, envelopes packed, durations as whole numbers, attestations of the subtree to the first parent only, and tables between watchers every 2 s unless a majority is waited for. A node whose parent is silent asks the others at once, or a change would take 4.3 s where two of three watchers are silent.

--- a/packages/mustardlb/mustardlb/schema/state.capnp
+++ b/packages/mustardlb/mustardlb/schema/state.capnp
@@ -14,18 +14,20 @@
   versions @0 :List(UInt64);     # held by the poller, in the fixed order
   stamp @1 :Float64;             # last stamp of the polled node
   stampIncarnation @2 :UInt64;   # incarnation that gave it, 0 if none
-  sinceStamp @3 :Float64;        # seconds since the poller got it
-  hold @4 :Float64;              # seconds to wait for news
-  accepted @5 :List(UInt64);     # known to be accepted, by the poller
-  groups @6 :List(Group);
+  sinceStamp @3 :UInt32;         # us since the poller got it, rounded down
+  hold @4 :UInt16;               # ms to wait for news
+  age @5 :UInt32;                # ms, of the poller's knowledge
+  step @6 :UInt16;               # ms by which newer knowledge is news
+  accepted @7 :List(UInt64);     # known to be accepted, by the poller
+  groups @8 :List(Group);
 }
 
 struct PollReply {
   versions @0 :List(UInt64);
   stamp @1 :Float64;             # clock of the polled node
   stampIncarnation @2 :UInt64;
-  age @3 :Float64;               # of its knowledge, infinite if none
-  held @4 :Float64;              # seconds between request and reply
+  age @3 :UInt32;                # us, of its knowledge, rounded up
+  held @4 :UInt32;               # us from request to reply, rounded down
   accepted @5 :List(UInt64);
 }
 
--- a/packages/mustardlbd/mustardlbd/_api_source.py
+++ b/packages/mustardlbd/mustardlbd/_api_source.py
@@ -1,5 +1,6 @@
 """What a node learns from the object API: data, and evidence of age."""
 
+import math
 import random
 
 import structlog
@@ -52,6 +53,11 @@
         self._freshness = freshness
         self._now = now
         self._fetch_part = fetch_part
+        self._asked = [-math.inf] * len(_documents.TRACKED)
+
+    def age(self) -> float:
+        """Return the seconds since the API last gave evidence here."""
+        return self._now() - min(self._asked)
 
     async def probe(self, index: int) -> None:
         """Ask for evidence of the newest version; fetch it if it is newer.
@@ -70,6 +76,7 @@
         except (*_FAILURES, _documents.NotFetched) as error:
             log.info('MLB-2030', object=name, problem=repr(error))
             return
+        self._asked[index] = asked
         self._freshness.confirm(index, asked, _freshness.Evidence.API)
 
     async def watch(self, index: int) -> None:
--- a/packages/mustardlbd/mustardlbd/_fetching.py
+++ b/packages/mustardlbd/mustardlbd/_fetching.py
@@ -20,8 +20,11 @@
     payload = await peers.call(
         vm_id, _spread_server.OBJECT, request.to_bytes(), FETCH_TIMEOUT
     )
-    reply = schema.load('state').ObjectReply.from_bytes_packed(payload)
-    return _documents.Tracked(reply.version, bytes(reply.value))
+    try:
+        reply = schema.load('state').ObjectReply.from_bytes_packed(payload)
+        return _documents.Tracked(reply.version, bytes(reply.value))
+    except Exception as error:  # the library's own exceptions
+        raise _documents.NotFetched(vm_id) from error
 
 
 async def _fetch_part(
@@ -31,8 +34,11 @@
     payload = await peers.call(
         vm_id, _spread_server.PART, request.to_bytes(), FETCH_TIMEOUT
     )
-    reply = schema.load('state').PartReply.from_bytes_packed(payload)
-    return bytes(reply.value) if reply.found else None
+    try:
+        reply = schema.load('state').PartReply.from_bytes_packed(payload)
+        return bytes(reply.value) if reply.found else None
+    except Exception:  # the library's own exceptions
+        return None
 
 
 def from_peers(
--- a/packages/mustardlbd/mustardlbd/_freshness.py
+++ b/packages/mustardlbd/mustardlbd/_freshness.py
@@ -12,6 +12,7 @@
 from mustardlb import clock
 from mustardlb import errors
 from mustardlb import steps
+from mustardlbd import _signal
 
 log = structlog.get_logger()
 
@@ -22,6 +23,10 @@
 # seconds; above MAX_AGE by what a check may be early or late.
 SETTLE_TIME = 5.0
 
+# Those who wait for newer knowledge are woken when T moved this far,
+# seconds.
+TELL_STEP = 0.2
+
 # When a refused caller may try again, seconds.
 RETRY_AFTER = 1.0
 
@@ -38,8 +43,12 @@
 class Freshness:
     """The moment that this node's knowledge is as of."""
 
-    def __init__(self, now: clock.Clock, tracked: int) -> None:
+    def __init__(
+        self, now: clock.Clock, tracked: int, news: _signal.Signal
+    ) -> None:
         self._now = now
+        self._news = news
+        self._told = -math.inf
         self._started = now()
         self._as_of = [-math.inf] * tracked
         self.evidence = Evidence.NONE
@@ -50,26 +59,33 @@
             return
         self._as_of[index] = as_of
         self.evidence = evidence
+        if self.as_of() >= self._told + TELL_STEP:
+            self._told = self.as_of()
+            self._news.notify()
 
     def confirm_all(self, as_of: float, evidence: Evidence) -> None:
         """Note evidence for every tracked object."""
         for index in range(len(self._as_of)):
             self.confirm(index, as_of, evidence)
 
+    def as_of(self) -> float:
+        """Return T, minus infinity before any evidence."""
+        return min(self._as_of)
+
     def age(self) -> float:
         """Seconds since T; infinite before any evidence of this process.
 
         Evidence from before the start does not count: what was held then
         may have been lost with the process.
         """
-        as_of = min(self._as_of)
+        as_of = self.as_of()
         if as_of < self._started:
             return math.inf
         return self._now() - as_of
 
     def is_current(self) -> bool:
         """Whether this process was ever current."""
-        return min(self._as_of) >= self._started
+        return self.as_of() >= self._started
 
     def check_fresh(self, step: steps.Step) -> None:
         """Raise NODE_NOT_CURRENT unless knowledge is recent enough."""
--- a/packages/mustardlbd/mustardlbd/_owner_table.py
+++ b/packages/mustardlbd/mustardlbd/_owner_table.py
@@ -16,7 +16,7 @@
 log = structlog.get_logger()
 
 # A VM that attested nothing for this time can own nothing, seconds.
-ALIVE_TIME = 5.0
+ALIVE_TIME = 6.0
 
 # How long the VMs must be the same before the table follows, seconds.
 STABLE_TIME = 3.0
--- a/packages/mustardlbd/mustardlbd/_parts.py
+++ b/packages/mustardlbd/mustardlbd/_parts.py
@@ -32,8 +32,12 @@
         members = self.membership.members()
         return _ranks.parents(self.identity.vm_id, members.reachable)
 
+    def level(self) -> int:
+        """Return this node's level of the tree, 0 for a watcher."""
+        own = self.identity.vm_id
+        order = _ranks.ranked({own, *self.membership.members().reachable})
+        return _ranks.level_of(order.index(own))
+
     def is_watcher(self) -> bool:
         """Whether this node watches and probes the API."""
-        own = self.identity.vm_id
-        members = self.membership.members()
-        return own in _ranks.watchers({own, *members.reachable})
+        return self.level() == 0
--- a/packages/mustardlbd/mustardlbd/_peer_server.py
+++ b/packages/mustardlbd/mustardlbd/_peer_server.py
@@ -2,7 +2,6 @@
 
 from collections import abc
 import dataclasses
-import functools
 import ssl
 
 import structlog
@@ -93,28 +92,31 @@
     async def _answer(self, message: bytes) -> bytes:
         envelope = schema.load('envelope')
         try:
-            with envelope.Request.from_bytes(message) as request:
-                service = request.service
-                sender = Sender(request.sender, request.incarnation)
-                recipient = request.recipient
-                payload = bytes(request.payload)
+            request = envelope.Request.from_bytes_packed(message)
+            service = request.service
+            sender = Sender(request.sender, request.incarnation)
+            recipient = request.recipient
+            payload = bytes(request.payload)
         except Exception as error:  # the library's own exceptions
             raise _frames.BadFrame('not a request') from error
-        refuse = functools.partial(_refuse, envelope)
         if recipient != self._vm_id:
-            return refuse(f'this is {self._vm_id}, not {recipient}')
+            return _refuse(f'this is {self._vm_id}, not {recipient}')
         handler = self._handlers.get(service)
         if handler is None:
-            return refuse(f'no service {service}')
+            return _refuse(f'no service {service}')
         try:
             answer = await handler(sender, payload)
         except errors.Error as error:
-            return refuse(str(error))
+            return _refuse(str(error))
         except Exception:  # one request must not end the node
             log.exception('MLB-2002', service=service, sender=sender.vm_id)
-            return refuse(f'{service} failed')
-        return envelope.Reply.new_message(ok=True, payload=answer).to_bytes()
+            return _refuse(f'{service} failed')
+        reply = envelope.Reply.new_message(ok=True, payload=answer)
+        return reply.to_bytes_packed()
 
 
-def _refuse(envelope: object, problem: str) -> bytes:
-    return envelope.Reply.new_message(ok=False, problem=problem).to_bytes()  # type: ignore[attr-defined]
+def _refuse(problem: str) -> bytes:
+    reply = schema.load('envelope').Reply.new_message(
+        ok=False, problem=problem
+    )
+    return reply.to_bytes_packed()
--- a/packages/mustardlbd/mustardlbd/_peers.py
+++ b/packages/mustardlbd/mustardlbd/_peers.py
@@ -150,15 +150,15 @@
             recipient=vm_id,
             payload=payload,
         )
-        return request.to_bytes()
+        return request.to_bytes_packed()
 
 
 def _decode(vm_id: str, answer: bytes) -> bytes:
     try:
-        with schema.load('envelope').Reply.from_bytes(answer) as reply:
-            if reply.ok:
-                return bytes(reply.payload)
-            problem = reply.problem
+        reply = schema.load('envelope').Reply.from_bytes_packed(answer)
+        if reply.ok:
+            return bytes(reply.payload)
+        problem = reply.problem
     except Exception as error:  # the library's own exceptions
         raise _unavailable(vm_id, 'the reply cannot be read') from error
     raise errors.Error(
--- a/packages/mustardlbd/mustardlbd/_poll_messages.py
+++ b/packages/mustardlbd/mustardlbd/_poll_messages.py
@@ -8,8 +8,11 @@
 from mustardlb import schema
 from mustardlbd import _attestations
 
-# An attestation's age is sent in milliseconds, rounded up.
-_MS = 1000
+# Durations are sent as whole numbers, rounded so that what is known never
+# looks newer than it is.
+_MS = 1_000
+_US = 1_000_000
+_LONGEST = 2**32 - 1
 
 
 class BadMessage(ValueError):
@@ -34,7 +37,9 @@
 
     :ivar stamp: the last stamp that the poller got from it
     :ivar since_stamp: seconds from then to the sending of this message
-    :ivar hold: seconds to wait for news
+    :ivar hold: longest time to wait for news, seconds
+    :ivar age: of the poller's knowledge, seconds
+    :ivar step: knowledge newer by this much is news, seconds
     :ivar attestations: of the poller and of those below it; `made` is
         relative to the moment of the stamp
     """
@@ -44,6 +49,8 @@
     stamp: Stamp
     since_stamp: float
     hold: float
+    age: float
+    step: float
     attestations: list[_attestations.Attestation]
 
 
@@ -91,8 +98,10 @@
             accepted=poll.accepted,
             stamp=poll.stamp.time,
             stampIncarnation=poll.stamp.incarnation,
-            sinceStamp=poll.since_stamp,
-            hold=poll.hold,
+            sinceStamp=int(poll.since_stamp * _US),
+            hold=int(poll.hold * _MS),
+            age=_up(poll.age, _MS),
+            step=int(poll.step * _MS),
             groups=groups,
         )
         .to_bytes_packed()
@@ -103,9 +112,10 @@
     """Read a poll. Raises BadMessage."""
     try:
         found = schema.load('state').Poll.from_bytes_packed(payload)
+        since_stamp = found.sinceStamp / _US
         attestations = [
             _attestations.Attestation(
-                member, incarnation, held, found.sinceStamp - age / _MS
+                member, incarnation, held, since_stamp - age / _MS
             )
             for group in found.groups
             for held in (tuple(group.versions),)
@@ -117,8 +127,10 @@
             tuple(found.versions),
             tuple(found.accepted),
             Stamp(found.stamp, found.stampIncarnation),
-            found.sinceStamp,
-            found.hold,
+            since_stamp,
+            found.hold / _MS,
+            found.age / _MS,
+            found.step / _MS,
             attestations,
         )
     except Exception as error:  # the library's own exceptions
@@ -134,8 +146,8 @@
             accepted=reply.accepted,
             stamp=reply.stamp.time,
             stampIncarnation=reply.stamp.incarnation,
-            age=reply.age,
-            held=reply.held,
+            age=_up(reply.age, _US),
+            held=int(reply.held * _US),
         )
         .to_bytes_packed()
     )
@@ -149,13 +161,18 @@
             tuple(found.versions),
             tuple(found.accepted),
             Stamp(found.stamp, found.stampIncarnation),
-            found.age,
-            found.held,
+            math.inf if found.age == _LONGEST else found.age / _US,
+            found.held / _US,
         )
     except Exception as error:  # the library's own exceptions
         raise BadMessage(str(error).partition('\n')[0]) from error
 
 
+def _up(seconds: float, unit: int) -> int:
+    """Round up to a whole number of units."""
+    return min(math.ceil(min(seconds * unit, _LONGEST)), _LONGEST)
+
+
 def has_news(ours: abc.Iterable[int], theirs: abc.Iterable[int]) -> bool:
     """Whether any of our versions is above theirs.
 
--- a/packages/mustardlbd/mustardlbd/_ranks.py
+++ b/packages/mustardlbd/mustardlbd/_ranks.py
@@ -8,7 +8,7 @@
 WATCHERS = 3
 
 # VMs of a level for each VM of the level above.
-FAN_OUT = 8
+FAN_OUT = 5
 
 # Parents that each VM polls.
 PARENTS = 2
@@ -49,12 +49,27 @@
     if index < WATCHERS:
         peers = order[:WATCHERS]
         return peers[index + 1 :] + peers[:index]
-    start, size = 0, WATCHERS
-    while index >= start + size + size * FAN_OUT:
-        start, size = start + size, size * FAN_OUT
-    place = index - start - size
-    first = place % size
-    second = (first + 1 + place // size) % size
-    if second == first:
-        second = (first + 1) % size
-    return [order[start + first], order[start + second]]
+    level = level_of(index)
+    above = order[_start(level - 1) : _start(level)]
+    place = index - _start(level)
+    first = place % len(above)
+    # Siblings of one first parent have different second ones.
+    step = 1 + place // len(above) % (len(above) - 1)
+    return [above[first], above[(first + step) % len(above)]]
+
+
+def level_of(index: int) -> int:
+    """Return the level of a rank, 0 for watchers.
+
+    >>> [level_of(index) for index in (0, 2, 3, 17, 18, 92, 93)]
+    [0, 0, 1, 1, 2, 2, 3]
+    """
+    level = 0
+    while index >= _start(level + 1):
+        level += 1
+    return level
+
+
+def _start(level: int) -> int:
+    """Return the rank of the first VM of a level."""
+    return WATCHERS * (FAN_OUT**level - 1) // (FAN_OUT - 1)
--- a/packages/mustardlbd/mustardlbd/_spread.py
+++ b/packages/mustardlbd/mustardlbd/_spread.py
@@ -20,8 +20,30 @@
 
 log = structlog.get_logger()
 
-# How long the first and the second parent hold a poll, seconds.
-HOLD_TIMES = (0.5, 2.0)
+# How long a parent holds a poll at most, and by how much its knowledge must
+# be newer for it to answer sooner, seconds: the first parent answers whenever
+# its knowledge has moved on, so that age hardly grows down the tree.
+FIRST_HOLD, FIRST_STEP = 1.1, 0.7
+SECOND_HOLD, SECOND_STEP = 4.0, 2.0
+WATCHER_HOLD, WATCHER_STEP = 1.5, 1.4
+
+# How long each level waits for the attestations of the one below before it
+# polls again, seconds; there are four levels at a thousand VMs.
+LEVEL_PAUSE = 0.02
+LEVELS = 4
+
+# How often watchers tell each other every attestation, where nothing waits
+# for majorities, seconds.
+TABLE_INTERVAL = 2.0
+
+# Age of the API's evidence past which majorities are waited for, seconds.
+OUTAGE_AGE = 1.5
+
+# A stamp older than this is of no use, seconds.
+STAMP_LIFE = 60.0
+
+# Objects that this node tracks; a newer one may track more.
+TRACKED = len(_documents.TRACKED)
 
 # How long a reply is waited for beyond the hold, seconds.
 POLL_TIMEOUT = 0.5
@@ -50,6 +72,18 @@
     time: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waits:
+    """How a poll is to be held.
+
+    :ivar whole: whether it brings the attestations of the nodes below
+    """
+
+    hold: float
+    step: float
+    whole: bool = False
+
+
 class Spread:
     """Keeps this node's tracked objects as new as its parents'."""
 
@@ -63,6 +97,7 @@
         self._source = source
         self._from_api = from_api
         self._received_by_vm: dict[str, _Received] = {}
+        self._told_by_vm: dict[str, float] = {}
 
     async def run(self) -> None:
         """Poll, watch, probe and count for ever."""
@@ -81,16 +116,34 @@
             if slot >= len(parents):
                 await trio.sleep(SLOT_PAUSE)
                 continue
-            hold = HOLD_TIMES[0 if self._parts.is_watcher() else slot]
-            if not await self._poll(parents[slot], hold):
+            if not await self._poll(parents[slot], self._waits(slot)):
+                await self._poll_others()
                 await trio.sleep(SLOT_PAUSE)
+            elif slot == 0:
+                below = LEVELS - 1 - self._parts.level()
+                await trio.sleep(LEVEL_PAUSE * max(below, 0))
+
+    async def _poll_others(self) -> None:
+        """Learn at once which parents and watchers answer, and their news."""
+        reachable = self._parts.membership.members().reachable
+        others = {*self._parts.parents(), *_ranks.watchers(reachable)}
+        async with trio.open_nursery() as nursery:
+            for vm_id in others - {self._parts.identity.vm_id}:
+                nursery.start_soon(self._poll, vm_id, _Waits(0.0, 0.0))
 
-    async def _poll(self, parent: str, hold: float) -> bool:
+    def _waits(self, slot: int) -> _Waits:
+        if self._parts.is_watcher():
+            return _Waits(WATCHER_HOLD, WATCHER_STEP, whole=True)
+        if slot == 0:
+            return _Waits(FIRST_HOLD, FIRST_STEP, whole=True)
+        return _Waits(SECOND_HOLD, SECOND_STEP)
+
+    async def _poll(self, parent: str, waits: _Waits) -> bool:
         asked = self._parts.now()
-        poll = _poll_messages.encode_poll(self._make_poll(parent, hold))
+        poll = _poll_messages.encode_poll(self._make_poll(parent, waits))
         try:
             payload = await self._parts.peers.call(
-                parent, _spread_server.POLL, poll, hold + POLL_TIMEOUT
+                parent, _spread_server.POLL, poll, waits.hold + POLL_TIMEOUT
             )
             reply = _poll_messages.decode_reply(payload)
             await self._adopt_newer(parent, reply)
@@ -105,53 +158,80 @@
         # seconds later; that its answer may be late changes nothing.
         as_of = asked + reply.held - reply.age
         ours = self._parts.documents.versions()
-        for index, theirs in enumerate(reply.versions):
+        for index, theirs in enumerate(reply.versions[:TRACKED]):
             if ours[index] >= theirs:
                 self._parts.freshness.confirm(
                     index, as_of, _freshness.Evidence.PEER
                 )
         return True
 
-    def _make_poll(self, parent: str, hold: float) -> _poll_messages.Poll:
+    def _make_poll(self, parent: str, waits: _Waits) -> _poll_messages.Poll:
         now = self._parts.now()
         received = self._received_by_vm.get(parent, _Received())
+        if now - received.time > STAMP_LIFE:
+            received = _Received()
         attestations = []
         if received.stamp.incarnation:
             attestations = [
                 dataclasses.replace(one, made=one.made - received.time)
-                for one in self._attested()
+                for one in self._attested_to(parent, waits)
             ]
         return _poll_messages.Poll(
             self._parts.documents.versions(),
             self._parts.acceptance.accepted(),
             received.stamp,
             now - received.time if received.stamp.incarnation else 0.0,
-            hold,
+            waits.hold,
+            now - self._parts.freshness.as_of(),
+            waits.step,
             attestations,
         )
 
-    def _attested(self) -> list[_attestations.Attestation]:
-        """Tell what this node and those below it attest.
+    def _attested_to(
+        self, parent: str, waits: _Waits
+    ) -> list[_attestations.Attestation]:
+        now = self._parts.now()
+        if not waits.whole:
+            return self._attested_here()
+        if self._parts.is_watcher() and not self._awaits_majority():
+            if now - self._told_by_vm.get(parent, 0.0) < TABLE_INTERVAL:
+                return self._attested_here()
+            self._told_by_vm[parent] = now
+        return self._attested()
+
+    def _awaits_majority(self) -> bool:
+        """Whether an acceptance or evidence hangs on a majority."""
+        return self._source.age() > OUTAGE_AGE or _poll_messages.has_news(
+            self._parts.documents.versions(),
+            self._parts.acceptance.accepted(),
+        )
 
-        A node attests nothing before it was current: it may have held a
-        version, and counted for its acceptance, before it restarted.
-        """
+    def _attested(self) -> list[_attestations.Attestation]:
+        """Return what this node and those below it attest."""
         own = _ranks.weight(self._parts.identity.vm_id)
-        attested = [
+        below = [
             one
             for one in self._parts.attestations.recent()
             if one.member != own
         ]
-        if self._parts.freshness.is_current():
-            attested.append(
-                _attestations.Attestation(
-                    own,
-                    self._parts.identity.incarnation,
-                    self._parts.documents.versions(),
-                    self._parts.now(),
-                )
+        return below + self._attested_here()
+
+    def _attested_here(self) -> list[_attestations.Attestation]:
+        """Return what this node attests.
+
+        A node attests nothing before it was current: it may have held a
+        version, and counted for its acceptance, before it restarted.
+        """
+        if not self._parts.freshness.is_current():
+            return []
+        return [
+            _attestations.Attestation(
+                _ranks.weight(self._parts.identity.vm_id),
+                self._parts.identity.incarnation,
+                self._parts.documents.versions(),
+                self._parts.now(),
             )
-        return attested
+        ]
 
     async def _adopt_newer(
         self, parent: str, reply: _poll_messages.PollReply
@@ -159,7 +239,7 @@
         self._received_by_vm[parent] = _Received(
             reply.stamp, self._parts.now()
         )
-        for index, theirs in enumerate(reply.versions):
+        for index, theirs in enumerate(reply.versions[:TRACKED]):
             if self._parts.documents.versions()[index] < theirs:
                 found = await _fetching.fetch_object(
                     self._parts.peers, parent, index
@@ -167,7 +247,7 @@
                 await self._parts.documents.adopt(
                     index, found, self._part_fetcher(parent)
                 )
-        for index, accepted in enumerate(reply.accepted):
+        for index, accepted in enumerate(reply.accepted[:TRACKED]):
             self._parts.acceptance.learn(index, accepted)
 
     def _part_fetcher(self, parent: str) -> _documents.FetchPart:
@@ -205,7 +285,7 @@
             if not lost:
                 await trio.sleep(RETRY_INTERVAL)
             for vm_id in lost:
-                await self._poll(vm_id, 0.0)
+                await self._poll(vm_id, _Waits(0.0, 0.0))
                 await trio.sleep(RETRY_INTERVAL)
 
     async def _count_for_ever(self) -> None:
--- a/packages/mustardlbd/mustardlbd/_spread_server.py
+++ b/packages/mustardlbd/mustardlbd/_spread_server.py
@@ -17,7 +17,7 @@
 PART = 'state.part'
 
 # Longest hold that a polled node grants, seconds.
-HOLD_LIMIT = 2.0
+HOLD_LIMIT = 4.0
 
 
 class SpreadServer:
@@ -39,7 +39,7 @@
         poll = _poll_messages.decode_poll(payload)
         self._note_attestations(poll)
         with trio.move_on_after(min(poll.hold, HOLD_LIMIT)):
-            while not self._has_news(poll):
+            while not self._has_news(poll, got):
                 await self._parts.news.wait()
         now = self._parts.now()
         return _poll_messages.encode_reply(
@@ -52,11 +52,16 @@
             )
         )
 
-    def _has_news(self, poll: _poll_messages.Poll) -> bool:
-        return _poll_messages.has_news(
-            self._parts.documents.versions(), poll.versions
-        ) or _poll_messages.has_news(
-            self._parts.acceptance.accepted(), poll.accepted
+    def _has_news(self, poll: _poll_messages.Poll, got: float) -> bool:
+        newer_by = self._parts.freshness.as_of() - (got - poll.age)
+        return (
+            newer_by >= poll.step
+            or _poll_messages.has_news(
+                self._parts.documents.versions(), poll.versions
+            )
+            or _poll_messages.has_news(
+                self._parts.acceptance.accepted(), poll.accepted
+            )
         )
 
     def _note_attestations(self, poll: _poll_messages.Poll) -> None:
--- a/packages/mustardlbd/mustardlbd/_state.py
+++ b/packages/mustardlbd/mustardlbd/_state.py
@@ -116,7 +116,7 @@
             identity=identity,
             now=now,
             documents=_documents.Documents(validate, _owners.validate, news),
-            freshness=_freshness.Freshness(now, tracked),
+            freshness=_freshness.Freshness(now, tracked, news),
             membership=membership,
             attestations=_attestations.Attestations(now),
             acceptance=_acceptance.Acceptance(now, tracked, news),
--- a/tools/bench_state.py
+++ b/tools/bench_state.py
@@ -187,7 +187,7 @@
         revision = await operator.apply(f'c{number}', {'keys/a': value})
         stored = trio.current_time()
         with trio.fail_after(CHANGE_TIMEOUT):
-            while any(
+            while any(  # noqa: ASYNC110
                 node.state.snapshot().revision < revision
                 for node in fleet.nodes_by_id.values()
             ):
