--- /dev/null
+++ b/tests/mustardlbd/test_acceptance.py
@@ -0,0 +1,133 @@
+"""Majorities: what is counted, and what must not be."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from mustardlbd import _acceptance
+from mustardlbd import _attestations
+from mustardlbd import _poll_messages
+from mustardlbd import _ranks
+from mustardlbd import _signal
+
+VMS = frozenset(['a', 'b', 'c'])
+
+
+class Counter:
+    """An acceptance with attestations of its own, at a time that is set."""
+
+    def __init__(self):
+        self.time = 100.0
+        self.attestations = _attestations.Attestations(lambda: self.time)
+        self.acceptance = _acceptance.Acceptance(
+            lambda: self.time, 1, _signal.Signal()
+        )
+
+    def attest(self, vm_id, version, incarnation=1):
+        self.attestations.add(
+            _attestations.Attestation(
+                _ranks.weight(vm_id), incarnation, (version,), self.time
+            )
+        )
+        self.time += 0.01
+
+    def count(self, electorates=(VMS,)):
+        """Count twice, half a second apart, and move on."""
+        for _ in range(2):
+            self.acceptance.count(self.attestations.recent(), electorates)
+            self.time += 0.5
+        return self.acceptance.accepted()[0]
+
+
+def test_majority_is_accepted_when_seen_again():
+    counter = Counter()
+    counter.attest('a', 7)
+    counter.attest('b', 7)
+    assert counter.count() == 0
+    counter.attest('a', 7)
+    assert counter.count() == 0
+    counter.attest('b', 7)
+    assert counter.count() == 7
+
+
+def test_process_that_restarted_does_not_count():
+    counter = Counter()
+    counter.attest('a', 7)
+    counter.attest('b', 7)
+    counter.count()
+    # It forgot the version and holds it again, but did not in between.
+    counter.attest('a', 7, incarnation=2)
+    counter.attest('b', 7)
+    assert counter.count() == 0
+
+
+def test_majority_of_each_recent_list_is_needed():
+    counter = Counter()
+    grown = VMS | {'d', 'e'}
+    for _ in range(3):
+        counter.attest('a', 7)
+        counter.attest('b', 7)
+        assert counter.count((VMS, grown)) == 0
+    counter.attest('d', 7)
+    for _ in range(3):
+        for vm_id in ('a', 'b', 'd'):
+            counter.attest(vm_id, 7)
+        counter.count((VMS, grown))
+    assert counter.acceptance.accepted() == (7,)
+
+
+def test_settled_only_after_the_settle_time():
+    counter = Counter()
+    counter.acceptance.learn(0, 7)
+    counter.time += 4.9
+    assert not counter.acceptance.settled(0, 7)
+    counter.time += 0.2
+    assert counter.acceptance.settled(0, 7)
+    assert not counter.acceptance.settled(0, 8)
+
+
+def test_higher_version_in_the_majority_is_no_evidence():
+    attestations = [
+        _attestations.Attestation(_ranks.weight(vm_id), 1, (version,), 5.0)
+        for vm_id, version in (('a', 1), ('b', 2), ('c', 1))
+    ]
+    as_of = _attestations.as_of_majority
+    assert as_of(attestations, (2,), (VMS,)) == 5.0
+    assert as_of(attestations, (1,), (VMS,)) == 5.0
+    assert as_of(attestations[:2], (1,), (VMS,)) < 0
+
+
+@hypothesis.settings(
+    max_examples=200, derandomize=True, database=None, deadline=None
+)
+@hypothesis.given(
+    st.floats(0, 1e6),
+    st.floats(-1e6, 1e6),
+    st.lists(st.floats(0, 8), min_size=4, max_size=4),
+)
+def test_attestation_never_looks_newer_than_it_is(stamped, offset, gaps):
+    """Whatever the delays, `made` at the parent is not after the truth.
+
+    The clocks of parent and child differ by `offset`. The stamp travels,
+    the child waits and attests, waits again and polls; the poll travels.
+    """
+    to_child, before, after, to_parent = gaps
+    attested = stamped + to_child + before
+    received, made = stamped + to_child + offset, attested + offset
+    sent = made + after
+    one = _attestations.Attestation(1, 2, (3,), made - received)
+    sent_poll = _poll_messages.Poll(
+        versions=(3,),
+        accepted=(3,),
+        stamp=_poll_messages.Stamp(stamped, 9),
+        since_stamp=sent - received,
+        hold=1.0,
+        age=0.0,
+        step=0.7,
+        attestations=[one],
+    )
+    poll = _poll_messages.decode_poll(_poll_messages.encode_poll(sent_poll))
+    (arrived,) = poll.attestations
+    parent_made = poll.stamp.time + arrived.made
+    assert parent_made <= attested + 1e-6
+    # It is not useless either: the stamp's journey is what it loses.
+    assert parent_made >= attested - to_child - 0.01
--- /dev/null
+++ b/tests/mustardlbd/test_documents.py
@@ -0,0 +1,144 @@
+"""Objects are adopted one by one, only forwards, and only whole."""
+
+import fleet as fleets
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+import trio
+
+from mustardlb import configuration
+from mustardlbd import _documents
+from mustardlbd import _owners
+from mustardlbd import _signal
+
+NAMES = ['contract/midland', 'keys/midland', 'keys/akwaaba']
+
+
+class Store:
+    """Heads as writers leave them, with their parts."""
+
+    def __init__(self):
+        self.parts = {}
+        self.heads = []
+        self.values_by_version = {0: {}}
+
+    def write(self, values):
+        before = self.values_by_version[len(self.heads)]
+        merged = {**before, **values}
+        entries = {}
+        for name, value in merged.items():
+            parts = configuration.split_parts(value)
+            self.parts.update(parts)
+            entries[name] = configuration.Entry(1, tuple(parts))
+        version = len(self.heads) + 1
+        head = configuration.Head(version, f'c{version}', entries)
+        self.heads.append(
+            _documents.Tracked(version, configuration.encode_head(head))
+        )
+        self.values_by_version[version] = merged
+
+    async def fetch(self, digest):
+        return self.parts.get(digest)
+
+
+def make_documents():
+    return _documents.Documents(
+        fleets.accept_all, _owners.validate, _signal.Signal()
+    )
+
+
+async def not_fetched(digest):
+    raise _documents.NotFetched(digest)
+
+
+writes = st.lists(
+    st.dictionaries(
+        st.sampled_from(NAMES),
+        st.sampled_from([b'a', b'b', b'invalid']),
+        min_size=1,
+    ),
+    min_size=1,
+    max_size=6,
+)
+
+
+@hypothesis.settings(
+    max_examples=60, derandomize=True, database=None, deadline=None
+)
+@hypothesis.given(writes, st.lists(st.integers(0, 5), max_size=12))
+def test_last_good_value_of_each_object_is_in_force(writes, arrivals):
+    """Heads arrive in any order, some twice, some never."""
+    store = Store()
+    for values in writes:
+        store.write(values)
+
+    async def main():
+        documents = make_documents()
+        good = {}
+        newest = 0
+        for arrival in arrivals:
+            found = store.heads[arrival % len(store.heads)]
+            await documents.adopt(0, found, store.fetch)
+            if found.version > newest:
+                newest = found.version
+                values = store.values_by_version[newest]
+                good = {
+                    name: good.get(name) if value == b'invalid' else value
+                    for name, value in values.items()
+                }
+            snapshot = documents.snapshot()
+            assert documents.versions()[0] == snapshot.revision == newest
+            assert snapshot.values == {
+                name: value for name, value in good.items() if value
+            }
+            assert {one.name for one in snapshot.invalid} == {
+                name
+                for name, value in store.values_by_version[newest].items()
+                if value == b'invalid'
+            }
+
+    trio.run(main)
+
+
+async def test_nothing_changes_when_a_part_cannot_be_had():
+    store = Store()
+    store.write({NAMES[0]: b'a'})
+    store.write({NAMES[0]: b'b', NAMES[1]: b'c'})
+    documents = make_documents()
+    await documents.adopt(0, store.heads[0], store.fetch)
+    with pytest.raises(_documents.NotFetched):
+        await documents.adopt(0, store.heads[1], not_fetched)
+    assert documents.versions()[0] == 1
+    assert documents.snapshot().values == {NAMES[0]: b'a'}
+    await documents.adopt(0, store.heads[1], store.fetch)
+    assert documents.snapshot().values == {NAMES[0]: b'b', NAMES[1]: b'c'}
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'',
+        b'junk',
+        configuration.encode_head(configuration.Head(1)),
+        configuration.encode_head(configuration.Head(0)),
+    ],
+)
+async def test_bad_head_leaves_the_last_good_one(value):
+    store = Store()
+    store.write({NAMES[0]: b'a'})
+    documents = make_documents()
+    await documents.adopt(0, store.heads[0], store.fetch)
+    await documents.adopt(0, _documents.Tracked(9, value), store.fetch)
+    snapshot = documents.snapshot()
+    assert snapshot.values == {NAMES[0]: b'a'}
+    assert [one.name for one in snapshot.invalid] == [configuration.HEAD]
+    assert documents.versions()[0] == 9
+
+
+async def test_bad_table_of_owners_leaves_the_last_good_one():
+    documents = make_documents()
+    good = _owners.encode((_owners.Slice('vm-a', 1),) * _owners.SLICES)
+    await documents.adopt(1, _documents.Tracked(1, good), not_fetched)
+    await documents.adopt(1, _documents.Tracked(2, b'[]'), not_fetched)
+    assert documents.owners() == _documents.Tracked(1, good)
+    assert documents.versions()[1] == 2
