--- a/packages/mustardlb-cli/mustardlb_cli/_acceptance.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_acceptance.py
@@ -24,14 +24,14 @@
 class Progress:
     """How far a revision has come.
 
-    :ivar holders: ids of listed VMs that held it at one moment together
+    :ivar holders: how many of the listed VMs last said that they hold it
     :ivar accepted: stored, and held by a majority of the listed VMs
     :ivar replies: the last answers of the VMs that are not leaving
     """
 
     revision: int
     listed: int
-    holders: frozenset[str]
+    holders: int
     accepted: bool
     replies: tuple[_nodes.Reply, ...]
 
@@ -53,7 +53,7 @@
     whose same process has the revision in two rounds on end held it
     together at the moment between the rounds.
     """
-    progress = Progress(revision, 0, frozenset(), False, ())
+    progress = Progress(revision, 0, 0, False, ())
     holders_before: frozenset[tuple[str, int]] = frozenset()
     with trio.move_on_after(limit) as scope:
         while not progress.in_force:
@@ -98,7 +98,7 @@
     return Progress(
         revision,
         len(replies),
-        frozenset(vm_id for vm_id, _ in together),
+        sum(_has(one, revision) for one in replies),
         before.accepted or known or len(together) >= majority,
         tuple(one for one in replies if one.vm.state is vm_list.VmState.LIVE),
     )
@@ -114,7 +114,7 @@
     lagging = progress.lagging
     shown: dict[str, object] = {
         'accepted': progress.accepted,
-        'held_by': f'{len(progress.holders)} of {progress.listed}',
+        'held_by': f'{progress.holders} of {progress.listed}',
         'in_force': f'{live - len(lagging)} of {live}',
     }
     if lagging:
@@ -143,8 +143,8 @@
     if not progress.accepted:
         return (
             'stored, not accepted: no majority of the listed VMs was seen to '
-            'hold it; a VM that lags or does not answer may serve by the '
-            'older revision until it does'
+            'hold it at one moment; a VM that lags or does not answer may '
+            'serve by the older revision until it does'
         )
     if progress.lagging:
         return (
--- a/packages/mustardlb-cli/mustardlb_cli/_changing.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_changing.py
@@ -56,8 +56,9 @@
     if not progress.in_force:
         raise _exit.CommandError(
             _exit.ExitCode.LAGGING,
-            f'revision {revision} is accepted but was not in force on '
-            f'{len(progress.lagging)} live VMs within {limit:g} s',
+            f'revision {revision} is accepted; {len(progress.lagging)} of '
+            f'{len(progress.replies)} live VMs did not say within {limit:g} s '
+            'that they have it',
             result,
         )
     return result
--- a/packages/mustardlb-cli/mustardlb_cli/_command.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_command.py
@@ -37,12 +37,13 @@
     return f'{name}{equals}{json.dumps(value)}'
 
 
-def number(name: str, text: str | None) -> float | None:
+def number(name: str, text: str | bool | None) -> float | None:
     """Read a flag's value that is a number of seconds, None for no flag."""
     if text is None:
         return None
     try:
-        value = float(text)
+        # fire reads '--nowait' as False, and a bare '--wait' as True.
+        value = 0.0 if text is False else float(str(text))
     except ValueError:
         value = -1.0
     if 0 <= value <= 86_400:
@@ -50,10 +51,11 @@
     raise _usage(f'--{name}={text}: must be seconds, from 0 to 86400')
 
 
-def integer(name: str, text: str | None) -> int | None:
+def integer(name: str, text: str | bool | None) -> int | None:
     """Read a flag's value that is a whole number, None for no flag."""
     if text is None:
         return None
+    text = str(text)
     if text.isascii() and text.isdigit() and len(text) < 16:
         return int(text)
     raise _usage(f'--{name}={text}: must be a whole number')
--- a/packages/mustardlb-cli/mustardlb_cli/_output.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_output.py
@@ -57,6 +57,6 @@
         return 'yes' if value else 'no'
     if isinstance(value, float):
         return f'{value:.4g}'
-    if isinstance(value, list):
+    if isinstance(value, (list, tuple)):
         return ', '.join(map(_cell, value)) or '-'
     return str(value)
--- a/packages/mustardlb/mustardlb/changes.py
+++ b/packages/mustardlb/mustardlb/changes.py
@@ -12,6 +12,7 @@
 from typing import TypeVar
 
 import msgspec
+import structlog
 import trio
 
 from mustardlb import configuration
@@ -20,6 +21,8 @@
 from mustardlb import object_api
 from mustardlb import steps
 
+log = structlog.get_logger()
+
 # Changes that a head remembers; a lost answer is settled within so many.
 RECENT_LIMIT = 200
 
@@ -282,11 +285,14 @@
     try:
         await api.put(configuration.HEAD, value, base.version)
     except object_api.VersionConflict:
+        log.info('MLB-1002', change=change)
         return False
     except object_api.ApiRejected as error:
         raise _rejected(error) from error
-    except object_api.ApiUnavailable:
+    except object_api.ApiUnavailable as error:
+        log.warning('MLB-1003', change=change, problem=str(error))
         return await settle(api, change) is not None
+    log.info('MLB-1001', change=change, version=base.version)
     return True
 
 
@@ -297,6 +303,7 @@
     recent = (change, *base.head.recent)[:RECENT_LIMIT]
     head = configuration.Head(revision, change, base.head.entries, recent)
     value = configuration.encode_head(head)
+    log.warning('MLB-1004', fence=change, version=base.version)
     try:
         await api.put(configuration.HEAD, value, base.version)
     except (object_api.VersionConflict, object_api.ApiUnavailable):
@@ -357,7 +364,8 @@
             return await call()
         except object_api.ApiRejected as error:
             raise _rejected(error) from error
-        except object_api.ApiUnavailable:
+        except object_api.ApiUnavailable as error:
+            log.warning('MLB-1005', problem=str(error), pause=pause)
             await trio.sleep(pause)
     raise AssertionError('unreachable')
 
--- /dev/null
+++ b/tests/mustardlb/test_settings.py
@@ -0,0 +1,159 @@
+import pathlib
+
+import msgspec
+import pytest
+
+from mustardlb import contracts
+from mustardlb import documents
+from mustardlb import routes
+from mustardlb import settings
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+NAMED_FILES = ('vm.pem', 'vm.key', 'vm-id', 'peers-ca.pem', 'operator.pem')
+MORE_FILES = ('operator.key', 'operators-ca.pem')
+
+NODE = """
+vm_id = 'vm-1'
+data_centre = 'north'
+insecure = true
+callers = {address = '127.0.0.1', port = 0}
+peers = {address = '127.0.0.1', port = 0}
+admin = {address = '127.0.0.1', port = 0}
+object_api = {url = 'http://127.0.0.1:1'}
+vm_list = {url = 'http://127.0.0.1:2'}
+"""
+
+
+@pytest.fixture
+def directory(tmp_path):
+    for name in (*NAMED_FILES, *MORE_FILES):
+        (tmp_path / name).write_text(f'{name}\n')
+    return tmp_path
+
+
+def write(directory, text):
+    path = directory / 'node.toml'
+    path.write_text(text)
+    return path
+
+
+def faults_of(path, load=settings.load_node):
+    with pytest.raises(documents.InvalidDocument) as caught:
+        load(path)
+    assert {fault.file for fault in caught.value.faults} == {str(path)}
+    return {(fault.key, fault.value) for fault in caught.value.faults}
+
+
+def keys_of(raw, prefix=''):
+    for name, value in raw.items():
+        if isinstance(value, dict):
+            yield from keys_of(value, f'{prefix}{name}.')
+        yield f'{prefix}{name}'
+
+
+def all_fields(kind, prefix=''):
+    for field in msgspec.structs.fields(kind):
+        yield f'{prefix}{field.name}'
+        for struct in (settings.Limits, settings.Statsd):
+            if field.type in (struct, struct | None):
+                yield from all_fields(struct, f'{prefix}{field.name}.')
+
+
+@pytest.mark.parametrize(
+    ('name', 'load', 'kind', 'left_out'),
+    [
+        ('node', settings.load_node, settings.NodeSettings, {'vm_id'}),
+        ('mustardlb', settings.load_command, settings.CommandSettings, set()),
+    ],
+)
+def test_the_examples_load_and_name_every_setting(
+    directory, name, load, kind, left_out
+):
+    text = (EXAMPLES / f'{name}.toml').read_text()
+    loaded = load(write(directory, text))
+    raw = msgspec.toml.decode(text)
+    assert set(all_fields(kind)) - set(keys_of(raw)) == left_out
+    if name == 'node':
+        assert loaded.vm_id == 'vm-id'
+        assert loaded.peers.tls.key == str(directory / 'vm.key')
+
+
+def test_the_example_contracts_routes_and_targets_load():
+    parsers = {
+        'contracts': contracts.parse_toml,
+        'routes': routes.parse_route_toml,
+        'targets': routes.parse_target_toml,
+    }
+    for kind, parse in parsers.items():
+        files = sorted((EXAMPLES / kind).glob('*.toml'))
+        assert files
+        for file in files:
+            item = parse(file.read_text(), str(file))
+            identity = item.account if kind == 'contracts' else item.name
+            assert identity == file.stem
+
+
+def test_every_fault_is_listed_at_once(directory):
+    text = """
+vm_id = 'vm-1'
+data_center = 'north'
+drain_time = -1
+callers = {address = '127.0.0.1', port = 70000}
+peers = {address = '127.0.0.1', port = 0, tls = {certificate = 'c'}}
+admin = {address = '127.0.0.1', port = 'x'}
+object_api = {url = 'http://127.0.0.1:1'}
+limits = {streams = 0}
+"""
+    assert faults_of(write(directory, text)) == {
+        ('data_center', "'north'"),
+        ('data_centre', ''),
+        ('drain_time', '-1'),
+        ('callers.port', '70000'),
+        ('peers.tls.key', ''),
+        ('admin.port', "'x'"),
+        ('limits.streams', '0'),
+        ('vm_list', ''),
+    }
+
+
+def test_plain_text_is_only_by_explicit_choice(directory):
+    settings.load_node(write(directory, NODE))
+    secure = NODE.replace('insecure = true', '')
+    faults = faults_of(write(directory, secure))
+    assert {key for key, _ in faults} == {'callers', 'peers', 'admin'}
+
+
+def test_ports_of_nodes_and_operators_need_an_authority(directory):
+    tls = "tls = {certificate = 'vm.pem', key = 'vm.key'}"
+    text = NODE.replace('port = 0}', f'port = 0, {tls}}}')
+    faults = faults_of(write(directory, text))
+    assert {key for key, _ in faults} == {
+        'peers.tls.authority',
+        'admin.tls.authority',
+    }
+
+
+@pytest.mark.parametrize(
+    ('before', 'after', 'key'),
+    [
+        ("'vm-1'", "''", 'vm_id'),
+        ("vm_id = 'vm-1'", "vm_id_file = 'none'", 'vm_id_file'),
+        ("address = '127.0.0.1'", "address = 'a'", 'callers.address'),
+        ('http://127.0.0.1:1', 'ftp://127.0.0.1', 'object_api.url'),
+        ('http://127.0.0.1:1', 'http://u@h', 'object_api.url'),
+        ('http://127.0.0.1:2', 'http://127.0.0.1:99999', 'vm_list.url'),
+    ],
+)
+def test_a_value_that_cannot_work_is_a_fault(directory, before, after, key):
+    text = NODE.replace(before, after, 1)
+    assert text != NODE
+    assert {found for found, _ in faults_of(write(directory, text))} == {key}
+
+
+@pytest.mark.parametrize('value', [b'\xff', b'a = ', b'a = 1\na = 2'])
+def test_a_file_that_is_no_toml_is_one_fault(directory, value):
+    path = directory / 'node.toml'
+    path.write_bytes(value)
+    assert faults_of(path) == {('', '')}
+    missing = directory / 'missing.toml'
+    assert faults_of(missing, settings.load_command) == {('', '')}
