--- a/packages/mustardlb-cli/mustardlb_cli/_site.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_site.py
@@ -52,9 +52,13 @@
     async def open_site() -> abc.AsyncIterator[Site]:
         found = settings.load_command(find_settings(settings_path))
         api = http_object_api.HttpObjectApi(
-            found.object_api.url, found.object_api.timeout
+            found.object_api.url,
+            found.object_api.timeout,
+            found.object_api.authority,
+        )
+        vms = http_vm_list.HttpVmList(
+            found.vm_list.url, found.vm_list.timeout, found.vm_list.authority
         )
-        vms = http_vm_list.HttpVmList(found.vm_list.url, found.vm_list.timeout)
         admin = httpx.AsyncClient(
             verify=_tls_context(found.admin_tls),
             trust_env=False,
@@ -90,9 +94,7 @@
 
 def _tls_context(tls: settings.Tls | None) -> ssl.SSLContext | bool:
     if tls is None:
-        return True
+        return False  # plain text, so there is nothing to check
     context = ssl.create_default_context(cafile=tls.authority)
     context.load_cert_chain(tls.certificate, tls.key)
-    # VMs are called by IP number; the answer must name the VM's id.
-    context.check_hostname = False
     return context
--- a/packages/mustardlb/mustardlb/http_object_api.py
+++ b/packages/mustardlb/mustardlb/http_object_api.py
@@ -8,6 +8,7 @@
 import httpx
 import msgspec
 
+from mustardlb import endpoint_tls
 from mustardlb import object_api
 
 # Longest time for the answer of a call, seconds.
@@ -24,10 +25,13 @@
 class HttpObjectApi:
     """An ObjectApi that speaks HTTP."""
 
-    def __init__(self, url: str, timeout: float = CALL_TIMEOUT) -> None:
+    def __init__(
+        self, url: str, timeout: float = CALL_TIMEOUT, authority: str = ''
+    ) -> None:
         self._timeout = timeout
         self._client = httpx.AsyncClient(
             base_url=url,
+            verify=endpoint_tls.verification(url, authority),
             timeout=timeout,
             trust_env=False,
             limits=httpx.Limits(max_connections=MAX_CONNECTIONS),
--- a/packages/mustardlb/mustardlb/http_vm_list.py
+++ b/packages/mustardlb/mustardlb/http_vm_list.py
@@ -6,6 +6,7 @@
 import httpx
 import msgspec
 
+from mustardlb import endpoint_tls
 from mustardlb import vm_list
 
 # Longest time for the answer of a call, seconds.
@@ -19,9 +20,14 @@
 class HttpVmList:
     """A VmList that speaks HTTP."""
 
-    def __init__(self, url: str, timeout: float = CALL_TIMEOUT) -> None:
+    def __init__(
+        self, url: str, timeout: float = CALL_TIMEOUT, authority: str = ''
+    ) -> None:
         self._client = httpx.AsyncClient(
-            base_url=url, timeout=timeout, trust_env=False
+            base_url=url,
+            verify=endpoint_tls.verification(url, authority),
+            timeout=timeout,
+            trust_env=False,
         )
 
     async def close(self) -> None:
