--- a/tests/mustardlb/test_settings.py
+++ b/tests/mustardlb/test_settings.py
@@ -1,4 +1,5 @@
 import pathlib
+import re
 
 import msgspec
 import pytest
@@ -93,6 +94,19 @@
             assert identity == file.stem
 
 
+def test_the_blocks_of_the_contracts_page_load_and_name_every_key():
+    page = EXAMPLES.parent / 'docs' / 'operators' / 'contracts.md'
+    blocks = re.findall(r'```toml\n(.*?)```', page.read_text(), re.DOTALL)
+    parsers = [
+        (contracts.parse_toml, contracts.Contract),
+        (routes.parse_route_toml, routes.Route),
+        (routes.parse_target_toml, routes.Target),
+    ]
+    for block, (parse, kind) in zip(blocks, parsers, strict=True):
+        parse(block, page.name)
+        assert set(msgspec.toml.decode(block)) == set(all_fields(kind))
+
+
 def test_every_fault_is_listed_at_once(directory):
     text = """
 vm_id = 'vm-1'
