Report a change's fate as unknown wherever it is, and count no VM as none

Causes: a refusal or outage of the object API during settling was reported as 'nothing was written'; a round without a VM list counted no lagging VM and so ended as in force; Ctrl-C during the wait came out of a nursery as a group and ended in a traceback, as did an address no URL can hold. Also: contract export, and key issue shows a key whose fate is not known.

--- a/packages/mustardlb-cli/mustardlb_cli/_acceptance.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_acceptance.py
@@ -43,7 +43,7 @@
     @property
     def in_force(self) -> bool:
         """Whether all live VMs have the revision, and it is accepted."""
-        return self.accepted and not self.lagging
+        return self.accepted and bool(self.replies) and not self.lagging
 
 
 async def wait(site: _site.Site, revision: int, limit: float) -> Progress:
@@ -58,6 +58,9 @@
     with trio.move_on_after(limit) as scope:
         while not progress.in_force:
             replies = await _round(site, revision, scope)
+            if replies is None:
+                await trio.sleep(ROUND_PAUSE)
+                continue
             holders = frozenset(
                 (one.vm.vm_id, one.status.incarnation)
                 for one in replies
@@ -73,13 +76,13 @@
 
 async def _round(
     site: _site.Site, revision: int, scope: trio.CancelScope
-) -> list[_nodes.Reply]:
+) -> list[_nodes.Reply] | None:
+    """Ask all listed VMs; None where the VM list does not answer."""
     left = max(0.0, scope.deadline - trio.current_time())
     try:
         vms = await _nodes.list_vms(site)
     except _exit.CommandError:
-        await trio.sleep(ROUND_PAUSE)
-        return []
+        return None
     wait_time = min(ROUND_WAIT, left / 2)
     return await _nodes.ask_status(site, vms, revision, wait_time)
 
--- a/packages/mustardlb-cli/mustardlb_cli/_changing.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_changing.py
@@ -44,7 +44,17 @@
     result: dict[str, object],
 ) -> _output.Result:
     """Wait until a stored revision is in force and add what was seen."""
-    progress = await _acceptance.wait(site, revision, limit)
+    try:
+        progress = await _acceptance.wait(site, revision, limit)
+    except BaseException as error:
+        if not _exit.is_interrupt(error):
+            raise
+        raise _exit.CommandError(
+            _exit.ExitCode.NOT_ACCEPTED,
+            f'interrupted; revision {revision} is stored, whether it is '
+            'accepted is not known',
+            result,
+        ) from None
     result |= _acceptance.describe(progress)
     if not progress.accepted:
         raise _exit.CommandError(
@@ -73,6 +83,13 @@
     raise _unavailable(f'the object API gave no answer in {site.wait:g} s')
 
 
+async def settle(site: _site.Site, change: str) -> changes.Landed | None:
+    """Settle a change in the time that the settings allow."""
+    with trio.move_on_after(site.wait):
+        return await changes.settle(site.api, change)
+    raise _unknown(change)
+
+
 async def _store(
     site: _site.Site, edits: abc.Sequence[changes.Edit]
 ) -> changes.Landed:
@@ -80,8 +97,8 @@
     try:
         with trio.move_on_after(site.wait):
             return await changes.commit(site.api, edits, announced.append)
-    except KeyboardInterrupt:
-        if not announced:
+    except BaseException as error:
+        if not _exit.is_interrupt(error) or not announced:
             raise
     if announced:
         raise _unknown(announced[-1])
--- a/packages/mustardlb-cli/mustardlb_cli/_command.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_command.py
@@ -13,7 +13,7 @@
 from mustardlb_cli import _exit
 from mustardlb_cli import _output
 
-Run = abc.Callable[[], abc.Awaitable[_output.Result]]
+Run = abc.Callable[[], abc.Awaitable[_output.Result | _output.Text]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/mustardlb-cli/mustardlb_cli/_contract.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_contract.py
@@ -93,6 +93,19 @@
             lambda: _objects.show(self._open, _objects.CONTRACT, name)
         )
 
+    def export(self, account: str) -> _command.Command:
+        """Write one stored contract as a file to edit and apply.
+
+        Example: mustardlb contract export acme > acme.toml
+
+        Args:
+          account: the client account
+        """
+        name = contracts.object_name(account)
+        return _command.Command(
+            lambda: _objects.export(self._open, _objects.CONTRACT, name)
+        )
+
     def list(self) -> _command.Command:
         """List the contracts.
 
--- a/packages/mustardlb-cli/mustardlb_cli/_exit.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_exit.py
@@ -49,6 +49,13 @@
 }
 
 
+def is_interrupt(error: BaseException) -> bool:
+    """Return whether an error is Ctrl-C, also out of a nursery."""
+    if isinstance(error, BaseExceptionGroup):
+        return error.subgroup(KeyboardInterrupt) is not None
+    return isinstance(error, KeyboardInterrupt)
+
+
 def exit_code(error: errors.Error) -> ExitCode:
     """Return the exit code that goes with an error."""
     return _EXIT_CODES.get(error.code, ExitCode.FAILED)
--- a/packages/mustardlb-cli/mustardlb_cli/_fleet_status.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_fleet_status.py
@@ -57,11 +57,7 @@
 ) -> _output.Result:
     """Find out whether a change landed, then wait for it if it did."""
     async with open_site() as site:
-
-        async def settle() -> changes.Landed | None:
-            return await changes.settle(site.api, change)
-
-        landed = await _changing.bounded(site, settle)
+        landed = await _changing.settle(site, change)
         if landed is None:
             raise _changing.not_landed(change)
         limit = site.wait if wait is None else wait
--- a/packages/mustardlb-cli/mustardlb_cli/_key.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_key.py
@@ -86,6 +86,13 @@
             raise _exit.CommandError(
                 error.code, str(error), {**shown, **(error.result or {})}
             ) from error
+        except errors.Error as error:
+            if error.code is not errors.Code.WRITE_UNKNOWN:
+                raise
+            # It may be stored, and then this was the time to show it.
+            raise _exit.CommandError(
+                _exit.ExitCode.UNKNOWN, str(error), shown
+            ) from error
         return {**shown, **result}
 
 
--- a/packages/mustardlb-cli/mustardlb_cli/_main.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_main.py
@@ -141,7 +141,9 @@
         return _fail(output, _exit.ExitCode.CONFLICT, *_explain(error))
     except errors.Error as error:
         return _fail(output, _exit.exit_code(error), str(error))
-    except KeyboardInterrupt:
+    except BaseException as error:
+        if not _exit.is_interrupt(error):
+            raise
         return _fail(output, _exit.ExitCode.FAILED, 'interrupted')
     print(_output.render(result, output))
     return _exit.ExitCode.DONE
--- a/packages/mustardlb-cli/mustardlb_cli/_nodes.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_nodes.py
@@ -15,6 +15,14 @@
 # Connections open to nodes at one time.
 CONCURRENT = 64
 
+# What stands for no answer, or none that can be read.
+_FAILURES = (
+    httpx.HTTPError,
+    httpx.InvalidURL,
+    msgspec.MsgspecError,
+    ValueError,
+)
+
 
 class NodeStatus(msgspec.Struct, frozen=True):
     """What a node says of itself.
@@ -72,7 +80,7 @@
         try:
             body = await _get(site, vm, '/v1/status', query, wait)
             status = msgspec.json.decode(body, type=NodeStatus)
-        except (httpx.HTTPError, msgspec.MsgspecError, ValueError) as error:
+        except _FAILURES as error:
             return Reply(vm, None, _problem(error))
         if status.vm_id != vm.vm_id:
             return Reply(vm, None, f'{status.vm_id} answers in its place')
@@ -92,7 +100,7 @@
         try:
             body = await _get(site, vm, '/v1/histograms', {}, 0.0)
             decoded = msgspec.json.decode(body, type=_Histograms)
-        except (httpx.HTTPError, msgspec.MsgspecError, ValueError) as error:
+        except _FAILURES as error:
             return vm, [], _problem(error)
         return vm, decoded.histograms, ''
 
--- a/packages/mustardlb-cli/mustardlb_cli/_objects.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_objects.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+import tomli_w
 import trio
 
 from mustardlb import changes
@@ -190,7 +191,15 @@
     return {'revision': revision, f'{kind.name}s': rows}
 
 
-async def show(open_site: _site.Open, kind: Kind, name: str) -> _output.Result:
+async def export(open_site: _site.Open, kind: Kind, name: str) -> str:
+    """Return one stored object as a TOML file."""
+    shown = await show(open_site, kind, name)
+    revision = shown['revision']
+    document = tomli_w.dumps(shown[kind.name], multiline_strings=False)
+    return f'# {name}; apply with --based-on={revision}\n{document}'
+
+
+async def show(open_site: _site.Open, kind: Kind, name: str) -> dict[str, Any]:
     """Return one stored object, whole."""
     async with open_site() as site:
         revision, found = await read_all(site, name)
--- a/packages/mustardlb-cli/mustardlb_cli/_output.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_output.py
@@ -8,8 +8,11 @@
 # What the commands return: plain JSON values.
 Result = abc.Mapping[str, object]
 
+# Written as it is, whatever the form.
+Text = str
 
-def render(result: Result, form: str) -> str:
+
+def render(result: Result | Text, form: str) -> str:
     """Write a result as 'json' or 'table'.
 
     >>> print(render({'revision': 3, 'keys': [{'id': 'a', 'n': 1}]}, 'table'))
@@ -18,6 +21,8 @@
       id  n
       a   1
     """
+    if isinstance(result, Text):
+        return result
     plain = msgspec.to_builtins(result)
     if form == 'json':
         return json.dumps(plain, indent=2)
--- a/packages/mustardlb/mustardlb/changes.py
+++ b/packages/mustardlb/mustardlb/changes.py
@@ -35,6 +35,9 @@
 # A version that no object has: a write that expects it changes nothing.
 NEVER = 2**53 - 1
 
+# Errors that tell nothing about an earlier write.
+_REFUSED = (errors.Code.API_UNAVAILABLE, errors.Code.INVALID_OBJECT)
+
 T = TypeVar('T')
 
 # Returns the new bytes of an object, None to withdraw it.
@@ -135,9 +138,23 @@
 
     Where the write may still be on its way, a head write without effect
     goes before it, so that its condition can no longer hold. Raises Error
-    with WRITE_UNKNOWN if it is too old to tell.
+    with WRITE_UNKNOWN if it is too old to tell, or the API refuses.
     """
     revision = revision_of(change)
+    try:
+        return await _settle(api, change, revision)
+    except errors.Error as error:
+        if error.code not in _REFUSED:
+            raise
+        raise _error(
+            errors.Code.WRITE_UNKNOWN,
+            f'whether {change} landed is not known: {error.message}',
+        ) from error
+
+
+async def _settle(
+    api: object_api.ObjectApi, change: str, revision: int
+) -> Landed | None:
     while True:
         base = await read_base(api)
         if base.head.revision >= revision:
@@ -408,7 +425,7 @@
 def _rejected(error: object_api.ApiRejected) -> errors.Error:
     return _error(
         errors.Code.API_UNAVAILABLE,
-        f'the object API refused the call, nothing was written: {error}',
+        f'the object API refused the call: {error}',
     )
 
 
--- a/tests/mustardlb/test_changes.py
+++ b/tests/mustardlb/test_changes.py
@@ -348,3 +348,27 @@
     assert len(head.entries['contract/a'].parts) > 1
     stored = await changes.read_object(api, head, 'contract/a')
     assert msgspec.json.decode(stored) == msgspec.json.decode(value)
+
+
+class RefusingApi(RecordingApi):
+    """Loses the answer to the first head, then refuses every call."""
+
+    async def put(self, name, value, expected):
+        if self.heads:
+            raise object_api.ApiRejected('status 403')
+        return await RecordingApi.put(self, name, value, expected)
+
+
+async def test_a_refusal_while_settling_leaves_the_fate_unknown():
+    api = RefusingApi()
+    api.plan.add(HEAD_PUT, faults.Kind.ANSWER_LOST, skip=1)
+    announced = []
+    edit = replace('contract/a', contract('a', 1))
+    for attempt in (
+        lambda: changes.commit(api, [edit], announced.append),
+        lambda: changes.settle(api, announced[0]),
+    ):
+        with pytest.raises(errors.Error) as caught:
+            await attempt()
+        assert caught.value.code == errors.Code.WRITE_UNKNOWN
+    assert [head.change for head in api.heads] == announced
--- a/tests/mustardlb_cli/test_commands.py
+++ b/tests/mustardlb_cli/test_commands.py
@@ -3,6 +3,9 @@
 import contextlib
 import dataclasses
 import json
+import signal
+import subprocess
+import sys
 
 import pytest
 import quart
@@ -53,6 +56,7 @@
     stuck: bool = False
     restarts: bool = False
     incarnation: int = 1
+    asked: trio.Event = dataclasses.field(default_factory=trio.Event)
 
     def revision(self):
         found = self.api.peek(configuration.HEAD)
@@ -65,6 +69,7 @@
 
         @app.get('/v1/status')
         async def status():
+            self.asked.set()
             if self.silent:
                 return '', 503
             wanted = int(quart.request.args['revision'])
@@ -104,7 +109,7 @@
         found = await trio.to_thread.run_sync(_main.run, [*arguments, *flags])
         self.out, self.err = self.capsys.readouterr()
         assert found == code, (found, self.out, self.err)
-        return json.loads(self.out) if self.out else None
+        return json.loads(self.out) if self.out[:1] == '{' else None
 
     def file(self, text, name='file.toml'):
         path = self.directory / name
@@ -339,3 +344,63 @@
     apply = ('contract', 'apply', site.file(ACME))
     await site.run(*apply, code=_exit.ExitCode.UNAVAILABLE)
     assert 'nothing will be' in site.err
+
+
+async def test_an_outage_while_settling_leaves_the_fate_unknown(site):
+    site.api.plan.add('*', faults.Kind.UNAVAILABLE, times=None)
+    settle = ('change', 'settle', 'r1-0123456789abcdef')
+    await site.run(*settle, code=_exit.ExitCode.UNKNOWN)
+
+
+@pytest.mark.parametrize(
+    ('rounds', 'code'),
+    [(1, _exit.ExitCode.NOT_ACCEPTED), (2, _exit.ExitCode.LAGGING)],
+)
+async def test_no_vm_list_is_no_sign_of_being_in_force(site, rounds, code):
+    site.nodes[2].stuck = True
+    kind = faults.Kind.UNAVAILABLE
+    site.vms.plan.add('list_vms', kind, skip=rounds, times=None)
+    apply = ('contract', 'apply', site.file(ACME))
+    found = await site.run(*apply, '--wait=4', code=code)
+    assert found['in_force'] == '2 of 3'
+    site.vms.plan.plan()
+    site.vms.set_vms()
+    apply = (*apply, '--wait=0.5')
+    found = await site.run(*apply, code=_exit.ExitCode.NOT_ACCEPTED)
+    assert found['in_force'] == '0 of 0'
+
+
+async def test_an_interrupted_wait_says_that_the_change_is_stored(site):
+    site.nodes[2].stuck = True
+    command = [sys.executable, '-m', 'mustardlb_cli', 'contract', 'apply']
+    flags = ['--wait=60', f'--settings={site.directory}/cli.toml']
+    process = await trio.lowlevel.open_process(
+        [*command, site.file(ACME), *flags],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.PIPE,
+    )
+    await site.nodes[2].asked.wait()
+    process.send_signal(signal.SIGINT)
+    message = await process.stderr.receive_some()
+    assert await process.wait() == _exit.ExitCode.NOT_ACCEPTED
+    assert b'revision 1 is stored' in message
+
+
+async def test_an_exported_contract_is_the_stored_one(site):
+    await site.run('contract', 'apply', site.file(ACME))
+    await site.run('contract', 'export', 'acme')
+    exported = site.file(site.out, 'exported.toml')
+    found = await site.run('contract', 'apply', exported)
+    assert found['changed'] is False
+
+
+async def test_a_key_of_unknown_fate_is_shown(site):
+    await site.run('contract', 'apply', site.file(ACME))
+    # Two reads of the head come first.
+    site.api.plan.add(HEAD_PUT, faults.Kind.ANSWER_LOST, skip=2)
+    site.api.plan.add(HEAD_PUT, faults.Kind.DROP, skip=3, times=None)
+    issue = ('key', 'issue', 'acme')
+    issued = await site.run(*issue, code=_exit.ExitCode.UNKNOWN)
+    site.api.plan.plan()
+    stored = await stored_keys(site)
+    assert keys.authenticate(issued['key'], stored).account == 'acme'
