--- a/packages/mustardlb/mustardlb/changes.py
+++ b/packages/mustardlb/mustardlb/changes.py
@@ -12,6 +12,7 @@
 from typing import TypeVar
 
 import msgspec
+import structlog
 import trio
 
 from mustardlb import configuration
@@ -20,6 +21,8 @@
 from mustardlb import object_api
 from mustardlb import steps
 
+log = structlog.get_logger()
+
 # Changes that a head remembers; a lost answer is settled within so many.
 RECENT_LIMIT = 200
 
@@ -32,6 +35,9 @@
 # A version that no object has: a write that expects it changes nothing.
 NEVER = 2**53 - 1
 
+# Errors that tell nothing about an earlier write.
+_REFUSED = (errors.Code.API_UNAVAILABLE, errors.Code.INVALID_OBJECT)
+
 T = TypeVar('T')
 
 # Returns the new bytes of an object, None to withdraw it.
@@ -132,9 +138,23 @@
 
     Where the write may still be on its way, a head write without effect
     goes before it, so that its condition can no longer hold. Raises Error
-    with WRITE_UNKNOWN if it is too old to tell.
+    with WRITE_UNKNOWN if it is too old to tell, or the API refuses.
     """
     revision = revision_of(change)
+    try:
+        return await _settle(api, change, revision)
+    except errors.Error as error:
+        if error.code not in _REFUSED:
+            raise
+        raise _error(
+            errors.Code.WRITE_UNKNOWN,
+            f'whether {change} landed is not known: {error.message}',
+        ) from error
+
+
+async def _settle(
+    api: object_api.ObjectApi, change: str, revision: int
+) -> Landed | None:
     while True:
         base = await read_base(api)
         if base.head.revision >= revision:
@@ -282,11 +302,14 @@
     try:
         await api.put(configuration.HEAD, value, base.version)
     except object_api.VersionConflict:
+        log.info('MLB-1002', change=change)
         return False
     except object_api.ApiRejected as error:
         raise _rejected(error) from error
-    except object_api.ApiUnavailable:
+    except object_api.ApiUnavailable as error:
+        log.warning('MLB-1003', change=change, problem=str(error))
         return await settle(api, change) is not None
+    log.info('MLB-1001', change=change, version=base.version)
     return True
 
 
@@ -297,6 +320,7 @@
     recent = (change, *base.head.recent)[:RECENT_LIMIT]
     head = configuration.Head(revision, change, base.head.entries, recent)
     value = configuration.encode_head(head)
+    log.warning('MLB-1004', fence=change, version=base.version)
     try:
         await api.put(configuration.HEAD, value, base.version)
     except (object_api.VersionConflict, object_api.ApiUnavailable):
@@ -357,7 +381,8 @@
             return await call()
         except object_api.ApiRejected as error:
             raise _rejected(error) from error
-        except object_api.ApiUnavailable:
+        except object_api.ApiUnavailable as error:
+            log.warning('MLB-1005', problem=str(error), pause=pause)
             await trio.sleep(pause)
     raise AssertionError('unreachable')
 
@@ -400,7 +425,7 @@
 def _rejected(error: object_api.ApiRejected) -> errors.Error:
     return _error(
         errors.Code.API_UNAVAILABLE,
-        f'the object API refused the call, nothing was written: {error}',
+        f'the object API refused the call: {error}',
     )
 
 
