Do not spin on a watch that shows old states; measure outages

A watch that restarts may answer at once with a state that is held already; the loop asked again without a pause.

--- a/packages/mustardlbd/mustardlbd/_api_source.py
+++ b/packages/mustardlbd/mustardlbd/_api_source.py
@@ -86,8 +86,13 @@
         try:
             with trio.fail_after(WATCH_TIME + READ_TIMEOUT):
                 found = await self._api.watch(name, held, WATCH_TIME)
-            if found is not None:
-                await self._adopt(index, found)
+            if found is None:
+                return
+            if found.version <= held:
+                # A watch that restarted; it must not keep us busy.
+                await trio.sleep(RETRY_PAUSE)
+                return
+            await self._adopt(index, found)
         except (*_FAILURES, _documents.NotFetched) as error:
             log.info('MLB-2031', object=name, problem=repr(error))
             await trio.sleep(RETRY_PAUSE * (1 + random.random()))
--- a/tests/mustardlbd/fleet.py
+++ b/tests/mustardlbd/fleet.py
@@ -174,8 +174,8 @@
 class NodeApi:
     """The object API as one node reaches it.
 
-    To a lagging node reads show the state before the last write, and
-    watches are silent.
+    To a lagging node reads and watches show the state before the last
+    write.
     """
 
     def __init__(self, network, vm_id, api):
@@ -199,10 +199,11 @@
         return await self._through(self._api.delete(name, expected))
 
     async def watch(self, name, after, wait):
+        if self._vm_id in self._network.lagging:
+            after = -1
         found = await self._through(self._api.watch(name, after, wait))
         if self._vm_id in self._network.lagging:
-            await trio.sleep(wait)
-            return None
+            return self._api.peek(name, back=1)
         return found
 
     async def _through(self, call):
--- a/tests/mustardlbd/test_state.py
+++ b/tests/mustardlbd/test_state.py
@@ -61,6 +61,19 @@
     fleets.run(scenario)
 
 
+def test_watch_that_shows_old_states_keeps_nobody_busy():
+    async def scenario(fleet):
+        await apply(fleet)
+        await trio.sleep(1)
+        fleet.network.lagging.update(fleet.nodes_by_id)
+        await apply(fleet, value=b'two')
+        fleet.api.calls.clear()
+        await trio.sleep(10)
+        assert fleet.api.calls['watch'] < 10 * 6 * 6
+
+    fleets.run(scenario)
+
+
 def test_evidence_dates_from_the_question():
     async def scenario(fleet):
         fleet.api.plan.add('put:*', faults.Kind.DELAY, seconds=1.2, times=None)
--- a/tools/bench_state.py
+++ b/tools/bench_state.py
@@ -26,6 +26,7 @@
 import fleet as fleets  # noqa: E402
 
 from mustardlb import vm_list  # noqa: E402
+from mustardlb_standins import faults  # noqa: E402
 from mustardlbd import _peer_server  # noqa: E402
 
 # Time before anything is measured, seconds.
@@ -46,6 +47,9 @@
 TCP_BYTES = 52
 TLS_BYTES = 22
 
+# How often the ages are looked at in an outage, seconds.
+AGE_INTERVAL = 0.2
+
 # Configuration objects and their size, bytes.
 OBJECTS = 10
 OBJECT_SIZE = 1_000
@@ -82,7 +86,7 @@
         self._network = network
         self._vm_id = vm_id
 
-    async def send_all(self, data: bytes) -> None:
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
         """Send and count."""
         self._count(len(data))
         await self._stream.send_all(data)
@@ -197,6 +201,30 @@
     return delays
 
 
+async def measure_outage(fleet: fleets.Fleet, tls_bytes: int) -> str:
+    """Measure the oldest knowledge and the cost while the API is silent."""
+    fleet.api.plan.add('*', faults.Kind.DROP, seconds=1.0, times=None)
+    oldest = 0.0
+
+    async def watch() -> None:
+        nonlocal oldest
+        while True:
+            ages = (one.state.age() for one in fleet.nodes_by_id.values())
+            oldest = max(oldest, *ages)
+            await trio.sleep(AGE_INTERVAL)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch)
+        await trio.sleep(REST_TIME)
+        cost = await measure_cost(fleet, tls_bytes)
+        nursery.cancel_scope.cancel()
+    fleet.api.plan.plan()
+    return (
+        f'{oldest:.2f} | {cost.mean_bytes / 1000:.2f} | '
+        f'{cost.most_bytes / 1000:.2f}'
+    )
+
+
 async def fill(fleet: fleets.Fleet) -> None:
     """Write a configuration."""
     operator = fleets.Operator(fleet.api)
@@ -213,6 +241,8 @@
     await trio.sleep(WARM_UP)
     cost = await measure_cost(fleet, tls_bytes)
     whole = await measure_changes(fleet)
+    outage = await measure_outage(fleet, tls_bytes)
+    await trio.sleep(WARM_UP)
     for vm_id in random.sample(sorted(fleet.nodes_by_id), max(1, size // 20)):
         fleet.kill(vm_id)
     dead = await measure_changes(fleet)
@@ -220,7 +250,10 @@
         f'{statistics.median(delays):.3f} | {max(delays):.3f}'
         for delays in (whole, dead)
     ]
-    print(f'| {size} | {" | ".join(cells)} | {cost.show()} |', flush=True)
+    print(
+        f'| {size} | {" | ".join(cells)} | {cost.show()} | {outage} |',
+        flush=True,
+    )
 
 
 async def run_virtual(size: int) -> None:
@@ -253,7 +286,8 @@
         wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
     )
     print('| VMs | change, median s | worst | 1 in 20 dead, median | worst ')
-    print('| KB/s mean | KB/s busiest | CPU mean | busiest | API calls/s |')
+    print('| KB/s mean | KB/s busiest | CPU mean | busiest | API calls/s ')
+    print('| outage: oldest, s | KB/s mean | KB/s busiest |')
     numbers = sizes if isinstance(sizes, tuple) else str(sizes).split(',')
     for size in numbers:
         random.seed(seed)
