Work out the tree once for each change of members; tell only the first watcher who is alive

Change: the full table goes to the first watcher only unless a majority is waited for; the place in the tree is kept until the members change; incarnations are sent as 32 bits.

--- a/packages/mustardlb/mustardlb/schema/state.capnp
+++ b/packages/mustardlb/mustardlb/schema/state.capnp
@@ -6,7 +6,7 @@
 struct Group {
   versions @0 :List(UInt64);
   members @1 :List(UInt64);      # hash of the vm_id
-  incarnations @2 :List(UInt64);
+  incarnations @2 :List(UInt32); # last bits
   ages @3 :List(UInt32);         # ms since made, rounded up
 }
 
--- a/packages/mustardlbd/mustardlbd/_owner_table.py
+++ b/packages/mustardlbd/mustardlbd/_owner_table.py
@@ -95,8 +95,7 @@
 
     def _may_write(self) -> bool:
         members = self._parts.membership.members()
-        first = _ranks.watchers(members.reachable)[:1]
-        if first != [self._parts.identity.vm_id]:
+        if self._parts.tree.watchers()[0] != self._parts.identity.vm_id:
             return False
         if self._parts.freshness.age() > _freshness.MAX_AGE:
             return False
--- a/packages/mustardlbd/mustardlbd/_parts.py
+++ b/packages/mustardlbd/mustardlbd/_parts.py
@@ -9,8 +9,8 @@
 from mustardlbd import _freshness
 from mustardlbd import _membership
 from mustardlbd import _peers
-from mustardlbd import _ranks
 from mustardlbd import _signal
+from mustardlbd import _tree
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,18 +26,4 @@
     acceptance: _acceptance.Acceptance
     peers: _peers.Peers
     news: _signal.Signal
-
-    def parents(self) -> list[str]:
-        """Return the VMs to poll, among those that are reachable from here."""
-        members = self.membership.members()
-        return _ranks.parents(self.identity.vm_id, members.reachable)
-
-    def level(self) -> int:
-        """Return this node's level of the tree, 0 for a watcher."""
-        own = self.identity.vm_id
-        order = _ranks.ranked({own, *self.membership.members().reachable})
-        return _ranks.level_of(order.index(own))
-
-    def is_watcher(self) -> bool:
-        """Whether this node watches and probes the API."""
-        return self.level() == 0
+    tree: _tree.Tree
--- a/packages/mustardlbd/mustardlbd/_ranks.py
+++ b/packages/mustardlbd/mustardlbd/_ranks.py
@@ -30,22 +30,15 @@
     return sorted(vm_ids, key=weight)
 
 
-def watchers(vm_ids: abc.Iterable[str]) -> list[str]:
-    """Return the VMs at the root."""
-    return ranked(vm_ids)[:WATCHERS]
-
-
-def parents(vm_id: str, vm_ids: abc.Iterable[str]) -> list[str]:
-    """Return the VMs that a VM polls, the first one most often.
+def parents(order: list[str], index: int) -> list[str]:
+    """Return the VMs that the VM of an index polls, the first most often.
 
     Watchers poll each other. The children of a level are dealt out in
     turn, so that no parent has many more than the others.
 
-    >>> parents('vm-1', ['vm-1'])
-    []
+    >>> parents(['a', 'b', 'c', 'd'], 1), parents(['a', 'b', 'c', 'd'], 3)
+    (['c', 'a'], ['a', 'b'])
     """
-    order = ranked({vm_id, *vm_ids})
-    index = order.index(vm_id)
     if index < WATCHERS:
         peers = order[:WATCHERS]
         return peers[index + 1 :] + peers[:index]
--- a/packages/mustardlbd/mustardlbd/_spread.py
+++ b/packages/mustardlbd/mustardlbd/_spread.py
@@ -32,8 +32,8 @@
 LEVEL_PAUSE = 0.02
 LEVELS = 4
 
-# How often watchers tell each other every attestation, where nothing waits
-# for majorities, seconds.
+# How often watchers tell the first one every attestation, where nothing
+# waits for majorities, seconds.
 TABLE_INTERVAL = 2.0
 
 # Age of the API's evidence past which majorities are waited for, seconds.
@@ -45,6 +45,9 @@
 # Objects that this node tracks; a newer one may track more.
 TRACKED = len(_documents.TRACKED)
 
+# Attestations carry the last bits of an incarnation.
+INCARNATION_TAGS = 2**32
+
 # How long a reply is waited for beyond the hold, seconds.
 POLL_TIMEOUT = 0.5
 
@@ -112,7 +115,7 @@
 
     async def _poll_for_ever(self, slot: int) -> None:
         while True:
-            parents = self._parts.parents()
+            parents = self._parts.tree.parents()
             if slot >= len(parents):
                 await trio.sleep(SLOT_PAUSE)
                 continue
@@ -120,19 +123,19 @@
                 await self._poll_others()
                 await trio.sleep(SLOT_PAUSE)
             elif slot == 0:
-                below = LEVELS - 1 - self._parts.level()
+                below = LEVELS - 1 - self._parts.tree.level()
                 await trio.sleep(LEVEL_PAUSE * max(below, 0))
 
     async def _poll_others(self) -> None:
         """Learn at once which parents and watchers answer, and their news."""
-        reachable = self._parts.membership.members().reachable
-        others = {*self._parts.parents(), *_ranks.watchers(reachable)}
+        tree = self._parts.tree
+        others = {*tree.parents(), *tree.watchers()}
         async with trio.open_nursery() as nursery:
             for vm_id in others - {self._parts.identity.vm_id}:
                 nursery.start_soon(self._poll, vm_id, _Waits(0.0, 0.0))
 
     def _waits(self, slot: int) -> _Waits:
-        if self._parts.is_watcher():
+        if self._parts.tree.is_watcher():
             return _Waits(WATCHER_HOLD, WATCHER_STEP, whole=True)
         if slot == 0:
             return _Waits(FIRST_HOLD, FIRST_STEP, whole=True)
@@ -193,10 +196,14 @@
         now = self._parts.now()
         if not waits.whole:
             return self._attested_here()
-        if self._parts.is_watcher() and not self._awaits_majority():
-            if now - self._told_by_vm.get(parent, 0.0) < TABLE_INTERVAL:
-                return self._attested_here()
-            self._told_by_vm[parent] = now
+        tree = self._parts.tree
+        if not tree.is_watcher() or self._awaits_majority():
+            return self._attested()
+        # The first watcher has to know who is alive, for the owners.
+        told = self._told_by_vm.get(parent, -math.inf)
+        if parent != tree.watchers()[0] or now - told < TABLE_INTERVAL:
+            return self._attested_here()
+        self._told_by_vm[parent] = now
         return self._attested()
 
     def _awaits_majority(self) -> bool:
@@ -227,7 +234,7 @@
         return [
             _attestations.Attestation(
                 _ranks.weight(self._parts.identity.vm_id),
-                self._parts.identity.incarnation,
+                self._parts.identity.incarnation % INCARNATION_TAGS,
                 self._parts.documents.versions(),
                 self._parts.now(),
             )
@@ -254,7 +261,9 @@
         """Fetch parts from the parent that has the head, else elsewhere."""
 
         def sources() -> list[str]:
-            others = [one for one in self._parts.parents() if one != parent]
+            others = [
+                one for one in self._parts.tree.parents() if one != parent
+            ]
             return [parent, *others]
 
         from_peers = _fetching.from_peers(self._parts.peers, sources)
@@ -262,7 +271,7 @@
 
     async def _watch_for_ever(self, index: int) -> None:
         while True:
-            if not self._parts.is_watcher():
+            if not self._parts.tree.is_watcher():
                 await trio.sleep(DIRECT_INTERVAL)
                 continue
             await self._source.watch(index)
@@ -270,7 +279,7 @@
     async def _probe_for_ever(self, index: int) -> None:
         while True:
             if (
-                self._parts.is_watcher()
+                self._parts.tree.is_watcher()
                 or self._parts.freshness.age() > DIRECT_AGE
             ):
                 await self._source.probe(index)
--- a/packages/mustardlbd/mustardlbd/_state.py
+++ b/packages/mustardlbd/mustardlbd/_state.py
@@ -30,6 +30,7 @@
 from mustardlbd import _signal
 from mustardlbd import _spread
 from mustardlbd import _spread_server
+from mustardlbd import _tree
 
 # Head versions remembered with the revision that each brought.
 REVISION_HISTORY = 64
@@ -127,10 +128,11 @@
                 membership.heard,
             ),
             news=news,
+            tree=_tree.Tree(identity.vm_id, membership.members),
         )
         from_api = _api_source.part_reader(platform.api)
         from_parents = _fetching.from_peers(
-            self._parts.peers, self._parts.parents
+            self._parts.peers, self._parts.tree.parents
         )
         source = _api_source.ApiSource(
             platform.api,
@@ -255,8 +257,8 @@
             age=None if age == float('inf') else age,
             evidence=str(self._parts.freshness.evidence),
             current=age <= _freshness.MAX_AGE,
-            watcher=self._parts.is_watcher(),
-            parents=tuple(self._parts.parents()),
+            watcher=self._parts.tree.is_watcher(),
+            parents=tuple(self._parts.tree.parents()),
             invalid=self.snapshot().invalid,
             versions=_by_name(self._parts.documents.versions()),
             accepted_versions=_by_name(self._parts.acceptance.accepted()),
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_tree.py
@@ -0,0 +1,50 @@
+"""This node's place in the tree, worked out anew when the members change."""
+
+from collections import abc
+
+from mustardlbd import _membership
+from mustardlbd import _ranks
+
+
+class Tree:
+    """The parents and the level of a node among the reachable VMs."""
+
+    def __init__(
+        self, vm_id: str, members: abc.Callable[[], _membership.Members]
+    ) -> None:
+        self._vm_id = vm_id
+        self._get_members = members
+        self._members: _membership.Members | None = None
+        self._parents: list[str] = []
+        self._watchers: list[str] = []
+        self._level = 0
+
+    def parents(self) -> list[str]:
+        """Return the VMs to poll."""
+        self._refresh()
+        return self._parents
+
+    def watchers(self) -> list[str]:
+        """Return the VMs at the root, this one perhaps among them."""
+        self._refresh()
+        return self._watchers
+
+    def level(self) -> int:
+        """Return this node's level, 0 for a watcher."""
+        self._refresh()
+        return self._level
+
+    def is_watcher(self) -> bool:
+        """Whether this node watches and probes the API."""
+        return self.level() == 0
+
+    def _refresh(self) -> None:
+        members = self._get_members()
+        if members is self._members:
+            return
+        self._members = members
+        order = _ranks.ranked({self._vm_id, *members.reachable})
+        index = order.index(self._vm_id)
+        self._parents = _ranks.parents(order, index)
+        self._watchers = order[: _ranks.WATCHERS]
+        self._level = _ranks.level_of(index)
--- a/tests/mustardlbd/test_state.py
+++ b/tests/mustardlbd/test_state.py
@@ -90,7 +90,7 @@
 
 def test_change_spreads_past_two_silent_watchers():
     async def scenario(fleet):
-        silent = _ranks.watchers(fleet.nodes_by_id)[:2]
+        silent = _ranks.ranked(fleet.nodes_by_id)[:2]
         others = [vm for vm in fleet.nodes_by_id if vm not in silent]
         fleet.network.part(silent, [*others, fleets.API])
         revision = await apply(fleet)
