--- a/packages/mustardlb/mustardlb/schema/state.capnp
+++ b/packages/mustardlb/mustardlb/schema/state.capnp
@@ -49,6 +49,17 @@
   value @1 :Data;
 }
 
+# An object whose newest bytes are invalid, as it is in force.
+struct Kept {
+  name @0 :Text;
+  revision @1 :UInt64;
+  parts @2 :List(Text);
+}
+
+struct KeptReply {
+  kept @0 :List(Kept);
+}
+
 # An owner says that it no longer acts for slices that another owns now.
 struct Release {
   kind @0 :Text;                 # what the slices hold: accounts, targets
--- a/packages/mustardlbd/mustardlbd/_documents.py
+++ b/packages/mustardlbd/mustardlbd/_documents.py
@@ -90,6 +90,56 @@
         """Return a part of an object in force."""
         return self._in_force.parts.get(digest)
 
+    def kept(self) -> dict[str, configuration.Entry]:
+        """Return the last good entries of objects that are invalid."""
+        entries = self._in_force.entries
+        return {
+            one.name: entries[one.name]
+            for one in self._in_force.invalid
+            if one.name in entries
+        }
+
+    def lacks_last_good(self) -> bool:
+        """Whether an invalid object has no good value in force here."""
+        return len(self.kept()) < len(self._in_force.invalid)
+
+    async def restore(
+        self, kept: dict[str, configuration.Entry], fetch_part: FetchPart
+    ) -> None:
+        """Take over last good values that only others have held.
+
+        Raises NotFetched.
+        """
+        async with self._locks[HEAD_INDEX]:
+            lacking = {one.name for one in self._in_force.invalid}
+            lacking -= self._in_force.entries.keys()
+            for name in sorted(lacking & kept.keys()):
+                await self._restore(name, kept[name], fetch_part)
+        self._news.notify()
+
+    async def _restore(
+        self, name: str, entry: configuration.Entry, fetch_part: FetchPart
+    ) -> None:
+        head = configuration.Head(entries={name: entry})
+        parts_by_hash = await self._fetch_parts(head, fetch_part)
+        try:
+            value = self._check(name, entry, parts_by_hash)
+        except ValueError as error:
+            log.error('MLB-2021', object=name, problem=str(error))
+            return
+        before = self._in_force
+        parts = {digest: part or b'' for digest, part in parts_by_hash.items()}
+        self._in_force = _InForce(
+            before.entries | {name: entry},
+            before.values | {name: value},
+            before.parts | parts,
+            before.invalid,
+        )
+        self._snapshot = dataclasses.replace(
+            self._snapshot,
+            values=types.MappingProxyType(self._in_force.values),
+        )
+
     async def adopt(
         self, index: int, found: Tracked, fetch_part: FetchPart
     ) -> None:
--- a/packages/mustardlbd/mustardlbd/_fetching.py
+++ b/packages/mustardlbd/mustardlbd/_fetching.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 
+from mustardlb import configuration
 from mustardlb import errors
 from mustardlb import schema
 from mustardlbd import _documents
@@ -41,6 +42,21 @@
         return None
 
 
+async def fetch_kept(
+    peers: _peers.Peers, vm_id: str
+) -> dict[str, configuration.Entry]:
+    """Fetch the last good entries of invalid objects from a peer."""
+    payload = await peers.call(vm_id, _spread_server.KEPT, b'', FETCH_TIMEOUT)
+    try:
+        reply = schema.load('state').KeptReply.from_bytes_packed(payload)
+        return {
+            one.name: configuration.Entry(one.revision, tuple(one.parts))
+            for one in reply.kept
+        }
+    except Exception as error:  # the library's own exceptions
+        raise _documents.NotFetched(vm_id) from error
+
+
 def from_peers(
     peers: _peers.Peers, vm_ids: abc.Callable[[], list[str]]
 ) -> _documents.FetchPart:
--- a/packages/mustardlbd/mustardlbd/_spread.py
+++ b/packages/mustardlbd/mustardlbd/_spread.py
@@ -254,6 +254,11 @@
                 await self._parts.documents.adopt(
                     index, found, self._part_fetcher(parent)
                 )
+        if self._parts.documents.lacks_last_good():
+            kept = await _fetching.fetch_kept(self._parts.peers, parent)
+            await self._parts.documents.restore(
+                kept, self._part_fetcher(parent)
+            )
         for index, accepted in enumerate(reply.accepted[:TRACKED]):
             self._parts.acceptance.learn(index, accepted)
 
--- a/packages/mustardlbd/mustardlbd/_spread_server.py
+++ b/packages/mustardlbd/mustardlbd/_spread_server.py
@@ -15,6 +15,7 @@
 POLL = 'state.poll'
 OBJECT = 'state.object'
 PART = 'state.part'
+KEPT = 'state.kept'
 
 # Longest hold that a polled node grants, seconds.
 HOLD_LIMIT = 4.0
@@ -31,6 +32,7 @@
         server.register(POLL, self._answer_poll)
         server.register(OBJECT, self._answer_object)
         server.register(PART, self._answer_part)
+        server.register(KEPT, self._answer_kept)
 
     async def _answer_poll(
         self, sender: _peer_server.Sender, payload: bytes
@@ -89,6 +91,16 @@
         )
         return reply.to_bytes_packed()
 
+    async def _answer_kept(
+        self, sender: _peer_server.Sender, payload: bytes
+    ) -> bytes:
+        kept = [
+            {'name': name, 'revision': entry.revision, 'parts': entry.parts}
+            for name, entry in self._parts.documents.kept().items()
+        ]
+        reply = schema.load('state').KeptReply.new_message(kept=kept)
+        return reply.to_bytes_packed()
+
     async def _answer_part(
         self, sender: _peer_server.Sender, payload: bytes
     ) -> bytes:
--- a/tests/mustardlbd/test_state.py
+++ b/tests/mustardlbd/test_state.py
@@ -115,3 +115,43 @@
             assert alone.admits()
 
     fleets.run(scenario)
+
+
+def test_newcomer_takes_the_last_good_value_of_an_invalid_object():
+    async def scenario(fleet):
+        await apply(fleet, value=b'good')
+        await trio.sleep(2)
+        await apply(fleet, value=b'invalid')
+        await trio.sleep(2)
+        newcomer = fleet.start('vm-new')
+        await trio.sleep(5)
+        snapshot = newcomer.state.snapshot()
+        assert snapshot.values == {'contract/midland': b'good'}
+        assert [one.name for one in snapshot.invalid] == ['contract/midland']
+        assert newcomer.admits()
+
+    fleets.run(scenario)
+
+
+def test_withdrawn_key_is_refused_in_three_seconds_with_a_node_dead():
+    async def scenario(fleet):
+        revision = await apply(fleet, 'keys/midland', b'key')
+        await wait_everywhere(fleet.nodes_by_id.values(), revision)
+        for number in range(7):
+            vm_id = f'vm-{number}'
+            fleet.network.pause(vm_id)
+            revision = await apply(fleet, 'keys/midland', b'none%d' % number)
+            await trio.sleep(3)
+            for node in fleet.nodes_by_id.values():
+                if node.vm_id != vm_id:
+                    assert node.state.snapshot().revision == revision
+                    assert node.admits()
+            await trio.sleep(2)
+            fleet.network.resume(vm_id)
+            node = fleet.nodes_by_id[vm_id]
+            assert not node.admits() or (
+                node.state.snapshot().revision == revision
+            )
+            await trio.sleep(6)
+
+    fleets.run(scenario)
