--- a/packages/mustardlbd/mustardlbd/_app.py
+++ b/packages/mustardlbd/mustardlbd/_app.py
@@ -30,6 +30,7 @@
 from mustardlbd import _peer_server
 from mustardlbd import _peers
 from mustardlbd import _state
+from mustardlbd import _target_wiring
 from mustardlbd import _tls
 
 # Bits of the number that tells two processes of one VM apart.
@@ -126,8 +127,9 @@
     peer_server = _peer_server.PeerServer(
         settings.vm_id, _tls.server_context(settings.peers.tls)
     )
+    incarnation = secrets.randbits(INCARNATION_BITS)
     state = _state.State(
-        _peers.Identity(settings.vm_id, secrets.randbits(INCARNATION_BITS)),
+        _peers.Identity(settings.vm_id, incarnation),
         _state.Platform(
             api=api,
             vms=vms,
@@ -138,7 +140,10 @@
         directories.validate,
     )
     directory = _Directory(state)
-    engines = _first_placement.Engines(directory.current)
+    targets = _target_wiring.build(
+        settings, state, directory.current, incarnation
+    )
+    targets.register(peer_server.register)
     stop = trio.Event()
     end = trio.Event()
     metrics = _make_metrics(settings.statsd)
@@ -148,7 +153,7 @@
         status=functools.partial(_show_status, state),
         wait_revision=functools.partial(_wait_revision, state),
         reserve=_first_placement.reserve,
-        place=engines.place,
+        place=targets.place,
         begin=_first_placement.begin,
     )
     serve_callers = functools.partial(
@@ -171,6 +176,7 @@
         background.start_soon(_stop_on_signal, stop)
         background.start_soon(peer_server.serve, peer_listener)
         background.start_soon(state.run)
+        background.start_soon(targets.run)
         async with trio.open_nursery() as beside:
             admin_port = await beside.start(serve_admin)
             async with trio.open_nursery() as serving:
--- a/packages/mustardlbd/mustardlbd/_dependencies.py
+++ b/packages/mustardlbd/mustardlbd/_dependencies.py
@@ -10,6 +10,10 @@
 from mustardlb import steps
 
 
+def _tell_nobody(*told: str) -> None:
+    """Tell nobody; for placements that nothing guards."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
     """A target that holds a model, guarded until it is released.
@@ -17,11 +21,16 @@
     :ivar target_name: name of the target
     :ivar url: its base URL
     :ivar model: 'adapter@version' that the request is for
+    :ivar served: tell what the target says that it ran, '' where it says
+        that it does not hold the model; raises WRONG_ADAPTER
+    :ivar abandon: tell that the request may run on after the release
     """
 
     target_name: str
     url: str
     model: str
+    served: abc.Callable[[str], None] = _tell_nobody
+    abandon: abc.Callable[[], None] = _tell_nobody
 
 
 class Reservation(Protocol):
--- a/packages/mustardlbd/mustardlbd/_fleet.py
+++ b/packages/mustardlbd/mustardlbd/_fleet.py
@@ -25,6 +25,8 @@
     """The rest of the node and of the fleet, as plain functions.
 
     :ivar vm_id: this node
+    :ivar may_act: whether this node acts for the slice of a key, so that
+        no owner before it still does
     :ivar targets: the configured targets, by name
     :ivar engine_of: the client for orders to a target
     :ivar transit_report: what the weight store is sending
@@ -34,7 +36,7 @@
     now: clock.Clock
     members: abc.Callable[[], _membership.Members]
     owners: abc.Callable[[], _owners.Owners]
-    settled: abc.Callable[[int], bool]
+    may_act: abc.Callable[[str], bool]
     check_fresh: abc.Callable[[steps.Step], None]
     call: Call
     targets: abc.Callable[[], abc.Mapping[str, routes.Target]]
--- a/packages/mustardlbd/mustardlbd/_model_service.py
+++ b/packages/mustardlbd/mustardlbd/_model_service.py
@@ -202,9 +202,16 @@
         raise
     finally:
         if not finished:
-            await attempt.service.client.cancel(
-                attempt.placement.url, attempt.request_id
-            )
+            await _cancel(attempt)
+
+
+async def _cancel(attempt: _Attempt) -> None:
+    """End the request at the engine, or note that it may run on there."""
+    ended = await attempt.service.client.cancel(
+        attempt.placement.url, attempt.request_id
+    )
+    if not ended:
+        attempt.placement.abandon()
 
 
 def _priority(caller: _admission.Caller) -> bytes:
@@ -227,6 +234,7 @@
         served=served,
         same_request=echoed == attempt.request_id,
     )
+    attempt.placement.served(served or '')
     raise errors.Error(
         errors.Code.WRONG_ADAPTER,
         'the target answered another request or ran another adapter',
@@ -255,6 +263,8 @@
             attempt.peer,
             not_run=True,
         )
+    if (status, code) == (404, engine.NOT_LOADED):
+        attempt.placement.served('')
     not_run = (status, code) in (
         (404, engine.NOT_LOADED),
         (429, engine.QUEUE_FULL),
@@ -367,9 +377,7 @@
     body = msgspec.json.encode(_asgi.describe(error))
     await reply.write(b'event: error\ndata: ' + body + b'\n\n')
     # The engine may still be at work on it.
-    await attempt.service.client.cancel(
-        attempt.placement.url, attempt.request_id
-    )
+    await _cancel(attempt)
 
 
 def _cut(attempt: _Attempt) -> errors.Error:
--- a/packages/mustardlbd/mustardlbd/_permits.py
+++ b/packages/mustardlbd/mustardlbd/_permits.py
@@ -98,7 +98,7 @@
     async def _take_over(self, epoch: int) -> None:
         """Begin when all that the last keeper permitted is over."""
         await _fleet.until(
-            lambda: self._fleet.settled(self._fleet.owners().version),
+            lambda: self._fleet.may_act(_fleet.PERMITS_KEY),
             LOOK_INTERVAL,
         )
         # A process that kept this slice before may have granted until now.
--- a/packages/mustardlbd/mustardlbd/_placement.py
+++ b/packages/mustardlbd/mustardlbd/_placement.py
@@ -2,7 +2,6 @@
 
 from collections import abc
 import contextlib
-import dataclasses
 import hashlib
 import math
 
@@ -48,19 +47,6 @@
 LINGER_TIME = 60.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placement(_dependencies.Placement):
-    """A placement that is told what became of the request.
-
-    :ivar served: tell what the target says that it ran, '' where it says
-        that it does not hold the model; raises WRONG_ADAPTER
-    :ivar abandon: tell that the request may run on after the release
-    """
-
-    served: abc.Callable[[str], None]
-    abandon: abc.Callable[[], None]
-
-
 class Placer:
     """Finds targets for the requests of this node."""
 
@@ -88,7 +74,7 @@
         account: str,
         wait: float,
         avoid: frozenset[str] = frozenset(),
-    ) -> abc.AsyncIterator[Placement]:
+    ) -> abc.AsyncIterator[_dependencies.Placement]:
         """Hold a target that has the model; not one of those to avoid.
 
         Raises NO_TARGET, LOAD_FAILED, OVERLOADED or NODE_NOT_CURRENT, each
@@ -99,7 +85,7 @@
         abandoned = []
         self._count(name, 1)
         try:
-            yield Placement(
+            yield _dependencies.Placement(
                 name,
                 target.url,
                 model,
--- a/packages/mustardlbd/mustardlbd/_target_owner.py
+++ b/packages/mustardlbd/mustardlbd/_target_owner.py
@@ -80,10 +80,8 @@
 
     async def run(self) -> None:
         """Take over and work until cancelled."""
-        await _fleet.until(
-            lambda: self._fleet.settled(self._fleet.owners().version),
-            RETRY_INTERVAL,
-        )
+        key = _fleet.target_key(self._target.name)
+        await _fleet.until(lambda: self._fleet.may_act(key), RETRY_INTERVAL)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._hand_over)
--- a/packages/mustardlbd/mustardlbd/_targets.py
+++ b/packages/mustardlbd/mustardlbd/_targets.py
@@ -11,6 +11,7 @@
 from mustardlb import errors
 from mustardlb import routes
 from mustardlb import steps
+from mustardlbd import _dependencies
 from mustardlbd import _fleet
 from mustardlbd import _grants
 from mustardlbd import _orders
@@ -95,7 +96,7 @@
         account: str,
         wait: float,
         avoid: frozenset[str] = frozenset(),
-    ) -> contextlib.AbstractAsyncContextManager[_placement.Placement]:
+    ) -> contextlib.AbstractAsyncContextManager[_dependencies.Placement]:
         """See Placer.place."""
         self._tick()
         return self._placer.place(model, account, wait, avoid)
--- a/packages/mustardlbd/mustardlbd/_targets_http.py
+++ b/packages/mustardlbd/mustardlbd/_targets_http.py
@@ -108,8 +108,8 @@
             with trio.CancelScope(shield=True):
                 await response.stream.aclose()  # type: ignore[union-attr]
 
-    async def cancel(self, url: str, request_id: str) -> None:
-        """Tell an engine that the answer is not wanted any more."""
+    async def cancel(self, url: str, request_id: str) -> bool:
+        """Tell an engine to end a request; whether it said that it did."""
         timeouts = Timeouts(CANCEL_TIMEOUT, CANCEL_TIMEOUT, CANCEL_TIMEOUT)
         with trio.move_on_after(CANCEL_TIMEOUT, shield=True):
             with contextlib.suppress(errors.Error):
@@ -120,8 +120,9 @@
                     b'',
                     timeouts,
                     '',
-                ):
-                    pass
+                ) as response:
+                    return response.status_code == httpx.codes.NO_CONTENT
+        return False
 
 
 @contextlib.contextmanager
--- a/tests/mustardlbd/engine_fleet.py
+++ b/tests/mustardlbd/engine_fleet.py
@@ -143,9 +143,10 @@
                 vm_id = vm_ids[number % len(vm_ids)]
             moved = vm_id != before.vm_id
             slices.append(_owners.Slice(vm_id, before.epoch + moved))
-        version = self.table.version + 1
-        self.table = _owners.Owners(version, tuple(slices))
-        self.changed_at[version] = -100.0 if settled else trio.current_time()
+            if moved:
+                now = trio.current_time()
+                self.changed_at[number] = -100.0 if settled else now
+        self.table = _owners.Owners(self.table.version + 1, tuple(slices))
 
     def owner_of(self, target):
         return self.table.owner_of(f'target/{target}').vm_id
@@ -183,8 +184,12 @@
             }
             return _membership.Members(types.MappingProxyType(vms))
 
-        def settled(version):
-            waited = trio.current_time() - self.changed_at[version]
+        def may_act(key):
+            if node.owners.owner_of(key).vm_id != node.vm_id:
+                return False
+            waited = (
+                trio.current_time() - self.changed_at[_owners.slice_of(key)]
+            )
             return waited >= _freshness.SETTLE_TIME
 
         def check_fresh(step):
@@ -201,7 +206,7 @@
             now=trio.current_time,
             members=members,
             owners=lambda: node.owners,
-            settled=settled,
+            may_act=may_act,
             check_fresh=check_fresh,
             call=call,
             targets=lambda: self.configured,
--- a/tools/local_site.py
+++ b/tools/local_site.py
@@ -45,6 +45,9 @@
 
 [vm_list]
 url = '{vm_list}'
+
+[weight_store]
+url = '{weight_store}'
 """
 
 COMMAND_SETTINGS = """\
@@ -124,6 +127,7 @@
             **dataclasses.asdict(node),
             object_api=self.object_api,
             vm_list=self.vm_list,
+            weight_store=self.weight_store,
         )
         path = self.directory / f'{node.vm_id}.toml'
         path.write_text(settings)
