--- a/packages/mustardlbd/mustardlbd/_api_source.py
+++ b/packages/mustardlbd/mustardlbd/_api_source.py
@@ -1,5 +1,6 @@
 """What a node learns from the object API: data, and evidence of age."""
 
+import math
 import random
 
 import structlog
@@ -52,6 +53,11 @@
         self._freshness = freshness
         self._now = now
         self._fetch_part = fetch_part
+        self._asked = [-math.inf] * len(_documents.TRACKED)
+
+    def age(self) -> float:
+        """Return the seconds since the API last gave evidence here."""
+        return self._now() - min(self._asked)
 
     async def probe(self, index: int) -> None:
         """Ask for evidence of the newest version; fetch it if it is newer.
@@ -70,6 +76,7 @@
         except (*_FAILURES, _documents.NotFetched) as error:
             log.info('MLB-2030', object=name, problem=repr(error))
             return
+        self._asked[index] = asked
         self._freshness.confirm(index, asked, _freshness.Evidence.API)
 
     async def watch(self, index: int) -> None:
@@ -79,8 +86,13 @@
         try:
             with trio.fail_after(WATCH_TIME + READ_TIMEOUT):
                 found = await self._api.watch(name, held, WATCH_TIME)
-            if found is not None:
-                await self._adopt(index, found)
+            if found is None:
+                return
+            if found.version <= held:
+                # A watch that restarted; it must not keep us busy.
+                await trio.sleep(RETRY_PAUSE)
+                return
+            await self._adopt(index, found)
         except (*_FAILURES, _documents.NotFetched) as error:
             log.info('MLB-2031', object=name, problem=repr(error))
             await trio.sleep(RETRY_PAUSE * (1 + random.random()))
