--- a/packages/mustardlbd/mustardlbd/_bucket.py
+++ b/packages/mustardlbd/mustardlbd/_bucket.py
@@ -4,6 +4,9 @@
 import dataclasses
 import math
 
+# Takings that may still be settled; past it the oldest is charged in full.
+MOST_OPEN = 10_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limit:
@@ -111,6 +114,8 @@
             return None
         self._sequence += 1
         self._open[self._sequence] = tokens
+        if len(self._open) > MOST_OPEN:
+            self._open.pop(next(iter(self._open)))
         self.level -= tokens
         return Hold(tokens, self._sequence)
 
@@ -131,11 +136,6 @@
         self._forget()
         return credit
 
-    def abandon(self, hold: Hold) -> None:
-        """Charge the tokens in full."""
-        self._open.pop(hold.sequence, None)
-        self._forget()
-
     def lack_time(self, tokens: float) -> float:
         """Seconds until that many tokens are there, if nothing changes."""
         if tokens <= self.level:
--- a/packages/mustardlbd/mustardlbd/_share_holder.py
+++ b/packages/mustardlbd/mustardlbd/_share_holder.py
@@ -1,7 +1,5 @@
 """Grants tokens from the shares that this node holds."""
 
-import dataclasses
-
 import structlog
 import trio
 
@@ -25,29 +23,27 @@
 RETRY_AFTER = 1.0
 
 
-@dataclasses.dataclass(slots=True, eq=False)
 class Reservation:
-    """Tokens granted to one call; unsettled they are charged in full."""
+    """Tokens granted to one call; unsettled they are charged in full.
+
+    :ivar charged: tokens that the call has cost its account
+    """
 
-    account: str
-    tokens: int
-    _share: _share.Share
-    _hold: _bucket.Hold
-    _node: ports.Ports
+    def __init__(
+        self, share: _share.Share, hold: _bucket.Hold, tokens: int
+    ) -> None:
+        self.charged = float(tokens)
+        self._share = share
+        self._hold = hold
 
-    def settle(self, used: int) -> float:
-        """Give back what was not used; return the tokens credited."""
+    def settle(self, tokens: int) -> None:
+        """Charge what was used; the rest is free again."""
         share = self._share
         now = share.refresh()
-        credit = share.bucket.settle(now, self._hold, used)
-        if credit > 0.0:
-            share.demand.add(now, -credit)
-            share.notify()
-        return credit
-
-    def abandon(self) -> None:
-        """Charge the call in full, since what it used is not known."""
-        self._share.bucket.abandon(self._hold)
+        credit = share.bucket.settle(now, self._hold, tokens)
+        self.charged -= credit
+        share.demand.add(now, -credit)
+        share.notify()
 
 
 class ShareHolder:
@@ -81,7 +77,7 @@
         hold = None if share.waiters else share.take(tokens)
         if hold is None:
             hold = await self._wait(share, tokens, wait)
-        return Reservation(account, tokens, share, hold, self._node)
+        return Reservation(share, hold, tokens)
 
     async def run(self) -> None:
         """Report the shares for ever."""
--- a/tests/mustardlbd/limits_scenario.py
+++ b/tests/mustardlbd/limits_scenario.py
@@ -23,6 +23,8 @@
     def __init__(self, fleet):
         self.fleet = fleet
         self.greedy = False
+        burst = int(fleet.limit.burst)
+        self.sizes = [20, 100, 400, burst // 4, burst]
 
     def node(self, index):
         nodes = self.fleet.live()
@@ -48,8 +50,7 @@
             await trio.sleep(chance.uniform(0.02, 0.3))
             if not self.greedy:
                 continue
-            burst = int(self.fleet.limit.burst)
-            tokens = chance.choice([20, 100, 400, burst // 4, burst])
+            tokens = chance.choice(self.sizes)
             used = chance.choice([tokens, tokens // 2, 0])
             self.fleet.nursery.start_soon(
                 self.fleet.grant,
--- a/tools/limits_fleet.py
+++ b/tools/limits_fleet.py
@@ -263,8 +263,9 @@
         self.gross_events.append(Event(at, tokens))
         await trio.sleep(hold)
         if used < tokens and node.alive and node.running.is_set():
-            credit = reservation.settle(used)
-            self.events[place] = Event(at, tokens - credit)
+            reservation.settle(used)
+            credit = tokens - reservation.charged
+            self.events[place] = Event(at, reservation.charged)
             self.gross_events.append(Event(trio.current_time(), -credit))
         return None
 
