Let deputies vouch for holders while a keeper is silent

A dead holder's lease can be ended in seconds, and a dead keeper ends nobody's. The next keeper seals the leases of those that report to it.

--- a/packages/mustardlb/mustardlb/schema/limits.capnp
+++ b/packages/mustardlb/mustardlb/schema/limits.capnp
@@ -17,6 +17,7 @@
   waiting @10 :Float64;     # tokens that waiting calls lack
   largest @11 :Float64;     # tokens of the call that waits first
   waited @12 :Float64;      # seconds that it has waited
+  deputy @13 :Text;         # named by the statement in force
 }
 
 struct ShareStatement {
@@ -29,6 +30,7 @@
   tokens @6 :Float64;       # handed out with a growth
   renewed @7 :Bool;         # false: the share stays as it is
   restart @8 :Bool;         # the old level is void
+  deputy @9 :Text;          # vouches for the holder if the keeper is silent
 }
 
 struct HandoverRequest {
@@ -50,9 +52,36 @@
   handedBack @9 :Float64;
   version @10 :UInt64;
   silence @11 :Float64;     # seconds since the last report
+  deputy @12 :Text;
+  sentDeputy @13 :Text;
 }
 
 struct Handover {
   entries @0 :List(BookEntry);
   tokens @1 :Float64;       # level of the free part
 }
+
+# What is wanted of a deputy: say which process answers; vouch for a holder
+# while its keeper is silent; vouch for it no more; let no keeper of an
+# earlier epoch bar it any more.
+enum Want {
+  name @0;
+  extend @1;
+  bar @2;
+  seal @3;
+}
+
+struct DeputyRequest {
+  account @0 :Text;
+  deputy @1 :Text;          # 'vm_id/incarnation', '' to learn it
+  holder @2 :Text;          # 'vm_id/incarnation'
+  request @3 :UInt64;       # report that the statement in force answered
+  want @4 :Want;
+  epoch @5 :UInt64;         # of the keeper that asks
+}
+
+struct DeputyReply {
+  deputy @0 :Text;
+  granted @1 :Bool;         # not where an earlier request forbids it
+  remaining @2 :Float64;    # of a bar: seconds that the last one still runs
+}
--- a/packages/mustardlbd/mustardlbd/_share.py
+++ b/packages/mustardlbd/mustardlbd/_share.py
@@ -99,6 +99,7 @@
         self._limit = node.contract(account)
         self._version = 0
         self._keeper = ''
+        self._deputy = ''
         self._lease_until = -math.inf
         self._request = 0
         self._adopted = 0
@@ -157,6 +158,7 @@
             waiting=max(0.0, waiting - self.bucket.level) if first else 0.0,
             largest=first.tokens if first else 0.0,
             waited=now - first.since if first else 0.0,
+            deputy=self._deputy,
         )
 
     def adopt(self, statement: messages.ShareStatement, keeper: str) -> bool:
@@ -174,6 +176,28 @@
         self.notify()
         return True
 
+    def ask_deputy(self) -> messages.DeputyRequest | None:
+        """Make the request to extend the lease, where one can."""
+        now = self.refresh()
+        if not self._deputy or self._lease_until <= now:
+            return None
+        return messages.DeputyRequest(
+            account=self.account,
+            deputy=self._deputy,
+            holder=messages.process_name(
+                self._node.vm_id, self._node.incarnation
+            ),
+            request=self._adopted,
+            want='extend',
+        )
+
+    def extend(self, request: messages.DeputyRequest, sent_at: float) -> None:
+        """Extend the lease, counted from the sending of the request."""
+        self.refresh()
+        if request.request == self._adopted:
+            until = sent_at + ports.LEASE
+            self._lease_until = max(self._lease_until, until)
+
     def notify(self) -> None:
         """Wake the calls that wait."""
         self.changed.set()
@@ -181,6 +205,7 @@
 
     def _renew(self, now: float, statement: messages.ShareStatement) -> None:
         self._adopted = statement.request
+        self._deputy = statement.deputy
         self._lease_until = self._sent_at + statement.lease
         fraction = statement.fraction
         if self._lease_until <= now:
--- a/packages/mustardlbd/mustardlbd/_share_book.py
+++ b/packages/mustardlbd/mustardlbd/_share_book.py
@@ -5,6 +5,7 @@
 part are at most its part of the burst.
 """
 
+import collections
 import dataclasses
 
 import structlog
@@ -46,6 +47,10 @@
     handed_back: float = 0.0
     version: int = 0
     heard_at: float = 0.0
+    deputy: str = ''
+    sent_deputy: str = ''
+    barred_until: float | None = None
+    owned: bool = False
     need: _share_allocation.Need = _share_allocation.Need()
 
     @property
@@ -53,6 +58,11 @@
         """The most that the holder may have in force."""
         return max(self.fraction, self.sent_fraction)
 
+    @property
+    def deputies(self) -> set[str]:
+        """The deputies that the holder may know."""
+        return {self.deputy, self.sent_deputy} - {''}
+
     def expire(self) -> None:
         """Count the standing part alone."""
         standing = max(self.standing, self.sent_standing)
@@ -67,33 +77,83 @@
         self.epoch = epoch
         self.ready = False
         self.closed = False
+        self.deputies: list[str] = []
         self._account = account
         self._node = node
+        # Versions seen that may not yet bind every VM, in order.
+        self._unsettled = collections.deque([node.owners().version])
+        self._latest = self._unsettled[0]
+        self._owned = 0
         self._entries: dict[HolderKey, Entry] = {}
         self._pool = _bucket.Bucket(node.now())
 
     @property
     def free(self) -> int:
         """The part that no holder can have in force."""
-        if not self.ready:
-            return 0
-        counted = sum(entry.counted for entry in self._entries.values())
-        return messages.WHOLE - counted
+        entries = self._entries.values()
+        if self.ready:
+            return messages.WHOLE - sum(entry.counted for entry in entries)
+        owned = sum(entry.counted for entry in entries if entry.owned)
+        return self._owned - owned
 
     def refresh(self) -> float:
         """Free what has provably stopped; return the present moment."""
         now = self._node.now()
         version = self._node.owners().version
-        if self._node.settled(version):
-            self._drop_before(version)
+        if version > self._latest:
+            self._latest = version
+            self._unsettled.append(version)
+        while self._unsettled and self._node.settled(self._unsettled[0]):
+            self._drop_before(self._unsettled.popleft())
             self.ready = True
-        deadline = now - ports.LEASE * ports.CLOCK_DRIFT
         for entry in self._entries.values():
-            if entry.heard_at < deadline:
+            if _has_expired(entry, now):
                 entry.expire()
         self._fit_pool(now)
         return now
 
+    def owns(self, holder: HolderKey) -> bool:
+        """Whether only this keeper can change the holder's share."""
+        return holder in self._entries and self._entries[holder].owned
+
+    def may_own(self, holder: HolderKey, report: messages.ShareReport) -> bool:
+        """Whether a share from an older epoch could become this book's."""
+        self.refresh()
+        if self.ready or self.owns(holder) or not report.deputy:
+            return False
+        return report.version >= self._node.owners().version - 1
+
+    def own(self, holder: HolderKey, report: messages.ShareReport) -> None:
+        """Move a share from now on, before the book is ready.
+
+        Its deputy lets the keeper before end it no more, and no version
+        lies between that keeper's and this one's by which it could.
+        """
+        if not self.may_own(holder, report):
+            return
+        entry = self._entries.get(holder, Entry())
+        if report.request <= entry.request:
+            return
+        others = self._count_others(entry)
+        if others + report.fraction > messages.WHOLE:
+            return
+        self._entries[holder] = Entry(
+            fraction=report.fraction,
+            standing=report.standing,
+            handed_back=report.handed_back,
+            version=self._node.owners().version,
+            deputy=report.deputy,
+            owned=True,
+        )
+        self._owned += report.fraction
+
+    def _count_others(self, entry: Entry) -> int:
+        return sum(
+            other.counted
+            for other in self._entries.values()
+            if other is not entry
+        )
+
     def confirm(
         self, holder: HolderKey, report: messages.ShareReport
     ) -> messages.ShareStatement | None:
@@ -105,11 +165,7 @@
         """
         now = self.refresh()
         entry = self._entries.setdefault(holder, Entry())
-        others = sum(
-            other.counted
-            for other in self._entries.values()
-            if other is not entry
-        )
+        others = self._count_others(entry)
         if report.request <= entry.request:
             return None
         if others + report.fraction > messages.WHOLE:
@@ -124,6 +180,7 @@
         entry.handed_back = report.handed_back
         entry.version = version
         entry.sent_request = 0
+        entry.deputy = report.deputy
         return messages.ShareStatement(
             request=report.request,
             epoch=self.epoch,
@@ -134,6 +191,7 @@
             tokens=0.0,
             renewed=False,
             restart=False,
+            deputy='',
         )
 
     def answer(
@@ -153,6 +211,17 @@
         self._fit_pool(now)
         return self._state(holder, entry, report, restart)
 
+    def silent(self) -> list[tuple[HolderKey, Entry]]:
+        """List the holders whose leases must be barred to end."""
+        now = self.refresh()
+        return [
+            (holder, entry)
+            for holder, entry in self._entries.items()
+            if entry.deputies
+            and entry.barred_until is None
+            and now - entry.heard_at > ports.LEASE
+        ]
+
     def close(self) -> messages.Handover:
         """Stop keeping and give the book away."""
         now = self.refresh() if not self.closed else self._node.now()
@@ -171,6 +240,8 @@
                 handed_back=entry.handed_back,
                 version=entry.version,
                 silence=now - entry.heard_at,
+                deputy=entry.deputy,
+                sent_deputy=entry.sent_deputy,
             )
             for (vm_id, incarnation), entry in self._entries.items()
         )
@@ -179,6 +250,8 @@
     def take_over(self, handover: messages.Handover) -> bool:
         """Go on from the book of the keeper before, which has stopped."""
         now = self._node.now()
+        if any(entry.owned for entry in self._entries.values()):
+            return False
         entries = dict(self._entries)
         for given in handover.entries:
             holder = (given.vm_id, given.incarnation)
@@ -208,6 +281,8 @@
         back = 0.0 if adopted else entry.sent_tokens
         entry.fraction = min(report.fraction, counted)
         entry.standing = min(report.standing, entry.fraction)
+        entry.deputy = report.deputy
+        entry.sent_deputy = ''
         entry.sent_fraction = 0
         entry.sent_standing = 0
         entry.sent_tokens = 0.0
@@ -220,6 +295,7 @@
         self, entry: Entry, report: messages.ShareReport, now: float
     ) -> None:
         entry.request = report.request
+        entry.barred_until = None
         entry.heard_at = now
         entry.need = _share_allocation.Need(
             report.demand, report.waiting, report.largest, report.waited
@@ -239,6 +315,7 @@
         entry.sent_fraction = fraction
         entry.sent_standing = int(fraction * ports.STANDING_PART)
         entry.sent_tokens = tokens
+        entry.sent_deputy = self._deputy_for(holder)
         entry.version = self._node.owners().version
         self._fit_pool(entry.heard_at)
         return messages.ShareStatement(
@@ -251,8 +328,17 @@
             tokens=tokens,
             renewed=True,
             restart=restart,
+            deputy=entry.sent_deputy,
         )
 
+    def _deputy_for(self, holder: HolderKey) -> str:
+        others = [
+            deputy
+            for deputy in self.deputies
+            if messages.vm_of(deputy) != holder[0]
+        ]
+        return others[0] if others else ''
+
     def _choose(self, holder: HolderKey, entry: Entry) -> int:
         now = entry.heard_at
         needs = {
@@ -303,4 +389,15 @@
         version=max(given.version, confirmed.version),
         heard_at=now - given.silence,
         need=confirmed.need,
+        deputy=given.deputy,
+        sent_deputy=given.sent_deputy,
     )
+
+
+def _has_expired(entry: Entry, now: float) -> bool:
+    """Whether the lease has ended by the holder's clock, whatever it is."""
+    if entry.heard_at >= now - ports.LEASE * ports.CLOCK_DRIFT:
+        return False
+    if not entry.deputies:
+        return True
+    return entry.barred_until is not None and entry.barred_until < now
--- a/packages/mustardlbd/mustardlbd/_share_holder.py
+++ b/packages/mustardlbd/mustardlbd/_share_holder.py
@@ -83,6 +83,7 @@
         """Report the shares for ever."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._observe)
+            nursery.start_soon(self._keeper.run)
             while True:
                 for share in self._new:
                     nursery.start_soon(self._report_for_ever, share)
@@ -169,8 +170,30 @@
             statement = await self._ask(owner.vm_id, report)
         except errors.Error as error:
             log.debug('MLB-3002', account=share.account, problem=str(error))
+            await self._extend(share)
             return
-        share.adopt(statement, owner.vm_id)
+        if not share.adopt(statement, owner.vm_id) or not statement.renewed:
+            await self._extend(share)
+
+    async def _extend(self, share: _share.Share) -> None:
+        """Ask the deputy to vouch for the share in the keeper's place."""
+        request = share.ask_deputy()
+        if request is None:
+            return
+        sent_at = self._node.now()
+        deputy = messages.vm_of(request.deputy)
+        try:
+            payload = await self._node.call(
+                deputy,
+                messages.DEPUTY_SERVICE,
+                messages.encode(request),
+                ports.DEPUTY_TIMEOUT,
+            )
+        except errors.Error as error:
+            log.debug('MLB-3008', account=share.account, problem=str(error))
+            return
+        if messages.decode(messages.DeputyReply, payload).granted:
+            share.extend(request, sent_at)
 
     async def _ask(
         self, keeper: str, report: messages.ShareReport
--- a/packages/mustardlbd/mustardlbd/_share_keeper.py
+++ b/packages/mustardlbd/mustardlbd/_share_keeper.py
@@ -1,6 +1,7 @@
 """Keeps the shares of the accounts whose slice this VM owns."""
 
 import structlog
+import trio
 
 from mustardlb import errors
 from mustardlb import steps
@@ -14,6 +15,9 @@
 # How long the keeper before may take to hand over its book, seconds.
 HANDOVER_TIMEOUT = 0.3
 
+# Deputies of a book, so that each holder has one beside itself.
+DEPUTIES = 2
+
 # Least time between two tries to get the book handed over, seconds.
 HANDOVER_GAP = 0.5
 
@@ -27,6 +31,101 @@
         self._tried_at_by_account: dict[str, float] = {}
         self._first_seen: _owners.Owners | None = None
 
+    async def run(self) -> None:
+        """Find deputies and bar the leases of silent holders, for ever."""
+        while True:
+            for account, book in list(self._books_by_account.items()):
+                if self._keeps(account, book):
+                    await self._find_deputies(account, book)
+                    await self._bar_silent(account, book)
+            await trio.sleep(ports.REPORT_INTERVAL)
+
+    def _keeps(self, account: str, book: _share_book.Book) -> bool:
+        owner = self._node.owners().owner_of(ports.slice_key(account))
+        mine = (owner.vm_id, owner.epoch) == (self._node.vm_id, book.epoch)
+        return mine and not book.closed and self._node.age() <= ports.MAX_AGE
+
+    async def _find_deputies(
+        self, account: str, book: _share_book.Book
+    ) -> None:
+        """Have two deputies, so that each holder has one beside itself."""
+        vms = set(self._node.vms()) - {self._node.vm_id}
+        book.deputies = [
+            deputy for deputy in book.deputies if messages.vm_of(deputy) in vms
+        ]
+        known = {messages.vm_of(deputy) for deputy in book.deputies}
+        missing = DEPUTIES - len(known)
+        for vm_id in sorted(vms - known)[:missing]:
+            reply = await self._ask_deputy(vm_id, messages.DeputyRequest())
+            if reply is not None:
+                book.deputies.append(reply.deputy)
+
+    async def _bar_silent(self, account: str, book: _share_book.Book) -> None:
+        for holder, entry in book.silent():
+            request = entry.request
+            remaining = await self._bar(account, book, holder, entry)
+            if remaining is not None and entry.request == request:
+                entry.barred_until = (
+                    self._node.now() + remaining * ports.CLOCK_DRIFT
+                )
+
+    async def _bar(
+        self,
+        account: str,
+        book: _share_book.Book,
+        holder: _share_book.HolderKey,
+        entry: _share_book.Entry,
+    ) -> float | None:
+        """Return how long any extension still runs; None if not known."""
+        longest = 0.0
+        for deputy in entry.deputies:
+            request = messages.DeputyRequest(
+                account=account,
+                deputy=deputy,
+                holder=messages.process_name(*holder),
+                request=entry.request,
+                want='bar',
+                epoch=book.epoch,
+            )
+            reply = await self._ask_deputy(messages.vm_of(deputy), request)
+            if reply is None or not reply.granted:
+                return None
+            longest = max(longest, reply.remaining)
+        return longest
+
+    async def _seal(
+        self,
+        holder: _share_book.HolderKey,
+        report: messages.ShareReport,
+    ) -> bool:
+        """Keep the keeper before from ending a holder's lease."""
+        request = messages.DeputyRequest(
+            account=report.account,
+            deputy=report.deputy,
+            holder=messages.process_name(*holder),
+            request=report.adopted,
+            want='seal',
+            epoch=report.epoch,
+        )
+        deputy = messages.vm_of(report.deputy)
+        reply = await self._ask_deputy(deputy, request)
+        return reply is not None and reply.granted
+
+    async def _ask_deputy(
+        self, vm_id: str, request: messages.DeputyRequest
+    ) -> messages.DeputyReply | None:
+        try:
+            payload = await self._node.call(
+                vm_id,
+                messages.DEPUTY_SERVICE,
+                messages.encode(request),
+                ports.DEPUTY_TIMEOUT,
+            )
+        except errors.Error as error:
+            log.debug('MLB-3008', peer=vm_id, problem=str(error))
+            return None
+        return messages.decode(messages.DeputyReply, payload)
+
     def observe(self) -> None:
         """Note the first table of owners that was known to be recent."""
         if self._first_seen is None and self._node.age() <= ports.MAX_AGE:
@@ -50,7 +149,9 @@
             book = self._open_book(report.account, report.epoch)
         holder = (vm_id, incarnation)
         book.refresh()
-        if book.ready:
+        if book.may_own(holder, report) and await self._seal(holder, report):
+            book.own(holder, report)
+        if book.ready or book.owns(holder):
             statement = book.answer(holder, report)
         else:
             statement = book.confirm(holder, report)
--- a/packages/mustardlbd/mustardlbd/_share_messages.py
+++ b/packages/mustardlbd/mustardlbd/_share_messages.py
@@ -13,6 +13,9 @@
 REPORT_SERVICE = 'limits.report'
 HANDOVER_SERVICE = 'limits.handover'
 
+# Service of the deputy.
+DEPUTY_SERVICE = 'limits.deputy'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ShareReport:
@@ -31,6 +34,7 @@
     waiting: float
     largest: float
     waited: float
+    deputy: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +50,7 @@
     tokens: float
     renewed: bool
     restart: bool
+    deputy: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,6 +78,8 @@
     handed_back: float
     version: int
     silence: float
+    deputy: str
+    sent_deputy: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,6 +90,45 @@
     tokens: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeputyRequest:
+    """What a holder or a keeper wants of a deputy."""
+
+    account: str = ''
+    deputy: str = ''
+    holder: str = ''
+    request: int = 0
+    want: str = 'name'
+    epoch: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeputyReply:
+    """What the deputy did."""
+
+    deputy: str
+    granted: bool
+    remaining: float
+
+
+def process_name(vm_id: str, incarnation: int) -> str:
+    """Name one process of a VM.
+
+    >>> process_name('vm1', 7)
+    'vm1/7'
+    """
+    return f'{vm_id}/{incarnation}'
+
+
+def vm_of(process: str) -> str:
+    """Return the VM of a process.
+
+    >>> vm_of('vm1/7')
+    'vm1'
+    """
+    return process.rpartition('/')[0]
+
+
 @functools.cache
 def _names(kind: type) -> tuple[tuple[str, str], ...]:
     fields = [field.name for field in dataclasses.fields(kind)]
--- a/packages/mustardlbd/mustardlbd/_share_ports.py
+++ b/packages/mustardlbd/mustardlbd/_share_ports.py
@@ -24,8 +24,9 @@
 # How often a holder without calls reports what it still holds, seconds.
 IDLE_INTERVAL = 1.0
 
-# How long a report may take, seconds.
+# How long a report to the keeper, or a call to a deputy, may take, seconds.
 REPORT_TIMEOUT = 0.5
+DEPUTY_TIMEOUT = 0.3
 
 # How long the part of a share beyond the standing one is in force, counted
 # by the holder from the sending of its report, seconds.
@@ -34,8 +35,8 @@
 # The keeper's clock may run faster than the holder's by this factor.
 CLOCK_DRIFT = 1.02
 
-# The part of a share that is in force without contact to the keeper.
-STANDING_PART = 0.7
+# The part of a share that is in force without contact to anyone.
+STANDING_PART = 0.05
 
 # Sends one request to a peer: VM, service, payload, timeout in seconds.
 Call = abc.Callable[[str, str, bytes, float], abc.Awaitable[bytes]]
@@ -62,6 +63,7 @@
     :ivar now: boot-time seconds
     :ivar age: seconds since the moment that knowledge is as of
     :ivar check_fresh: raises where knowledge is too old
+    :ivar vms: the VMs that stay and that answer
     :ivar owners: the table of owners in force
     :ivar settled: whether a version of that table binds every VM
     :ivar call: one request to a peer
@@ -75,6 +77,7 @@
     now: clock.Clock
     age: abc.Callable[[], float]
     check_fresh: abc.Callable[[steps.Step], None]
+    vms: abc.Callable[[], abc.Collection[str]]
     owners: abc.Callable[[], _owners.Owners]
     settled: abc.Callable[[int], bool]
     call: Call
--- a/tools/limits_fleet.py
+++ b/tools/limits_fleet.py
@@ -18,6 +18,7 @@
 from mustardlb import steps
 from mustardlbd import _bucket
 from mustardlbd import _owners
+from mustardlbd import _share_deputy
 from mustardlbd import _share_holder
 from mustardlbd import _share_keeper
 from mustardlbd import _share_messages
@@ -101,6 +102,7 @@
             now=trio.current_time,
             age=lambda: trio.current_time() - self.as_of,
             check_fresh=self.check_fresh,
+            vms=lambda: list(fleet.nodes_by_id),
             owners=self.owners,
             settled=self.settled,
             call=self.call,
@@ -108,6 +110,7 @@
             first_process=lambda: self.first,
         )
         self.keeper = _share_keeper.ShareKeeper(self.ports)
+        self.deputy = _share_deputy.ShareDeputy(self.ports)
         self.holder = _share_holder.ShareHolder(self.ports, self.keeper)
 
     def owners(self) -> _owners.Owners:
@@ -123,10 +126,11 @@
 
     def settled(self, version: int) -> bool:
         """Whether a version binds every node, as this one can tell."""
-        heard = self.evidence_by_version.get(version)
-        if heard is None or self.known < version:
-            return False
-        return trio.current_time() >= heard + SETTLE_TIME
+        limit = trio.current_time() - SETTLE_TIME
+        return self.known >= version and any(
+            accepted >= version and heard <= limit
+            for accepted, heard in self.evidence_by_version.items()
+        )
 
     async def call(
         self, vm_id: str, service: str, payload: bytes, timeout: float
@@ -301,6 +305,7 @@
         handlers = {
             _share_messages.REPORT_SERVICE: node.keeper.handle_report,
             _share_messages.HANDOVER_SERVICE: node.keeper.handle_handover,
+            _share_messages.DEPUTY_SERVICE: node.deputy.handle,
         }
         try:
             return await handlers[service](sender, payload)
