--- a/packages/mustardlbd/mustardlbd/_share_holder.py
+++ b/packages/mustardlbd/mustardlbd/_share_holder.py
@@ -1,7 +1,5 @@
 """Grants tokens from the shares that this node holds."""
 
-import dataclasses
-
 import structlog
 import trio
 
@@ -25,29 +23,27 @@
 RETRY_AFTER = 1.0
 
 
-@dataclasses.dataclass(slots=True, eq=False)
 class Reservation:
-    """Tokens granted to one call; unsettled they are charged in full."""
+    """Tokens granted to one call; unsettled they are charged in full.
+
+    :ivar charged: tokens that the call has cost its account
+    """
 
-    account: str
-    tokens: int
-    _share: _share.Share
-    _hold: _bucket.Hold
-    _node: ports.Ports
+    def __init__(
+        self, share: _share.Share, hold: _bucket.Hold, tokens: int
+    ) -> None:
+        self.charged = float(tokens)
+        self._share = share
+        self._hold = hold
 
-    def settle(self, used: int) -> float:
-        """Give back what was not used; return the tokens credited."""
+    def settle(self, tokens: int) -> None:
+        """Charge what was used; the rest is free again."""
         share = self._share
         now = share.refresh()
-        credit = share.bucket.settle(now, self._hold, used)
-        if credit > 0.0:
-            share.demand.add(now, -credit)
-            share.notify()
-        return credit
-
-    def abandon(self) -> None:
-        """Charge the call in full, since what it used is not known."""
-        self._share.bucket.abandon(self._hold)
+        credit = share.bucket.settle(now, self._hold, tokens)
+        self.charged -= credit
+        share.demand.add(now, -credit)
+        share.notify()
 
 
 class ShareHolder:
@@ -81,12 +77,13 @@
         hold = None if share.waiters else share.take(tokens)
         if hold is None:
             hold = await self._wait(share, tokens, wait)
-        return Reservation(account, tokens, share, hold, self._node)
+        return Reservation(share, hold, tokens)
 
     async def run(self) -> None:
         """Report the shares for ever."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._observe)
+            nursery.start_soon(self._keeper.run)
             while True:
                 for share in self._new:
                     nursery.start_soon(self._report_for_ever, share)
@@ -173,8 +170,30 @@
             statement = await self._ask(owner.vm_id, report)
         except errors.Error as error:
             log.debug('MLB-3002', account=share.account, problem=str(error))
+            await self._extend(share)
+            return
+        if not share.adopt(statement, owner.vm_id) or not statement.renewed:
+            await self._extend(share)
+
+    async def _extend(self, share: _share.Share) -> None:
+        """Ask the deputy to vouch for the share in the keeper's place."""
+        request = share.ask_deputy()
+        if request is None:
+            return
+        sent_at = self._node.now()
+        deputy = messages.vm_of(request.deputy)
+        try:
+            payload = await self._node.call(
+                deputy,
+                messages.DEPUTY_SERVICE,
+                messages.encode(request),
+                ports.DEPUTY_TIMEOUT,
+            )
+        except errors.Error as error:
+            log.debug('MLB-3008', account=share.account, problem=str(error))
             return
-        share.adopt(statement, owner.vm_id)
+        if messages.decode(messages.DeputyReply, payload).granted:
+            share.extend(request, sent_at)
 
     async def _ask(
         self, keeper: str, report: messages.ShareReport
