--- a/tests/mustardlbd/fleet.py
+++ b/tests/mustardlbd/fleet.py
@@ -312,13 +312,16 @@
             open_stream,
             trio.current_time,
         )
-        server = _peer_server.PeerServer(vm_id)
+        server = self._make_server(vm_id)
         state = self._make_state(identity, platform, server, accept_all)
         node = Node(vm_id, state, server, trio.CancelScope())
         self.nodes_by_id[vm_id] = node
         self.nursery.start_soon(self._run, node)
         return node
 
+    def _make_server(self, vm_id):
+        return _peer_server.PeerServer(vm_id)
+
     def kill(self, vm_id):
         """End the process of a node at once."""
         node = self.nodes_by_id.pop(vm_id, None)
--- a/tools/bench_state.py
+++ b/tools/bench_state.py
@@ -9,6 +9,7 @@
 import logging
 import pathlib
 import random
+import resource
 import ssl
 import statistics
 import sys
@@ -115,6 +116,7 @@
 
     def __init__(self, nursery: trio.Nursery) -> None:
         super().__init__(nursery)
+        self._listeners_by_id: dict[str, trio.SocketListener] = {}
         authority = trustme.CA()
         certificate = authority.issue_cert('127.0.0.1')
         self._server_tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
@@ -131,19 +133,22 @@
         self.vms.vms_by_id[vm_id] = vm_list.Vm(
             vm_id, '127.0.0.1', port, 1, 'dc-1'
         )
-        node = self.start(vm_id, listed=False)
-        tls_server = _peer_server.PeerServer(vm_id, self._server_tls)
-        tls_server._handlers = node.server._handlers
+        self._listeners_by_id[vm_id] = listener
+        self.start(vm_id, listed=False)
 
-        async def serve(stream: trio.SocketStream) -> None:
-            counted = CountingStream(stream, self.network, vm_id)
-            await tls_server.serve_connection(counted)
+    def _make_server(self, vm_id: str) -> _peer_server.PeerServer:
+        return _peer_server.PeerServer(vm_id, self._server_tls)
 
-        async def accept() -> None:
-            with node.scope:
-                await trio.serve_listeners(serve, [listener])
+    async def _run(self, node: fleets.Node) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            counted = CountingStream(stream, self.network, node.vm_id)
+            await node.server.serve_connection(counted)
 
-        self.nursery.start_soon(accept)
+        listener = self._listeners_by_id[node.vm_id]
+        with node.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trio.serve_listeners, serve, [listener])
+                await node.state.run()
 
     async def _open_stream(self, source: str, target: str) -> trio.abc.Stream:
         vm = self.vms.vms_by_id[target]
@@ -225,6 +230,12 @@
     )
 
 
+def resident_bytes() -> int:
+    """Return the memory of this process."""
+    pages = int(pathlib.Path('/proc/self/statm').read_text().split()[1])
+    return pages * resource.getpagesize()
+
+
 async def fill(fleet: fleets.Fleet) -> None:
     """Write a configuration."""
     operator = fleets.Operator(fleet.api)
@@ -237,10 +248,12 @@
 
 async def measure(fleet: fleets.Fleet, size: int, tls_bytes: int) -> None:
     """Measure a fleet whole, then with one VM in twenty dead."""
+    memory = resident_bytes()
     await fill(fleet)
     await trio.sleep(WARM_UP)
     cost = await measure_cost(fleet, tls_bytes)
     whole = await measure_changes(fleet)
+    memory = (resident_bytes() - memory) // size
     outage = await measure_outage(fleet, tls_bytes)
     await trio.sleep(WARM_UP)
     for vm_id in random.sample(sorted(fleet.nodes_by_id), max(1, size // 20)):
@@ -251,7 +264,8 @@
         for delays in (whole, dead)
     ]
     print(
-        f'| {size} | {" | ".join(cells)} | {cost.show()} | {outage} |',
+        f'| {size} | {" | ".join(cells)} | {cost.show()} | {outage} | '
+        f'{memory / 1e6:.2f} |',
         flush=True,
     )
 
@@ -287,7 +301,7 @@
     )
     print('| VMs | change, median s | worst | 1 in 20 dead, median | worst ')
     print('| KB/s mean | KB/s busiest | CPU mean | busiest | API calls/s ')
-    print('| outage: oldest, s | KB/s mean | KB/s busiest |')
+    print('| outage: oldest, s | KB/s mean | KB/s busiest | MB a node |')
     numbers = sizes if isinstance(sizes, tuple) else str(sizes).split(',')
     for size in numbers:
         random.seed(seed)
