--- a/tests/mustardlbd/test_documents.py
+++ b/tests/mustardlbd/test_documents.py
@@ -8,6 +8,7 @@
 
 from mustardlb import configuration
 from mustardlbd import _documents
+from mustardlbd import _fetching
 from mustardlbd import _owners
 from mustardlbd import _signal
 
@@ -142,3 +143,18 @@
     await documents.adopt(1, _documents.Tracked(2, b'[]'), not_fetched)
     assert documents.owners() == _documents.Tracked(1, good)
     assert documents.versions()[1] == 2
+
+
+async def test_part_that_does_not_match_its_hash_is_not_taken():
+    (digest,) = configuration.split_parts(b'right')
+
+    async def wrong(digest):
+        return b'wrong'
+
+    async def right(digest):
+        return b'right'
+
+    fetch = _fetching.first_of(not_fetched, wrong, right)
+    assert await fetch(digest) == b'right'
+    with pytest.raises(_documents.NotFetched):
+        await _fetching.first_of(wrong)(digest)
--- a/tests/mustardlbd/test_owners.py
+++ b/tests/mustardlbd/test_owners.py
@@ -152,3 +152,21 @@
         await trio.sleep(60)
         assert membership.members().live == {'a2', 'c'}
         nursery.cancel_scope.cancel()
+
+
+def test_minority_that_reaches_the_api_takes_no_slices():
+    async def scenario(fleet):
+        await warm_up(fleet)
+        minority = ['vm-0', 'vm-1', 'vm-2']
+        others = [one for one in fleet.nodes_by_id if one not in minority]
+        fleet.network.part(minority, others)
+        await trio.sleep(40)
+        owners = fleet.nodes_by_id['vm-0'].state.owners()
+        assert {one.vm_id for one in owners.slices} == set(others)
+        version = owners.version
+        await trio.sleep(40)
+        for node in fleet.nodes_by_id.values():
+            assert node.admits()
+            assert node.state.owners().version == version
+
+    fleets.run(scenario)
