Let a restarted process act only under new epochs, and wire limits

Cause: a slice's owner was a VM, so a process restarted in place found itself the owner under the old epoch, with the shares and grants of the process before it forgotten: it could evict what a request still runs on and give a contract out twice. Ruled out: asking the VM list (a restart in place keeps the vm_id), and a record of first starts (nothing is kept on a VM). Change: the first table known to be recent marks what was inherited; the process writes new epochs for it and acts only once that is settled; in an API outage it acts for nothing. Limits now run in the node on the same rule.

--- a/packages/mustardlbd/mustardlbd/_app.py
+++ b/packages/mustardlbd/mustardlbd/_app.py
@@ -22,11 +22,12 @@
 from mustardlbd import _caller_settings
 from mustardlbd import _callers
 from mustardlbd import _dependencies
-from mustardlbd import _first_placement
 from mustardlbd import _http_connection
 from mustardlbd import _http_server
+from mustardlbd import _limit_wiring
 from mustardlbd import _logging
 from mustardlbd import _metrics
+from mustardlbd import _no_bookings
 from mustardlbd import _peer_server
 from mustardlbd import _peers
 from mustardlbd import _state
@@ -144,6 +145,9 @@
         settings, state, directory.current, incarnation
     )
     targets.register(peer_server.register)
+    shares = _limit_wiring.build(
+        settings.vm_id, incarnation, state, directory.current, peer_server
+    )
     stop = trio.Event()
     end = trio.Event()
     metrics = _make_metrics(settings.statsd)
@@ -152,9 +156,9 @@
         check_fresh=state.check_fresh,
         status=functools.partial(_show_status, state),
         wait_revision=functools.partial(_wait_revision, state),
-        reserve=_first_placement.reserve,
+        reserve=shares.reserve,
         place=targets.place,
-        begin=_first_placement.begin,
+        begin=_no_bookings.begin,
     )
     serve_callers = functools.partial(
         _callers.serve,
@@ -177,6 +181,7 @@
         background.start_soon(peer_server.serve, peer_listener)
         background.start_soon(state.run)
         background.start_soon(targets.run)
+        background.start_soon(shares.run)
         async with trio.open_nursery() as beside:
             admin_port = await beside.start(serve_admin)
             async with trio.open_nursery() as serving:
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_limit_wiring.py
@@ -0,0 +1,54 @@
+"""Builds the fleet-wide token limits of a node from the shared state."""
+
+from collections import abc
+
+from mustardlb import directory as directories
+from mustardlbd import _bucket
+from mustardlbd import _peer_server
+from mustardlbd import _share_deputy
+from mustardlbd import _share_holder
+from mustardlbd import _share_keeper
+from mustardlbd import _share_messages
+from mustardlbd import _share_ports
+from mustardlbd import _state
+
+# What an account without a contract may use.
+NOTHING = _bucket.Limit(rate=0.0, burst=0.0)
+
+
+def build(
+    vm_id: str,
+    incarnation: int,
+    state: _state.State,
+    directory: abc.Callable[[], directories.Directory],
+    server: _peer_server.PeerServer,
+) -> _share_holder.ShareHolder:
+    """Build the holder of shares, its keeper and deputy; register them."""
+
+    def contract(account: str) -> _bucket.Limit:
+        found = directory().contracts_by_account.get(account)
+        if found is None:
+            return NOTHING
+        return _bucket.Limit(found.rate, found.burst)
+
+    node = _share_ports.Ports(
+        vm_id=vm_id,
+        incarnation=incarnation,
+        now=state.now,
+        age=state.age,
+        check_fresh=state.check_fresh,
+        vms=lambda: state.members().reachable,
+        owners=state.owners,
+        settled=state.settled,
+        call=state.call,
+        contract=contract,
+        # A process can not know whether another ran here before it. What
+        # it inherits gets a new epoch within seconds (see _owner_table).
+        first_process=lambda: False,
+    )
+    keeper = _share_keeper.ShareKeeper(node)
+    deputy = _share_deputy.ShareDeputy(node)
+    server.register(_share_messages.REPORT_SERVICE, keeper.handle_report)
+    server.register(_share_messages.HANDOVER_SERVICE, keeper.handle_handover)
+    server.register(_share_messages.DEPUTY_SERVICE, deputy.handle)
+    return _share_holder.ShareHolder(node, keeper)
--- a/packages/mustardlbd/mustardlbd/_owner_table.py
+++ b/packages/mustardlbd/mustardlbd/_owner_table.py
@@ -71,14 +71,69 @@
         self._attesting: frozenset[str] = frozenset()
         self._alive: frozenset[str] = frozenset()
         self._alive_since = parts.now()
+        self._inherited: tuple[_owners.Slice, ...] | None = None
+
+    def is_inherited(self, number: int, epoch: int) -> bool:
+        """Whether an earlier process of this VM may have had this epoch.
+
+        What that process promised is lost with its memory, so this one must
+        not act under its epoch.
+        """
+        return (
+            self._inherited is None or epoch <= self._inherited[number].epoch
+        )
 
     async def run(self) -> None:
         """Look after the table for ever."""
         while True:
             await trio.sleep(LOOK_INTERVAL)
             self._note_alive()
-            if self._may_write():
-                await self._rewrite()
+            self._note_inherited()
+            wanted = self._renewed()
+            if wanted is None and self._may_write():
+                wanted = self._assigned()
+            if wanted is not None:
+                await self._rewrite(wanted)
+
+    def _note_inherited(self) -> None:
+        if self._inherited is not None:
+            return
+        if self._parts.freshness.age() <= _freshness.MAX_AGE:
+            self._inherited = self._current()
+
+    def _current(self) -> tuple[_owners.Slice, ...]:
+        table = self._parts.documents.owners()
+        if not table.version:
+            return (_owners.Slice(),) * _owners.SLICES
+        return _owners.decode(table.value)
+
+    def _next_epoch(self) -> int:
+        """Return the version that the next write gets or a lower one.
+
+        It is above the version held, and so above every earlier epoch, also
+        where a table was lost.
+        """
+        return self._parts.documents.versions()[_documents.OWNERS_INDEX] + 1
+
+    def _renewed(self) -> tuple[_owners.Slice, ...] | None:
+        """Return the table with new epochs for what this VM inherited."""
+        if self._parts.freshness.age() > _freshness.MAX_AGE:
+            return None
+        own = self._parts.identity.vm_id
+        slices = self._current()
+        renewed = tuple(
+            _owners.Slice(own, self._next_epoch())
+            if one.vm_id == own and self.is_inherited(number, one.epoch)
+            else one
+            for number, one in enumerate(slices)
+        )
+        return None if renewed == slices else renewed
+
+    def _assigned(self) -> tuple[_owners.Slice, ...] | None:
+        """Return the table for the VMs that can own now."""
+        slices = self._current()
+        wanted = assign(slices, self._alive, self._next_epoch())
+        return None if wanted == slices else wanted
 
     def _note_alive(self) -> None:
         members = self._parts.membership.members()
@@ -108,17 +163,8 @@
             self._alive and members.electorates
         ) and _attestations.has_majorities(attesting, members.electorates)
 
-    async def _rewrite(self) -> None:
+    async def _rewrite(self, wanted: tuple[_owners.Slice, ...]) -> None:
         held = self._parts.documents.versions()[_documents.OWNERS_INDEX]
-        table = self._parts.documents.owners()
-        slices = (_owners.Slice(),) * _owners.SLICES
-        if table.version:
-            slices = _owners.decode(table.value)
-        # The version that this write gets is above the one held, and so the
-        # epoch is above every earlier one, also where a table was lost.
-        wanted = assign(slices, self._alive, held + 1)
-        if wanted == slices:
-            return
         try:
             with trio.fail_after(WRITE_TIMEOUT):
                 await self._write(_owners.encode(wanted), held)
--- a/packages/mustardlbd/mustardlbd/_state.py
+++ b/packages/mustardlbd/mustardlbd/_state.py
@@ -213,6 +213,8 @@
             return False
         if self.age() > _freshness.MAX_AGE:
             return False
+        if self._table.is_inherited(number, owner.epoch):
+            return False
         return self.settled(
             owners.since[number]
         ) or self._releases.is_released(kind, number, owner.epoch)
