--- a/packages/mustardlb/mustardlb/contracts.py
+++ b/packages/mustardlb/mustardlb/contracts.py
@@ -31,6 +31,13 @@
         description='a model name: letters, digits, and . _ / : -',
     ),
 ]
+BaseModel = typing.Annotated[
+    str,
+    msgspec.Meta(
+        pattern=rf'^{_PART}(@{_VERSION})?\Z',
+        description="a model name, or 'name@version'",
+    ),
+]
 Version = typing.Annotated[
     str,
     msgspec.Meta(
@@ -75,7 +82,7 @@
     traffic_class: documents.Name = 'standard'
     grants: tuple[Grant, ...] = ()
     current: dict[Model, Version] = {}
-    models: tuple[Model, ...] = ()
+    models: tuple[BaseModel, ...] = ()
 
     @functools.cached_property
     def exact_grants(self) -> frozenset[str]:
@@ -110,7 +117,7 @@
 def resolve(contract: Contract, model: str) -> str:
     """Return what a request for `model` runs on, and check the grant.
 
-    That is 'adapter@version', or the bare name of a base model. Raises
+    That is 'adapter@version', or a base model as it was named. Raises
     Error with NOT_GRANTED or VERSION_REQUIRED.
 
     >>> contract = Contract(account='a', rate=1, burst=1,
