--- a/packages/mustardlb-cli/mustardlb_cli/_fleet_status.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_fleet_status.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from mustardlb import changes
+from mustardlb import stored_configuration
 from mustardlb_cli import _changing
 from mustardlb_cli import _nodes
 from mustardlb_cli import _output
@@ -15,7 +15,7 @@
         vms = await _nodes.list_vms(site)
         replies = await _nodes.ask_status(site, vms)
         with trio.move_on_after(site.wait) as scope:
-            base = await changes.read_base(site.api)
+            base = await stored_configuration.read_base(site.api)
     stored = None if scope.cancelled_caught else base.head.revision
     return {
         'stored_revision': stored,
--- a/packages/mustardlb-cli/mustardlb_cli/_key.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_key.py
@@ -8,6 +8,7 @@
 from mustardlb import contracts
 from mustardlb import errors
 from mustardlb import keys
+from mustardlb import stored_configuration
 from mustardlb_cli import _changing
 from mustardlb_cli import _command
 from mustardlb_cli import _exit
@@ -97,8 +98,8 @@
 
 
 async def _check_contract(site: _site.Site, account: str) -> None:
-    async def read() -> changes.Base:
-        return await changes.read_base(site.api)
+    async def read() -> stored_configuration.Base:
+        return await stored_configuration.read_base(site.api)
 
     base = await _changing.bounded(site, read)
     name = contracts.object_name(account)
--- a/packages/mustardlb-cli/mustardlb_cli/_objects.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_objects.py
@@ -14,6 +14,7 @@
 from mustardlb import documents
 from mustardlb import errors
 from mustardlb import routes
+from mustardlb import stored_configuration
 from mustardlb_cli import _changing
 from mustardlb_cli import _exit
 from mustardlb_cli import _output
@@ -152,7 +153,9 @@
     async def read(head: configuration.Head, name: str) -> None:
         async with limiter:
             try:
-                value = await changes.read_object(site.api, head, name)
+                value = await stored_configuration.read_object(
+                    site.api, head, name
+                )
             except errors.Error as error:
                 failures.append(error)
                 return
@@ -160,7 +163,7 @@
         found[name] = Stored(name, head.entries[name].revision, value)
 
     async def read_matching() -> int:
-        base = await changes.read_base(site.api)
+        base = await stored_configuration.read_base(site.api)
         async with trio.open_nursery() as nursery:
             for name in base.head.entries:
                 if name.startswith(prefix):
--- a/packages/mustardlb/mustardlb/changes.py
+++ b/packages/mustardlb/mustardlb/changes.py
@@ -9,36 +9,30 @@
 import random
 import re
 import secrets
-from typing import TypeVar
 
-import msgspec
 import structlog
 import trio
 
 from mustardlb import configuration
+from mustardlb import differences
 from mustardlb import directory
 from mustardlb import errors
 from mustardlb import object_api
 from mustardlb import steps
+from mustardlb import stored_configuration
 
 log = structlog.get_logger()
 
 # Changes that a head remembers; a lost answer is settled within so many.
 RECENT_LIMIT = 200
 
-# Pauses between tries of the object API, seconds.
-FIRST_PAUSE = 0.1
-LONGEST_PAUSE = 1.0
-
 _parse_id = re.compile(r'r([0-9]{1,18})-[0-9a-f]{16}').fullmatch
 
-# A version that no object has: a write that expects it changes nothing.
-NEVER = 2**53 - 1
-
 # Errors that tell nothing about an earlier write.
 _REFUSED = (errors.Code.API_UNAVAILABLE, errors.Code.INVALID_OBJECT)
 
-T = TypeVar('T')
+# The field `differences` hides the module of that name in its class.
+_Differences = tuple[differences.Difference, ...]
 
 # Returns the new bytes of an object, None to withdraw it.
 Make = abc.Callable[[bytes | None], bytes | None]
@@ -72,20 +66,6 @@
     revision: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Difference:
-    """A key of an object on which two operators differ.
-
-    :ivar stored: the stored value, shortened JSON, '' where there is none
-    :ivar wanted: the value of the change that was refused
-    """
-
-    name: str
-    key: str
-    stored: str
-    wanted: str
-
-
 @dataclasses.dataclass
 class Conflict(errors.Error):
     """An object was changed since the revision the change is based on.
@@ -98,15 +78,7 @@
     name: str = ''
     based_on: int = 0
     revision: int = 0
-    differences: tuple[Difference, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Base:
-    """The head as it was at some moment during the read."""
-
-    version: int
-    head: configuration.Head
+    differences: _Differences = ()
 
 
 async def commit(
@@ -123,7 +95,7 @@
     """
     mark = secrets.token_hex(8)
     while True:
-        base = await read_base(api)
+        base = await stored_configuration.read_base(api)
         entries = await _changed_entries(api, base.head, edits)
         if entries == base.head.entries:
             return Landed('', base.head.revision)
@@ -156,7 +128,7 @@
     api: object_api.ObjectApi, change: str, revision: int
 ) -> Landed | None:
     while True:
-        base = await read_base(api)
+        base = await stored_configuration.read_base(api)
         if base.head.revision >= revision:
             return _find(base.head, change, revision)
         if base.head.revision < revision - 1:
@@ -167,34 +139,6 @@
         await _fence(api, base)
 
 
-async def read_base(api: object_api.ObjectApi) -> Base:
-    """Read the head, no older than the begin of this call.
-
-    A read may lag, a refused write never does: it names the version that
-    the read must reach.
-    """
-    version = await _persist(lambda: _put(api, configuration.HEAD, b'', NEVER))
-    if version == object_api.ABSENT:
-        return Base(version, configuration.Head())
-    for pause in _pauses():
-        found = await _persist(lambda: api.get(configuration.HEAD))
-        if found.version >= version:
-            return Base(found.version, _decode_head(found.value))
-        await trio.sleep(pause)
-    raise AssertionError('unreachable')
-
-
-async def read_object(
-    api: object_api.ObjectApi, head: configuration.Head, name: str
-) -> bytes | None:
-    """Read the bytes of an object that a head names, None if it does not."""
-    entry = head.entries.get(name)
-    if entry is None:
-        return None
-    parts = [await _read_part(api, digest) for digest in entry.parts]
-    return b''.join(parts)
-
-
 def revision_of(change: str) -> int:
     """Return the revision in a change's identifier.
 
@@ -210,18 +154,6 @@
     return int(match[1])
 
 
-def compare(
-    name: str, stored: bytes | None, wanted: bytes | None
-) -> tuple[Difference, ...]:
-    """List the keys in which two versions of an object differ."""
-    old, new = _top_level(stored), _top_level(wanted)
-    return tuple(
-        Difference(name, key, _shorten(old, key), _shorten(new, key))
-        for key in sorted(old.keys() | new.keys())
-        if old.get(key, msgspec.UNSET) != new.get(key, msgspec.UNSET)
-    )
-
-
 async def _changed_entries(
     api: object_api.ObjectApi,
     head: configuration.Head,
@@ -230,7 +162,7 @@
     """Store the parts of an edited head and return its entries."""
     entries = dict(head.entries)
     for edit in edits:
-        stored = await read_object(api, head, edit.name)
+        stored = await stored_configuration.read_object(api, head, edit.name)
         wanted = edit.make(stored)
         if wanted == stored:
             continue
@@ -241,7 +173,7 @@
         directory.validate(edit.name, wanted)
         parts = configuration.split_parts(wanted)
         for digest, part in parts.items():
-            await _write_part(api, digest, part)
+            await stored_configuration.write_part(api, digest, part)
         entries[edit.name] = configuration.Entry(
             head.revision + 1, tuple(parts)
         )
@@ -275,13 +207,13 @@
         name=edit.name,
         based_on=edit.based_on,
         revision=revision,
-        differences=compare(edit.name, stored, wanted),
+        differences=differences.compare(edit.name, stored, wanted),
     )
 
 
 async def _write_head(
     api: object_api.ObjectApi,
-    base: Base,
+    base: stored_configuration.Base,
     change: str,
     entries: dict[str, configuration.Entry],
 ) -> bool:
@@ -305,7 +237,7 @@
         log.info('MLB-1002', change=change)
         return False
     except object_api.ApiRejected as error:
-        raise _rejected(error) from error
+        raise stored_configuration.rejected(error) from error
     except object_api.ApiUnavailable as error:
         log.warning('MLB-1003', change=change, problem=str(error))
         return await settle(api, change) is not None
@@ -313,7 +245,9 @@
     return True
 
 
-async def _fence(api: object_api.ObjectApi, base: Base) -> None:
+async def _fence(
+    api: object_api.ObjectApi, base: stored_configuration.Base
+) -> None:
     """Write a head that changes nothing but the revision."""
     revision = base.head.revision + 1
     change = f'r{revision}-{secrets.token_hex(8)}'
@@ -325,9 +259,9 @@
         await api.put(configuration.HEAD, value, base.version)
     except (object_api.VersionConflict, object_api.ApiUnavailable):
         # The next read of the head tells which write came first.
-        await trio.sleep(FIRST_PAUSE * random.random())
+        await trio.sleep(stored_configuration.FIRST_PAUSE * random.random())
     except object_api.ApiRejected as error:
-        raise _rejected(error) from error
+        raise stored_configuration.rejected(error) from error
 
 
 def _find(
@@ -346,88 +280,5 @@
     return None
 
 
-async def _put(
-    api: object_api.ObjectApi, name: str, value: bytes, expected: int
-) -> int:
-    """Write if the version is `expected`; return the version there is."""
-    try:
-        return await api.put(name, value, expected)
-    except object_api.VersionConflict as conflict:
-        return conflict.current
-
-
-async def _write_part(
-    api: object_api.ObjectApi, digest: str, part: bytes
-) -> None:
-    """Create a part; one that is there already has the same bytes."""
-    name = configuration.PART_PREFIX + digest
-    await _persist(lambda: _put(api, name, part, object_api.ABSENT))
-
-
-async def _read_part(api: object_api.ObjectApi, digest: str) -> bytes:
-    name = configuration.PART_PREFIX + digest
-    for pause in _pauses():
-        found = await _persist(lambda: api.get(name))
-        if list(configuration.split_parts(found.value)) == [digest]:
-            return found.value
-        await trio.sleep(pause)
-    raise AssertionError('unreachable')
-
-
-async def _persist(call: abc.Callable[[], abc.Awaitable[T]]) -> T:
-    """Repeat an idempotent call until the object API answers."""
-    for pause in _pauses():
-        try:
-            return await call()
-        except object_api.ApiRejected as error:
-            raise _rejected(error) from error
-        except object_api.ApiUnavailable as error:
-            log.warning('MLB-1005', problem=str(error), pause=pause)
-            await trio.sleep(pause)
-    raise AssertionError('unreachable')
-
-
-def _pauses() -> abc.Iterator[float]:
-    """Yield growing pauses with jitter, without end, seconds."""
-    longest = FIRST_PAUSE
-    while True:
-        yield longest * (0.5 + random.random() / 2)
-        longest = min(2 * longest, LONGEST_PAUSE)
-
-
-def _decode_head(value: bytes) -> configuration.Head:
-    try:
-        return configuration.decode_head(value)
-    except ValueError as error:
-        raise _error(
-            errors.Code.INVALID_OBJECT,
-            f'{configuration.HEAD} cannot be read: {error}',
-        ) from error
-
-
-def _top_level(value: bytes | None) -> dict[str, object]:
-    if value is None:
-        return {}
-    try:
-        raw = msgspec.json.decode(value)
-    except msgspec.MsgspecError:
-        return {'': value.hex()}
-    return raw if isinstance(raw, dict) else {'': raw}
-
-
-def _shorten(values: dict[str, object], key: str) -> str:
-    if key not in values:
-        return ''
-    text = msgspec.json.encode(values[key]).decode()
-    return text if len(text) <= 200 else text[:200] + '...'
-
-
-def _rejected(error: object_api.ApiRejected) -> errors.Error:
-    return _error(
-        errors.Code.API_UNAVAILABLE,
-        f'the object API refused the call: {error}',
-    )
-
-
 def _error(code: errors.Code, message: str) -> errors.Error:
     return errors.Error(code, message, steps.Step.CONTRACT_CHANGE)
--- a/tests/mustardlb/test_changes.py
+++ b/tests/mustardlb/test_changes.py
@@ -13,9 +13,11 @@
 from mustardlb import changes
 from mustardlb import configuration
 from mustardlb import contracts
+from mustardlb import differences
 from mustardlb import errors
 from mustardlb import keys
 from mustardlb import object_api
+from mustardlb import stored_configuration
 from mustardlb_standins import faults
 from mustardlb_standins import object_api as standin
 
@@ -102,7 +104,7 @@
             edit = add_key(self.account, self.number)
         else:
             name = f'contract/{self.account}'
-            base = await changes.read_base(api)
+            base = await stored_configuration.read_base(api)
             entry = base.head.entries.get(name)
             self.based_on = entry.revision if entry else 0
             await trio.sleep(0.05)
@@ -222,7 +224,7 @@
 
 
 async def settle_by_one_look(api, change):
-    base = await changes.read_base(api)
+    base = await stored_configuration.read_base(api)
     if change in base.head.recent:
         return changes.Landed(change, changes.revision_of(change))
     return None
@@ -248,7 +250,7 @@
 
 
 async def head_of(api):
-    return (await changes.read_base(api)).head
+    return (await stored_configuration.read_base(api)).head
 
 
 async def test_a_late_write_lands_never_after_it_was_reported_so(
@@ -289,7 +291,7 @@
     assert caught.value.code == errors.Code.CONFLICT
     assert caught.value.revision == 1
     assert caught.value.differences == (
-        changes.Difference('contract/a', 'rate', '1', '2'),
+        differences.Difference('contract/a', 'rate', '1', '2'),
     )
     future = replace('contract/a', contract('a', 2), based_on=2)
     with pytest.raises(errors.Error, match='the newest is 1'):
@@ -346,7 +348,7 @@
     await changes.commit(api, [replace('contract/a', value)])
     head = await head_of(api)
     assert len(head.entries['contract/a'].parts) > 1
-    stored = await changes.read_object(api, head, 'contract/a')
+    stored = await stored_configuration.read_object(api, head, 'contract/a')
     assert msgspec.json.decode(stored) == msgspec.json.decode(value)
 
 
--- a/tests/mustardlb_cli/test_commands.py
+++ b/tests/mustardlb_cli/test_commands.py
@@ -12,9 +12,9 @@
 import quart_trio
 import trio
 
-from mustardlb import changes
 from mustardlb import configuration
 from mustardlb import keys
+from mustardlb import stored_configuration
 from mustardlb import vm_list
 from mustardlb_cli import _acceptance
 from mustardlb_cli import _exit
@@ -206,7 +206,9 @@
 
 
 async def stored_keys(site):
-    value = await changes.read_object(site.api, site.head(), 'keys/acme')
+    value = await stored_configuration.read_object(
+        site.api, site.head(), 'keys/acme'
+    )
     return {record.key_id: record for record in keys.decode(value)}
 
 
