Print help without a pager

Cause: fire starts less, or what PAGER names, for help on a terminal; a process of the system starts no other.

--- a/packages/mustardlb-cli/mustardlb_cli/_main.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_main.py
@@ -1,10 +1,11 @@
 """The binary `mustardlb`: what it understands, and how it ends."""
 
+from collections import abc
 import json
 import logging
-import os
 import sys
 from typing import NoReturn
+from typing import TextIO
 
 import fire
 import structlog
@@ -112,8 +113,8 @@
 
 def run(arguments: list[str]) -> int:
     """Run one command line and return its exit code."""
-    # Help is text to read here, not a pager to leave.
-    os.environ.setdefault('PAGER', 'cat')
+    # fire would start a pager for help, and a process starts no other.
+    fire.core.Display = _display
     output = _wanted_output(arguments)
     if arguments in (['--help'], ['-h'], ['help']):
         # For these fire shows the flags and none of the commands.
@@ -149,6 +150,10 @@
     return _exit.ExitCode.DONE
 
 
+def _display(lines: abc.Iterable[str], out: TextIO) -> None:
+    print('\n'.join(lines), file=out)
+
+
 def _hide_command(found: object) -> object:
     """Keep fire from printing a command that is yet to run."""
     return None if isinstance(found, _command.Command) else found
--- a/tests/mustardlb_cli/test_commands.py
+++ b/tests/mustardlb_cli/test_commands.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 
+from fire.console import console_io
 import pytest
 import quart
 import quart_trio
@@ -263,6 +264,18 @@
     assert site.head().revision == 0
 
 
+@pytest.mark.parametrize(
+    'line', ['', '--help', 'contract', 'contract --help', 'key issue --help']
+)
+def test_help_is_printed_and_starts_no_pager(monkeypatch, capsys, line):
+    monkeypatch.setattr(console_io, 'IsInteractive', lambda **_: True)
+    monkeypatch.setattr(subprocess, 'Popen', None)
+    _main.run(line.split())
+    shown = ''.join(capsys.readouterr())
+    assert 'SYNOPSIS' in shown
+    assert 'FIRE' not in shown
+
+
 async def test_every_fault_of_every_file_is_listed(site):
     one = site.file(ACME.replace('100', '0'), 'one.toml')
     two = site.file(ACME + 'burts = 5', 'two.toml')
