--- a/packages/mustardlb-cli/mustardlb_cli/_main.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_main.py
@@ -129,8 +129,9 @@
         if not isinstance(found, _command.Command):
             return _exit.ExitCode.USAGE if arguments else _exit.ExitCode.DONE
         result = trio.run(found._run)
-    except fire.core.FireExit as end:
-        return int(end.code or 0)
+    except SystemExit as end:
+        # fire, or the argparse inside it, has told what is wrong.
+        return _exit.ExitCode.USAGE if end.code else _exit.ExitCode.DONE
     except _exit.CommandError as error:
         if error.result is not None:
             print(_output.render(error.result, output))
--- a/tests/mustardlb_cli/test_commands.py
+++ b/tests/mustardlb_cli/test_commands.py
@@ -8,6 +8,8 @@
 import sys
 
 from fire.console import console_io
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 import quart
 import quart_trio
@@ -276,6 +278,74 @@
     assert 'FIRE' not in shown
 
 
+WORDS = st.sampled_from(
+    [
+        'contract',
+        'key',
+        'route',
+        'target',
+        'change',
+        'settings',
+        'status',
+        'top',
+        'apply',
+        'list',
+        'show',
+        'export',
+        'withdraw',
+        'issue',
+        'drain',
+        'settle',
+        'check',
+        'validate',
+        '--based-on',
+        '--based-on=3',
+        '--wait',
+        '--wait=0',
+        '--wait=x',
+        '--nowait',
+        '--output',
+        '--output=json',
+        '--undo',
+        '--verbose',
+        '--account',
+        '--account=1',
+        '12e4',
+        '[1,2]',
+        '{',
+        '-',
+        '--',
+        '-h',
+        '--help',
+        'a=b',
+        '--=',
+        '-x',
+        '_run',
+        'None',
+        'True',
+        '0',
+        '--kind',
+        '--kind=x',
+        '--trace',
+    ]
+)
+
+
+@hypothesis.settings(
+    derandomize=True, database=None, deadline=None, max_examples=300
+)
+@hypothesis.example(['contract', 'settle', '--', '--=', '--kind=x'])
+@hypothesis.given(st.lists(WORDS | st.text(max_size=3), max_size=7))
+def test_any_line_ends_with_a_documented_code(words):
+    # No site is named, so no command gets further than its settings.
+    code = _main.run([*words, '--settings=/nowhere/mustardlb.toml'])
+    assert code in (
+        _exit.ExitCode.DONE,
+        _exit.ExitCode.USAGE,
+        _exit.ExitCode.INVALID,
+    )
+
+
 async def test_every_fault_of_every_file_is_listed(site):
     one = site.file(ACME.replace('100', '0'), 'one.toml')
     two = site.file(ACME + 'burts = 5', 'two.toml')
