--- a/tests/mustardlbd/engine_fleet.py
+++ b/tests/mustardlbd/engine_fleet.py
@@ -176,6 +176,24 @@
             for engine in self.engines.values():
                 engine.work.cancel(request_id)
 
+    def freeze(self, node):
+        """Pause a node with all its tasks, as a suspended VM is."""
+        node.gate.pause()
+        node.scope.cancel()
+
+    def wake(self, node):
+        """Let a frozen node's tasks go on, with what it held."""
+        node.gate.resume()
+        node.as_of = trio.current_time()
+        node.owners = self.table
+        node.scope = trio.CancelScope()
+
+        async def run():
+            with node.scope:
+                await node.targets.run()
+
+        self.nursery.start_soon(run)
+
     def _fleet_of(self, node):
         def members():
             vms = {
--- a/tests/mustardlbd/test_targets.py
+++ b/tests/mustardlbd/test_targets.py
@@ -13,10 +13,12 @@
 
 from mustardlb_standins import faults
 from mustardlbd import _fleet
+from mustardlbd import _grants
 from mustardlbd import _orders
 from mustardlbd import _permits
 from mustardlbd import _placement
 from mustardlbd import _target_owner
+from mustardlbd import _targets
 
 SAFE = pytest.param(False, id='safe')
 NAIVE = pytest.param(True, id='naive')
@@ -305,3 +307,64 @@
         started = trio.current_time()
         assert await fleet.request('vm-1', 'x@1', 'canopy') is None
         assert trio.current_time() - started < 2.0
+
+
+@both_ways
+@pytest.mark.parametrize('overtaken_by', ['close', 'hand_over'])
+async def test_a_late_grant_is_not_taken(
+    make, autojump_clock, monkeypatch, naive, overtaken_by
+):
+    """The answer to an ask is on its way while the grant is taken back."""
+    if naive:
+
+        def add(self, target, model, number):
+            held = _grants.Held(target, model, number, self._now())
+            self._held_by_key[(target, model)] = held
+            return True
+
+        monkeypatch.setattr(_grants.Grants, 'add', add)
+    fleet = make(engines=1, slots=1)
+    await trio.sleep(2)
+    owner = fleet.owner_of('engine-0')
+    user, other = [one for one in fleet.listed if one != owner]
+    slow = f'target-ask:{user}>*'
+    fleet.plan.add(slow, faults.Kind.SLOW, seconds=0.9)
+    fleet.nursery.start_soon(fleet.request, user, 'a@1', 'canopy', 100)
+    await trio.sleep(0.5)
+    if overtaken_by == 'hand_over':
+        fleet.kill(owner)
+        fleet.listed.remove(owner)
+        fleet.plan.add(slow, faults.Kind.SLOW, skip=1, seconds=0.9)
+        fleet.assign([other])
+        for node in fleet.nodes.values():
+            node.owners = fleet.table
+        fleet.changed_at = dict.fromkeys(fleet.changed_at, -100.0)
+        await trio.sleep(0.1)
+    await fleet.request(other, 'b@1', wait=3.0)
+    await trio.sleep(3)
+    with verdict(naive):
+        fleet.check()
+
+
+@both_ways
+async def test_grants_from_before_a_pause_are_asked_for_again(
+    make, autojump_clock, monkeypatch, naive
+):
+    """The VM list dropped the VM meanwhile, and the owner went on."""
+    if naive:
+        monkeypatch.setattr(_targets, 'PAUSE', 1e9)
+    fleet = make(engines=1, slots=1)
+    await trio.sleep(2)
+    owner = fleet.owner_of('engine-0')
+    user = other_node(fleet, 'engine-0')
+    await fleet.request(user, 'a@1')
+    sleeper = fleet.nodes[user]
+    fleet.freeze(sleeper)
+    fleet.listed.remove(user)
+    await trio.sleep(1)
+    assert await fleet.request(owner, 'b@1', wait=15.0) is None
+    fleet.listed.append(user)
+    fleet.wake(sleeper)
+    await fleet.request(user, 'a@1')
+    with verdict(naive):
+        fleet.check()
