--- a/tests/mustardlb_cli/test_commands.py
+++ b/tests/mustardlb_cli/test_commands.py
@@ -7,14 +7,17 @@
 import subprocess
 import sys
 
+from fire.console import console_io
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 import quart
 import quart_trio
 import trio
 
-from mustardlb import changes
 from mustardlb import configuration
 from mustardlb import keys
+from mustardlb import stored_configuration
 from mustardlb import vm_list
 from mustardlb_cli import _acceptance
 from mustardlb_cli import _exit
@@ -206,7 +209,9 @@
 
 
 async def stored_keys(site):
-    value = await changes.read_object(site.api, site.head(), 'keys/acme')
+    value = await stored_configuration.read_object(
+        site.api, site.head(), 'keys/acme'
+    )
     return {record.key_id: record for record in keys.decode(value)}
 
 
@@ -261,6 +266,86 @@
     assert site.head().revision == 0
 
 
+@pytest.mark.parametrize(
+    'line', ['', '--help', 'contract', 'contract --help', 'key issue --help']
+)
+def test_help_is_printed_and_starts_no_pager(monkeypatch, capsys, line):
+    monkeypatch.setattr(console_io, 'IsInteractive', lambda **_: True)
+    monkeypatch.setattr(subprocess, 'Popen', None)
+    _main.run(line.split())
+    shown = ''.join(capsys.readouterr())
+    assert 'SYNOPSIS' in shown
+    assert 'FIRE' not in shown
+
+
+WORDS = st.sampled_from(
+    [
+        'contract',
+        'key',
+        'route',
+        'target',
+        'change',
+        'settings',
+        'status',
+        'top',
+        'apply',
+        'list',
+        'show',
+        'export',
+        'withdraw',
+        'issue',
+        'drain',
+        'settle',
+        'check',
+        'validate',
+        '--based-on',
+        '--based-on=3',
+        '--wait',
+        '--wait=0',
+        '--wait=x',
+        '--nowait',
+        '--output',
+        '--output=json',
+        '--undo',
+        '--verbose',
+        '--account',
+        '--account=1',
+        '12e4',
+        '[1,2]',
+        '{',
+        '-',
+        '--',
+        '-h',
+        '--help',
+        'a=b',
+        '--=',
+        '-x',
+        '_run',
+        'None',
+        'True',
+        '0',
+        '--kind',
+        '--kind=x',
+        '--trace',
+    ]
+)
+
+
+@hypothesis.settings(
+    derandomize=True, database=None, deadline=None, max_examples=300
+)
+@hypothesis.example(['contract', 'settle', '--', '--=', '--kind=x'])
+@hypothesis.given(st.lists(WORDS | st.text(max_size=3), max_size=7))
+def test_any_line_ends_with_a_documented_code(words):
+    # No site is named, so no command gets further than its settings.
+    code = _main.run([*words, '--settings=/nowhere/mustardlb.toml'])
+    assert code in (
+        _exit.ExitCode.DONE,
+        _exit.ExitCode.USAGE,
+        _exit.ExitCode.INVALID,
+    )
+
+
 async def test_every_fault_of_every_file_is_listed(site):
     one = site.file(ACME.replace('100', '0'), 'one.toml')
     two = site.file(ACME + 'burts = 5', 'two.toml')
