Keep a node up when time passes while it makes a poll

Cause: the age of an attestation made after the clock was read for the poll is below 0, which the message cannot carry; past 1 ms, on a busy machine, the error ended the node. Ruled out: skew between clocks, since all nodes read one. Change: ages below 0 are sent as 0, which makes the attestation look older, never newer. The new test has a clock that moves with each reading; it failed before with the same error.

--- a/packages/mustardlbd/mustardlbd/_poll_messages.py
+++ b/packages/mustardlbd/mustardlbd/_poll_messages.py
@@ -80,9 +80,7 @@
             'versions': held,
             'members': [one.member for one in group],
             'incarnations': [one.incarnation for one in group],
-            'ages': [
-                math.ceil((poll.since_stamp - one.made) * _MS) for one in group
-            ],
+            'ages': [_up(poll.since_stamp - one.made, _MS) for one in group],
         }
         for held, group in (
             (held, list(found))
@@ -98,7 +96,7 @@
             accepted=poll.accepted,
             stamp=poll.stamp.time,
             stampIncarnation=poll.stamp.incarnation,
-            sinceStamp=int(poll.since_stamp * _US),
+            sinceStamp=_down(poll.since_stamp, _US),
             hold=int(poll.hold * _MS),
             age=_up(poll.age, _MS),
             step=int(poll.step * _MS),
@@ -147,7 +145,7 @@
             stamp=reply.stamp.time,
             stampIncarnation=reply.stamp.incarnation,
             age=_up(reply.age, _US),
-            held=int(reply.held * _US),
+            held=_down(reply.held, _US),
         )
         .to_bytes_packed()
     )
@@ -169,8 +167,16 @@
 
 
 def _up(seconds: float, unit: int) -> int:
-    """Round up to a whole number of units."""
-    return min(math.ceil(min(seconds * unit, _LONGEST)), _LONGEST)
+    """Round up to a whole number of units, at least 0.
+
+    What was attested after the clock was read has an age below 0.
+    """
+    return max(0, math.ceil(min(seconds * unit, _LONGEST)))
+
+
+def _down(seconds: float, unit: int) -> int:
+    """Round down to a whole number of units."""
+    return max(0, math.floor(min(seconds * unit, _LONGEST)))
 
 
 def has_news(ours: abc.Iterable[int], theirs: abc.Iterable[int]) -> bool:
--- a/tests/mustardlbd/test_state.py
+++ b/tests/mustardlbd/test_state.py
@@ -1,10 +1,14 @@
 """Shared state of a small fleet in virtual time."""
 
+import dataclasses
+import itertools
+
 import fleet as fleets
 import trio
 
 from mustardlb_standins import faults
 from mustardlbd import _ranks
+from mustardlbd import _state
 
 
 async def apply(fleet, name='contract/midland', value=b'one', change='a'):
@@ -155,3 +159,23 @@
             await trio.sleep(6)
 
     fleets.run(scenario)
+
+
+def test_time_that_passes_while_a_poll_is_made_does_no_harm():
+    def make_state(identity, platform, server, validate):
+        readings = itertools.count()
+
+        def now():
+            return trio.current_time() + next(readings) * 2e-3
+
+        platform = dataclasses.replace(platform, now=now)
+        return _state.State(identity, platform, server, validate)
+
+    async def scenario(fleet):
+        revision = await apply(fleet)
+        await trio.sleep(5)
+        for node in fleet.nodes_by_id.values():
+            assert node.admits()
+            assert node.state.snapshot().revision == revision
+
+    fleets.run(scenario, make_state=make_state)
