--- a/packages/mustardlbd/mustardlbd/_documents.py
+++ b/packages/mustardlbd/mustardlbd/_documents.py
@@ -249,7 +249,12 @@
         if not parts or len(parts) < len(found):
             raise ValueError('a part of it does not exist')
         value = parts[0] if len(parts) == 1 else b''.join(parts)
-        self._validate(name, value)
+        try:
+            self._validate(name, value)
+        except ValueError:
+            raise
+        except Exception as error:  # a bad object must not end every node
+            raise ValueError(repr(error)) from error
         return value
 
     def _keep_last_good(
--- a/packages/mustardlbd/mustardlbd/_peer_server.py
+++ b/packages/mustardlbd/mustardlbd/_peer_server.py
@@ -19,9 +19,6 @@
 # How long a handshake or the sending of a reply may take, seconds.
 SEND_TIMEOUT = 10.0
 
-# How long the acceptor rests when the process has no free descriptor.
-ACCEPT_PAUSE = 0.1  # seconds
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sender:
@@ -72,6 +69,8 @@
             _frames.BadFrame,
         ) as error:
             log.info('MLB-2001', problem=repr(error))
+        except Exception:  # one connection must not end the node
+            log.exception('MLB-2003')
         finally:
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
--- a/tests/mustardlbd/test_documents.py
+++ b/tests/mustardlbd/test_documents.py
@@ -101,6 +101,18 @@
     trio.run(main)
 
 
+async def test_value_that_trips_the_validation_is_invalid():
+    def trip(name, value):
+        raise KeyError('missing')
+
+    store = Store()
+    store.write({NAMES[0]: b'a'})
+    documents = _documents.Documents(trip, _owners.validate, _signal.Signal())
+    await documents.adopt(0, store.heads[0], store.fetch)
+    (invalid,) = documents.snapshot().invalid
+    assert invalid.name == NAMES[0] and 'missing' in invalid.problem
+
+
 async def test_nothing_changes_when_a_part_cannot_be_had():
     store = Store()
     store.write({NAMES[0]: b'a'})
