--- a/packages/mustardlb/mustardlb/schema/limits.capnp
+++ b/packages/mustardlb/mustardlb/schema/limits.capnp
@@ -18,6 +18,7 @@
   largest @11 :Float64;     # tokens of the call that waits first
   waited @12 :Float64;      # seconds that it has waited
   deputy @13 :Text;         # named by the statement in force
+  recent @14 :Float64;      # demand of the last moment, tokens a second
 }
 
 struct ShareStatement {
--- a/packages/mustardlbd/mustardlbd/_share.py
+++ b/packages/mustardlbd/mustardlbd/_share.py
@@ -13,25 +13,27 @@
 
 log = structlog.get_logger()
 
-# Time constant of the demand estimate, seconds.
+# Time constants of the demand estimates, seconds.
 DEMAND_MEMORY = 2.0
+RECENT_MEMORY = 0.4
 
 
 class Demand:
     """Tokens a second that callers ask for, exponentially smoothed."""
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, memory: float) -> None:
+        self._memory = memory
         self._value = 0.0
         self._at = now
 
     def add(self, now: float, tokens: float) -> None:
         """Count tokens asked for, or given back where negative."""
-        self._value = max(0.0, self.rate(now) + tokens / DEMAND_MEMORY)
+        self._value = max(0.0, self.rate(now) + tokens / self._memory)
         self._at = now
 
     def rate(self, now: float) -> float:
         """Return the estimate at a moment."""
-        return self._value * math.exp(-(now - self._at) / DEMAND_MEMORY)
+        return self._value * math.exp(-(now - self._at) / self._memory)
 
 
 class Knowledge:
@@ -87,7 +89,8 @@
         self.fraction = 0
         self.standing = 0
         self.bucket = _bucket.Bucket(now)
-        self.demand = Demand(now)
+        self.demand = Demand(now, DEMAND_MEMORY)
+        self.recent = Demand(now, RECENT_MEMORY)
         self.waiters: collections.deque[Waiter] = collections.deque()
         self.changed = trio.Event()
         self.short = trio.Event()
@@ -163,6 +166,7 @@
             largest=first.tokens if first else 0.0,
             waited=now - first.since if first else 0.0,
             deputy=self._deputy,
+            recent=self.recent.rate(now),
         )
 
     def adopt(self, statement: messages.ShareStatement, keeper: str) -> bool:
--- a/packages/mustardlbd/mustardlbd/_share_allocation.py
+++ b/packages/mustardlbd/mustardlbd/_share_allocation.py
@@ -20,12 +20,14 @@
     """What a holder said in its last report.
 
     :ivar demand: tokens a second
+    :ivar recent: the same over the last moment only
     :ivar waiting: tokens that waiting calls lack
     :ivar largest: tokens of the call that waits first, 0 if none does
     :ivar waited: seconds that it has waited
     """
 
     demand: float = 0.0
+    recent: float = 0.0
     waiting: float = 0.0
     largest: float = 0.0
     waited: float = 0.0
@@ -47,6 +49,11 @@
     if limit.rate <= 0 or limit.burst <= 0:
         return dict.fromkeys(needs_by_holder, 0)
     shares = dict.fromkeys(needs_by_holder, 0.0)
+    if any(need.waiting > 0 for need in needs_by_holder.values()):
+        needs_by_holder = {
+            holder: _without_past(need)
+            for holder, need in needs_by_holder.items()
+        }
     rest = _give_to_waiting(shares, needs_by_holder, limit)
     extra = {
         holder: max(0.0, _wanted(need, limit) - shares[holder])
@@ -65,6 +72,14 @@
     }
 
 
+def _without_past(need: Need) -> Need:
+    """Count only the last moment for a holder where no call waits."""
+    if need.waiting > 0:
+        return need
+    demand = min(need.demand, need.recent)
+    return dataclasses.replace(need, demand=demand)
+
+
 def _wanted(need: Need, limit: _bucket.Limit) -> float:
     rate = need.demand * DEMAND_MARGIN + need.waiting / CATCH_UP
     return min(1.0, rate / limit.rate)
--- a/packages/mustardlbd/mustardlbd/_share_book.py
+++ b/packages/mustardlbd/mustardlbd/_share_book.py
@@ -60,9 +60,9 @@
         return max(self.fraction, self.sent_fraction)
 
     @property
-    def deputies(self) -> set[str]:
+    def deputies(self) -> list[str]:
         """The deputies that the holder may know."""
-        return {self.deputy, self.sent_deputy} - {''}
+        return sorted({self.deputy, self.sent_deputy} - {''})
 
     def expire(self) -> None:
         """Count the standing part alone."""
@@ -305,7 +305,11 @@
         entry.barred_until = None
         entry.heard_at = now
         entry.need = _share_allocation.Need(
-            report.demand, report.waiting, report.largest, report.waited
+            report.demand,
+            report.recent,
+            report.waiting,
+            report.largest,
+            report.waited,
         )
 
     def _state(
--- a/packages/mustardlbd/mustardlbd/_share_holder.py
+++ b/packages/mustardlbd/mustardlbd/_share_holder.py
@@ -74,6 +74,7 @@
             raise _cost_above_burst(tokens, share.limit.burst)
         share.asked_at = now
         share.demand.add(now, tokens)
+        share.recent.add(now, tokens)
         hold = None if share.waiters else share.take(tokens)
         if hold is None:
             hold = await self._wait(share, tokens, wait)
--- a/packages/mustardlbd/mustardlbd/_share_messages.py
+++ b/packages/mustardlbd/mustardlbd/_share_messages.py
@@ -35,6 +35,7 @@
     largest: float
     waited: float
     deputy: str
+    recent: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
