--- a/packages/mustardlbd/mustardlbd/_fetching.py
+++ b/packages/mustardlbd/mustardlbd/_fetching.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 
+from mustardlb import configuration
 from mustardlb import errors
 from mustardlb import schema
 from mustardlbd import _documents
@@ -20,8 +21,11 @@
     payload = await peers.call(
         vm_id, _spread_server.OBJECT, request.to_bytes(), FETCH_TIMEOUT
     )
-    reply = schema.load('state').ObjectReply.from_bytes_packed(payload)
-    return _documents.Tracked(reply.version, bytes(reply.value))
+    try:
+        reply = schema.load('state').ObjectReply.from_bytes_packed(payload)
+        return _documents.Tracked(reply.version, bytes(reply.value))
+    except Exception as error:  # the library's own exceptions
+        raise _documents.NotFetched(vm_id) from error
 
 
 async def _fetch_part(
@@ -31,28 +35,57 @@
     payload = await peers.call(
         vm_id, _spread_server.PART, request.to_bytes(), FETCH_TIMEOUT
     )
-    reply = schema.load('state').PartReply.from_bytes_packed(payload)
-    return bytes(reply.value) if reply.found else None
+    try:
+        reply = schema.load('state').PartReply.from_bytes_packed(payload)
+        return bytes(reply.value) if reply.found else None
+    except Exception:  # the library's own exceptions
+        return None
 
 
-def part_fetcher(
-    peers: _peers.Peers,
-    parents: abc.Callable[[], list[str]],
-    fetch_from_api: _documents.FetchPart,
+async def fetch_kept(
+    peers: _peers.Peers, vm_id: str
+) -> dict[str, configuration.Entry]:
+    """Fetch the last good entries of invalid objects from a peer."""
+    payload = await peers.call(vm_id, _spread_server.KEPT, b'', FETCH_TIMEOUT)
+    try:
+        reply = schema.load('state').KeptReply.from_bytes_packed(payload)
+        return {
+            one.name: configuration.Entry(one.revision, tuple(one.parts))
+            for one in reply.kept
+        }
+    except Exception as error:  # the library's own exceptions
+        raise _documents.NotFetched(vm_id) from error
+
+
+def from_peers(
+    peers: _peers.Peers, vm_ids: abc.Callable[[], list[str]]
 ) -> _documents.FetchPart:
-    """Fetch parts from a parent, else from the API, checked by hash."""
+    """Fetch parts from the first of some VMs that has them."""
 
     async def fetch(digest: str) -> bytes | None:
-        for parent in parents():
+        for vm_id in vm_ids():
             try:
-                part = await _fetch_part(peers, parent, digest)
+                part = await _fetch_part(peers, vm_id, digest)
             except errors.Error:
                 continue
-            if part is not None and _documents.matches(digest, part):
+            if part is not None:
+                return part
+        raise _documents.NotFetched(digest)
+
+    return fetch
+
+
+def first_of(*fetchers: _documents.FetchPart) -> _documents.FetchPart:
+    """Fetch parts by the first way that works, checked by hash."""
+
+    async def fetch(digest: str) -> bytes | None:
+        for fetch_part in fetchers:
+            try:
+                part = await fetch_part(digest)
+            except _documents.NotFetched:
+                continue
+            if part is None or _documents.matches(digest, part):
                 return part
-        part = await fetch_from_api(digest)
-        if part is None or not _documents.matches(digest, part):
-            return None
-        return part
+        raise _documents.NotFetched(digest)
 
     return fetch
--- a/packages/mustardlbd/mustardlbd/_parts.py
+++ b/packages/mustardlbd/mustardlbd/_parts.py
@@ -9,8 +9,8 @@
 from mustardlbd import _freshness
 from mustardlbd import _membership
 from mustardlbd import _peers
-from mustardlbd import _ranks
 from mustardlbd import _signal
+from mustardlbd import _tree
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,14 +26,4 @@
     acceptance: _acceptance.Acceptance
     peers: _peers.Peers
     news: _signal.Signal
-
-    def parents(self) -> list[str]:
-        """Return the VMs to poll, among those that are reachable from here."""
-        members = self.membership.members()
-        return _ranks.parents(self.identity.vm_id, members.reachable)
-
-    def is_watcher(self) -> bool:
-        """Whether this node watches and probes the API."""
-        own = self.identity.vm_id
-        members = self.membership.members()
-        return own in _ranks.watchers({own, *members.reachable})
+    tree: _tree.Tree
--- a/packages/mustardlbd/mustardlbd/_placement.py
+++ b/packages/mustardlbd/mustardlbd/_placement.py
@@ -2,7 +2,6 @@
 
 from collections import abc
 import contextlib
-import dataclasses
 import hashlib
 import math
 
@@ -12,6 +11,7 @@
 from mustardlb import errors
 from mustardlb import routes
 from mustardlb import steps
+from mustardlbd import _dependencies
 from mustardlbd import _fleet
 from mustardlbd import _grants
 from mustardlbd import _target_messages as messages
@@ -47,25 +47,6 @@
 LINGER_TIME = 60.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placement:
-    """A target that holds a model, guarded until it is released.
-
-    :ivar target_name: name of the target
-    :ivar url: its base URL
-    :ivar model: 'adapter@version' that the request is for
-    :ivar served: tell what the target says that it ran, '' where it says
-        that it does not hold the model; raises WRONG_ADAPTER
-    :ivar abandon: tell that the request may run on after the release
-    """
-
-    target_name: str
-    url: str
-    model: str
-    served: abc.Callable[[str], None]
-    abandon: abc.Callable[[], None]
-
-
 class Placer:
     """Finds targets for the requests of this node."""
 
@@ -93,7 +74,7 @@
         account: str,
         wait: float,
         avoid: frozenset[str] = frozenset(),
-    ) -> abc.AsyncIterator[Placement]:
+    ) -> abc.AsyncIterator[_dependencies.Placement]:
         """Hold a target that has the model; not one of those to avoid.
 
         Raises NO_TARGET, LOAD_FAILED, OVERLOADED or NODE_NOT_CURRENT, each
@@ -104,7 +85,7 @@
         abandoned = []
         self._count(name, 1)
         try:
-            yield Placement(
+            yield _dependencies.Placement(
                 name,
                 target.url,
                 model,
--- a/packages/mustardlbd/mustardlbd/_spread.py
+++ b/packages/mustardlbd/mustardlbd/_spread.py
@@ -20,8 +20,33 @@
 
 log = structlog.get_logger()
 
-# How long the first and the second parent hold a poll, seconds.
-HOLD_TIMES = (0.5, 2.0)
+# How long a parent holds a poll at most, and by how much its knowledge must
+# be newer for it to answer sooner, seconds: the first parent answers whenever
+# its knowledge has moved on, so that age hardly grows down the tree.
+FIRST_HOLD, FIRST_STEP = 1.1, 0.7
+SECOND_HOLD, SECOND_STEP = 4.0, 2.0
+WATCHER_HOLD, WATCHER_STEP = 1.5, 1.4
+
+# How long each level waits for the attestations of the one below before it
+# polls again, seconds; there are four levels at a thousand VMs.
+LEVEL_PAUSE = 0.02
+LEVELS = 4
+
+# How often watchers tell the first one every attestation, where nothing
+# waits for majorities, seconds.
+TABLE_INTERVAL = 2.0
+
+# Age of the API's evidence past which majorities are waited for, seconds.
+OUTAGE_AGE = 1.5
+
+# A stamp older than this is of no use, seconds.
+STAMP_LIFE = 60.0
+
+# Objects that this node tracks; a newer one may track more.
+TRACKED = len(_documents.TRACKED)
+
+# Attestations carry the last bits of an incarnation.
+INCARNATION_TAGS = 2**32
 
 # How long a reply is waited for beyond the hold, seconds.
 POLL_TIMEOUT = 0.5
@@ -50,6 +75,18 @@
     time: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waits:
+    """How a poll is to be held.
+
+    :ivar whole: whether it brings the attestations of the nodes below
+    """
+
+    hold: float
+    step: float
+    whole: bool = False
+
+
 class Spread:
     """Keeps this node's tracked objects as new as its parents'."""
 
@@ -57,12 +94,13 @@
         self,
         parts: _parts.Parts,
         source: _api_source.ApiSource,
-        fetch_part: _documents.FetchPart,
+        from_api: _documents.FetchPart,
     ) -> None:
         self._parts = parts
         self._source = source
-        self._fetch_part = fetch_part
+        self._from_api = from_api
         self._received_by_vm: dict[str, _Received] = {}
+        self._told_by_vm: dict[str, float] = {}
 
     async def run(self) -> None:
         """Poll, watch, probe and count for ever."""
@@ -77,20 +115,38 @@
 
     async def _poll_for_ever(self, slot: int) -> None:
         while True:
-            parents = self._parts.parents()
+            parents = self._parts.tree.parents()
             if slot >= len(parents):
                 await trio.sleep(SLOT_PAUSE)
                 continue
-            hold = HOLD_TIMES[0 if self._parts.is_watcher() else slot]
-            if not await self._poll(parents[slot], hold):
+            if not await self._poll(parents[slot], self._waits(slot)):
+                await self._poll_others()
                 await trio.sleep(SLOT_PAUSE)
+            elif slot == 0:
+                below = LEVELS - 1 - self._parts.tree.level()
+                await trio.sleep(LEVEL_PAUSE * max(below, 0))
+
+    async def _poll_others(self) -> None:
+        """Learn at once which parents and watchers answer, and their news."""
+        tree = self._parts.tree
+        others = {*tree.parents(), *tree.watchers()}
+        async with trio.open_nursery() as nursery:
+            for vm_id in others - {self._parts.identity.vm_id}:
+                nursery.start_soon(self._poll, vm_id, _Waits(0.0, 0.0))
+
+    def _waits(self, slot: int) -> _Waits:
+        if self._parts.tree.is_watcher():
+            return _Waits(WATCHER_HOLD, WATCHER_STEP, whole=True)
+        if slot == 0:
+            return _Waits(FIRST_HOLD, FIRST_STEP, whole=True)
+        return _Waits(SECOND_HOLD, SECOND_STEP)
 
-    async def _poll(self, parent: str, hold: float) -> bool:
+    async def _poll(self, parent: str, waits: _Waits) -> bool:
         asked = self._parts.now()
-        poll = _poll_messages.encode_poll(self._make_poll(parent, hold))
+        poll = _poll_messages.encode_poll(self._make_poll(parent, waits))
         try:
             payload = await self._parts.peers.call(
-                parent, _spread_server.POLL, poll, hold + POLL_TIMEOUT
+                parent, _spread_server.POLL, poll, waits.hold + POLL_TIMEOUT
             )
             reply = _poll_messages.decode_reply(payload)
             await self._adopt_newer(parent, reply)
@@ -105,53 +161,84 @@
         # seconds later; that its answer may be late changes nothing.
         as_of = asked + reply.held - reply.age
         ours = self._parts.documents.versions()
-        for index, theirs in enumerate(reply.versions):
+        for index, theirs in enumerate(reply.versions[:TRACKED]):
             if ours[index] >= theirs:
                 self._parts.freshness.confirm(
                     index, as_of, _freshness.Evidence.PEER
                 )
         return True
 
-    def _make_poll(self, parent: str, hold: float) -> _poll_messages.Poll:
+    def _make_poll(self, parent: str, waits: _Waits) -> _poll_messages.Poll:
         now = self._parts.now()
         received = self._received_by_vm.get(parent, _Received())
+        if now - received.time > STAMP_LIFE:
+            received = _Received()
         attestations = []
         if received.stamp.incarnation:
             attestations = [
                 dataclasses.replace(one, made=one.made - received.time)
-                for one in self._attested()
+                for one in self._attested_to(parent, waits)
             ]
         return _poll_messages.Poll(
             self._parts.documents.versions(),
             self._parts.acceptance.accepted(),
             received.stamp,
             now - received.time if received.stamp.incarnation else 0.0,
-            hold,
+            waits.hold,
+            now - self._parts.freshness.as_of(),
+            waits.step,
             attestations,
         )
 
-    def _attested(self) -> list[_attestations.Attestation]:
-        """Tell what this node and those below it attest.
+    def _attested_to(
+        self, parent: str, waits: _Waits
+    ) -> list[_attestations.Attestation]:
+        now = self._parts.now()
+        if not waits.whole:
+            return self._attested_here()
+        tree = self._parts.tree
+        if not tree.is_watcher() or self._awaits_majority():
+            return self._attested()
+        # The first watcher has to know who is alive, for the owners.
+        told = self._told_by_vm.get(parent, -math.inf)
+        if parent != tree.watchers()[0] or now - told < TABLE_INTERVAL:
+            return self._attested_here()
+        self._told_by_vm[parent] = now
+        return self._attested()
 
-        A node attests nothing before it was current: it may have held a
-        version, and counted for its acceptance, before it restarted.
-        """
+    def _awaits_majority(self) -> bool:
+        """Whether an acceptance or evidence hangs on a majority."""
+        return self._source.age() > OUTAGE_AGE or _poll_messages.has_news(
+            self._parts.documents.versions(),
+            self._parts.acceptance.accepted(),
+        )
+
+    def _attested(self) -> list[_attestations.Attestation]:
+        """Return what this node and those below it attest."""
         own = _ranks.weight(self._parts.identity.vm_id)
-        attested = [
+        below = [
             one
             for one in self._parts.attestations.recent()
             if one.member != own
         ]
-        if self._parts.freshness.is_current():
-            attested.append(
-                _attestations.Attestation(
-                    own,
-                    self._parts.identity.incarnation,
-                    self._parts.documents.versions(),
-                    self._parts.now(),
-                )
+        return below + self._attested_here()
+
+    def _attested_here(self) -> list[_attestations.Attestation]:
+        """Return what this node attests.
+
+        A node attests nothing before it was current: it may have held a
+        version, and counted for its acceptance, before it restarted.
+        """
+        if not self._parts.freshness.is_current():
+            return []
+        return [
+            _attestations.Attestation(
+                _ranks.weight(self._parts.identity.vm_id),
+                self._parts.identity.incarnation % INCARNATION_TAGS,
+                self._parts.documents.versions(),
+                self._parts.now(),
             )
-        return attested
+        ]
 
     async def _adopt_newer(
         self, parent: str, reply: _poll_messages.PollReply
@@ -159,20 +246,37 @@
         self._received_by_vm[parent] = _Received(
             reply.stamp, self._parts.now()
         )
-        for index, theirs in enumerate(reply.versions):
+        for index, theirs in enumerate(reply.versions[:TRACKED]):
             if self._parts.documents.versions()[index] < theirs:
                 found = await _fetching.fetch_object(
                     self._parts.peers, parent, index
                 )
                 await self._parts.documents.adopt(
-                    index, found, self._fetch_part
+                    index, found, self._part_fetcher(parent)
                 )
-        for index, accepted in enumerate(reply.accepted):
+        if self._parts.documents.lacks_last_good():
+            kept = await _fetching.fetch_kept(self._parts.peers, parent)
+            await self._parts.documents.restore(
+                kept, self._part_fetcher(parent)
+            )
+        for index, accepted in enumerate(reply.accepted[:TRACKED]):
             self._parts.acceptance.learn(index, accepted)
 
+    def _part_fetcher(self, parent: str) -> _documents.FetchPart:
+        """Fetch parts from the parent that has the head, else elsewhere."""
+
+        def sources() -> list[str]:
+            others = [
+                one for one in self._parts.tree.parents() if one != parent
+            ]
+            return [parent, *others]
+
+        from_peers = _fetching.from_peers(self._parts.peers, sources)
+        return _fetching.first_of(from_peers, self._from_api)
+
     async def _watch_for_ever(self, index: int) -> None:
         while True:
-            if not self._parts.is_watcher():
+            if not self._parts.tree.is_watcher():
                 await trio.sleep(DIRECT_INTERVAL)
                 continue
             await self._source.watch(index)
@@ -180,7 +284,7 @@
     async def _probe_for_ever(self, index: int) -> None:
         while True:
             if (
-                self._parts.is_watcher()
+                self._parts.tree.is_watcher()
                 or self._parts.freshness.age() > DIRECT_AGE
             ):
                 await self._source.probe(index)
@@ -195,7 +299,7 @@
             if not lost:
                 await trio.sleep(RETRY_INTERVAL)
             for vm_id in lost:
-                await self._poll(vm_id, 0.0)
+                await self._poll(vm_id, _Waits(0.0, 0.0))
                 await trio.sleep(RETRY_INTERVAL)
 
     async def _count_for_ever(self) -> None:
@@ -206,16 +310,15 @@
     def _count(self) -> None:
         for one in self._attested():
             self._parts.attestations.add(one)
-        electorate = self._parts.membership.members().electorate
-        if not electorate:
+        electorates = self._parts.membership.members().electorates
+        if not electorates:
             return
-        needed = _attestations.majority(electorate)
-        attestations = self._parts.attestations.of(electorate)
-        if len(attestations) < needed:
+        attestations = self._parts.attestations.recent()
+        if 2 * len(attestations) <= min(map(len, electorates)):
             return
-        self._parts.acceptance.count(attestations, needed)
+        self._parts.acceptance.count(attestations, electorates)
         as_of = _attestations.as_of_majority(
-            attestations, self._parts.documents.versions(), needed
+            attestations, self._parts.documents.versions(), electorates
         )
         if as_of > -math.inf:
             self._parts.freshness.confirm_all(
--- a/packages/mustardlbd/mustardlbd/_spread_server.py
+++ b/packages/mustardlbd/mustardlbd/_spread_server.py
@@ -15,9 +15,10 @@
 POLL = 'state.poll'
 OBJECT = 'state.object'
 PART = 'state.part'
+KEPT = 'state.kept'
 
 # Longest hold that a polled node grants, seconds.
-HOLD_LIMIT = 2.0
+HOLD_LIMIT = 4.0
 
 
 class SpreadServer:
@@ -31,6 +32,7 @@
         server.register(POLL, self._answer_poll)
         server.register(OBJECT, self._answer_object)
         server.register(PART, self._answer_part)
+        server.register(KEPT, self._answer_kept)
 
     async def _answer_poll(
         self, sender: _peer_server.Sender, payload: bytes
@@ -39,7 +41,7 @@
         poll = _poll_messages.decode_poll(payload)
         self._note_attestations(poll)
         with trio.move_on_after(min(poll.hold, HOLD_LIMIT)):
-            while not self._has_news(poll):
+            while not self._has_news(poll, got):
                 await self._parts.news.wait()
         now = self._parts.now()
         return _poll_messages.encode_reply(
@@ -52,11 +54,16 @@
             )
         )
 
-    def _has_news(self, poll: _poll_messages.Poll) -> bool:
-        return _poll_messages.has_news(
-            self._parts.documents.versions(), poll.versions
-        ) or _poll_messages.has_news(
-            self._parts.acceptance.accepted(), poll.accepted
+    def _has_news(self, poll: _poll_messages.Poll, got: float) -> bool:
+        newer_by = self._parts.freshness.as_of() - (got - poll.age)
+        return (
+            newer_by >= poll.step
+            or _poll_messages.has_news(
+                self._parts.documents.versions(), poll.versions
+            )
+            or _poll_messages.has_news(
+                self._parts.acceptance.accepted(), poll.accepted
+            )
         )
 
     def _note_attestations(self, poll: _poll_messages.Poll) -> None:
@@ -84,6 +91,16 @@
         )
         return reply.to_bytes_packed()
 
+    async def _answer_kept(
+        self, sender: _peer_server.Sender, payload: bytes
+    ) -> bytes:
+        kept = [
+            {'name': name, 'revision': entry.revision, 'parts': entry.parts}
+            for name, entry in self._parts.documents.kept().items()
+        ]
+        reply = schema.load('state').KeptReply.new_message(kept=kept)
+        return reply.to_bytes_packed()
+
     async def _answer_part(
         self, sender: _peer_server.Sender, payload: bytes
     ) -> bytes:
--- a/tests/mustardlbd/fleet.py
+++ b/tests/mustardlbd/fleet.py
@@ -7,9 +7,12 @@
 
 import collections
 import dataclasses
+import logging
 import random
 
+import structlog
 import trio
+import trio.testing
 
 from mustardlb import configuration
 from mustardlb import errors
@@ -36,8 +39,12 @@
         self.delay = delay
         self.delay_by_link = {}
         self.bytes_by_node = collections.Counter()
+        self.sends_by_node = collections.Counter()
+        self.lagging = set()
         self._cuts = set()
         self._paused = set()
+        self._paused_at = {}
+        self._slept = collections.Counter()
         self._changed = trio.Event()
 
     def cut(self, source, target):
@@ -53,18 +60,27 @@
                 self.cut(other, one)
 
     def mend(self):
-        """Mend every cut."""
+        """Mend every cut and every lag."""
         self._cuts.clear()
+        self.lagging.clear()
         self._notify()
 
     def pause(self, node):
         self._paused.add(node)
+        self._paused_at.setdefault(node, trio.current_time())
         self._notify()
 
     def resume(self, node):
         self._paused.discard(node)
+        since = self._paused_at.pop(node, trio.current_time())
+        self._slept[node] += trio.current_time() - since
         self._notify()
 
+    def slept(self, node):
+        """Seconds for which a node was paused so far."""
+        since = self._paused_at.get(node, trio.current_time())
+        return self._slept[node] + trio.current_time() - since
+
     def is_cut(self, source, target):
         return (source, target) in self._cuts
 
@@ -118,8 +134,9 @@
         await trio.lowlevel.checkpoint()
         if self._closed:
             raise trio.ClosedResourceError
-        self._network.bytes_by_node[self._own] += len(data)
-        self._network.bytes_by_node[self._other] += len(data)
+        for node in (self._own, self._other):
+            self._network.bytes_by_node[node] += len(data)
+            self._network.sends_by_node[node] += 1
         arrival = trio.current_time() + self._network.transit(
             self._own, self._other
         )
@@ -155,7 +172,11 @@
 
 
 class NodeApi:
-    """The object API as one node reaches it."""
+    """The object API as one node reaches it.
+
+    To a lagging node reads and watches show the state before the last
+    write.
+    """
 
     def __init__(self, network, vm_id, api):
         self._network = network
@@ -163,7 +184,10 @@
         self._api = api
 
     async def get(self, name):
-        return await self._through(self._api.get(name))
+        found = await self._through(self._api.get(name))
+        if self._vm_id in self._network.lagging:
+            return self._api.peek(name, back=1)
+        return found
 
     async def list_versions(self, prefix):
         return await self._through(self._api.list_versions(prefix))
@@ -175,7 +199,12 @@
         return await self._through(self._api.delete(name, expected))
 
     async def watch(self, name, after, wait):
-        return await self._through(self._api.watch(name, after, wait))
+        if self._vm_id in self._network.lagging:
+            after = -1
+        found = await self._through(self._api.watch(name, after, wait))
+        if self._vm_id in self._network.lagging:
+            return self._api.peek(name, back=1)
+        return found
 
     async def _through(self, call):
         """Let a call pass there, and its answer or refusal back."""
@@ -263,7 +292,7 @@
         self.api = object_api_standin.MemoryObjectApi()
         self.vms = FakeVmList()
         self.nodes_by_id = {}
-        self._nursery = nursery
+        self.nursery = nursery
         self._random = random.Random(seed)
         self._make_state = make_state
 
@@ -283,13 +312,16 @@
             open_stream,
             trio.current_time,
         )
-        server = _peer_server.PeerServer(vm_id)
+        server = self._make_server(vm_id)
         state = self._make_state(identity, platform, server, accept_all)
         node = Node(vm_id, state, server, trio.CancelScope())
         self.nodes_by_id[vm_id] = node
-        self._nursery.start_soon(self._run, node)
+        self.nursery.start_soon(self._run, node)
         return node
 
+    def _make_server(self, vm_id):
+        return _peer_server.PeerServer(vm_id)
+
     def kill(self, vm_id):
         """End the process of a node at once."""
         node = self.nodes_by_id.pop(vm_id, None)
@@ -340,9 +372,8 @@
         new = configuration.Head(
             revision, change, entries, (change, *head.recent)[:20]
         )
-        await self._api.put(
-            configuration.HEAD, configuration.encode_head(new), found.version
-        )
+        value = configuration.encode_head(new)
+        await self._api.put(configuration.HEAD, value, found.version)
         return revision
 
     async def _create(self, name, value):
@@ -350,3 +381,27 @@
             await self._api.put(name, value, object_api.ABSENT)
         except object_api.VersionConflict:
             return
+
+
+# Time in which a new fleet becomes current, seconds.
+WARM_UP = 10.0
+
+
+def run(scenario, size=7, seed=0, make_state=_state.State):
+    """Run `await scenario(fleet)` on a fleet that is current."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, seed, make_state)
+            for number in range(size):
+                fleet.start(f'vm-{number}')
+            await trio.sleep(WARM_UP)
+            await scenario(fleet)
+            nursery.cancel_scope.cancel()
+
+    random.seed(seed)
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(main, clock=clock)
