Record bookings in the node, wait a second at most for tokens, add the demo

Tokens were waited for as long as a place on a target (10 s), so calls far over an account's rate were held and refused late. A second is what a share takes to move; then the refusal comes at once with when to come back.

--- a/packages/mustardlb/mustardlb/settings.py
+++ b/packages/mustardlb/mustardlb/settings.py
@@ -80,7 +80,8 @@
     :ivar body_time: between two pieces of a request body, seconds
     :ivar response_time: until a target's answer begins, seconds
     :ivar idle_time: between two pieces of a target's answer, seconds
-    :ivar queue_time: wait for tokens or for a place on a target, seconds
+    :ivar queue_time: wait for a place on a target, seconds
+    :ivar token_time: wait for tokens before a call is refused, seconds
     :ivar connections: open connections of callers
     :ivar streams: requests in flight
     """
@@ -92,6 +93,7 @@
     response_time: Seconds = 120.0
     idle_time: Seconds = 60.0
     queue_time: Seconds = 10.0
+    token_time: Seconds = 1.0
     connections: Count = 10_000
     streams: Count = 2_000
 
--- a/packages/mustardlbd/mustardlbd/_app.py
+++ b/packages/mustardlbd/mustardlbd/_app.py
@@ -7,6 +7,7 @@
 import secrets
 import signal
 import sys
+import time
 from typing import Any
 
 import statsd
@@ -19,6 +20,7 @@
 from mustardlb import http_vm_list
 from mustardlb import settings as settings_module
 from mustardlbd import _admin
+from mustardlbd import _bookings
 from mustardlbd import _caller_settings
 from mustardlbd import _callers
 from mustardlbd import _dependencies
@@ -27,7 +29,6 @@
 from mustardlbd import _limit_wiring
 from mustardlbd import _logging
 from mustardlbd import _metrics
-from mustardlbd import _no_bookings
 from mustardlbd import _peer_server
 from mustardlbd import _peers
 from mustardlbd import _state
@@ -85,6 +86,7 @@
         response_timeout=limits.response_time,
         event_timeout=limits.idle_time,
         queue_timeout=limits.queue_time,
+        token_timeout=limits.token_time,
         max_requests=limits.streams,
     )
 
@@ -148,6 +150,7 @@
     shares = _limit_wiring.build(
         settings.vm_id, incarnation, state, directory.current, peer_server
     )
+    bookings = _bookings.Bookings(api, time.time)
     stop = trio.Event()
     end = trio.Event()
     metrics = _make_metrics(settings.statsd)
@@ -158,7 +161,7 @@
         wait_revision=functools.partial(_wait_revision, state),
         reserve=shares.reserve,
         place=targets.place,
-        begin=_no_bookings.begin,
+        begin=bookings.begin,
     )
     serve_callers = functools.partial(
         _callers.serve,
@@ -182,6 +185,7 @@
         background.start_soon(state.run)
         background.start_soon(targets.run)
         background.start_soon(shares.run)
+        background.start_soon(bookings.run)
         async with trio.open_nursery() as beside:
             admin_port = await beside.start(serve_admin)
             async with trio.open_nursery() as serving:
--- a/packages/mustardlbd/mustardlbd/_caller_settings.py
+++ b/packages/mustardlbd/mustardlbd/_caller_settings.py
@@ -16,7 +16,8 @@
     :ivar connect_timeout: for connecting to a target
     :ivar response_timeout: until a target's answer begins
     :ivar event_timeout: between two pieces of a target's answer
-    :ivar queue_timeout: wait for concurrency, tokens and a target
+    :ivar queue_timeout: wait for concurrency and a target
+    :ivar token_timeout: wait for tokens, long enough for a share to move
     :ivar default_tokens: generated at most where the caller says nothing
     :ivar max_tokens: the most that may be asked for, for each choice
     :ivar max_choices: the most choices that may be asked for
@@ -35,6 +36,7 @@
     response_timeout: float = 120.0
     event_timeout: float = 60.0
     queue_timeout: float = 10.0
+    token_timeout: float = 1.0
     default_tokens: int = 1024
     max_tokens: int = 16_384
     max_choices: int = 8
--- a/packages/mustardlbd/mustardlbd/_callers.py
+++ b/packages/mustardlbd/mustardlbd/_callers.py
@@ -221,7 +221,7 @@
 ) -> None:
     dependencies = callers.dependencies
     reservation = await dependencies.reserve(
-        caller.record.account, call.cost, callers.settings.queue_timeout
+        caller.record.account, call.cost, callers.settings.token_timeout
     )
     # Whatever ends the call before its usage is known is charged in full.
     used = call.cost
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,1 +1,266 @@
-"""The demonstration: every part a process of its own on loopback."""
+"""The demonstration: a whole site on loopback, what was promised and seen.
+
+Exit code 0 only when every line of the table held.
+"""
+
+from collections import abc
+import dataclasses
+import functools
+import json
+import pathlib
+import sys
+import tempfile
+import time
+from typing import Any
+import urllib.request
+
+import demo_calls
+import demo_operator
+import launcher
+import local_site
+import trio
+
+ACCOUNTS = ('canopy', 'feed', 'stable')
+
+# Adapters of each account; together more than all engines have slots for.
+ADAPTERS = 6
+
+# The contract of the account that asks for too much.
+SMALL_RATE = 100
+SMALL_BURST = 2_000
+
+# Seconds in which a withdrawn key is refused everywhere.
+WITHDRAWAL_LIMIT = 3.0
+
+# Time in which a drained target may still be given new work, seconds.
+DRAIN_LIMIT = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One line of the table."""
+
+    promised: str
+    seen: str
+    held: bool
+
+
+class Demo:
+    """The site, its operator and the lines seen so far."""
+
+    def __init__(self, site: local_site.Site) -> None:
+        self.site = site
+        self.operator = demo_operator.Operator(site)
+        self.urls = [node.url for node in site.nodes_by_id.values()]
+        self.keys_by_account: dict[str, str] = {}
+        self.lines: list[Line] = []
+
+    def check(self, promised: str, held: bool, seen: str) -> None:
+        """Add a line and print it at once."""
+        line = Line(promised, seen, held)
+        self.lines.append(line)
+        verdict = 'held' if held else 'BROKEN'
+        print(f'  {verdict:7}{promised:58} {seen}', flush=True)
+
+    def configure(self) -> None:
+        """Write contracts, keys, targets and routes."""
+        for name, url in self.site.engines_by_name.items():
+            self.operator.apply_engine(name, url)
+        self.operator.apply_service('desk-1', self.site.desk)
+        self.operator.apply_route('bookings', 'desk')
+        for account in ACCOUNTS:
+            rate, burst = 100_000, 1_000_000
+            if account == 'stable':
+                rate, burst = SMALL_RATE, SMALL_BURST
+            shown = self.operator.apply_contract(account, rate, burst)
+            self.keys_by_account[account] = self.operator.issue_key(account)
+        nodes = len(self.urls)
+        self.check(
+            'an accepted contract is in force on every VM',
+            f'{nodes} of {nodes}' in shown,
+            f'{nodes} of {nodes} said so' if shown else 'no answer',
+        )
+
+    def get(self, url: str) -> Any:
+        """Read JSON."""
+        with urllib.request.urlopen(url, timeout=10) as answer:
+            return json.load(answer)
+
+    def received(self) -> str:
+        """Everything that any target was sent, as text."""
+        urls = [*self.site.engines_by_name.values(), self.site.desk]
+        return ''.join(
+            json.dumps(self.get(f'{url}/check/received')) for url in urls
+        )
+
+
+def show_adapters(demo: Demo) -> None:
+    """Many accounts, many adapters, streamed answers."""
+    calls = [
+        demo_calls.Call(
+            demo.urls[number % len(demo.urls)],
+            demo.keys_by_account[account],
+            f'{account}-{number % ADAPTERS}@1',
+        )
+        for account in ('canopy', 'feed')
+        for number in range(4 * ADAPTERS)
+    ]
+    answers = trio.run(demo_calls.stream_all, calls)
+    right = sum(answer.served == call.model for call, answer in answers)
+    whole = sum(answer.whole for _, answer in answers)
+    failed = [answer.code for _, answer in answers if answer.code]
+    demo.check(
+        'every request runs on the adapter and version it asked for',
+        right == len(calls),
+        f'{right} of {len(calls)}' + (f', {failed[:3]}' if failed else ''),
+    )
+    demo.check(
+        'every caller receives its whole answer',
+        whole == len(calls),
+        f'{whole} of {len(calls)}',
+    )
+
+
+def show_limits(demo: Demo) -> None:
+    """One account sends several times its rate through all nodes."""
+    key = demo.keys_by_account['stable']
+    started = time.monotonic()
+    calls = [
+        demo_calls.Call(url, key, 'stable-0@1', max_tokens=100, stream=False)
+        for url in demo.urls * 12
+    ]
+    answers = trio.run(demo_calls.stream_all, calls)
+    elapsed = time.monotonic() - started
+    used = sum(answer.tokens for _, answer in answers)
+    allowed = SMALL_BURST + SMALL_RATE * elapsed
+    refused = [answer for _, answer in answers if answer.code]
+    true = all(
+        answer.code == 'rate_limited'
+        and answer.not_run
+        and answer.retry_after is not None
+        for answer in refused
+    )
+    demo.check(
+        'no account gets more than its rate and burst over all VMs',
+        0 < used <= allowed,
+        f'{used} tokens used, {allowed:.0f} allowed',
+    )
+    demo.check(
+        'a refusal says not_run and when to come back',
+        bool(refused) and true,
+        f'{len(refused)} of {len(calls)} refused',
+    )
+
+
+def show_booking(demo: Demo) -> None:
+    """Send the same booking to every node at once, and again later."""
+    key = demo.keys_by_account['feed']
+    answers = trio.run(demo_calls.book_everywhere, demo.urls, key, 'oats-7')
+    answers += trio.run(demo_calls.book_everywhere, demo.urls, key, 'oats-7')
+    runs = demo.get(f'{demo.site.desk}/check/runs')
+    counted = demo_calls.runs_of(runs, 'oats-7')
+    codes = sorted({str(answer) for answer in answers})
+    demo.check(
+        'a booking runs at most once, on any node, when repeated',
+        counted == 1 and '201' in codes,
+        f'{counted} run, answers {", ".join(codes)}',
+    )
+
+
+def show_withdrawal(demo: Demo) -> None:
+    """Withdraw a key while its owner keeps sending."""
+    key = demo.operator.issue_key('canopy')
+    withdraw = functools.partial(demo.operator.withdraw_key, key)
+    seen = trio.run(demo_calls.until_refused, demo.urls, key, withdraw)
+    demo.check(
+        f'a withdrawn key stops within {WITHDRAWAL_LIMIT:.0f} s everywhere',
+        seen.served_before > 0 and seen.last_served <= WITHDRAWAL_LIMIT,
+        f'{seen.served_before} served before, last one '
+        f'{seen.last_served:.2f} s after the command began',
+    )
+
+
+def show_drain(demo: Demo) -> None:
+    """Drain an engine while calls go on."""
+    name, url = next(iter(demo.site.engines_by_name.items()))
+    demo.operator.drain(name)
+    time.sleep(DRAIN_LIMIT)
+    before = demo_calls.calls_in(demo.get(f'{url}/check/received'))
+    show = demo.keys_by_account['canopy']
+    calls = [
+        demo_calls.Call(node, show, f'canopy-{number}@1')
+        for node in demo.urls
+        for number in range(ADAPTERS)
+    ]
+    answers = trio.run(demo_calls.stream_all, calls)
+    whole = sum(answer.whole for _, answer in answers)
+    new = demo_calls.calls_in(demo.get(f'{url}/check/received')) - before
+    demo.check(
+        'a draining target gets no new work after a few seconds',
+        new == 0 and whole == len(calls),
+        f'{new} new calls, {whole} of {len(calls)} answered elsewhere',
+    )
+
+
+def show_stop(demo: Demo) -> None:
+    """Stop an entry node gracefully with streams running."""
+    node = list(demo.site.nodes_by_id.values())[-1]
+    process = demo.site.processes.processes_by_name[node.vm_id]
+    call = demo_calls.Call(
+        node.url, demo.keys_by_account['canopy'], 'canopy-1@1', max_tokens=100
+    )
+    answers = trio.run(demo_calls.stream_while, [call] * 10, process.terminate)
+    whole = sum(answer.whole for _, answer in answers)
+    code = process.wait()
+    demo.check(
+        'a planned stop cuts no request in flight',
+        whole == len(answers) and code == 0,
+        f'{whole} of {len(answers)} streams whole, exit code {code}',
+    )
+
+
+def show_keys(demo: Demo) -> None:
+    """Look for every key in everything that a target received."""
+    received = demo.received()
+    secrets = [key for key in demo.operator.keys if key in received]
+    demo.check(
+        'no target ever sees a key',
+        bool(received) and not secrets,
+        f'{len(demo.operator.keys)} keys looked for in '
+        f'{len(received):,} characters',
+    )
+
+
+SCENES: tuple[abc.Callable[[Demo], None], ...] = (
+    Demo.configure,
+    show_adapters,
+    show_limits,
+    show_booking,
+    show_withdrawal,
+    show_drain,
+    show_stop,
+    show_keys,
+)
+
+
+def main() -> int:
+    """Run the demonstration."""
+    started = time.monotonic()
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        launcher.site(pathlib.Path(directory)) as processes,
+    ):
+        print('Starting a site: platform, targets, three entry nodes ...')
+        site = local_site.Site(processes)
+        site.start_nodes()
+        demo = Demo(site)
+        for scene in SCENES:
+            scene(demo)
+    held = sum(line.held for line in demo.lines)
+    elapsed = time.monotonic() - started
+    print(f'{held} of {len(demo.lines)} promises held, {elapsed:.0f} s')
+    return 0 if held == len(demo.lines) else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
