--- a/packages/mustardlb-cli/mustardlb_cli/_fleet_status.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_fleet_status.py
@@ -3,7 +3,6 @@
 import trio
 
 from mustardlb import stored_configuration
-from mustardlb_cli import _changing
 from mustardlb_cli import _nodes
 from mustardlb_cli import _output
 from mustardlb_cli import _site
@@ -52,25 +51,6 @@
     return {'histograms': rows, 'not_answering': silent}
 
 
-async def settle_change(
-    open_site: _site.Open, change: str, wait: float | None
-) -> _output.Result:
-    """Find out whether a change landed, then wait for it if it did."""
-    async with open_site() as site:
-        landed = await _changing.settle(site, change)
-        if landed is None:
-            raise _changing.not_landed(change)
-        limit = site.wait if wait is None else wait
-        result: dict[str, object] = {
-            'landed': True,
-            'change': change,
-            'revision': landed.revision,
-        }
-        if not limit:
-            return result
-        return await _changing.follow(site, landed.revision, limit, result)
-
-
 def _row(reply: _nodes.Reply) -> dict[str, object]:
     status = reply.status
     return {
--- a/packages/mustardlb-cli/mustardlb_cli/_main.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_main.py
@@ -14,6 +14,7 @@
 from mustardlb import changes
 from mustardlb import documents
 from mustardlb import errors
+from mustardlb_cli import _change
 from mustardlb_cli import _command
 from mustardlb_cli import _contract
 from mustardlb_cli import _exit
@@ -62,7 +63,7 @@
         self.key = _key.KeyCommands(self._open)
         self.route = _fleet.RouteCommands(self._open)
         self.target = _fleet.TargetCommands(self._open)
-        self.change = ChangeCommands(self._open)
+        self.change = _change.ChangeCommands(self._open)
         self.settings = _settings.SettingsCommands()
 
     def status(self) -> _command.Command:
@@ -85,27 +86,6 @@
         )
 
 
-class ChangeCommands:
-    """Changes whose answer was lost."""
-
-    def __init__(self, open_site: _site.Open) -> None:
-        self._open = open_site
-
-    def settle(self, change: str, wait: str | None = None) -> _command.Command:
-        """Find out whether a change landed, and keep it from landing late.
-
-        Example: mustardlb change settle r13-0123456789abcdef
-
-        Args:
-          change: the identifier that the command named
-          wait: seconds to wait until it is in force, 0 for none
-        """
-        seconds = _command.number('wait', wait)
-        return _command.Command(
-            lambda: _fleet_status.settle_change(self._open, change, seconds)
-        )
-
-
 def main() -> NoReturn:
     """Run the command line of this process and exit."""
     sys.exit(run(sys.argv[1:]))
