--- a/tests/mustardlbd/fleet.py
+++ b/tests/mustardlbd/fleet.py
@@ -328,6 +328,11 @@
         if node is not None:
             node.scope.cancel()
 
+    def lose(self, vm_id):
+        """Let a VM die without a word: who calls it gets no answer."""
+        self.network.pause(vm_id)
+        self.nodes_by_id.pop(vm_id)
+
     async def _run(self, node):
         with node.scope:
             async with trio.open_nursery() as nursery:
