--- a/packages/mustardlbd/mustardlbd/_app.py
+++ b/packages/mustardlbd/mustardlbd/_app.py
@@ -147,7 +147,7 @@
         settings, state, directory.current, incarnation
     )
     targets.register(peer_server.register)
-    shares = _limit_wiring.build(
+    limits = _limit_wiring.build(
         settings.vm_id, incarnation, state, directory.current, peer_server
     )
     bookings = _bookings.Bookings(api, time.time)
@@ -159,7 +159,7 @@
         check_fresh=state.check_fresh,
         status=functools.partial(_show_status, state),
         wait_revision=functools.partial(_wait_revision, state),
-        reserve=shares.reserve,
+        reserve=limits.holder.reserve,
         place=targets.place,
         begin=bookings.begin,
     )
@@ -184,7 +184,7 @@
         background.start_soon(peer_server.serve, peer_listener)
         background.start_soon(state.run)
         background.start_soon(targets.run)
-        background.start_soon(shares.run)
+        background.start_soon(limits.run)
         background.start_soon(bookings.run)
         async with trio.open_nursery() as beside:
             admin_port = await beside.start(serve_admin)
--- a/packages/mustardlbd/mustardlbd/_limit_wiring.py
+++ b/packages/mustardlbd/mustardlbd/_limit_wiring.py
@@ -1,6 +1,9 @@
 """Builds the fleet-wide token limits of a node from the shared state."""
 
 from collections import abc
+import dataclasses
+
+import trio
 
 from mustardlb import directory as directories
 from mustardlbd import _bucket
@@ -15,6 +18,27 @@
 # What an account without a contract may use.
 NOTHING = _bucket.Limit(rate=0.0, burst=0.0)
 
+# How often the accounts of this VM's slices are looked for, seconds.
+LOOK_INTERVAL = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """The limits of one node."""
+
+    holder: _share_holder.ShareHolder
+    keeper: _share_keeper.ShareKeeper
+    directory: abc.Callable[[], directories.Directory]
+
+    async def run(self) -> None:
+        """Hold and keep shares for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.holder.run)
+            while True:
+                for account in self.directory().contracts_by_account:
+                    self.keeper.open_book(account)
+                await trio.sleep(LOOK_INTERVAL)
+
 
 def build(
     vm_id: str,
@@ -22,7 +46,7 @@
     state: _state.State,
     directory: abc.Callable[[], directories.Directory],
     server: _peer_server.PeerServer,
-) -> _share_holder.ShareHolder:
+) -> Limits:
     """Build the holder of shares, its keeper and deputy; register them."""
 
     def contract(account: str) -> _bucket.Limit:
@@ -51,4 +75,5 @@
     server.register(_share_messages.REPORT_SERVICE, keeper.handle_report)
     server.register(_share_messages.HANDOVER_SERVICE, keeper.handle_handover)
     server.register(_share_messages.DEPUTY_SERVICE, deputy.handle)
-    return _share_holder.ShareHolder(node, keeper)
+    holder = _share_holder.ShareHolder(node, keeper)
+    return Limits(holder, keeper, directory)
--- a/packages/mustardlbd/mustardlbd/_share_keeper.py
+++ b/packages/mustardlbd/mustardlbd/_share_keeper.py
@@ -40,6 +40,20 @@
                     await self._bar_silent(account, book)
             await trio.sleep(ports.REPORT_INTERVAL)
 
+    def open_book(self, account: str) -> None:
+        """Begin to keep an account if this VM is the owner of its slice.
+
+        The free part gathers tokens only in an open book, and an account
+        whose first call comes late would find none.
+        """
+        owner = self._node.owners().owner_of(ports.slice_key(account))
+        if owner.vm_id != self._node.vm_id:
+            return
+        try:
+            self._open_book(account, owner.epoch).refresh()
+        except errors.Error as error:
+            log.debug('MLB-3002', account=account, problem=str(error))
+
     def _keeps(self, account: str, book: _share_book.Book) -> bool:
         owner = self._node.owners().owner_of(ports.slice_key(account))
         mine = (owner.vm_id, owner.epoch) == (self._node.vm_id, book.epoch)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -20,8 +20,6 @@
 import local_site
 import trio
 
-ACCOUNTS = ('canopy', 'feed', 'stable')
-
 # Adapters of each account; together more than all engines have slots for.
 ADAPTERS = 6
 
@@ -29,9 +27,18 @@
 SMALL_RATE = 100
 SMALL_BURST = 2_000
 
+LIMITS_BY_ACCOUNT = {
+    'canopy': (100_000, 1_000_000),
+    'feed': (100_000, 1_000_000),
+    'stable': (SMALL_RATE, SMALL_BURST),
+}
+
 # Seconds in which a withdrawn key is refused everywhere.
 WITHDRAWAL_LIMIT = 3.0
 
+# How much of each node's log is shown when a scene fails, characters.
+LOG_TAIL = 4_000
+
 # Time in which a drained target may still be given new work, seconds.
 DRAIN_LIMIT = 5.0
 
@@ -64,15 +71,12 @@
 
     def configure(self) -> None:
         """Write contracts, keys, targets and routes."""
-        for name, url in self.site.engines_by_name.items():
-            self.operator.apply_engine(name, url)
-        self.operator.apply_service('desk-1', self.site.desk)
+        self.operator.apply_targets(
+            self.site.engines_by_name, {'desk-1': self.site.desk}
+        )
         self.operator.apply_route('bookings', 'desk')
-        for account in ACCOUNTS:
-            rate, burst = 100_000, 1_000_000
-            if account == 'stable':
-                rate, burst = SMALL_RATE, SMALL_BURST
-            shown = self.operator.apply_contract(account, rate, burst)
+        shown = self.operator.apply_contracts(LIMITS_BY_ACCOUNT)
+        for account in LIMITS_BY_ACCOUNT:
             self.keys_by_account[account] = self.operator.issue_key(account)
         nodes = len(self.urls)
         self.check(
@@ -231,6 +235,13 @@
     )
 
 
+def show_logs(site: local_site.Site) -> None:
+    """Print the end of each node's log."""
+    for vm_id in site.nodes_by_id:
+        log = site.processes.processes_by_name[vm_id].log.read_text()
+        print(f'{vm_id}: ...{log[-LOG_TAIL:]}')
+
+
 SCENES: tuple[abc.Callable[[Demo], None], ...] = (
     Demo.configure,
     show_adapters,
@@ -254,8 +265,12 @@
         site = local_site.Site(processes)
         site.start_nodes()
         demo = Demo(site)
-        for scene in SCENES:
-            scene(demo)
+        try:
+            for scene in SCENES:
+                scene(demo)
+        except Exception:
+            show_logs(site)
+            raise
     held = sum(line.held for line in demo.lines)
     elapsed = time.monotonic() - started
     print(f'{held} of {len(demo.lines)} promises held, {elapsed:.0f} s')
--- a/tools/demo_operator.py
+++ b/tools/demo_operator.py
@@ -38,6 +38,9 @@
 group = '{group}'
 """
 
+# Rate (tokens a second) and burst (tokens) by client account.
+Limits = dict[str, tuple[int, int]]
+
 
 class Operator:
     """Runs commands against one site.
@@ -49,24 +52,30 @@
         self._site = site
         self.keys: list[str] = []
 
-    def apply_contract(self, account: str, rate: int, burst: int) -> str:
-        """Apply a contract; returns what the command printed."""
-        text = CONTRACT.format(account=account, rate=rate, burst=burst)
-        return self._apply('contract', account, text)
-
-    def apply_engine(self, name: str, url: str) -> str:
-        """Apply the target of an engine."""
-        text = ENGINE.format(name=name, url=url, slots=local_site.SLOTS)
-        return self._apply('target', name, text)
-
-    def apply_service(self, name: str, url: str) -> str:
-        """Apply the target of a plain service."""
-        return self._apply('target', name, SERVICE.format(name=name, url=url))
+    def apply_contracts(self, limits_by_account: Limits) -> str:
+        """Apply contracts in one change; returns what was printed."""
+        texts_by_name = {
+            account: CONTRACT.format(account=account, rate=rate, burst=burst)
+            for account, (rate, burst) in limits_by_account.items()
+        }
+        return self._apply('contract', texts_by_name)
+
+    def apply_targets(
+        self, engines_by_name: dict[str, str], services_by_name: dict[str, str]
+    ) -> str:
+        """Apply targets, given by name and URL, in one change."""
+        texts_by_name = {
+            name: ENGINE.format(name=name, url=url, slots=local_site.SLOTS)
+            for name, url in engines_by_name.items()
+        }
+        for name, url in services_by_name.items():
+            texts_by_name[name] = SERVICE.format(name=name, url=url)
+        return self._apply('target', texts_by_name)
 
     def apply_route(self, name: str, group: str) -> str:
         """Apply a route to a group of plain services."""
         text = ROUTE.format(name=name, group=group)
-        return self._apply('route', name, text)
+        return self._apply('route', {name: text})
 
     def issue_key(self, account: str) -> str:
         """Issue a key and return its text."""
@@ -96,7 +105,10 @@
             raise RuntimeError(f'{words}: {result.stdout}{result.stderr}')
         return result.stdout
 
-    def _apply(self, kind: str, name: str, text: str) -> str:
-        path = self._site.directory / f'{kind}-{name}.toml'
-        path.write_text(text)
-        return self.run(kind, 'apply', str(path))
+    def _apply(self, kind: str, texts_by_name: dict[str, str]) -> str:
+        paths = []
+        for name, text in texts_by_name.items():
+            path = self._site.directory / f'{kind}-{name}.toml'
+            path.write_text(text)
+            paths.append(str(path))
+        return self.run(kind, 'apply', *paths)
