--- a/packages/mustardlbd/mustardlbd/_app.py
+++ b/packages/mustardlbd/mustardlbd/_app.py
@@ -16,6 +16,7 @@
 from mustardlb import clock
 from mustardlb import directory as directories
 from mustardlb import documents
+from mustardlb import errors
 from mustardlb import http_object_api
 from mustardlb import http_vm_list
 from mustardlb import settings as settings_module
@@ -101,7 +102,15 @@
 
 def _show_status(state: _state.State) -> dict[str, Any]:
     status = dataclasses.asdict(state.status())
-    return status | {'ready': status['current']}
+    return status | {'ready': _is_ready(state)}
+
+
+def _is_ready(state: _state.State) -> bool:
+    try:
+        state.check_ready()
+    except errors.Error:
+        return False
+    return True
 
 
 def _make_admin_settings(
@@ -157,6 +166,7 @@
     dependencies = _dependencies.Dependencies(
         directory=directory.current,
         check_fresh=state.check_fresh,
+        check_ready=state.check_ready,
         status=functools.partial(_show_status, state),
         wait_revision=functools.partial(_wait_revision, state),
         reserve=limits.holder.reserve,
--- a/packages/mustardlbd/mustardlbd/_callers.py
+++ b/packages/mustardlbd/mustardlbd/_callers.py
@@ -297,7 +297,7 @@
             steps.Step.STOP,
             not_run=True,
         )
-    callers.dependencies.check_fresh(steps.Step.ADMISSION)
+    callers.dependencies.check_ready()
     await reply.json(200, {'ready': True})
 
 
--- a/packages/mustardlbd/mustardlbd/_dependencies.py
+++ b/packages/mustardlbd/mustardlbd/_dependencies.py
@@ -79,6 +79,7 @@
 
     :ivar directory: the configuration in force
     :ivar check_fresh: raises NODE_NOT_CURRENT where it may be outdated
+    :ivar check_ready: raises where the balancer should send nobody
     :ivar status: what `GET /v1/status` shows, without `draining`
     :ivar wait_revision: return once that revision is in force, or after
         that many seconds
@@ -89,6 +90,7 @@
 
     directory: abc.Callable[[], directories.Directory]
     check_fresh: abc.Callable[[steps.Step], None]
+    check_ready: abc.Callable[[], None]
     status: abc.Callable[[], abc.Mapping[str, Any]]
     wait_revision: abc.Callable[[int, float], abc.Awaitable[None]]
     reserve: abc.Callable[[str, int, float], abc.Awaitable[Reservation]]
--- a/packages/mustardlbd/mustardlbd/_state.py
+++ b/packages/mustardlbd/mustardlbd/_state.py
@@ -11,6 +11,7 @@
 
 from mustardlb import clock
 from mustardlb import configuration
+from mustardlb import errors
 from mustardlb import object_api
 from mustardlb import steps
 from mustardlb import vm_list
@@ -35,6 +36,9 @@
 # Head versions remembered with the revision that each brought.
 REVISION_HISTORY = 64
 
+# The lowest version that a table of owners can have.
+FIRST_TABLE = 1
+
 # How often a waiting operator's condition is looked at, seconds.
 WAIT_INTERVAL = 0.1
 
@@ -225,6 +229,23 @@
         """Tell new owners that this node no longer acts for their slices."""
         await self._releases.release(kind, numbers, self._owners)
 
+    def check_ready(self) -> None:
+        """Raise NODE_NOT_CURRENT unless requests can be served here.
+
+        Besides recent knowledge that takes owners that act: before the
+        first table of a site is settled there are neither shares nor
+        orders to targets.
+        """
+        self.check_fresh(steps.Step.START)
+        if not self.settled(FIRST_TABLE):
+            raise errors.Error(
+                errors.Code.NODE_NOT_CURRENT,
+                'no table of owners is settled yet',
+                steps.Step.START,
+                not_run=True,
+                retry_after=1.0,
+            )
+
     async def wait_changed(self) -> None:
         """Wait until an object is adopted or known to be accepted."""
         await self._parts.news.wait()
--- a/tests/mustardlbd/conftest.py
+++ b/tests/mustardlbd/conftest.py
@@ -166,6 +166,7 @@
         return _dependencies.Dependencies(
             directory=lambda: self.directory,
             check_fresh=self.check_fresh,
+            check_ready=lambda: self.check_fresh(steps.Step.START),
             status=self.status,
             wait_revision=self.wait_revision,
             reserve=self.reserve,
--- a/tests/mustardlbd/test_owner_table.py
+++ b/tests/mustardlbd/test_owner_table.py
@@ -3,6 +3,8 @@
 import fleet as fleets
 import trio
 
+from mustardlb import errors
+
 KIND = 'account'
 
 # Time in which a restarted process is current and has renewed, seconds.
@@ -46,3 +48,30 @@
         assert not owned(state)
 
     fleets.run(scenario)
+
+
+def is_ready(node):
+    try:
+        node.state.check_ready()
+    except errors.Error:
+        return False
+    return True
+
+
+def test_ready_only_once_somebody_owns():
+    async def scenario(fleet):
+        for node in fleet.nodes_by_id.values():
+            assert node.admits()
+            assert not is_ready(node)
+        await trio.sleep(RENEWAL)
+        late = fleet.start('vm-late')
+        assert all(
+            is_ready(node)
+            for node in fleet.nodes_by_id.values()
+            if node is not late
+        )
+        assert not is_ready(late)
+        await trio.sleep(RENEWAL)
+        assert is_ready(late)
+
+    fleets.run(scenario)
