--- a/packages/mustardlbd/mustardlbd/_app.py
+++ b/packages/mustardlbd/mustardlbd/_app.py
@@ -16,6 +16,7 @@
 from mustardlb import clock
 from mustardlb import directory as directories
 from mustardlb import documents
+from mustardlb import errors
 from mustardlb import http_object_api
 from mustardlb import http_vm_list
 from mustardlb import settings as settings_module
@@ -101,7 +102,15 @@
 
 def _show_status(state: _state.State) -> dict[str, Any]:
     status = dataclasses.asdict(state.status())
-    return status | {'ready': status['current']}
+    return status | {'ready': _is_ready(state)}
+
+
+def _is_ready(state: _state.State) -> bool:
+    try:
+        state.check_ready()
+    except errors.Error:
+        return False
+    return True
 
 
 def _make_admin_settings(
@@ -147,7 +156,7 @@
         settings, state, directory.current, incarnation
     )
     targets.register(peer_server.register)
-    shares = _limit_wiring.build(
+    limits = _limit_wiring.build(
         settings.vm_id, incarnation, state, directory.current, peer_server
     )
     bookings = _bookings.Bookings(api, time.time)
@@ -157,9 +166,10 @@
     dependencies = _dependencies.Dependencies(
         directory=directory.current,
         check_fresh=state.check_fresh,
+        check_ready=state.check_ready,
         status=functools.partial(_show_status, state),
         wait_revision=functools.partial(_wait_revision, state),
-        reserve=shares.reserve,
+        reserve=limits.holder.reserve,
         place=targets.place,
         begin=bookings.begin,
     )
@@ -184,7 +194,7 @@
         background.start_soon(peer_server.serve, peer_listener)
         background.start_soon(state.run)
         background.start_soon(targets.run)
-        background.start_soon(shares.run)
+        background.start_soon(limits.run)
         background.start_soon(bookings.run)
         async with trio.open_nursery() as beside:
             admin_port = await beside.start(serve_admin)
