--- a/packages/mustardlbd/mustardlbd/_bookings.py
+++ b/packages/mustardlbd/mustardlbd/_bookings.py
@@ -93,6 +93,7 @@
         self._unwritten: dict[
             tuple[str, str], records.Finish | records.NotRun
         ] = {}
+        self._kept = trio.Event()
 
     async def begin(
         self, account: str, key: str, fingerprint: bytes
@@ -128,6 +129,7 @@
     async def run(self) -> None:
         """Write what could not be written, for ever."""
         while True:
+            await self._kept.wait()
             await trio.sleep(FLUSH_INTERVAL)
             for place, operation in list(self._unwritten.items()):
                 bucket = self._bucket(operation.key)
@@ -138,6 +140,8 @@
                 if self._unwritten.get(place) is operation:
                     del self._unwritten[place]
                 log.info('MLB-3011', key=operation.key)
+            if not self._unwritten:
+                self._kept = trio.Event()
 
     def _bucket(self, key: str) -> _booking_bucket.BookingBucket:
         name = bucket_name(key)
@@ -151,6 +155,7 @@
         if len(self._unwritten) >= MOST_UNWRITTEN:
             self._unwritten.pop(next(iter(self._unwritten)))
         self._unwritten[operation.key, operation.nonce] = operation
+        self._kept.set()
 
     def _answer_repeated(
         self, found: records.Record, fingerprint: bytes
--- a/packages/mustardlbd/mustardlbd/_share.py
+++ b/packages/mustardlbd/mustardlbd/_share.py
@@ -148,7 +148,6 @@
         self._sent_at = now
         self.reported_at = now
         self.shrunk = False
-        self.short = trio.Event()
         first = self.waiters[0] if self.waiters else None
         waiting = sum(waiter.tokens for waiter in self.waiters)
         return messages.ShareReport(
--- a/packages/mustardlbd/mustardlbd/_share_holder.py
+++ b/packages/mustardlbd/mustardlbd/_share_holder.py
@@ -165,6 +165,7 @@
 
     async def _report(self, share: _share.Share) -> None:
         """Send one report and adopt the statement that answers it."""
+        share.short = trio.Event()
         owner = self._node.owners().owner_of(ports.slice_key(share.account))
         if not owner.vm_id:
             return
--- a/tests/mustardlbd/test_share_holder.py
+++ b/tests/mustardlbd/test_share_holder.py
@@ -5,6 +5,7 @@
 
 from mustardlb import errors
 from mustardlbd import _bucket
+from mustardlbd import _share
 from mustardlbd import _share_messages
 from tests.mustardlbd import limits_scenario
 from tools import limits_fleet
@@ -161,3 +162,25 @@
         return book.ready, keeper.keeper._books_by_account['canopy'].closed
 
     assert run(script) == (True, True)
+
+
+def test_holder_without_a_keeper_waits_instead_of_spinning(monkeypatch):
+    refresh = _share.Share.refresh
+    calls = []
+
+    def counted(share):
+        calls.append(share)
+        if len(calls) > 2_000:
+            raise AssertionError('spins')
+        return refresh(share)
+
+    async def script(scenario):
+        node = scenario.add()
+        node.connected = False
+        node.known = 0
+        node.as_of = trio.current_time()
+        monkeypatch.setattr(_share.Share, 'refresh', counted)
+        await scenario.fleet.grant(node, 1, 1, 0.5, 0.0)
+        await trio.sleep(10)
+
+    run(script)
