Let a loaded adapter stay until its waiters have begun

Cause: an owner woke the waiters of a load and at once took the next load, whose victim was the adapter just loaded, since no node had reported a request on it yet. The waiters found it closing and asked elsewhere, so loads served nobody. Ruled out: a shortage of slots or permits; there were more loads than requests that needed one (1,542 loads for 1,596 requests in 40 s). Change: a grant counts as one running request until the node's next report, and a slot just loaded is no victim for 0.1 s.

--- a/packages/mustardlbd/mustardlbd/_residency.py
+++ b/packages/mustardlbd/mustardlbd/_residency.py
@@ -78,6 +78,12 @@
             slot.state = state
             slot.since = now
 
+    def spare_for(self, model: str, until: float) -> None:
+        """Let a model's slot be no victim before a time."""
+        slot = self.slots_by_model.get(model)
+        if slot is not None:
+            slot.spared_until = until
+
     def clear(self, model: str) -> None:
         """Note that a model's slot is free."""
         self.slots_by_model.pop(model, None)
@@ -113,8 +119,8 @@
         """Give the nodes that hold a grant, with its number."""
         return self.users_by_model.get(model, {})
 
-    def count(self, model: str, vm_id: str, begun: int, running: int) -> None:
-        """Note what a node reported of its requests."""
+    def count(self, model: str, vm_id: str, running: int) -> None:
+        """Note how many requests a node runs."""
         self._running_by_model.setdefault(model, {})[vm_id] = running
         self._running_by_model[model] = {
             vm: count
--- a/packages/mustardlbd/mustardlbd/_target_owner.py
+++ b/packages/mustardlbd/mustardlbd/_target_owner.py
@@ -50,6 +50,10 @@
 
 CALL_TIMEOUT = 1.0  # seconds
 
+# An adapter that has just been loaded is no victim for so long, so that its
+# waiters get their grants, seconds.
+FRESH_TIME = 0.1
+
 # Adapters loaded again, unasked, after an engine lost its memory.
 REWARMED = 4
 
@@ -128,7 +132,7 @@
             self.residency.remove_user(use.model, vm_id, use.number)
             return
         self.residency.add_user(use.model, vm_id, use.number)
-        self.residency.count(use.model, vm_id, use.begun, use.running)
+        self.residency.count(use.model, vm_id, use.running)
 
     def status(self) -> messages.Status:
         """Give what nodes are told of the target."""
@@ -156,6 +160,8 @@
     def _grant(self, model: str, vm_id: str) -> messages.Answer:
         number = self._orders.number(self._epoch)
         self.residency.add_user(model, vm_id, number)
+        # Until its next report the node counts as running a request.
+        self.residency.count(model, vm_id, running=1)
         return messages.Answer(messages.Outcome.GRANTED, number)
 
     # Taking over.
@@ -332,6 +338,7 @@
             self.residency.set_state(model, _residency.State.FOUND, now)
             return messages.Outcome.BUSY
         self.residency.set_state(model, _residency.State.SERVING, now)
+        self.residency.spare_for(model, self._fleet.now() + FRESH_TIME)
         return messages.Outcome.GRANTED
 
     def _restore(self, model: str, state: _residency.State | None) -> None:
