--- a/packages/mustardlb-cli/mustardlb_cli/_fleet_status.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_fleet_status.py
@@ -2,8 +2,7 @@
 
 import trio
 
-from mustardlb import changes
-from mustardlb_cli import _changing
+from mustardlb import stored_configuration
 from mustardlb_cli import _nodes
 from mustardlb_cli import _output
 from mustardlb_cli import _site
@@ -15,7 +14,7 @@
         vms = await _nodes.list_vms(site)
         replies = await _nodes.ask_status(site, vms)
         with trio.move_on_after(site.wait) as scope:
-            base = await changes.read_base(site.api)
+            base = await stored_configuration.read_base(site.api)
     stored = None if scope.cancelled_caught else base.head.revision
     return {
         'stored_revision': stored,
@@ -52,25 +51,6 @@
     return {'histograms': rows, 'not_answering': silent}
 
 
-async def settle_change(
-    open_site: _site.Open, change: str, wait: float | None
-) -> _output.Result:
-    """Find out whether a change landed, then wait for it if it did."""
-    async with open_site() as site:
-        landed = await _changing.settle(site, change)
-        if landed is None:
-            raise _changing.not_landed(change)
-        limit = site.wait if wait is None else wait
-        result: dict[str, object] = {
-            'landed': True,
-            'change': change,
-            'revision': landed.revision,
-        }
-        if not limit:
-            return result
-        return await _changing.follow(site, landed.revision, limit, result)
-
-
 def _row(reply: _nodes.Reply) -> dict[str, object]:
     status = reply.status
     return {
--- a/packages/mustardlb-cli/mustardlb_cli/_main.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_main.py
@@ -1,10 +1,11 @@
 """The binary `mustardlb`: what it understands, and how it ends."""
 
+from collections import abc
 import json
 import logging
-import os
 import sys
 from typing import NoReturn
+from typing import TextIO
 
 import fire
 import structlog
@@ -13,6 +14,7 @@
 from mustardlb import changes
 from mustardlb import documents
 from mustardlb import errors
+from mustardlb_cli import _change
 from mustardlb_cli import _command
 from mustardlb_cli import _contract
 from mustardlb_cli import _exit
@@ -61,7 +63,7 @@
         self.key = _key.KeyCommands(self._open)
         self.route = _fleet.RouteCommands(self._open)
         self.target = _fleet.TargetCommands(self._open)
-        self.change = ChangeCommands(self._open)
+        self.change = _change.ChangeCommands(self._open)
         self.settings = _settings.SettingsCommands()
 
     def status(self) -> _command.Command:
@@ -84,27 +86,6 @@
         )
 
 
-class ChangeCommands:
-    """Changes whose answer was lost."""
-
-    def __init__(self, open_site: _site.Open) -> None:
-        self._open = open_site
-
-    def settle(self, change: str, wait: str | None = None) -> _command.Command:
-        """Find out whether a change landed, and keep it from landing late.
-
-        Example: mustardlb change settle r13-0123456789abcdef
-
-        Args:
-          change: the identifier that the command named
-          wait: seconds to wait until it is in force, 0 for none
-        """
-        seconds = _command.number('wait', wait)
-        return _command.Command(
-            lambda: _fleet_status.settle_change(self._open, change, seconds)
-        )
-
-
 def main() -> NoReturn:
     """Run the command line of this process and exit."""
     sys.exit(run(sys.argv[1:]))
@@ -112,8 +93,8 @@
 
 def run(arguments: list[str]) -> int:
     """Run one command line and return its exit code."""
-    # Help is text to read here, not a pager to leave.
-    os.environ.setdefault('PAGER', 'cat')
+    # fire would start a pager for help, and a process starts no other.
+    fire.core.Display = _display
     output = _wanted_output(arguments)
     if arguments in (['--help'], ['-h'], ['help']):
         # For these fire shows the flags and none of the commands.
@@ -128,8 +109,9 @@
         if not isinstance(found, _command.Command):
             return _exit.ExitCode.USAGE if arguments else _exit.ExitCode.DONE
         result = trio.run(found._run)
-    except fire.core.FireExit as end:
-        return int(end.code or 0)
+    except SystemExit as end:
+        # fire, or the argparse inside it, has told what is wrong.
+        return _exit.ExitCode.USAGE if end.code else _exit.ExitCode.DONE
     except _exit.CommandError as error:
         if error.result is not None:
             print(_output.render(error.result, output))
@@ -149,6 +131,10 @@
     return _exit.ExitCode.DONE
 
 
+def _display(lines: abc.Iterable[str], out: TextIO) -> None:
+    print('\n'.join(lines), file=out)
+
+
 def _hide_command(found: object) -> object:
     """Keep fire from printing a command that is yet to run."""
     return None if isinstance(found, _command.Command) else found
--- a/packages/mustardlbd/mustardlbd/_app.py
+++ b/packages/mustardlbd/mustardlbd/_app.py
@@ -7,6 +7,7 @@
 import secrets
 import signal
 import sys
+import time
 from typing import Any
 
 import statsd
@@ -15,16 +16,18 @@
 from mustardlb import clock
 from mustardlb import directory as directories
 from mustardlb import documents
+from mustardlb import errors
 from mustardlb import http_object_api
 from mustardlb import http_vm_list
 from mustardlb import settings as settings_module
 from mustardlbd import _admin
+from mustardlbd import _bookings
 from mustardlbd import _caller_settings
 from mustardlbd import _callers
 from mustardlbd import _dependencies
-from mustardlbd import _first_placement
 from mustardlbd import _http_connection
 from mustardlbd import _http_server
+from mustardlbd import _limit_wiring
 from mustardlbd import _logging
 from mustardlbd import _metrics
 from mustardlbd import _peer_server
@@ -84,6 +87,7 @@
         response_timeout=limits.response_time,
         event_timeout=limits.idle_time,
         queue_timeout=limits.queue_time,
+        token_timeout=limits.token_time,
         max_requests=limits.streams,
     )
 
@@ -98,7 +102,15 @@
 
 def _show_status(state: _state.State) -> dict[str, Any]:
     status = dataclasses.asdict(state.status())
-    return status | {'ready': status['current']}
+    return status | {'ready': _is_ready(state)}
+
+
+def _is_ready(state: _state.State) -> bool:
+    try:
+        state.check_ready()
+    except errors.Error:
+        return False
+    return True
 
 
 def _make_admin_settings(
@@ -144,17 +156,22 @@
         settings, state, directory.current, incarnation
     )
     targets.register(peer_server.register)
+    limits = _limit_wiring.build(
+        settings.vm_id, incarnation, state, directory.current, peer_server
+    )
+    bookings = _bookings.Bookings(api, time.time)
     stop = trio.Event()
     end = trio.Event()
     metrics = _make_metrics(settings.statsd)
     dependencies = _dependencies.Dependencies(
         directory=directory.current,
         check_fresh=state.check_fresh,
+        check_ready=state.check_ready,
         status=functools.partial(_show_status, state),
         wait_revision=functools.partial(_wait_revision, state),
-        reserve=_first_placement.reserve,
+        reserve=limits.holder.reserve,
         place=targets.place,
-        begin=_first_placement.begin,
+        begin=bookings.begin,
     )
     serve_callers = functools.partial(
         _callers.serve,
@@ -177,6 +194,8 @@
         background.start_soon(peer_server.serve, peer_listener)
         background.start_soon(state.run)
         background.start_soon(targets.run)
+        background.start_soon(limits.run)
+        background.start_soon(bookings.run)
         async with trio.open_nursery() as beside:
             admin_port = await beside.start(serve_admin)
             async with trio.open_nursery() as serving:
--- a/packages/mustardlbd/mustardlbd/_share_book.py
+++ b/packages/mustardlbd/mustardlbd/_share_book.py
@@ -23,6 +23,7 @@
 # A holder's fraction is left alone while it is above what the holder
 # should have by less than this, parts per million.
 SLACK = 20_000
+SLACK_FACTOR = 1.3
 
 HolderKey = tuple[str, int]
 
@@ -59,9 +60,9 @@
         return max(self.fraction, self.sent_fraction)
 
     @property
-    def deputies(self) -> set[str]:
+    def deputies(self) -> list[str]:
         """The deputies that the holder may know."""
-        return {self.deputy, self.sent_deputy} - {''}
+        return sorted({self.deputy, self.sent_deputy} - {''})
 
     def expire(self) -> None:
         """Count the standing part alone."""
@@ -76,6 +77,8 @@
     def __init__(self, account: str, epoch: int, node: ports.Ports) -> None:
         self.epoch = epoch
         self.ready = False
+        # The version of the table whose replacement moved the slice here.
+        self._replaced = epoch - 1
         self.closed = False
         self.deputies: list[str] = []
         self._account = account
@@ -96,11 +99,22 @@
         owned = sum(entry.counted for entry in entries if entry.owned)
         return self._owned - owned
 
+    def follows(self, epoch: int) -> bool:
+        """Whether no other VM owned the slice before a later epoch.
+
+        An epoch is one above the version that its table replaced, and the
+        book was in force at that version.
+        """
+        return self.epoch < epoch <= self._latest + 1
+
     def refresh(self) -> float:
         """Free what has provably stopped; return the present moment."""
         now = self._node.now()
-        version = self._node.owners().version
-        if version > self._latest:
+        owners = self._node.owners()
+        version = owners.version
+        owner = owners.owner_of(ports.slice_key(self._account))
+        kept = (owner.vm_id, owner.epoch) == (self._node.vm_id, self.epoch)
+        if kept and version > self._latest:
             self._latest = version
             self._unsettled.append(version)
         while self._unsettled and self._node.settled(self._unsettled[0]):
@@ -119,15 +133,18 @@
     def may_own(self, holder: HolderKey, report: messages.ShareReport) -> bool:
         """Whether a share from an older epoch could become this book's."""
         self.refresh()
-        if self.ready or self.owns(holder) or not report.deputy:
+        if self.ready or self.owns(holder):
             return False
-        return report.version >= self._node.owners().version - 1
+        if not report.fraction:
+            return True
+        return bool(report.deputy) and report.version >= self._replaced
 
     def own(self, holder: HolderKey, report: messages.ShareReport) -> None:
         """Move a share from now on, before the book is ready.
 
         Its deputy lets the keeper before end it no more, and no version
-        lies between that keeper's and this one's by which it could.
+        lies between that keeper's and this one's by which it could. A
+        holder without a share has none that could be ended.
         """
         if not self.may_own(holder, report):
             return
@@ -172,7 +189,7 @@
             log.warning('MLB-3003', account=self._account, holder=holder)
             return None
         version = report.version
-        if version >= self._node.owners().version - 1:
+        if version >= self._replaced:
             version = self._node.owners().version
         self._note(entry, report, now)
         entry.fraction = report.fraction
@@ -219,7 +236,7 @@
             for holder, entry in self._entries.items()
             if entry.deputies
             and entry.barred_until is None
-            and now - entry.heard_at > ports.LEASE
+            and now - entry.heard_at > ports.BAR_AFTER
         ]
 
     def close(self) -> messages.Handover:
@@ -298,7 +315,11 @@
         entry.barred_until = None
         entry.heard_at = now
         entry.need = _share_allocation.Need(
-            report.demand, report.waiting, report.largest, report.waited
+            report.demand,
+            report.recent,
+            report.waiting,
+            report.largest,
+            report.waited,
         )
 
     def _state(
@@ -352,7 +373,8 @@
         if target >= entry.fraction:
             return min(target, entry.fraction + self.free)
         waiting = any(need.waiting > 0 for need in needs.values())
-        if entry.fraction - target < SLACK and not waiting:
+        kept = target * SLACK_FACTOR + SLACK
+        if entry.fraction < kept and not waiting:
             return entry.fraction
         return target
 
--- a/packages/mustardlbd/mustardlbd/_share_holder.py
+++ b/packages/mustardlbd/mustardlbd/_share_holder.py
@@ -74,6 +74,7 @@
             raise _cost_above_burst(tokens, share.limit.burst)
         share.asked_at = now
         share.demand.add(now, tokens)
+        share.recent.add(now, tokens)
         hold = None if share.waiters else share.take(tokens)
         if hold is None:
             hold = await self._wait(share, tokens, wait)
@@ -154,6 +155,8 @@
             version = self._node.owners().version
             if now - share.asked_at < IDLE_AFTER or share.stated < version:
                 return
+            if share.shrunk:
+                return
             idle = now - share.reported_at >= ports.IDLE_INTERVAL
             if idle and share.fraction:
                 return
--- a/packages/mustardlbd/mustardlbd/_spread_server.py
+++ b/packages/mustardlbd/mustardlbd/_spread_server.py
@@ -11,10 +11,12 @@
 from mustardlbd import _parts
 from mustardlbd import _peer_server
 from mustardlbd import _poll_messages
+from mustardlbd import _ranks
 
 POLL = 'state.poll'
 OBJECT = 'state.object'
 PART = 'state.part'
+KEPT = 'state.kept'
 
 # Longest hold that a polled node grants, seconds.
 HOLD_LIMIT = 4.0
@@ -31,13 +33,14 @@
         server.register(POLL, self._answer_poll)
         server.register(OBJECT, self._answer_object)
         server.register(PART, self._answer_part)
+        server.register(KEPT, self._answer_kept)
 
     async def _answer_poll(
         self, sender: _peer_server.Sender, payload: bytes
     ) -> bytes:
         got = self._parts.now()
         poll = _poll_messages.decode_poll(payload)
-        self._note_attestations(poll)
+        self._note_attestations(sender, poll)
         with trio.move_on_after(min(poll.hold, HOLD_LIMIT)):
             while not self._has_news(poll, got):
                 await self._parts.news.wait()
@@ -64,12 +67,16 @@
             )
         )
 
-    def _note_attestations(self, poll: _poll_messages.Poll) -> None:
+    def _note_attestations(
+        self, sender: _peer_server.Sender, poll: _poll_messages.Poll
+    ) -> None:
+        relayed = sender.vm_id in self._parts.tree.watchers()
         if poll.stamp.incarnation != self._parts.identity.incarnation:
             return
         for one in poll.attestations:
             self._parts.attestations.add(
-                dataclasses.replace(one, made=poll.stamp.time + one.made)
+                dataclasses.replace(one, made=poll.stamp.time + one.made),
+                relayed and one.member != _ranks.weight(sender.vm_id),
             )
 
     async def _answer_object(
@@ -89,6 +96,16 @@
         )
         return reply.to_bytes_packed()
 
+    async def _answer_kept(
+        self, sender: _peer_server.Sender, payload: bytes
+    ) -> bytes:
+        kept = [
+            {'name': name, 'revision': entry.revision, 'parts': entry.parts}
+            for name, entry in self._parts.documents.kept().items()
+        ]
+        reply = schema.load('state').KeptReply.new_message(kept=kept)
+        return reply.to_bytes_packed()
+
     async def _answer_part(
         self, sender: _peer_server.Sender, payload: bytes
     ) -> bytes:
--- a/packages/mustardlbd/mustardlbd/_state.py
+++ b/packages/mustardlbd/mustardlbd/_state.py
@@ -11,6 +11,7 @@
 
 from mustardlb import clock
 from mustardlb import configuration
+from mustardlb import errors
 from mustardlb import object_api
 from mustardlb import steps
 from mustardlb import vm_list
@@ -30,10 +31,14 @@
 from mustardlbd import _signal
 from mustardlbd import _spread
 from mustardlbd import _spread_server
+from mustardlbd import _tree
 
 # Head versions remembered with the revision that each brought.
 REVISION_HISTORY = 64
 
+# The lowest version that a table of owners can have.
+FIRST_TABLE = 1
+
 # How often a waiting operator's condition is looked at, seconds.
 WAIT_INTERVAL = 0.1
 
@@ -127,10 +132,11 @@
                 membership.heard,
             ),
             news=news,
+            tree=_tree.Tree(identity.vm_id, membership.members),
         )
         from_api = _api_source.part_reader(platform.api)
         from_parents = _fetching.from_peers(
-            self._parts.peers, self._parts.parents
+            self._parts.peers, self._parts.tree.parents
         )
         source = _api_source.ApiSource(
             platform.api,
@@ -213,6 +219,8 @@
             return False
         if self.age() > _freshness.MAX_AGE:
             return False
+        if self._table.is_inherited(number, owner.epoch):
+            return False
         return self.settled(
             owners.since[number]
         ) or self._releases.is_released(kind, number, owner.epoch)
@@ -221,6 +229,23 @@
         """Tell new owners that this node no longer acts for their slices."""
         await self._releases.release(kind, numbers, self._owners)
 
+    def check_ready(self) -> None:
+        """Raise NODE_NOT_CURRENT unless requests can be served here.
+
+        Besides recent knowledge that takes owners that act: before the
+        first table of a site is settled there are neither shares nor
+        orders to targets.
+        """
+        self.check_fresh(steps.Step.START)
+        if not self.settled(FIRST_TABLE):
+            raise errors.Error(
+                errors.Code.NODE_NOT_CURRENT,
+                'no table of owners is settled yet',
+                steps.Step.START,
+                not_run=True,
+                retry_after=1.0,
+            )
+
     async def wait_changed(self) -> None:
         """Wait until an object is adopted or known to be accepted."""
         await self._parts.news.wait()
@@ -255,8 +280,8 @@
             age=None if age == float('inf') else age,
             evidence=str(self._parts.freshness.evidence),
             current=age <= _freshness.MAX_AGE,
-            watcher=self._parts.is_watcher(),
-            parents=tuple(self._parts.parents()),
+            watcher=self._parts.tree.is_watcher(),
+            parents=tuple(self._parts.tree.parents()),
             invalid=self.snapshot().invalid,
             versions=_by_name(self._parts.documents.versions()),
             accepted_versions=_by_name(self._parts.acceptance.accepted()),
