Let an engine load up to four adapters at a time

Cause: one load of an engine at a time; a load whose victim was in use held up the others for up to 2 s while it closed. Ruled out: the permits, of which up to 8 were in use at times only.

--- a/packages/mustardlbd/mustardlbd/_orders.py
+++ b/packages/mustardlbd/mustardlbd/_orders.py
@@ -7,6 +7,7 @@
 """
 
 from collections import abc
+import functools
 import math
 
 import structlog
@@ -27,6 +28,9 @@
 # for so long, seconds.
 LATE_TIME = 60.0
 
+# How often an order is sent that later ones of this node overtook.
+OVERTAKEN_LIMIT = 5
+
 # Count of one epoch in a second; it has 32 bits, which last 497 days.
 _COUNTS = 100
 
@@ -83,19 +87,16 @@
         check_start: abc.Callable[[], None],
     ) -> None:
         """Order a load. Raises NotOwner, EngineError, errors.Error."""
-        number = self._number(epoch)
         check_start()
-        await self._send(epoch, lambda: self._engine.load(model, number))
+        await self._send(epoch, functools.partial(self._engine.load, model))
 
     async def evict(self, model: str, epoch: int) -> None:
         """Order an eviction. Raises NotOwner and EngineError."""
-        number = self._number(epoch)
-        await self._send(epoch, lambda: self._engine.evict(model, number))
+        await self._send(epoch, functools.partial(self._engine.evict, model))
 
     async def set_role(self, role: str, epoch: int) -> None:
         """Order a role. Raises NotOwner and EngineError."""
-        number = self._number(epoch)
-        await self._send(epoch, lambda: self._engine.set_role(role, number))
+        await self._send(epoch, functools.partial(self._engine.set_role, role))
 
     async def load_report(self) -> engine.LoadReport:
         """Read the engine's report. Raises EngineError."""
@@ -106,6 +107,21 @@
         return self.number(epoch)
 
     async def _send(
+        self, epoch: int, order: abc.Callable[[int], abc.Awaitable[None]]
+    ) -> None:
+        """Send an order, again where a later one of ours overtook it."""
+        for _ in range(OVERTAKEN_LIMIT):
+            number = self._number(epoch)
+            try:
+                await self._send_once(epoch, lambda: order(number))  # noqa: B023
+                return
+            except engine.Fenced as error:
+                if error.highest >> 32 != epoch:
+                    raise
+                self._last = max(self._last, error.highest)
+        raise engine.EngineRejected('overtaken again and again')
+
+    async def _send_once(
         self, epoch: int, order: abc.Callable[[], abc.Awaitable[None]]
     ) -> None:
         self.check_authority(epoch)
--- a/packages/mustardlbd/mustardlbd/_target_owner.py
+++ b/packages/mustardlbd/mustardlbd/_target_owner.py
@@ -54,6 +54,15 @@
 # waiters get their grants, seconds.
 FRESH_TIME = 0.1
 
+# How long a load looks for a slot before its callers go elsewhere, seconds.
+ROOM_PATIENCE = 3.0
+
+# Between two looks for a slot that may go, seconds.
+ROOM_PAUSE = 0.02
+
+# Loads of one engine that run, or wait for a slot or a permit, at a time.
+LOADERS = 4
+
 # Adapters loaded again, unasked, after an engine lost its memory.
 REWARMED = 4
 
@@ -90,7 +99,8 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._hand_over)
                 nursery.start_soon(self._watch_engine)
-                nursery.start_soon(self._load_for_ever)
+                for loader in range(LOADERS):
+                    nursery.start_soon(self._load_for_ever, loader)
         finally:
             self._queue.finish_all(messages.Outcome.REFUSED)
 
@@ -269,18 +279,23 @@
             if self.residency.users(model):
                 self._queue.join(model, _loads.BACKGROUND, kept=True)
 
-    # Loading and evicting, one at a time.
+    # Loading and evicting.
 
-    async def _load_for_ever(self) -> None:
+    async def _load_for_ever(self, loader: int) -> None:
         while True:
             load = await self._queue.take()
             await _fleet.until(lambda: self._fenced, RETRY_INTERVAL)
-            outcome = await self._load(load)
+            outcome = await self._load(load, loader)
             self._note_outcome(load.model, outcome)
             self._queue.finish(load, outcome)
 
-    async def _load(self, load: _loads.Load) -> messages.Outcome:
+    async def _load(self, load: _loads.Load, loader: int) -> messages.Outcome:
         model = load.model
+        # Another loader may be evicting it: its order must not meet ours.
+        closing = _residency.State.CLOSING
+        await _fleet.until(
+            lambda: self.residency.state_of(model) is not closing, ROOM_PAUSE
+        )
         state = self.residency.state_of(model)
         if state is _residency.State.SERVING:
             return messages.Outcome.GRANTED
@@ -288,25 +303,34 @@
             return messages.Outcome.FAILED
         if state is None and not await self._make_room():
             return messages.Outcome.BUSY
+        # From here on the slot is taken, before any other loader looks.
+        loading = _residency.State.LOADING
+        self.residency.set_state(model, loading, self._fleet.now())
         try:
             permit = await _permits.acquire(
-                self._fleet, self._target.name, load.account, PERMIT_PATIENCE
+                self._fleet,
+                f'{self._target.name}/{loader}',
+                load.account,
+                PERMIT_PATIENCE,
             )
         except errors.Error as error:
             log.info('MLB-5014', target=self._target.name, problem=str(error))
+            self._restore(model, state)
             return messages.Outcome.BUSY
         async with trio.open_nursery() as nursery:
             nursery.start_soon(permit.renew_for_ever)
             try:
-                return await self._load_with(permit, model)
+                return await self._load_with(permit, model, state)
             finally:
                 await permit.release()
                 nursery.cancel_scope.cancel()
 
     async def _load_with(
-        self, permit: _permits.Permit, model: str
+        self,
+        permit: _permits.Permit,
+        model: str,
+        before: _residency.State | None,
     ) -> messages.Outcome:
-        before = self.residency.state_of(model)
         now = self._fleet.now()
         self.residency.set_state(model, _residency.State.LOADING, now)
         incarnation = self._report.incarnation if self._report else ''
@@ -378,11 +402,14 @@
             return True
         if not self._handed_over:
             return False
-        for _ in range(self.residency.limit):
+        deadline = self._fleet.now() + ROOM_PATIENCE
+        while self._fleet.now() < deadline:
+            if self.residency.has_free():
+                return True
             slot = self.residency.victim(self._fleet.now())
             if slot is None:
-                return False
-            if await self._evict(slot):
+                await trio.sleep(ROOM_PAUSE)
+            elif await self._evict(slot):
                 return True
         return False
 
--- a/tests/mustardlbd/test_targets.py
+++ b/tests/mustardlbd/test_targets.py
@@ -313,6 +313,32 @@
         assert fleet.store.loads <= 30
 
 
+@both_ways
+async def test_an_adapter_wanted_again_waits_for_its_eviction(
+    make, autojump_clock, monkeypatch, naive
+):
+    """Loaders work side by side: one evicts what another is to load."""
+    if naive:
+
+        async def until(condition, interval):
+            await trio.lowlevel.checkpoint()
+
+        monkeypatch.setattr(_target_owner._fleet, 'until', until)
+    fleet = make(engines=1, slots=1)
+    await trio.sleep(2)
+    owner = fleet.owner_of('engine-0')
+    await fleet.request(owner, 'a@1')
+    engine = fleet.engines['engine-0']
+    engine.plan.add('evict:a@1', faults.Kind.DELAY, seconds=1.0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.request, owner, 'b@1', 'feed')
+        await trio.sleep(0.3)
+        nursery.start_soon(fleet.request, owner, 'a@1', 'canopy', 200)
+    assert engine.plan.hits
+    with verdict(naive):
+        fleet.check()
+
+
 async def test_a_flood_of_cold_adapters_starves_no_account(
     make, autojump_clock
 ):
--- a/tools/bench_targets.py
+++ b/tools/bench_targets.py
@@ -47,6 +47,9 @@
 # Shares of the accounts in the requests.
 ACCOUNTS = {'a': 0.35, 'b': 0.35, 'c': 0.1, 'd': 0.1, 'e': 0.1}
 
+# Number of the baselines' orders, above those of nodes.
+FENCE = 1 << 60
+
 # Words of a prompt that all requests for one adapter share.
 SHEET = 'sheet ' * 400
 
@@ -141,7 +144,7 @@
                 await self._make_room(name, one)
                 async with self._transit:
                     with contextlib.suppress(engine.EngineError):
-                        await one.load(model, 1)
+                        await one.load(model, FENCE)
             finally:
                 self._loading.pop(key).set()
 
@@ -157,7 +160,7 @@
                     idle,
                     key=lambda model: self._used_at.get((name, model), 0.0),
                 )
-                await one.evict(oldest, 1)
+                await one.evict(oldest, FENCE)
             else:
                 with trio.move_on_after(0.5):
                     await self._freed.park()
