--- a/packages/mustardlbd/mustardlbd/_app.py
+++ b/packages/mustardlbd/mustardlbd/_app.py
@@ -10,26 +10,21 @@
 import time
 from typing import Any
 
-import statsd
 import trio
 
 from mustardlb import clock
 from mustardlb import directory as directories
 from mustardlb import documents
 from mustardlb import errors
-from mustardlb import http_object_api
-from mustardlb import http_vm_list
 from mustardlb import settings as settings_module
 from mustardlbd import _admin
+from mustardlbd import _app_settings
 from mustardlbd import _bookings
-from mustardlbd import _caller_settings
 from mustardlbd import _callers
 from mustardlbd import _dependencies
-from mustardlbd import _http_connection
 from mustardlbd import _http_server
 from mustardlbd import _limit_wiring
 from mustardlbd import _logging
-from mustardlbd import _metrics
 from mustardlbd import _peer_server
 from mustardlbd import _peers
 from mustardlbd import _state
@@ -57,41 +52,6 @@
         return self._directory
 
 
-def _make_metrics(
-    settings: settings_module.Statsd | None,
-) -> _metrics.Metrics:
-    if settings is None:
-        return _metrics.Metrics()
-    client = statsd.StatsClient(
-        settings.address, settings.port, prefix=settings.prefix
-    )
-    return _metrics.Metrics(client)
-
-
-def _make_caller_settings(
-    settings: settings_module.NodeSettings,
-) -> _caller_settings.CallerSettings:
-    limits = settings.limits
-    server = _http_connection.ServerSettings(
-        address=settings.callers.address,
-        port=settings.callers.port,
-        max_headers=limits.header_bytes,
-        header_timeout=limits.header_time,
-        stop_timeout=settings.drain_time,
-        tls=_tls.callers_context(settings.callers.tls),
-    )
-    return _caller_settings.CallerSettings(
-        server=server,
-        max_body=limits.body_bytes,
-        body_timeout=limits.body_time,
-        response_timeout=limits.response_time,
-        event_timeout=limits.idle_time,
-        queue_timeout=limits.queue_time,
-        token_timeout=limits.token_time,
-        max_requests=limits.streams,
-    )
-
-
 async def _stop_on_signal(stop: trio.Event) -> None:
     """Begin a graceful shutdown at the first SIGTERM or SIGINT."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -113,17 +73,6 @@
     return True
 
 
-def _make_admin_settings(
-    settings: settings_module.NodeSettings,
-) -> _http_connection.ServerSettings:
-    return _http_connection.ServerSettings(
-        address=settings.admin.address,
-        port=settings.admin.port,
-        max_headers=settings.limits.header_bytes,
-        tls=_tls.server_context(settings.admin.tls),
-    )
-
-
 def _make_listener(listener: settings_module.Listener) -> trio.SocketListener:
     raw = _http_server.open_socket(listener.address, listener.port)
     return trio.SocketListener(trio.socket.from_stdlib_socket(raw))
@@ -134,8 +83,8 @@
 
     Prints one JSON line with its ports when it listens.
     """
-    api = http_object_api.HttpObjectApi(settings.object_api.url)
-    vms = http_vm_list.HttpVmList(settings.vm_list.url)
+    api = _app_settings.make_object_api(settings.object_api)
+    vms = _app_settings.make_vm_list(settings.vm_list)
     peer_server = _peer_server.PeerServer(
         settings.vm_id, _tls.server_context(settings.peers.tls)
     )
@@ -162,7 +111,7 @@
     bookings = _bookings.Bookings(api, time.time)
     stop = trio.Event()
     end = trio.Event()
-    metrics = _make_metrics(settings.statsd)
+    metrics = _app_settings.make_metrics(settings.statsd)
     dependencies = _dependencies.Dependencies(
         directory=directory.current,
         check_fresh=state.check_fresh,
@@ -176,14 +125,14 @@
     serve_callers = functools.partial(
         _callers.serve,
         dependencies,
-        _make_caller_settings(settings),
+        _app_settings.make_caller_settings(settings),
         metrics,
         stop=stop,
     )
     serve_admin = functools.partial(
         _admin.serve_admin,
         dependencies,
-        _make_admin_settings(settings),
+        _app_settings.make_admin_settings(settings),
         metrics,
         stop=stop,
         end=end,
--- /dev/null
+++ b/packages/mustardlbd/mustardlbd/_app_settings.py
@@ -0,0 +1,78 @@
+"""Settings of the node in the form that its parts take them."""
+
+import statsd
+
+from mustardlb import http_object_api
+from mustardlb import http_vm_list
+from mustardlb import settings as settings_module
+from mustardlbd import _caller_settings
+from mustardlbd import _http_connection
+from mustardlbd import _metrics
+from mustardlbd import _tls
+
+
+def make_object_api(
+    endpoint: settings_module.Endpoint,
+) -> http_object_api.HttpObjectApi:
+    """Make the client of the object API."""
+    return http_object_api.HttpObjectApi(
+        endpoint.url, endpoint.timeout, endpoint.authority
+    )
+
+
+def make_vm_list(
+    endpoint: settings_module.Endpoint,
+) -> http_vm_list.HttpVmList:
+    """Make the client of the VM list."""
+    return http_vm_list.HttpVmList(
+        endpoint.url, endpoint.timeout, endpoint.authority
+    )
+
+
+def make_metrics(
+    settings: settings_module.Statsd | None,
+) -> _metrics.Metrics:
+    """Make the metrics, sent to statsd where it is set."""
+    if settings is None:
+        return _metrics.Metrics()
+    client = statsd.StatsClient(
+        settings.address, settings.port, prefix=settings.prefix
+    )
+    return _metrics.Metrics(client)
+
+
+def make_caller_settings(
+    settings: settings_module.NodeSettings,
+) -> _caller_settings.CallerSettings:
+    """Make the limits of the callers' side and its port."""
+    limits = settings.limits
+    server = _http_connection.ServerSettings(
+        address=settings.callers.address,
+        port=settings.callers.port,
+        max_headers=limits.header_bytes,
+        header_timeout=limits.header_time,
+        stop_timeout=settings.drain_time,
+        tls=_tls.callers_context(settings.callers.tls),
+    )
+    return _caller_settings.CallerSettings(
+        server=server,
+        max_body=limits.body_bytes,
+        body_timeout=limits.body_time,
+        response_timeout=limits.response_time,
+        event_timeout=limits.idle_time,
+        queue_timeout=limits.queue_time,
+        token_timeout=limits.token_time,
+        max_requests=limits.streams,
+    )
+
+
+def make_admin_settings(
+    settings: settings_module.NodeSettings,
+) -> _http_connection.ServerSettings:
+    """Make the settings of the operators' port."""
+    return _http_connection.ServerSettings(
+        address=settings.admin.address,
+        port=settings.admin.port,
+        max_headers=settings.limits.header_bytes,
+        tls=_tls.server_context(settings.admin.tls),
+    )
--- a/tools/bench_front.py
+++ b/tools/bench_front.py
@@ -90,6 +90,7 @@
     dependencies = _dependencies.Dependencies(
         directory=lambda: known,
         check_fresh=lambda step: None,
+        check_ready=lambda: None,
         status=dict,
         wait_revision=_never,
         reserve=reserve,
