--- a/tools/launcher.py
+++ b/tools/launcher.py
@@ -30,6 +30,11 @@
             command, stdout=subprocess.PIPE, stderr=self._log_file
         )
 
+    @property
+    def pid(self) -> int:
+        """Its identifier."""
+        return self._popen.pid
+
     def first_line(self) -> dict:
         """Wait for the JSON line that says where the process listens."""
         assert self._popen.stdout is not None
