Follow owners only when the table, the targets or the contracts changed

Cause: each node hashed every target ten times a second, every account each two seconds, and built a hash ring of all VMs each second at the first watcher. What it is for is the planned size: a look over 1,100 targets and a ring of 380 VMs take milliseconds (figures in docs/CAPACITY.md).

--- a/packages/mustardlbd/mustardlbd/_limit_wiring.py
+++ b/packages/mustardlbd/mustardlbd/_limit_wiring.py
@@ -29,15 +29,34 @@
     holder: _share_holder.ShareHolder
     keeper: _share_keeper.ShareKeeper
     directory: abc.Callable[[], directories.Directory]
+    state: _state.State
+    vm_id: str
 
     async def run(self) -> None:
         """Hold and keep shares for ever."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.holder.run)
-            while True:
-                for account in self.directory().contracts_by_account:
-                    self.keeper.open_book(account)
-                await trio.sleep(LOOK_INTERVAL)
+            await self._open_books()
+
+    async def _open_books(self) -> None:
+        """Keep a book for each account of this VM's slices."""
+        seen: tuple[object, object] = (None, None)
+        accounts: list[str] = []
+        while True:
+            owners = self.state.owners()
+            contracts = self.directory().contracts_by_account
+            # Hashing every account at each look would be work for nothing.
+            if owners is not seen[0] or contracts is not seen[1]:
+                seen = (owners, contracts)
+                accounts = [
+                    account
+                    for account in contracts
+                    if owners.owner_of(_share_ports.slice_key(account)).vm_id
+                    == self.vm_id
+                ]
+            for account in accounts:
+                self.keeper.open_book(account)
+            await trio.sleep(LOOK_INTERVAL)
 
 
 def build(
@@ -76,4 +95,4 @@
     server.register(_share_messages.HANDOVER_SERVICE, keeper.handle_handover)
     server.register(_share_messages.DEPUTY_SERVICE, deputy.handle)
     holder = _share_holder.ShareHolder(node, keeper)
-    return Limits(holder, keeper, directory)
+    return Limits(holder, keeper, directory, state, vm_id)
--- a/packages/mustardlbd/mustardlbd/_owner_table.py
+++ b/packages/mustardlbd/mustardlbd/_owner_table.py
@@ -71,6 +71,7 @@
         self._attesting: frozenset[str] = frozenset()
         self._alive: frozenset[str] = frozenset()
         self._alive_since = parts.now()
+        self._suitable_for: tuple[frozenset[str], int] | None = None
         self._inherited: tuple[_owners.Slice, ...] | None = None
 
     def is_inherited(self, number: int, epoch: int) -> bool:
@@ -131,9 +132,17 @@
 
     def _assigned(self) -> tuple[_owners.Slice, ...] | None:
         """Return the table for the VMs that can own now."""
+        # A hash ring takes milliseconds, and little changes from look to
+        # look.
+        basis = (self._alive, self._parts.documents.owners().version)
+        if basis == self._suitable_for:
+            return None
         slices = self._current()
         wanted = assign(slices, self._alive, self._next_epoch())
-        return None if wanted == slices else wanted
+        if wanted != slices:
+            return wanted
+        self._suitable_for = basis
+        return None
 
     def _note_alive(self) -> None:
         members = self._parts.membership.members()
--- a/packages/mustardlbd/mustardlbd/_targets.py
+++ b/packages/mustardlbd/mustardlbd/_targets.py
@@ -15,6 +15,7 @@
 from mustardlbd import _fleet
 from mustardlbd import _grants
 from mustardlbd import _orders
+from mustardlbd import _owners
 from mustardlbd import _peer_server
 from mustardlbd import _permits
 from mustardlbd import _placement
@@ -54,6 +55,8 @@
         self._scopes_by_target: dict[str, trio.CancelScope] = {}
         self._statuses_by_target: dict[str, messages.Status] = {}
         self._ticked = fleet.now()
+        self._owners: _owners.Owners | None = None
+        self._targets: abc.Mapping[str, routes.Target] | None = None
         self._send, self._spawned = trio.open_memory_channel[
             abc.Callable[[], abc.Awaitable[None]]
         ](math.inf)
@@ -135,6 +138,10 @@
     # Owning targets.
 
     def _follow_owners(self, nursery: trio.Nursery) -> None:
+        owners, targets = self._fleet.owners(), self._fleet.targets()
+        if owners is self._owners and targets is self._targets:
+            return
+        self._owners, self._targets = owners, targets
         owned = dict(self._owned_epochs())
         for name, owner in list(self._owned_by_target.items()):
             if owned.get(name) != owner.epoch:
--- a/tools/bench_capacity.py
+++ b/tools/bench_capacity.py
@@ -23,7 +23,7 @@
     print('| ' + ' | '.join(str(cell) for cell in cells) + ' |', flush=True)
 
 
-def make_contract(number: int, rate: float = 1_000) -> bytes:
+def make_contract(number: int, rate: int = 1_000) -> bytes:
     """Make a contract that grants twenty adapters by name."""
     contract = contracts.Contract(
         account=f'account-{number}',
