Limit the time between blocks with one scope for each answer

Cause: a cancel scope for each read took about a quarter of the node's Python time in a profile. Ruled out: a coarse renewal, since a caller's slow reading would count as the target's silence. Change: one scope for each body, whose deadline is set anew before each wait and lifted while the caller is written to. A silent target and a slow caller have a test.

--- a/packages/mustardlbd/mustardlbd/_model_service.py
+++ b/packages/mustardlbd/mustardlbd/_model_service.py
@@ -336,7 +336,11 @@
     try:
         with _targets_http.translated(attempt.peer, steps.Step.STREAM):
             await relay.run(
-                functools.partial(_target_streams.pass_blocks, response),
+                functools.partial(
+                    _target_streams.pass_blocks,
+                    response,
+                    attempt.service.settings.event_timeout,
+                ),
                 write,
                 attempt.peer,
             )
--- a/packages/mustardlbd/mustardlbd/_plain_service.py
+++ b/packages/mustardlbd/mustardlbd/_plain_service.py
@@ -241,7 +241,9 @@
         headers = _passing.response_headers(response.headers.raw)
         with _targets_http.translated(target.name, steps.Step.STREAM):
             await reply.start(response.status_code, headers)
-            await _target_streams.pass_blocks(response, reply.write)
+            await _target_streams.pass_blocks(
+                response, service.settings.event_timeout, reply.write
+            )
 
 
 async def _run_booking(
--- a/packages/mustardlbd/mustardlbd/_target_streams.py
+++ b/packages/mustardlbd/mustardlbd/_target_streams.py
@@ -21,7 +21,8 @@
 class _Stream(httpcore.AsyncNetworkStream):
     """A plain TCP connection; all but reading is httpcore's own.
 
-    :ivar before_wait: run before each wait, when all that was read is used
+    :ivar before_wait: run before each wait, when all that was read is
+        used; who sets it sees to the time limit too
     """
 
     def __init__(self, inner: httpcore.AsyncNetworkStream) -> None:
@@ -35,23 +36,23 @@
         """Read what is there, waiting for it first."""
         if self.before_wait is not None:
             await self.before_wait()
+            return await self._read(max_bytes)
         wait = math.inf if timeout is None else timeout
         scope = trio.CancelScope(deadline=trio.current_time() + wait)
-        try:
-            with scope:
-                return await self._read(max_bytes)
-        except (OSError, trio.ClosedResourceError) as error:
-            raise httpcore.ReadError(str(error)) from error
+        with scope:
+            return await self._read(max_bytes)
         raise httpcore.ReadTimeout
 
     async def _read(self, max_bytes: int) -> bytes:
         while True:
-            await trio.lowlevel.wait_readable(self._socket)
             try:
+                await trio.lowlevel.wait_readable(self._socket)
                 return os.read(self._socket.fileno(), max_bytes)
             except BlockingIOError:
                 # Readable a moment ago, and empty now.
                 continue
+            except (OSError, trio.ClosedResourceError) as error:
+                raise httpcore.ReadError(str(error)) from error
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write all of it."""
@@ -95,10 +96,14 @@
         return _Stream(inner)
 
 
-async def pass_blocks(response: httpx.Response, take: Take) -> None:
+async def pass_blocks(
+    response: httpx.Response, between: float, take: Take
+) -> None:
     """Give a body's blocks to `take`, what one read brought at a time.
 
     A read may bring many chunks, each a block of its own to httpcore.
+    Raises httpx.ReadTimeout where `between` seconds bring nothing; time
+    spent in `take` does not count.
     """
     stream: Any = response.stream
     network = response.extensions.get('network_stream')
@@ -107,17 +112,25 @@
             await take(block)
         return
     gathered: list[bytes] = []
+    # One scope for the whole body: one for each read costs a good part of
+    # the time that a block takes.
+    scope = trio.CancelScope()
 
     async def flush() -> None:
         blocks = b''.join(gathered)
         gathered.clear()
         if blocks:
+            scope.deadline = math.inf
             await take(blocks)
+        scope.deadline = trio.current_time() + between
 
     network.before_wait = flush
     try:
-        async for block in stream:
-            gathered.append(block)
-        await flush()
+        with scope:
+            async for block in stream:
+                gathered.append(block)
+            await flush()
     finally:
         network.before_wait = None
+    if scope.cancelled_caught:
+        raise httpx.ReadTimeout('the target sent nothing')
--- a/tests/mustardlbd/test_callers.py
+++ b/tests/mustardlbd/test_callers.py
@@ -354,3 +354,35 @@
         assert [m['id'] for m in answer.json()['data']] == ['oak@*']
         assert (await one.client.get('/v1/models')).status_code == 401
         assert (await one.client.get(CHAT)).status_code == 404
+
+
+async def test_silent_target_is_given_up_and_slow_caller_is_not(
+    site, caller_settings
+):
+    settings = caller_settings(event_timeout=0.2)
+    async with site(settings=settings, step_time=0.5) as one:
+        # A stand-in that pauses longer than the limit: the first event is
+        # due after it, and resuming meets the same.
+        answer = await one.client.post(
+            CHAT,
+            json=chat(stream=True, max_tokens=3),
+            headers=one.front.headers(),
+        )
+        assert answer.status_code == 504
+        assert answer.json()['error']['code'] == 'target_timeout'
+        assert answer.json()['error']['not_run'] is False
+        assert one.front.engines[0].kinds('cancel')
+    async with site(settings=settings) as one:
+        async with one.client.stream(
+            'POST',
+            CHAT,
+            json=chat(stream=True, max_tokens=3000),
+            headers=one.front.headers(),
+        ) as answer:
+            await trio.sleep(0.5)
+            text = ''
+            async for block in answer.aiter_text():
+                if not text:
+                    await trio.sleep(0.5)
+                text += block
+        assert text.endswith('data: [DONE]\n\n')
