--- a/packages/mustardlb/mustardlb/settings.py
+++ b/packages/mustardlb/mustardlb/settings.py
@@ -84,6 +84,12 @@
     :ivar token_time: wait for tokens before a call is refused, seconds
     :ivar connections: open connections of callers
     :ivar streams: requests in flight
+    :ivar queued: requests of one account that may wait for its concurrency
+    :ivar write_time: for a caller to read one block, seconds
+    :ivar notice_time: a stopping node goes on accepting, seconds
+    :ivar default_tokens: generated at most where a caller names no limit
+    :ivar max_tokens: the most a caller may ask for, for each choice
+    :ivar max_choices: the most choices a caller may ask for
     """
 
     header_bytes: Bytes = 32_768
@@ -96,6 +102,12 @@
     token_time: Seconds = 1.0
     connections: Count = 10_000
     streams: Count = 2_000
+    queued: Count = 256
+    write_time: Seconds = 30.0
+    notice_time: Seconds = 3.0
+    default_tokens: Count = 1_024
+    max_tokens: Count = 16_384
+    max_choices: Count = 8
 
 
 class NodeSettings(_Section, frozen=True, kw_only=True):
--- a/packages/mustardlbd/mustardlbd/_app_settings.py
+++ b/packages/mustardlbd/mustardlbd/_app_settings.py
@@ -51,6 +51,7 @@
         port=settings.callers.port,
         max_headers=limits.header_bytes,
         header_timeout=limits.header_time,
+        write_timeout=limits.write_time,
         stop_timeout=settings.drain_time,
         tls=_tls.callers_context(settings.callers.tls),
     )
@@ -63,6 +64,11 @@
         queue_timeout=limits.queue_time,
         token_timeout=limits.token_time,
         max_requests=limits.streams,
+        queue_length=limits.queued,
+        notice_time=limits.notice_time,
+        default_tokens=limits.default_tokens,
+        max_tokens=limits.max_tokens,
+        max_choices=limits.max_choices,
     )
 
 
