Bound the open connections of callers, and end those that are gone

Cause: a caller's idle connection that it had closed was held until the idle timeout, found by the test of the new bound (the place of one that left was not free). Ruled out: the close itself, which is at once. Change: the idle timer ends with the connection; connections over limits.connections are closed at once.

--- a/packages/mustardlbd/mustardlbd/_app_settings.py
+++ b/packages/mustardlbd/mustardlbd/_app_settings.py
@@ -52,6 +52,7 @@
         max_headers=limits.header_bytes,
         header_timeout=limits.header_time,
         write_timeout=limits.write_time,
+        max_connections=limits.connections,
         stop_timeout=settings.drain_time,
         tls=_tls.callers_context(settings.callers.tls),
     )
--- a/packages/mustardlbd/mustardlbd/_http_connection.py
+++ b/packages/mustardlbd/mustardlbd/_http_connection.py
@@ -36,6 +36,7 @@
     :ivar header_timeout: seconds for a request's headers, also the time a
         connection may stay idle
     :ivar write_timeout: seconds a caller may take to read one block
+    :ivar max_connections: open connections; more are closed at once
     :ivar stop_timeout: seconds that requests in flight get when stopping
     :ivar tls: the TLS context, None for plain text
     """
@@ -45,6 +46,7 @@
     max_headers: int = 32_768
     header_timeout: float = 15.0
     write_timeout: float = 30.0
+    max_connections: int = 10_000
     stop_timeout: float = 600.0
     tls: ssl.SSLContext | None = None
 
@@ -84,6 +86,8 @@
                 await self._protocol.initiate()
                 await self._idle.restart(self._tasks, self._idle_timeout)
                 await self._read()
+                # Else a connection that is gone stays until its timeout.
+                await self._idle.stop()
         except (OSError, trio.BrokenResourceError, trio.TooSlowError):
             log.debug('MLB-4001')
         except Exception as error:
--- a/packages/mustardlbd/mustardlbd/_http_server.py
+++ b/packages/mustardlbd/mustardlbd/_http_server.py
@@ -70,6 +70,10 @@
         )
 
     async def handle(stream: Any) -> None:
+        if len(connections.child_tasks) > settings.max_connections:
+            log.warning('MLB-4006', max_connections=settings.max_connections)
+            await trio.aclose_forcefully(stream)
+            return
         connection = _http_connection.Connection(
             wrapped, config, context, settings, stream
         )
--- a/tests/mustardlbd/test_http_connection.py
+++ b/tests/mustardlbd/test_http_connection.py
@@ -1,10 +1,12 @@
 """Callers that read nothing, leave, or speak TLS; operators' credentials."""
 
+import contextlib
 import ssl
 
 import httpx
 import pytest
 import trio
+import trio.testing
 import trustme
 
 from mustardlbd import _admin
@@ -60,6 +62,30 @@
                     answers += await stream.receive_some()
 
 
+async def test_connections_are_bounded(site, caller_settings):
+    async with site(settings=caller_settings(max_connections=2)) as one:
+        own = int(one.url.rsplit(':', 1)[1])
+        request = b'GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n'
+        streams = []
+        for count in range(4):
+            stream = await trio.open_tcp_stream('127.0.0.1', own)
+            streams.append(stream)
+            answer = b''
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(request)
+                answer = await stream.receive_some()
+            assert answer.startswith(b'HTTP/1.1 200') is (count < 2)
+        # One that leaves makes room.
+        await streams[0].aclose()
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        async with await trio.open_tcp_stream('127.0.0.1', own) as stream:
+            await stream.send_all(request)
+            answer = await stream.receive_some()
+        assert answer.startswith(b'HTTP/1.1 200')
+        for stream in streams:
+            await stream.aclose()
+
+
 def make_contexts():
     authority = trustme.CA()
     contexts = []
