--- a/tools/bench_targets.py
+++ b/tools/bench_targets.py
@@ -223,6 +223,7 @@
         trio.TooSlowError,
         generation.StreamLost,
         engine_standin.NotLoaded,
+        engine_standin.QueueFull,
     ):
         took = trio.current_time() - started
         samples.append(Sample(account, took, took, True))
