--- a/packages/mustardlbd/mustardlbd/_permits.py
+++ b/packages/mustardlbd/mustardlbd/_permits.py
@@ -1,7 +1,7 @@
 """Permits to load from the weight store, at most 8 in the whole fleet.
 
-The owner of one fixed slice keeps them. A permit is for one target, which
-loads one adapter at a time.
+The owner of one fixed slice keeps them. A permit is for one loader of an
+engine, which loads one adapter at a time.
 """
 
 import collections
