--- a/tests/mustardlbd/test_documents.py
+++ b/tests/mustardlbd/test_documents.py
@@ -8,6 +8,7 @@
 
 from mustardlb import configuration
 from mustardlbd import _documents
+from mustardlbd import _fetching
 from mustardlbd import _owners
 from mustardlbd import _signal
 
@@ -100,6 +101,18 @@
     trio.run(main)
 
 
+async def test_value_that_trips_the_validation_is_invalid():
+    def trip(name, value):
+        raise KeyError('missing')
+
+    store = Store()
+    store.write({NAMES[0]: b'a'})
+    documents = _documents.Documents(trip, _owners.validate, _signal.Signal())
+    await documents.adopt(0, store.heads[0], store.fetch)
+    (invalid,) = documents.snapshot().invalid
+    assert invalid.name == NAMES[0] and 'missing' in invalid.problem
+
+
 async def test_nothing_changes_when_a_part_cannot_be_had():
     store = Store()
     store.write({NAMES[0]: b'a'})
@@ -142,3 +155,18 @@
     await documents.adopt(1, _documents.Tracked(2, b'[]'), not_fetched)
     assert documents.owners() == _documents.Tracked(1, good)
     assert documents.versions()[1] == 2
+
+
+async def test_part_that_does_not_match_its_hash_is_not_taken():
+    (digest,) = configuration.split_parts(b'right')
+
+    async def wrong(digest):
+        return b'wrong'
+
+    async def right(digest):
+        return b'right'
+
+    fetch = _fetching.first_of(not_fetched, wrong, right)
+    assert await fetch(digest) == b'right'
+    with pytest.raises(_documents.NotFetched):
+        await _fetching.first_of(wrong)(digest)
--- /dev/null
+++ b/tools/demo_operator.py
@@ -0,0 +1,114 @@
+"""The demonstration's operator: drives the command line `mustardlb`."""
+
+import json
+import subprocess
+import sys
+
+import local_site
+
+CONTRACT = """\
+account = '{account}'
+rate = {rate}
+burst = {burst}
+grants = ['{account}-*@*']
+"""
+
+ENGINE = """\
+name = '{name}'
+kind = 'engine'
+url = '{url}'
+group = 'draft'
+data_centre = 'north'
+slots = {slots}
+base_model = 'base@1'
+checks_fencing = true
+"""
+
+SERVICE = """\
+name = '{name}'
+kind = 'service'
+url = '{url}'
+group = 'desk'
+data_centre = 'north'
+"""
+
+ROUTE = """\
+name = '{name}'
+prefix = '/{name}'
+group = '{group}'
+"""
+
+# Rate (tokens a second) and burst (tokens) by client account.
+Limits = dict[str, tuple[int, int]]
+
+
+class Operator:
+    """Runs commands against one site.
+
+    :ivar keys: every key issued
+    """
+
+    def __init__(self, site: local_site.Site) -> None:
+        self._site = site
+        self.keys: list[str] = []
+
+    def apply_contracts(self, limits_by_account: Limits) -> str:
+        """Apply contracts in one change; returns what was printed."""
+        texts_by_name = {
+            account: CONTRACT.format(account=account, rate=rate, burst=burst)
+            for account, (rate, burst) in limits_by_account.items()
+        }
+        return self._apply('contract', texts_by_name)
+
+    def apply_targets(
+        self, engines_by_name: dict[str, str], services_by_name: dict[str, str]
+    ) -> str:
+        """Apply targets, given by name and URL, in one change."""
+        texts_by_name = {
+            name: ENGINE.format(name=name, url=url, slots=local_site.SLOTS)
+            for name, url in engines_by_name.items()
+        }
+        for name, url in services_by_name.items():
+            texts_by_name[name] = SERVICE.format(name=name, url=url)
+        return self._apply('target', texts_by_name)
+
+    def apply_route(self, name: str, group: str) -> str:
+        """Apply a route to a group of plain services."""
+        text = ROUTE.format(name=name, group=group)
+        return self._apply('route', {name: text})
+
+    def issue_key(self, account: str) -> str:
+        """Issue a key and return its text."""
+        key = json.loads(self.run('key', 'issue', account, '--output=json'))
+        self.keys.append(key['key'])
+        return key['key']
+
+    def withdraw_key(self, key: str) -> None:
+        """Withdraw a key."""
+        self.run('key', 'withdraw', key.split('_')[1])
+
+    def drain(self, name: str) -> None:
+        """Give a target no new work."""
+        self.run('target', 'drain', name)
+
+    def run(self, *words: str) -> str:
+        """Run one command. Raises RuntimeError with what it printed."""
+        command = [
+            sys.executable,
+            '-m',
+            'mustardlb_cli',
+            *words,
+            f'--settings={self._site.command_settings}',
+        ]
+        result = subprocess.run(command, capture_output=True, text=True)
+        if result.returncode != 0:
+            raise RuntimeError(f'{words}: {result.stdout}{result.stderr}')
+        return result.stdout
+
+    def _apply(self, kind: str, texts_by_name: dict[str, str]) -> str:
+        paths = []
+        for name, text in texts_by_name.items():
+            path = self._site.directory / f'{kind}-{name}.toml'
+            path.write_text(text)
+            paths.append(str(path))
+        return self.run(kind, 'apply', *paths)
