--- a/packages/mustardlbd/mustardlbd/_share_book.py
+++ b/packages/mustardlbd/mustardlbd/_share_book.py
@@ -5,12 +5,11 @@
 part are at most its part of the burst.
 """
 
-import dataclasses
-
 import structlog
 
 from mustardlbd import _bucket
 from mustardlbd import _share_allocation
+from mustardlbd import _share_entry
 from mustardlbd import _share_messages as messages
 from mustardlbd import _share_ports as ports
 
@@ -27,49 +26,6 @@
 HolderKey = tuple[str, int]
 
 
-@dataclasses.dataclass(slots=True)
-class Entry:
-    """What the keeper knows of one holder.
-
-    `fraction` and `standing` are what the last report showed in force, the
-    `sent_` fields what the statement in answer to it may have put in force
-    since. One report is answered once, and the holder takes only the
-    answer to its last report, so there is never more to reckon with.
-    """
-
-    request: int = 0
-    fraction: int = 0
-    standing: int = 0
-    sent_request: int = 0
-    sent_fraction: int = 0
-    sent_standing: int = 0
-    sent_tokens: float = 0.0
-    handed_back: float = 0.0
-    version: int = 0
-    heard_at: float = 0.0
-    deputy: str = ''
-    sent_deputy: str = ''
-    barred_until: float | None = None
-    owned: bool = False
-    need: _share_allocation.Need = _share_allocation.Need()
-
-    @property
-    def counted(self) -> int:
-        """The most that the holder may have in force."""
-        return max(self.fraction, self.sent_fraction)
-
-    @property
-    def deputies(self) -> list[str]:
-        """The deputies that the holder may know."""
-        return sorted({self.deputy, self.sent_deputy} - {''})
-
-    def expire(self) -> None:
-        """Count the standing part alone."""
-        standing = max(self.standing, self.sent_standing)
-        self.fraction = min(self.fraction, standing)
-        self.sent_fraction = min(self.sent_fraction, standing)
-
-
 class Book:
     """Shares of one account under one epoch."""
 
@@ -87,7 +43,7 @@
         self._latest = self._first
         self._settled = False
         self._owned = 0
-        self._entries: dict[HolderKey, Entry] = {}
+        self._entries: dict[HolderKey, _share_entry.Entry] = {}
         self._pool = _bucket.Bucket(node.now())
 
     @property
@@ -121,7 +77,7 @@
             self._settled = True
             self.ready = True
         for entry in self._entries.values():
-            if _has_expired(entry, now):
+            if _share_entry.has_expired(entry, now):
                 entry.expire()
         self._fit_pool(now)
         return now
@@ -148,13 +104,13 @@
         """
         if not self.may_own(holder, report):
             return
-        entry = self._entries.get(holder, Entry())
+        entry = self._entries.get(holder, _share_entry.Entry())
         if report.request <= entry.request:
             return
         others = self._count_others(entry)
         if others + report.fraction > messages.WHOLE:
             return
-        self._entries[holder] = Entry(
+        self._entries[holder] = _share_entry.Entry(
             fraction=report.fraction,
             standing=report.standing,
             handed_back=report.handed_back,
@@ -164,7 +120,7 @@
         )
         self._owned += report.fraction
 
-    def _count_others(self, entry: Entry) -> int:
+    def _count_others(self, entry: _share_entry.Entry) -> int:
         return sum(
             other.counted
             for other in self._entries.values()
@@ -181,7 +137,7 @@
         could have gone by to free it.
         """
         now = self.refresh()
-        entry = self._entries.setdefault(holder, Entry())
+        entry = self._entries.setdefault(holder, _share_entry.Entry())
         others = self._count_others(entry)
         if report.request <= entry.request:
             return None
@@ -217,7 +173,7 @@
         """State a holder's share; None for a report that came too late."""
         now = self.refresh()
         known = holder in self._entries
-        entry = self._entries.setdefault(holder, Entry())
+        entry = self._entries.setdefault(holder, _share_entry.Entry())
         if report.request <= entry.request:
             return None
         if not known:
@@ -228,7 +184,7 @@
         self._fit_pool(now)
         return self._state(holder, entry, report, restart)
 
-    def silent(self) -> list[tuple[HolderKey, Entry]]:
+    def silent(self) -> list[tuple[HolderKey, _share_entry.Entry]]:
         """List the holders whose leases must be barred to end."""
         now = self.refresh()
         return [
@@ -272,8 +228,10 @@
         entries = dict(self._entries)
         for given in handover.entries:
             holder = (given.vm_id, given.incarnation)
-            confirmed = self._entries.get(holder, Entry())
-            entries[holder] = _take_over_entry(given, confirmed, now)
+            confirmed = self._entries.get(holder, _share_entry.Entry())
+            entries[holder] = _share_entry.take_over_entry(
+                given, confirmed, now
+            )
         counted = sum(entry.counted for entry in entries.values())
         if self.ready or self.closed or counted > messages.WHOLE:
             return False
@@ -291,7 +249,9 @@
             if entry.version >= self.epoch
         }
 
-    def _settle_sent(self, entry: Entry, report: messages.ShareReport) -> None:
+    def _settle_sent(
+        self, entry: _share_entry.Entry, report: messages.ShareReport
+    ) -> None:
         """Learn from a report what became of the last statement."""
         counted = entry.counted
         adopted = report.adopted == entry.sent_request
@@ -309,7 +269,10 @@
         self._pool.add(back)
 
     def _note(
-        self, entry: Entry, report: messages.ShareReport, now: float
+        self,
+        entry: _share_entry.Entry,
+        report: messages.ShareReport,
+        now: float,
     ) -> None:
         entry.request = report.request
         entry.barred_until = None
@@ -326,7 +289,7 @@
     def _state(
         self,
         holder: HolderKey,
-        entry: Entry,
+        entry: _share_entry.Entry,
         report: messages.ShareReport,
         restart: bool,
     ) -> messages.ShareStatement:
@@ -361,7 +324,7 @@
         ]
         return others[0] if others else ''
 
-    def _choose(self, holder: HolderKey, entry: Entry) -> int:
+    def _choose(self, holder: HolderKey, entry: _share_entry.Entry) -> int:
         now = entry.heard_at
         needs = {
             f'{vm_id}/{incarnation}': other.need
@@ -379,7 +342,7 @@
             return entry.fraction
         return target
 
-    def _draw(self, growth: int, entry: Entry) -> float:
+    def _draw(self, growth: int, entry: _share_entry.Entry) -> float:
         """Tokens from the free part that go along with a growth."""
         free = self.free
         if growth <= 0 or free <= 0:
@@ -394,33 +357,3 @@
         limit = self._node.contract(self._account)
         part = self.free / messages.WHOLE
         self._pool.resize(now, limit.rate * part, limit.burst * part)
-
-
-def _take_over_entry(
-    given: messages.BookEntry, confirmed: Entry, now: float
-) -> Entry:
-    """Join an entry of the book before with what was confirmed since."""
-    return Entry(
-        request=max(given.request, confirmed.request),
-        fraction=given.fraction,
-        standing=given.standing,
-        sent_request=given.sent_request,
-        sent_fraction=given.sent_fraction,
-        sent_standing=given.sent_standing,
-        sent_tokens=given.sent_tokens,
-        handed_back=given.handed_back,
-        version=max(given.version, confirmed.version),
-        heard_at=now - given.silence,
-        need=confirmed.need,
-        deputy=given.deputy,
-        sent_deputy=given.sent_deputy,
-    )
-
-
-def _has_expired(entry: Entry, now: float) -> bool:
-    """Whether the lease has ended by the holder's clock, whatever it is."""
-    if entry.heard_at >= now - ports.LEASE * ports.CLOCK_DRIFT:
-        return False
-    if not entry.deputies:
-        return True
-    return entry.barred_until is not None and entry.barred_until < now
--- a/packages/mustardlbd/mustardlbd/_share_keeper.py
+++ b/packages/mustardlbd/mustardlbd/_share_keeper.py
@@ -7,6 +7,7 @@
 from mustardlb import steps
 from mustardlbd import _owners
 from mustardlbd import _share_book
+from mustardlbd import _share_entry
 from mustardlbd import _share_messages as messages
 from mustardlbd import _share_ports as ports
 
@@ -88,7 +89,7 @@
         account: str,
         book: _share_book.Book,
         holder: _share_book.HolderKey,
-        entry: _share_book.Entry,
+        entry: _share_entry.Entry,
     ) -> float | None:
         """Return how long any extension still runs; None if not known."""
         longest = 0.0
--- a/tests/mustardlbd/test_share_variants.py
+++ b/tests/mustardlbd/test_share_variants.py
@@ -10,6 +10,7 @@
 from mustardlbd import _share
 from mustardlbd import _share_book
 from mustardlbd import _share_deputy
+from mustardlbd import _share_entry
 from mustardlbd import _share_keeper
 from mustardlbd import _share_ports
 from tests.mustardlbd import limits_scenario
@@ -154,7 +155,7 @@
     def naive(entry, now):
         return entry.heard_at < now - 1.05 * _share_ports.LEASE
 
-    patch.setattr(_share_book, '_has_expired', naive)
+    patch.setattr(_share_entry, 'has_expired', naive)
 
 
 def mint_refunds(patch):
@@ -185,7 +186,7 @@
 def unconfirmed_shrink(patch):
     """The keeper counts what it sent, as though it had arrived."""
     patch.setattr(
-        _share_book.Entry,
+        _share_entry.Entry,
         'counted',
         property(
             lambda entry: (
