--- a/tests/mustardlbd/conftest.py
+++ b/tests/mustardlbd/conftest.py
@@ -40,6 +40,18 @@
         self.used = tokens
 
 
+class Hold:
+    """Holds calls of a dependency until `go_on` is set."""
+
+    def __init__(self):
+        self.waiting = trio.Event()
+        self.go_on = trio.Event()
+
+    async def wait(self):
+        self.waiting.set()
+        await self.go_on.wait()
+
+
 class Front:
     """The callers' side of a node, with a hand on what it depends on."""
 
@@ -56,6 +68,7 @@
         self.reservations = []
         self.attempts_by_key = {}
         self.gate = None
+        self.holds_by_name = {}
         self.refusal = None
         self.stop = trio.Event()
         self.changed = trio.Event()
@@ -69,6 +82,14 @@
     def engines(self):
         return list(self.engines_by_url.values())
 
+    def hold(self, name):
+        """Hold the calls of `reserve` or `begin`."""
+        return self.holds_by_name.setdefault(name, Hold())
+
+    async def wait_for(self, name):
+        if name in self.holds_by_name:
+            await self.holds_by_name[name].wait()
+
     def add_account(self, name, **terms):
         terms = {'rate': 10**6, 'burst': 10**7, 'grants': ('oak@*',)} | terms
         self.contracts[name] = contracts.Contract(account=name, **terms)
@@ -127,6 +148,7 @@
             )
 
     async def reserve(self, account, tokens, wait):
+        await self.wait_for('reserve')
         if self.refusal is not None:
             raise self.refusal
         reservation = Reservation(tokens)
@@ -149,6 +171,7 @@
         )
 
     async def begin(self, account, key, fingerprint):
+        await self.wait_for('begin')
         known = self.attempts_by_key.get((account, key))
         if isinstance(known, _dependencies.RecordedOutcome):
             return known
