--- a/tests/mustardlbd/test_bookings.py
+++ b/tests/mustardlbd/test_bookings.py
@@ -326,3 +326,28 @@
         assert isinstance(begun, _bookings.Attempt)
 
     run(script)
+
+
+def test_node_dies_after_a_record_whose_answer_was_lost():
+    """The record stands, nobody knows of it, and the caller repeats."""
+
+    async def script(nursery):
+        site = Site(1, nursery)
+        site.api.plan.add('put:bookings/*', faults.Kind.ANSWER_LOST)
+        async with trio.open_nursery() as callers:
+            callers.start_soon(site.nodes[0].begin, 'canopy', 'k', PRINT)
+            while not site.api.plan.hits:  # noqa: ASYNC110
+                await trio.sleep(0.01)
+            site.kill(0)
+            callers.cancel_scope.cancel()
+        codes = [await site.call(1, 'k', 'ok')]
+        await trio.sleep(_booking_records.RUN_TIME + 1)
+        site.add_node()
+        codes.append(await site.call(3, 'k', 'ok'))
+        assert not site.desk.runs
+        return codes
+
+    assert run(script) == [
+        errors.Code.IN_PROGRESS,
+        errors.Code.OUTCOME_UNKNOWN,
+    ]
--- a/tests/mustardlbd/test_caller_faults.py
+++ b/tests/mustardlbd/test_caller_faults.py
@@ -154,3 +154,31 @@
         assert refused.json()['error']['not_run'] is True
         assert finished.status_code == 201
         assert dict(front.desk.runs) == {'before': 1}
+
+
+@pytest.mark.parametrize('fault', ['key', 'restart', 'hang'])
+async def test_stop_ends_whatever_befalls_a_stream(
+    site, caller_settings, fault
+):
+    settings = caller_settings(
+        event_timeout=0.3, notice_time=0.01, stop_timeout=60.0
+    )
+    async with site(settings=settings, step_time=0.01) as one:
+        engine = one.front.engines[0]
+
+        def act():
+            one.front.stop.set()
+            if fault == 'key':
+                one.front.withdraw('canopy')
+            elif fault == 'restart':
+                engine.restart()
+            else:
+                stall(engine)
+
+        text = await read_stream(one, act)
+        with trio.fail_after(10):
+            await one.served.wait()
+        whole = text.endswith('data: [DONE]\n\n')
+        assert whole is (fault == 'key')
+        assert whole or 'event: error' in text
+        assert all(each.used is not None for each in one.front.reservations)
