--- a/packages/mustardlbd/mustardlbd/_share.py
+++ b/packages/mustardlbd/mustardlbd/_share.py
@@ -148,7 +148,6 @@
         self._sent_at = now
         self.reported_at = now
         self.shrunk = False
-        self.short = trio.Event()
         first = self.waiters[0] if self.waiters else None
         waiting = sum(waiter.tokens for waiter in self.waiters)
         return messages.ShareReport(
@@ -167,6 +166,7 @@
             waited=now - first.since if first else 0.0,
             deputy=self._deputy,
             recent=self.recent.rate(now),
+            fullness=self.bucket.level / (self.bucket.capacity or 1.0),
         )
 
     def adopt(self, statement: messages.ShareStatement, keeper: str) -> bool:
