--- a/tests/mustardlbd/engine_fleet.py
+++ b/tests/mustardlbd/engine_fleet.py
@@ -40,7 +40,8 @@
         return self._open.is_set()
 
     def pause(self):
-        self._open = trio.Event()
+        if self.is_open:
+            self._open = trio.Event()
 
     def resume(self):
         self._open.set()
