--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	packages/mustardlb-standins
 CODE := packages tests tools
 
-.PHONY: demo test format lint check bench matrix clean
+.PHONY: demo test format lint matrix mutants clean
 
 $(VENV)/ready: constraints.txt requirements-dev.txt $(PACKAGES:=/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -35,5 +35,8 @@
 matrix: $(VENV)/ready
 	$(BIN)/python tools/matrix.py
 
+mutants: $(VENV)/ready
+	$(BIN)/python tools/mutants.py
+
 clean:
 	rm -rf $(VENV) .mypy_cache .ruff_cache .hypothesis
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -245,10 +245,11 @@
 SCENES: tuple[abc.Callable[[Demo], None], ...] = (
     Demo.configure,
     show_adapters,
-    show_limits,
     show_booking,
     show_withdrawal,
     show_drain,
+    # A new account's burst fills at its rate, so this comes late.
+    show_limits,
     show_stop,
     show_keys,
 )
