--- a/packages/mustardlbd/mustardlbd/_target_owner.py
+++ b/packages/mustardlbd/mustardlbd/_target_owner.py
@@ -13,6 +13,7 @@
 from mustardlbd import _loads
 from mustardlbd import _orders
 from mustardlbd import _permits
+from mustardlbd import _refusals
 from mustardlbd import _residency
 from mustardlbd import _target_messages as messages
 
@@ -39,12 +40,6 @@
 # How long a load waits for a permit before its callers go elsewhere, seconds.
 PERMIT_PATIENCE = 5.0
 
-# A load that failed is tried here again after so long, seconds.
-BACK_OFF = 1.0
-
-# The longest back-off, seconds.
-MAX_BACK_OFF = 30.0
-
 # A VM that left the VM list holds no grant after so long, seconds.
 GONE_TIME = 5.0
 
@@ -85,8 +80,7 @@
         self._handed_over = False
         self._fenced = False
         self._report: engine.LoadReport | None = None
-        self._quarantine_by_model: dict[str, float] = {}
-        self._failures_by_model: dict[str, tuple[int, float]] = {}
+        self._refusals = _refusals.Refusals(fleet.now, target.checks_fencing)
         self._gone_since_by_vm: dict[str, float] = {}
         self.epoch = epoch
         self.residency = _residency.Residency(target.slots)
@@ -118,7 +112,7 @@
             return self._grant(ask.model, vm_id)
         if not ask.load:
             return messages.Answer(messages.Outcome.ABSENT)
-        if self._is_refused(ask.model, now):
+        if self._refusals.is_refused(ask.model):
             return messages.Answer(messages.Outcome.FAILED)
         self.residency.add_worth(ask.model, 1.0, now)
         load = self._queue.join(ask.model, ask.account)
@@ -274,7 +268,7 @@
             incarnation=report.incarnation,
         )
         models = self.residency.restart()
-        self._quarantine_by_model.clear()
+        self._refusals.note_restart()
         for model in models[:REWARMED]:
             if self.residency.users(model):
                 self._queue.join(model, _loads.BACKGROUND, kept=True)
@@ -286,7 +280,7 @@
             load = await self._queue.take()
             await _fleet.until(lambda: self._fenced, RETRY_INTERVAL)
             outcome = await self._load(load, loader)
-            self._note_outcome(load.model, outcome)
+            self._refusals.note_outcome(load.model, outcome)
             self._queue.finish(load, outcome)
 
     async def _load(self, load: _loads.Load, loader: int) -> messages.Outcome:
@@ -299,7 +293,7 @@
         state = self.residency.state_of(model)
         if state is _residency.State.SERVING:
             return messages.Outcome.GRANTED
-        if self._is_refused(model, self._fleet.now()):
+        if self._refusals.is_refused(model):
             return messages.Outcome.FAILED
         if state is None and not await self._make_room():
             return messages.Outcome.BUSY
@@ -431,8 +425,7 @@
         except engine.EngineUnavailable:
             # It may be gone or may yet go: nobody may use it until a load
             # order has said that it is there.
-            until = self._fleet.now() + _orders.LATE_TIME
-            self._quarantine_by_model[model] = until
+            self._refusals.note_unanswered_eviction(model)
             self._restore(model, _residency.State.FOUND)
         except (engine.EngineRejected, _orders.NotOwner) as error:
             log.info(
@@ -480,24 +473,3 @@
             return False
         since = self._gone_since_by_vm.setdefault(vm_id, now)
         return now - since >= GONE_TIME
-
-    # Back-off.
-
-    def _note_outcome(self, model: str, outcome: messages.Outcome) -> None:
-        if outcome is messages.Outcome.GRANTED:
-            self._failures_by_model.pop(model, None)
-        if outcome is not messages.Outcome.FAILED:
-            return
-        count, _ = self._failures_by_model.get(model, (0, 0.0))
-        pause = min(BACK_OFF * 2.0**count, MAX_BACK_OFF)
-        until = self._fleet.now() + pause
-        self._failures_by_model[model] = (count + 1, until)
-
-    def _is_refused(self, model: str, now: float) -> bool:
-        """Whether a model may not be loaded here for now."""
-        _, until = self._failures_by_model.get(model, (0, 0.0))
-        if now < until:
-            return True
-        if self._target.checks_fencing:
-            return False
-        return now < self._quarantine_by_model.get(model, -math.inf)
