--- a/packages/mustardlb-cli/mustardlb_cli/_acceptance.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_acceptance.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from mustardlb import freshness
 from mustardlb import vm_list
 from mustardlb_cli import _exit
 from mustardlb_cli import _nodes
@@ -24,9 +25,6 @@
 # Pause after a round that brought nothing new, seconds.
 ROUND_PAUSE = 0.1
 
-# Time after acceptance until every VM has a change or has stopped, seconds.
-SETTLE_TIME = 5.0
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Progress:
@@ -168,6 +166,6 @@
         return (
             'accepted: stored, and held by a majority of the listed VMs; a '
             'VM that lags or does not answer takes the change, or stops '
-            f'serving, within {SETTLE_TIME:.0f} s of acceptance'
+            f'serving, within {freshness.SETTLE_TIME:.0f} s of acceptance'
         )
     return 'accepted, and in force on all live VMs'
--- a/packages/mustardlb/mustardlb/object_api.py
+++ b/packages/mustardlb/mustardlb/object_api.py
@@ -12,6 +12,10 @@
 # The version of an object that does not exist.
 ABSENT = 0
 
+# A version that no object has: a write that expects it changes nothing, and
+# its refusal tells the version of the moment.
+NEVER = 2**53 - 1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Object:
--- a/packages/mustardlb/mustardlb/stored_configuration.py
+++ b/packages/mustardlb/mustardlb/stored_configuration.py
@@ -18,9 +18,6 @@
 
 log = structlog.get_logger()
 
-# A version that no object has: a write that expects it changes nothing.
-NEVER = 2**53 - 1
-
 # Pauses between tries of the object API, seconds.
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 1.0
@@ -42,7 +39,9 @@
     A read may lag, a refused write never does: it names the version that
     the read must reach.
     """
-    version = await _persist(lambda: _put(api, configuration.HEAD, b'', NEVER))
+    version = await _persist(
+        lambda: _put(api, configuration.HEAD, b'', object_api.NEVER)
+    )
     if version == object_api.ABSENT:
         return Base(version, configuration.Head())
     for pause in _pauses():
--- a/packages/mustardlbd/mustardlbd/_api_source.py
+++ b/packages/mustardlbd/mustardlbd/_api_source.py
@@ -13,10 +13,6 @@
 
 log = structlog.get_logger()
 
-# A version that no object ever has: a conditional write that names it fails
-# for sure, changes nothing, and is answered with the version of the moment.
-NEVER = 2**53 - 1
-
 # How often evidence is asked for, seconds.
 PROBE_INTERVAL = 1.0
 
@@ -111,7 +107,7 @@
 
 async def _current_version(api: object_api.ObjectApi, name: str) -> int:
     try:
-        await api.put(name, b'', NEVER)
+        await api.put(name, b'', object_api.NEVER)
     except object_api.VersionConflict as conflict:
         return conflict.current
     raise object_api.ApiRejected(f'{name}: a write that must fail landed')
--- a/packages/mustardlbd/mustardlbd/_freshness.py
+++ b/packages/mustardlbd/mustardlbd/_freshness.py
@@ -11,17 +11,14 @@
 
 from mustardlb import clock
 from mustardlb import errors
+from mustardlb import freshness
 from mustardlb import steps
 from mustardlbd import _signal
 
 log = structlog.get_logger()
 
-# Oldest knowledge with which a node admits, dispatches or spends, seconds.
-MAX_AGE = 4.0
-
-# After this time from acceptance every VM has a change or has stopped,
-# seconds; above MAX_AGE by what a check may be early or late.
-SETTLE_TIME = 5.0
+MAX_AGE = freshness.MAX_AGE
+SETTLE_TIME = freshness.SETTLE_TIME
 
 # Those who wait for newer knowledge are woken when T moved this far,
 # seconds.
--- a/packages/mustardlbd/mustardlbd/_share_ports.py
+++ b/packages/mustardlbd/mustardlbd/_share_ports.py
@@ -5,12 +5,13 @@
 from typing import Protocol
 
 from mustardlb import clock
+from mustardlb import freshness
 from mustardlb import steps
 from mustardlbd import _bucket
 from mustardlbd import _owners
 
 # Oldest knowledge with which a share is spent, seconds.
-MAX_AGE = 4.0
+MAX_AGE = freshness.MAX_AGE
 
 # How often an active holder reports, seconds.
 REPORT_INTERVAL = 0.25
--- a/tools/limits_fleet.py
+++ b/tools/limits_fleet.py
@@ -15,6 +15,7 @@
 import trio
 
 from mustardlb import errors
+from mustardlb import freshness
 from mustardlb import steps
 from mustardlbd import _bucket
 from mustardlbd import _owners
@@ -27,7 +28,7 @@
 ACCOUNT = 'canopy'
 
 # From acceptance until a version of the table binds every node, seconds.
-SETTLE_TIME = 5.0
+SETTLE_TIME = freshness.SETTLE_TIME
 
 # How often a node that is in contact gathers evidence, seconds.
 EVIDENCE_INTERVAL = 0.25
