Record outcomes that an outage kept back before a planned stop ends

Cause: a finished booking whose outcome could not be written was kept in memory and tried again each second; a planned stop dropped it, and a repeated call was told outcome_unknown for 24 hours though the node knew. Ruled out: holding the caller's answer back until the record is written (it has run). Change: a stopping node tries for up to 5 s more.

--- a/packages/mustardlbd/mustardlbd/_app.py
+++ b/packages/mustardlbd/mustardlbd/_app.py
@@ -34,6 +34,9 @@
 # Bits of the number that tells two processes of one VM apart.
 INCARNATION_BITS = 62
 
+# How long a stopping node tries to record outcomes not yet recorded, seconds.
+FLUSH_LIMIT = 5.0
+
 
 class _Directory:
     """The decoded configuration, made anew when the snapshot changed."""
@@ -151,6 +154,8 @@
                 callers_port = await serving.start(serve_callers)
                 _print_ports(settings, callers_port, admin_port)
             end.set()
+        with trio.move_on_after(FLUSH_LIMIT):
+            await bookings.flush()
         background.cancel_scope.cancel()
     await api.close()
     await vms.close()
--- a/packages/mustardlbd/mustardlbd/_bookings.py
+++ b/packages/mustardlbd/mustardlbd/_bookings.py
@@ -131,18 +131,22 @@
         while True:
             await self._kept.wait()
             await trio.sleep(FLUSH_INTERVAL)
-            for place, operation in list(self._unwritten.items()):
-                bucket = self._bucket(operation.key)
-                try:
-                    await bucket.apply(operation, BEGIN_TIME)
-                except _booking_bucket.Unavailable:
-                    break
-                if self._unwritten.get(place) is operation:
-                    del self._unwritten[place]
-                log.info('MLB-3011', key=operation.key)
+            await self.flush()
             if not self._unwritten:
                 self._kept = trio.Event()
 
+    async def flush(self) -> None:
+        """Write what could not be written, up to the first failure."""
+        for place, operation in list(self._unwritten.items()):
+            bucket = self._bucket(operation.key)
+            try:
+                await bucket.apply(operation, BEGIN_TIME)
+            except _booking_bucket.Unavailable:
+                return
+            if self._unwritten.get(place) is operation:
+                del self._unwritten[place]
+            log.info('MLB-3011', key=operation.key)
+
     def _bucket(self, key: str) -> _booking_bucket.BookingBucket:
         name = bucket_name(key)
         bucket = self._buckets_by_name.get(name)
--- a/tests/mustardlbd/test_bookings.py
+++ b/tests/mustardlbd/test_bookings.py
@@ -300,6 +300,22 @@
     run(script)
 
 
+def test_stopping_node_records_what_an_outage_kept_back():
+    async def script(nursery):
+        site = Site(1, nursery)
+        attempt = await site.nodes[0].begin('canopy', 'k', PRINT)
+        site.api.plan.add('put:*', faults.Kind.UNAVAILABLE, times=None)
+        await attempt.finish(200, [], b'booked')
+        site.kill(0)
+        site.api.plan.plan()
+        assert await site.call(1, 'k', 'ok') is errors.Code.IN_PROGRESS
+        await site.nodes[0].flush()
+        site.bodies['k'] = b'booked'
+        assert await site.call(1, 'k', 'ok') == b'booked'
+
+    run(script)
+
+
 def test_concurrent_records_of_a_bucket_share_writes(monkeypatch):
     monkeypatch.setattr(_bookings, 'BUCKETS', 1)
 
