Honour timeout and authority of the weight store's settings

Cause: the node passed only the URL of weight_store on, so a store whose certificate is signed by the site's own authority was never reached and its timeout was ignored, unlike object API and VM list. Ruled out: a reason of its own for the difference; the three clients are alike. Change: the same arguments, and the check they share.

--- a/packages/mustardlb/mustardlb/weight_store.py
+++ b/packages/mustardlb/mustardlb/weight_store.py
@@ -9,6 +9,8 @@
 import httpx
 import msgspec
 
+from mustardlb import endpoint_tls
+
 # Loads in transit, fleet-wide, up to which each runs at full speed.
 TRANSIT_LIMIT = 8
 
@@ -46,9 +48,14 @@
 class HttpWeightStore:
     """A WeightStore that speaks HTTP."""
 
-    def __init__(self, url: str, timeout: float = CALL_TIMEOUT) -> None:
+    def __init__(
+        self, url: str, timeout: float = CALL_TIMEOUT, authority: str = ''
+    ) -> None:
         self._client = httpx.AsyncClient(
-            base_url=url, timeout=timeout, trust_env=False
+            base_url=url,
+            verify=endpoint_tls.verification(url, authority),
+            timeout=timeout,
+            trust_env=False,
         )
 
     async def close(self) -> None:
--- a/packages/mustardlbd/mustardlbd/_target_wiring.py
+++ b/packages/mustardlbd/mustardlbd/_target_wiring.py
@@ -55,7 +55,10 @@
     endpoint: settings_module.Endpoint | None,
 ) -> abc.Callable[[], abc.Awaitable[weight_store.TransitReport]]:
     if endpoint is not None:
-        return weight_store.HttpWeightStore(endpoint.url).transit_report
+        store = weight_store.HttpWeightStore(
+            endpoint.url, endpoint.timeout, endpoint.authority
+        )
+        return store.transit_report
 
     async def unavailable() -> weight_store.TransitReport:
         raise weight_store.WeightStoreUnavailable('no weight store is set')
