Gateway: the whole path on the users' platform, thin

A new package serves clients by host and path prefix, forwards to targets with one request at a time on a kept connection, follows the platform's store, spreads digests between nodes, and keeps engines' adapters under leases with fences. platform/ translates names, headers, settings and calls.

--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,16 @@
+#!/bin/sh
+# Puts the gateway, its adapter and their libraries into target/deps.
+set -eu
+deps=target/deps
+if [ ! -f $deps/.libraries ] || [ deploy/requirements.txt -nt $deps/.libraries ] ||
+    [ constraints.txt -nt $deps/.libraries ]; then
+    rm -rf $deps
+    python3 -m pip install --quiet --disable-pip-version-check \
+        --target $deps -c constraints.txt -r deploy/requirements.txt
+    touch $deps/.libraries
+fi
+for package in packages/mustardlb/mustardlb \
+    packages/mustardlb-gateway/mustardlb_gateway platform/mustardlb_platform; do
+    rm -rf $deps/"$(basename $package)"
+    cp -R $package $deps/
+done
--- /dev/null
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
@@ -0,0 +1,171 @@
+"""Which node keeps which engine: one lease an engine, in the store.
+
+A keeper alone gives orders to its engine. The lease is an object of the
+store that changes by conditional writes only; its fence grows with each
+keeper, and engines refuse lower ones. A keeper acts while it hears the
+majority of the nodes, since another takes over only what it believes
+abandoned; where engines do not compare fences, the keeper also verifies its
+lease at the store.
+"""
+
+from collections import abc
+import dataclasses
+import hashlib
+
+import structlog
+
+from mustardlb_gateway import ports
+
+log = structlog.get_logger()
+
+LEASE_KIND = 'engine-leases'
+
+# Part of the time between two keepers' orders that is waited in addition,
+# seconds: clocks of nodes and the way of an order.
+HANDOVER_MARGIN = 0.3
+
+# Age of a verification at the store that still counts, seconds.
+VERIFIED_FOR = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Lease:
+    """A lease that this node holds.
+
+    :ivar acts_from: when orders may be given, clock seconds
+    :ivar verified_at: when the store last confirmed it
+    """
+
+    target_id: str
+    fence: int
+    revision: int
+    acts_from: float
+    verified_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """Who else keeps an engine, as that node tells.
+
+    :ivar is_acting: it gives orders already
+    """
+
+    vm: str
+    fence: int
+    is_acting: bool
+
+
+class Leases:
+    """The leases of this node."""
+
+    def __init__(
+        self,
+        vm: str,
+        incarnation: int,
+        store: ports.Store,
+        clock: abc.Callable[[], float],
+        handover_time: abc.Callable[[], float],
+        fences_checked: abc.Callable[[], bool],
+    ) -> None:
+        self._vm = vm
+        self._incarnation = incarnation
+        self._store = store
+        self._clock = clock
+        self._handover_time = handover_time
+        self._fences_checked = fences_checked
+        self.by_target: dict[str, Lease] = {}
+
+    async def claim(self, target_id: str) -> Lease | None:
+        """Take an engine; None where the store does not agree."""
+        try:
+            stored = await self._store.get(LEASE_KIND, target_id)
+            lease = await self._write(target_id, stored)
+        except ports.Conflict as conflict:
+            log.info('MLB-6502', target=target_id, now=str(conflict.current))
+            return None
+        except ports.StoreUnavailable as error:
+            # The next attempt reads what became of the write.
+            log.info('MLB-6503', target=target_id, problem=str(error))
+            return None
+        self.by_target[target_id] = lease
+        log.info(
+            'MLB-6501',
+            target=target_id,
+            fence=lease.fence,
+            revision=lease.revision,
+            acts_in=round(lease.acts_from - self._clock(), 3),
+        )
+        return lease
+
+    async def _write(
+        self, target_id: str, stored: ports.StoredObject | None
+    ) -> Lease:
+        spec = stored.spec if stored and isinstance(stored.spec, dict) else {}
+        fence = int(spec.get('fence', 0)) + 1
+        fresh = {
+            'holder': self._vm,
+            'incarnation': self._incarnation,
+            'fence': fence,
+        }
+        if stored is None:
+            written = await self._store.create(LEASE_KIND, target_id, fresh)
+        else:
+            written = await self._store.replace(
+                LEASE_KIND, target_id, fresh, stored.revision
+            )
+        now = self._clock()
+        wait = 0.0
+        if stored is not None and spec.get('holder') != self._vm:
+            wait = self._handover_time() + HANDOVER_MARGIN
+        return Lease(target_id, fence, written.revision, now + wait, now)
+
+    async def verify(self, lease: Lease) -> bool:
+        """Ask the store whether a lease still stands."""
+        asked_at = self._clock()
+        if asked_at - lease.verified_at < VERIFIED_FOR:
+            return True
+        try:
+            stored = await self._store.get(LEASE_KIND, lease.target_id)
+        except ports.StoreUnavailable as error:
+            log.info('MLB-6503', target=lease.target_id, problem=str(error))
+            return False
+        if stored is None or stored.revision != lease.revision:
+            self.drop(lease.target_id, 'another keeper is stored')
+            return False
+        lease.verified_at = asked_at
+        return True
+
+    async def may_order(self, lease: Lease, hears_majority: bool) -> bool:
+        """Whether orders may be given under a lease at this moment."""
+        if self.by_target.get(lease.target_id) is not lease:
+            return False
+        if self._clock() < lease.acts_from:
+            return False
+        if hears_majority and self._fences_checked():
+            return True
+        return await self.verify(lease)
+
+    def drop(self, target_id: str, reason: str) -> None:
+        """Give up a lease."""
+        lease = self.by_target.pop(target_id, None)
+        if lease is not None:
+            log.info(
+                'MLB-6504',
+                target=target_id,
+                fence=lease.fence,
+                reason=reason,
+            )
+
+
+def rank(vm: str, target_id: str) -> bytes:
+    """Order the nodes for a target; the highest keeps it."""
+    return hashlib.blake2b(f'{vm}|{target_id}'.encode()).digest()
+
+
+def preferred(vms: abc.Iterable[str], target_id: str) -> str:
+    """Return the node that is to keep a target.
+
+    >>> preferred(['a', 'b', 'c'], 't1') in 'abc'
+    True
+    """
+    return max(vms, key=lambda vm: rank(vm, target_id))
--- /dev/null
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -0,0 +1,242 @@
+"""The messages between nodes, typed, and their bytes."""
+
+import dataclasses
+from typing import Any
+
+import capnp
+import msgspec
+
+from mustardlb import schema
+from mustardlb_gateway import domain
+from mustardlb_gateway import ports
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetUsage:
+    """Requests of one node in flight at a target."""
+
+    target_id: str
+    running: int
+    unread_tokens: int
+    adapters: tuple[domain.AdapterName, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holding:
+    """A target that the sender keeps.
+
+    :ivar fence: grows with each keeper of the target
+    :ivar incarnation: of the target
+    :ivar is_acting: the sender gives orders already
+    """
+
+    target_id: str
+    fence: int
+    incarnation: int
+    is_acting: bool
+    resident: dict[domain.AdapterName, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Digest:
+    """What a node tells the others, several times a second.
+
+    :ivar revisions: of the last change seen, by kind
+    :ivar admitted: cost admitted since the process started, by account
+    :ivar heard: VMs whose digests came lately
+    """
+
+    host: str
+    port: int
+    is_leaving: bool
+    revisions: dict[str, int]
+    admitted: dict[str, float]
+    usages: tuple[TargetUsage, ...]
+    holdings: tuple[Holding, ...]
+    heard: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotRequest:
+    """Asks for a copy of a kind's objects."""
+
+    kind: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """All objects of a kind as of a revision."""
+
+    kind: str
+    revision: int
+    objects: tuple[ports.StoredObject, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Want:
+    """Asks a target's keeper to put an adapter there.
+
+    :ivar version: the least that will do, 0 for any
+    :ivar patience: seconds until it is of no use
+    """
+
+    target_id: str
+    adapter: domain.AdapterName
+    version: int
+    patience: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """Whether a wanted adapter is in place."""
+
+    is_there: bool
+
+
+Body = Digest | SnapshotRequest | Snapshot | Want | Wanted
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Message:
+    """A message; `request` pairs a question with its answer."""
+
+    vm: str
+    incarnation: int
+    request: int
+    body: Body
+
+
+def encode(message: Message) -> bytes:
+    """Return the bytes of a message."""
+    name, fields = _body_fields(message.body)
+    return (
+        schema.load('gateway')
+        .PeerMessage.new_message(
+            vm=message.vm,
+            incarnation=message.incarnation,
+            request=message.request,
+            **{name: fields},
+        )
+        .to_bytes_packed()
+    )
+
+
+def _body_fields(body: Body) -> tuple[str, Any]:
+    """Return the member of the union and its value."""
+    match body:
+        case Digest():
+            return 'digest', _digest_fields(body)
+        case SnapshotRequest():
+            return 'snapshotRequest', body.kind
+        case Snapshot():
+            return 'snapshot', {
+                'kind': body.kind,
+                'revision': body.revision,
+                'objects': msgspec.json.encode(body.objects),
+            }
+        case Want():
+            return 'want', {
+                'target': body.target_id,
+                'adapter': str(body.adapter),
+                'version': body.version,
+                'patience': body.patience,
+            }
+        case Wanted():
+            return 'wanted', body.is_there
+
+
+def _named(numbers: dict[Any, int]) -> list[dict[str, Any]]:
+    return [{'name': str(k), 'number': v} for k, v in numbers.items()]
+
+
+def _digest_fields(digest: Digest) -> dict[str, Any]:
+    return {
+        'host': digest.host,
+        'port': digest.port,
+        'isLeaving': digest.is_leaving,
+        'revisions': _named(digest.revisions),
+        'admitted': [
+            {'name': name, 'amount': amount}
+            for name, amount in digest.admitted.items()
+        ],
+        'usages': [
+            {
+                'target': usage.target_id,
+                'running': usage.running,
+                'unreadTokens': usage.unread_tokens,
+                'adapters': [str(adapter) for adapter in usage.adapters],
+            }
+            for usage in digest.usages
+        ],
+        'holdings': [
+            {
+                'target': holding.target_id,
+                'fence': holding.fence,
+                'incarnation': holding.incarnation,
+                'isActing': holding.is_acting,
+                'resident': _named(holding.resident),
+            }
+            for holding in digest.holdings
+        ],
+        'heard': list(digest.heard),
+    }
+
+
+def decode(data: bytes) -> Message:
+    """Read a message; raises ValueError where it is none."""
+    try:
+        found = schema.load('gateway').PeerMessage.from_bytes_packed(data)
+        body = _decode_body(found)
+    except (capnp.KjException, msgspec.MsgspecError) as error:
+        raise ValueError(f'not a message: {error}') from error
+    return Message(found.vm, found.incarnation, found.request, body)
+
+
+def _decode_body(found: Any) -> Body:
+    match found.which():
+        case 'digest':
+            return _read_digest(found.digest)
+        case 'snapshotRequest':
+            return SnapshotRequest(found.snapshotRequest)
+        case 'snapshot':
+            objects = msgspec.json.decode(
+                found.snapshot.objects, type=tuple[ports.StoredObject, ...]
+            )
+            return Snapshot(found.snapshot.kind, found.snapshot.revision, objects)
+        case 'want':
+            want = found.want
+            adapter = domain.AdapterName.parse(want.adapter)
+            return Want(want.target, adapter, want.version, want.patience)
+        case _:
+            return Wanted(found.wanted)
+
+
+def _read_digest(digest: Any) -> Digest:
+    parse = domain.AdapterName.parse
+    return Digest(
+        digest.host,
+        digest.port,
+        digest.isLeaving,
+        {each.name: each.number for each in digest.revisions},
+        {each.name: each.amount for each in digest.admitted},
+        tuple(
+            TargetUsage(
+                each.target,
+                each.running,
+                each.unreadTokens,
+                tuple(parse(adapter) for adapter in each.adapters),
+            )
+            for each in digest.usages
+        ),
+        tuple(
+            Holding(
+                each.target,
+                each.fence,
+                each.incarnation,
+                each.isActing,
+                {parse(one.name): one.number for one in each.resident},
+            )
+            for each in digest.holdings
+        ),
+        tuple(digest.heard),
+    )
--- /dev/null
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
@@ -0,0 +1,184 @@
+"""Which target gets a call, and which engine an adapter that is nowhere.
+
+An engine reads prompts one after the other, so the tokens that it still has
+to read tell when a call's first token comes. An adapter stays on as few
+engines as that permits: each copy takes a slot from another adapter.
+"""
+
+from collections import abc
+import dataclasses
+import random
+
+from mustardlb_gateway import _leases
+from mustardlb_gateway import _prefixes
+from mustardlb_gateway import _targets
+from mustardlb_gateway import domain
+
+# Prompt tokens that an engine reads in a second; an order of magnitude for
+# present accelerators, used only to compare engines with each other.
+READ_RATE = 38_000.0
+
+# What a copy of an adapter must save, seconds. From the weight store it
+# takes a load that all engines share and the slot of another adapter; where
+# the engine held it lately, the slot alone.
+COPY_COST = 0.9
+LATELY_COST = 0.1
+
+# Preference among engines for a new copy, seconds: all nodes choose the
+# same engine, and the same one again later, while it is not much busier.
+RANK_SPREAD = 0.5
+
+# What a failing target is worse by, seconds, when all its requests fail.
+FAILURE_COST = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """A target for a call.
+
+    :ivar must_load: the adapter has to be put there first
+    :ivar unread_tokens: prompt tokens that the engine has to read for it
+    """
+
+    target: domain.Target
+    must_load: bool
+    unread_tokens: int
+    estimate: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wish:
+    """What a call needs of a target.
+
+    :ivar version: the least of the adapter that will do, 0 for any
+    :ivar preferred_version: the newest known
+    :ivar without: targets that had the call already
+    """
+
+    service: domain.Service
+    call: domain.Call
+    version: int
+    preferred_version: int
+    without: frozenset[str]
+
+
+class Placement:
+    """Chooses among the targets that this node knows."""
+
+    def __init__(
+        self,
+        targets: _targets.TargetTable,
+        prefixes: _prefixes.PrefixMemory,
+        resident: abc.Callable[
+            [domain.Target], dict[domain.AdapterName, int]
+        ],
+        is_kept: abc.Callable[[str], bool],
+        was_held: abc.Callable[[str, domain.AdapterName], bool],
+    ) -> None:
+        self._targets = targets
+        self._prefixes = prefixes
+        self._resident = resident
+        self._is_kept = is_kept
+        self._was_held = was_held
+
+    def choose(self, wish: Wish) -> Choice | None:
+        """Return the best target, None where no target will do now."""
+        candidates = [
+            target
+            for target in self._targets.ready(wish.service.name)
+            if target.target_id not in wish.without
+        ]
+        healthy = [
+            target
+            for target in candidates
+            if not self._targets.is_suspended(target.target_id)
+        ]
+        candidates = healthy or candidates
+        if not candidates:
+            return None
+        if wish.service.engine is None:
+            return min(
+                (self._plain(target) for target in candidates),
+                key=lambda choice: choice.estimate,
+            )
+        return self._engine(wish, candidates)
+
+    def _plain(self, target: domain.Target) -> Choice:
+        """Weigh a plain target by how full it is."""
+        running = self._targets.running(target.target_id)
+        health = self._targets.health(target.target_id)
+        fullness = (running + random.random()) / max(1, target.slots)
+        estimate = fullness + FAILURE_COST * health.failure_share
+        return Choice(target, False, 0, estimate)
+
+    def _engine(
+        self, wish: Wish, candidates: list[domain.Target]
+    ) -> Choice | None:
+        call = wish.call
+        if call.adapter is None:
+            return min(
+                (self._held(wish, target) for target in candidates),
+                key=lambda choice: choice.estimate,
+            )
+        model = domain.AdapterName(call.adapter.model)
+        held: list[Choice] = []
+        absent: list[Choice] = []
+        for target in candidates:
+            resident = self._resident(target)
+            if model not in resident:
+                continue
+            version = resident.get(call.adapter)
+            if version is None or version < wish.version:
+                if self._can_take(wish, target):
+                    absent.append(self._absent(wish, target))
+                continue
+            choice = self._held(wish, target)
+            if version < wish.preferred_version:
+                choice = dataclasses.replace(
+                    choice, estimate=choice.estimate + LATELY_COST
+                )
+            held.append(choice)
+        both = held + absent
+        if not both:
+            return None
+        return min(both, key=lambda choice: choice.estimate)
+
+    def _can_take(self, wish: Wish, target: domain.Target) -> bool:
+        engine = wish.service.engine
+        if engine is None or not self._is_kept(target.target_id):
+            return False
+        if wish.call.adapter is None or not wish.call.adapter.adapter:
+            return False
+        in_use = set()
+        for usage in self._targets.usages(target.target_id):
+            in_use.update(usage.by_adapter)
+        busy = sum(1 for adapter in in_use if adapter.adapter)
+        return busy < engine.adapter_slots
+
+    def _held(self, wish: Wish, target: domain.Target) -> Choice:
+        unread = self._prefixes.unread(target.target_id, wish.call)
+        return Choice(
+            target, False, unread, self._estimate(target, unread)
+        )
+
+    def _absent(self, wish: Wish, target: domain.Target) -> Choice:
+        unread = wish.call.prompt_tokens
+        adapter = wish.call.adapter
+        if adapter and self._was_held(target.target_id, adapter):
+            cost = LATELY_COST
+        else:
+            rank = _leases.rank(str(adapter), target.target_id)
+            cost = COPY_COST + RANK_SPREAD * (1 - rank[0] / 255)
+        estimate = self._estimate(target, unread) + cost
+        return Choice(target, True, unread, estimate)
+
+    def _estimate(self, target: domain.Target, unread: int) -> float:
+        waiting = self._targets.unread_tokens(target.target_id)
+        running = self._targets.running(target.target_id)
+        health = self._targets.health(target.target_id)
+        fullness = max(0.0, running / max(1, target.slots) - 0.8)
+        return (
+            (waiting + unread) / READ_RATE
+            + fullness
+            + FAILURE_COST * health.failure_share
+        )
--- /dev/null
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_prefixes.py
@@ -0,0 +1,58 @@
+"""Which parts of prompts an engine has probably kept.
+
+A memory of what this node itself sent there, bounded in number and age; an
+engine keeps parts apart for each adapter.
+"""
+
+import collections
+from collections import abc
+
+from mustardlb_gateway import domain
+
+# Prompts remembered for each engine; more than its memory holds.
+PROMPTS_PER_TARGET = 256
+
+# Seconds after which a part counts as dropped.
+KEPT_FOR = 30.0
+
+_Key = tuple[domain.AdapterName | None, str]
+
+
+class PrefixMemory:
+    """Parts of prompts by target, the oldest first."""
+
+    def __init__(self, clock: abc.Callable[[], float]) -> None:
+        self._clock = clock
+        self._seen_by_target: dict[
+            str, collections.OrderedDict[_Key, float]
+        ] = {}
+
+    def note(self, target_id: str, call: domain.Call) -> None:
+        """Note that a target has read a call's prompt."""
+        seen = self._seen_by_target.setdefault(
+            target_id, collections.OrderedDict()
+        )
+        now = self._clock()
+        for part in call.prompt_parts:
+            key = (call.adapter, part.part_id)
+            seen[key] = now
+            seen.move_to_end(key)
+        while len(seen) > PROMPTS_PER_TARGET:
+            seen.popitem(last=False)
+
+    def unread(self, target_id: str, call: domain.Call) -> int:
+        """Return the prompt tokens that a target would have to read."""
+        seen = self._seen_by_target.get(target_id)
+        unread = call.prompt_tokens
+        if not seen:
+            return unread
+        since = self._clock() - KEPT_FOR
+        for part in call.prompt_parts:
+            if seen.get((call.adapter, part.part_id), 0.0) < since:
+                break
+            unread -= part.tokens
+        return max(0, unread)
+
+    def forget(self, target_id: str) -> None:
+        """Forget a target that has gone or restarted."""
+        self._seen_by_target.pop(target_id, None)
--- /dev/null
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_snapshots.py
@@ -0,0 +1,75 @@
+"""Brings a node up to date from its peers while the store refuses it."""
+
+from collections import abc
+
+import structlog
+
+from mustardlb_gateway import _messages
+from mustardlb_gateway import _mirror
+from mustardlb_gateway import _peers
+
+log = structlog.get_logger()
+
+# Seconds that a copy may be behind a peer's before it is fetched there: the
+# node's own watch is the cheaper way while it works.
+BEHIND_FOR = 0.5
+
+
+class Snapshots:
+    """The mirrors of a node and how far those of its peers are."""
+
+    def __init__(
+        self,
+        mirrors: abc.Iterable[_mirror.Mirror],
+        clock: abc.Callable[[], float],
+    ) -> None:
+        self._mirrors_by_kind = {mirror.kind: mirror for mirror in mirrors}
+        self._clock = clock
+        self._behind_since: dict[str, float] = {}
+
+    def revisions(self) -> dict[str, int]:
+        """Return the revision of the last change of each kind."""
+        return {
+            kind: mirror.changed_at
+            for kind, mirror in self._mirrors_by_kind.items()
+        }
+
+    def missing(self, theirs: dict[str, int]) -> list[str]:
+        """Return the kinds that are to be fetched from a peer now."""
+        found = []
+        now = self._clock()
+        for kind, revision in theirs.items():
+            mirror = self._mirrors_by_kind.get(kind)
+            if mirror is None or mirror.revision >= revision:
+                self._behind_since.pop(kind, None)
+                continue
+            since = self._behind_since.setdefault(kind, now)
+            if now - since >= BEHIND_FOR:
+                found.append(kind)
+                self._behind_since[kind] = now
+        return found
+
+    async def fetch(self, peers: _peers.Peers, vm: str, kind: str) -> None:
+        """Take a peer's copy of a kind."""
+        answer = await peers.ask(vm, _messages.SnapshotRequest(kind))
+        if not isinstance(answer, _messages.Snapshot):
+            return
+        is_newer = self._mirrors_by_kind[kind].adopt(
+            answer.objects, answer.revision
+        )
+        log.info(
+            'MLB-6104',
+            kind=kind,
+            peer=vm,
+            revision=answer.revision,
+            is_newer=is_newer,
+        )
+
+    def give(self, kind: str) -> _messages.Snapshot | None:
+        """Return this node's copy of a kind, None before it has one."""
+        mirror = self._mirrors_by_kind.get(kind)
+        if mirror is None or not mirror.revision:
+            return None
+        return _messages.Snapshot(
+            kind, mirror.revision, tuple(mirror.objects_by_name.values())
+        )
--- /dev/null
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_state.py
@@ -0,0 +1,100 @@
+"""The configuration and adapter versions in force at this node."""
+
+from collections import abc
+
+import structlog
+
+from mustardlb_gateway import _dispatch
+from mustardlb_gateway import _mirror
+from mustardlb_gateway import domain
+from mustardlb_gateway import ports
+
+log = structlog.get_logger()
+
+# Name of the object that holds the configuration.
+CONFIGURATION_NAME = 'main'
+
+# Part of the time for a new adapter version in which older ones still serve,
+# so that it can be loaded where the older one is.
+VERSION_PART = 0.4
+
+
+class State:
+    """What the operators have stored, forwards only."""
+
+    def __init__(
+        self,
+        configurations: _mirror.Mirror,
+        versions: _mirror.Mirror,
+        translation: ports.Translation,
+        clock: abc.Callable[[], float],
+        version_time: abc.Callable[[], float],
+    ) -> None:
+        self._configurations = configurations
+        self._versions = versions
+        self._translation = translation
+        self._clock = clock
+        self._version_time = version_time
+        self.configuration: domain.Configuration | None = None
+        self._newest_by_adapter: dict[
+            domain.AdapterName, tuple[int, float]
+        ] = {}
+        configurations.on_change(self._read_configuration)
+        versions.on_change(self._read_versions)
+
+    def _read_configuration(self) -> None:
+        stored = self._configurations.objects_by_name.get(CONFIGURATION_NAME)
+        if stored is None:
+            return
+        fresh = self._translation.read_configuration(stored.spec)
+        if fresh is None:
+            log.error('MLB-6111', revision=stored.revision)
+            return
+        before = self.configuration
+        if before is not None and fresh.version <= before.version:
+            return
+        self.configuration = fresh
+        log.info(
+            'MLB-6110',
+            version=fresh.version,
+            before=before.version if before else 0,
+            routes=len(fresh.routes),
+            accounts=len(fresh.accounts_by_name or ()),
+            revision=stored.revision,
+        )
+
+    def _read_versions(self) -> None:
+        for stored in self._versions.objects_by_name.values():
+            found = self._translation.read_version(stored.spec)
+            if found is None:
+                continue
+            known = self._newest_by_adapter.get(found.adapter, (0, 0.0))
+            if found.version <= known[0]:
+                continue
+            self._newest_by_adapter[found.adapter] = (
+                found.version,
+                self._clock(),
+            )
+            log.info(
+                'MLB-6112',
+                adapter=str(found.adapter),
+                version=found.version,
+                revision=stored.revision,
+            )
+
+    def newest(self, adapter: domain.AdapterName) -> int:
+        """Return the newest version named for an adapter, 0 for none."""
+        return self._newest_by_adapter.get(adapter, (0, 0.0))[0]
+
+    def versions(self, adapter: domain.AdapterName) -> _dispatch.Versions:
+        """Return which versions of an adapter a call may run on."""
+        newest, since = self._newest_by_adapter.get(adapter, (0, 0.0))
+        grace = self._version_time() * VERSION_PART
+        is_due = self._clock() - since >= grace
+        return _dispatch.Versions(newest if is_due else 0, newest)
+
+    def service(self, name: str) -> domain.Service | None:
+        """Return a service of the configuration in force."""
+        if self.configuration is None:
+            return None
+        return self.configuration.services_by_name.get(name)
--- a/packages/mustardlbd/mustardlbd/_peer_server.py
+++ b/packages/mustardlbd/mustardlbd/_peer_server.py
@@ -9,7 +9,7 @@
 
 from mustardlb import errors
 from mustardlb import schema
-from mustardlbd import _frames
+from mustardlb import frames
 
 log = structlog.get_logger()
 
@@ -66,7 +66,7 @@
             trio.BrokenResourceError,
             trio.ClosedResourceError,
             trio.TooSlowError,
-            _frames.BadFrame,
+            frames.BadFrame,
         ) as error:
             log.info('MLB-2001', problem=repr(error))
         except Exception:  # one connection must not end the node
@@ -81,12 +81,12 @@
                 await stream.do_handshake()
         while True:
             with trio.fail_after(IDLE_TIMEOUT):
-                message = await _frames.receive(stream)
+                message = await frames.receive(stream)
             if message is None:
                 return
             reply = await self._answer(message)
             with trio.fail_after(SEND_TIMEOUT):
-                await _frames.send(stream, reply)
+                await frames.send(stream, reply)
 
     async def _answer(self, message: bytes) -> bytes:
         envelope = schema.load('envelope')
@@ -97,7 +97,7 @@
             recipient = request.recipient
             payload = bytes(request.payload)
         except Exception as error:  # the library's own exceptions
-            raise _frames.BadFrame('not a request') from error
+            raise frames.BadFrame('not a request') from error
         if recipient != self._vm_id:
             return _refuse(f'this is {self._vm_id}, not {recipient}')
         handler = self._handlers.get(service)
--- a/packages/mustardlbd/mustardlbd/_peers.py
+++ b/packages/mustardlbd/mustardlbd/_peers.py
@@ -11,7 +11,7 @@
 from mustardlb import schema
 from mustardlb import steps
 from mustardlb import vm_list
-from mustardlbd import _frames
+from mustardlb import frames
 
 # Connections without a request kept open to one peer.
 IDLE_LIMIT = 4
@@ -30,7 +30,7 @@
     ssl.SSLError,
     trio.BrokenResourceError,
     trio.ClosedResourceError,
-    _frames.BadFrame,
+    frames.BadFrame,
 )
 
 
@@ -128,10 +128,10 @@
     ) -> bytes:
         whole = False
         try:
-            await _frames.send(stream, request)
-            answer = await _frames.receive(stream)
+            await frames.send(stream, request)
+            answer = await frames.receive(stream)
             if answer is None:
-                raise _frames.BadFrame('closed before the reply')
+                raise frames.BadFrame('closed before the reply')
             whole = True
             return answer
         finally:
--- a/tests/mustardlbd/test_peers.py
+++ b/tests/mustardlbd/test_peers.py
@@ -13,7 +13,7 @@
 
 from mustardlb import errors
 from mustardlb import vm_list
-from mustardlbd import _frames
+from mustardlb import frames
 from mustardlbd import _peer_server
 from mustardlbd import _peers
 
@@ -116,8 +116,8 @@
         with trio.fail_after(TIMEOUT):
             await server.serve_connection(far)
             assert await near.receive_some() == b''
-    with pytest.raises(_frames.BadFrame):
-        await _frames.send(near, bytes(_frames.MESSAGE_LIMIT + 1))
+    with pytest.raises(frames.BadFrame):
+        await frames.send(near, bytes(frames.MESSAGE_LIMIT + 1))
 
 
 calls = st.lists(
