--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := packages/mustardlb packages/mustardlbd packages/mustardlb-cli \
-	packages/mustardlb-standins
-CODE := packages tests tools
+	packages/mustardlb-standins packages/mustardlb-gateway platform
+CODE := packages platform tests tools
 
 .PHONY: demo test format lint matrix mutants clean
 
@@ -27,7 +27,7 @@
 	$(BIN)/ruff format --check --quiet $(CODE)
 	$(BIN)/ruff check --quiet $(CODE)
 	$(BIN)/flake8 $(CODE)
-	$(BIN)/mypy --no-error-summary packages tools
+	$(BIN)/mypy --no-error-summary packages platform tools
 
 format: $(VENV)/ready
 	$(BIN)/ruff check --fix --quiet $(CODE) || true
--- a/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
@@ -103,9 +103,10 @@
                 mirror.adopt(objects, revision)
                 must_list = False
             else:
-                since = mirror.revision
+                # The first answer after an outage is not waited for.
+                wait = WATCH_WAIT if mirror.is_connected else 0.0
                 mirror.apply(
-                    await store.watch(mirror.kind, since, WATCH_WAIT)
+                    await store.watch(mirror.kind, mirror.revision, wait)
                 )
         except ports.HistoryGone:
             log.info('MLB-6101', kind=mirror.kind, revision=mirror.revision)
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -210,7 +210,7 @@
             and not self._unsent
             and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
-            and not self._h11.trailing_data[0]
+            and self._h11.trailing_data == (b'', False)
         )
         if not done:
             self.close()
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
@@ -136,9 +136,7 @@
         self._connections.add(connection)
         try:
             await connection.run()
-        except Exception as error:
-            # One client's connection must not end the others'.
-            log.error('MLB-6001', error=repr(error), exc_info=True)
+        except ClientGone:
             connection.abort()
         finally:
             self._connections.discard(connection)
@@ -196,6 +194,11 @@
         self._server.requests_in_flight += 1
         try:
             await self._handle(request, reply)
+        except Exception as error:
+            # A fault of the gateway: its client is told, the others go on.
+            log.error('MLB-6001', error=repr(error), exc_info=True)
+            if not reply.has_begun:
+                await reply.send_whole(500, [(b'connection', b'close')], b'')
         finally:
             self._server.requests_in_flight -= 1
         if not reply.is_complete:
@@ -312,6 +315,9 @@
         )
 
     def _check(self, head: h11.Request) -> None:
+        size = sum(len(name) + len(value) + 4 for name, value in head.headers)
+        if size + len(head.target) > self._limits.max_header_bytes:
+            raise BadRequest(431, 'the headers are too large')
         names = [name for name, _ in head.headers]
         if b'content-length' in names and b'transfer-encoding' in names:
             raise BadRequest(400, 'the body has two lengths')
--- /dev/null
+++ b/tests/mustardlb_gateway/fronts.py
@@ -0,0 +1,216 @@
+"""A dispatcher with its neighbours, before scripted targets."""
+
+import contextlib
+import dataclasses
+
+import builders
+import scripted
+import trio
+
+from mustardlb_gateway import _dispatch
+from mustardlb_gateway import _gateway
+from mustardlb_gateway import _metrics
+from mustardlb_gateway import _mirror
+from mustardlb_gateway import _placement
+from mustardlb_gateway import _prefixes
+from mustardlb_gateway import _quota
+from mustardlb_gateway import _targets
+from mustardlb_gateway import domain
+from mustardlb_gateway import http_client
+from mustardlb_gateway import http_server
+from mustardlb_gateway import ports
+
+
+class TranslationStub:
+    """Headers of the tests: x-id, x-key, x-wait, x-signed, x-not-run."""
+
+    def read_target(self, name, spec):
+        return spec
+
+    def read_call(self, method, path, headers, body):
+        values = dict(headers)
+        if b'x-id' not in values:
+            raise ValueError('no id')
+        adapter = values.get(b'x-adapter')
+        return builders.make_call(
+            None,
+            request_id=values[b'x-id'].decode(),
+            method=method,
+            path=path,
+            body=body,
+            key=values.get(b'x-key', b'').decode(),
+            patience=float(values.get(b'x-wait', b'2')),
+            adapter=adapter and builders.adapter(adapter.decode()),
+            tokens=None,
+        )
+
+    def forward_headers(
+        self, call, target, left, account, priority, version, last_event_id
+    ):
+        headers = [
+            (b'host', b'h'),
+            (b'x-id', call.request_id.encode()),
+            (b'x-left', b'%.3f' % left),
+            (b'x-target', target.target_id.encode()),
+        ]
+        if last_event_id is not None:
+            headers.append((b'last-event-id', last_event_id.encode()))
+        return headers
+
+    def read_answer(self, headers):
+        values = dict(headers)
+        answered = values.get(b'x-id')
+        return domain.AnswerInfo(
+            answered and answered.decode(),
+            b'x-signed' in values,
+            b'x-not-run' in values,
+        )
+
+    def answer_headers(self, headers):
+        return [each for each in headers if each[0].startswith(b'x-')]
+
+    def refusal_headers(self, request_id, retry_after):
+        if retry_after is None:
+            return []
+        return [(b'retry-after', b'%.6f' % retry_after)]
+
+
+class Front:
+    """A gateway for one route and the targets of one service."""
+
+    def __init__(self, route, accounts=None, retries=100, engine=False):
+        self.service = builders.make_service(engine=engine)
+        self.configuration = builders.make_configuration(
+            routes=[route], accounts=accounts, services=[self.service]
+        )
+        self.retries = retries
+        self.loads = []
+        self.load_result = True
+        self.versions = _dispatch.Versions(0, 0)
+        translation = TranslationStub()
+        mirror = _mirror.Mirror('servers')
+        mirror.is_connected = True
+        self.mirror = mirror
+        clock = trio.current_time
+        self.targets = _targets.TargetTable(mirror, translation, clock)
+        prefixes = _prefixes.PrefixMemory(clock)
+        self.quota = _quota.Quota()
+        dispatcher = _dispatch.Dispatcher(
+            translation,
+            http_client.Pool(0.5),
+            self.targets,
+            _placement.Placement(
+                self.targets,
+                prefixes,
+                lambda target: target.resident,
+                lambda target_id: True,
+                lambda target_id, adapter: False,
+            ),
+            prefixes,
+            lambda adapter: self.versions,
+            self._load,
+            self._take_retry,
+        )
+        gateway = _gateway.Gateway(
+            translation,
+            dispatcher,
+            self.quota,
+            _metrics.Metrics(),
+            lambda: self.configuration,
+            lambda: 0.0,
+            lambda service: None,
+            clock,
+        )
+        self.server = http_server.Server(
+            gateway.handle, domain.RequestLimits, 50
+        )
+
+    async def _load(self, target, adapter, version, patience):
+        await trio.lowlevel.checkpoint()
+        self.loads.append((target.target_id, adapter))
+        return self.load_result
+
+    def _take_retry(self, service):
+        self.retries -= 1
+        return self.retries >= 0
+
+    @contextlib.asynccontextmanager
+    async def running(self, *scripts, **changes):
+        """Serve before one scripted target for each script."""
+        async with contextlib.AsyncExitStack() as stack:
+            nursery = await stack.enter_async_context(trio.open_nursery())
+            self.scripted = [
+                await stack.enter_async_context(
+                    scripted.ScriptedServer(script).running()
+                )
+                for script in scripts
+            ]
+            self._list(changes)
+            self.port = await nursery.start(
+                self.server.serve, '127.0.0.1', 0
+            )
+            yield self
+            nursery.cancel_scope.cancel()
+
+    def _list(self, changes):
+        listed = [
+            builders.make_target(f't{number}', port=server.port, **changes)
+            for number, server in enumerate(self.scripted)
+        ]
+        self.mirror.adopt(
+            [ports.StoredObject(each.target_id, 1, each) for each in listed],
+            self.mirror.revision + 1,
+        )
+
+    @property
+    def sends(self):
+        """Requests that arrived at the targets."""
+        return sum(len(each.requests) for each in self.scripted)
+
+    async def ask(self, headers=b'', request_id=b'r1', method=b'POST'):
+        """Send one request and return the answer."""
+        stream = await trio.open_tcp_stream('127.0.0.1', self.port)
+        await stream.send_all(
+            method + b' /x/ HTTP/1.1\r\nhost: h\r\nconnection: close\r\n'
+            b'x-id: ' + request_id + b'\r\n' + headers + b'\r\n'
+        )
+        data = b''
+        with trio.move_on_after(10):
+            with contextlib.suppress(trio.BrokenResourceError):
+                while more := await stream.receive_some():
+                    data += more
+        await stream.aclose()
+        return Answer.parse(data)
+
+
+@dataclasses.dataclass
+class Answer:
+    status: int
+    headers: dict
+    body: bytes
+    is_complete: bool
+
+    @classmethod
+    def parse(cls, data):
+        head, _, body = data.partition(b'\r\n\r\n')
+        lines = head.split(b'\r\n')
+        if not data:
+            return cls(0, {}, b'', False)
+        headers = {
+            name.strip().lower(): value.strip()
+            for name, _, value in (
+                line.partition(b':') for line in lines[1:]
+            )
+        }
+        is_complete = body.endswith(b'0\r\n\r\n')
+        if b'content-length' in headers:
+            is_complete = len(body) == int(headers[b'content-length'])
+        return cls(int(lines[0].split()[1]), headers, body, is_complete)
+
+    @property
+    def events(self):
+        return [
+            int(line[4:])
+            for line in self.body.split(b'\n')
+            if line.startswith(b'id: ')
+        ]
--- /dev/null
+++ b/tests/mustardlb_gateway/test_events.py
@@ -0,0 +1,36 @@
+from hypothesis import given
+from hypothesis import strategies
+
+from mustardlb_gateway import _events
+
+
+@given(
+    strategies.lists(strategies.binary(max_size=20), max_size=8),
+    strategies.lists(strategies.integers(1, 7), max_size=60),
+)
+def test_any_split_gives_the_same_whole_events(payloads, sizes):
+    events = [
+        b'id: %d\ndata: %s\n\n' % (number, payload.hex().encode())
+        for number, payload in enumerate(payloads)
+    ]
+    data = b''.join(events)
+    splitter = _events.EventSplitter()
+    out = b''
+    for size in sizes:
+        whole = splitter.feed(data[:size])
+        data = data[size:]
+        out += whole
+        assert not out or out.endswith(b'\n\n')
+    out += splitter.feed(data)
+    assert out == b''.join(events)
+    assert splitter.rest == b''
+    if events:
+        assert splitter.last_id == str(len(events) - 1)
+
+
+def test_beginning_of_an_event_is_held_back():
+    splitter = _events.EventSplitter('7')
+    assert splitter.feed(b'id: 8\ndata: x\n') == b''
+    assert splitter.last_id == '7'
+    assert splitter.feed(b'\r\n') == b'id: 8\ndata: x\n\r\n'
+    assert splitter.last_id == '8'
--- /dev/null
+++ b/tests/mustardlb_gateway/test_mirror.py
@@ -0,0 +1,115 @@
+import standin_store
+import trio
+import trio.testing
+
+from mustardlb_gateway import _mirror
+from mustardlb_gateway import _snapshots
+from mustardlb_gateway import ports
+
+KIND = 'targets'
+
+
+async def following(store, mirror, check):
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_mirror.follow, mirror, store, trio.current_time)
+        await check()
+        nursery.cancel_scope.cancel()
+
+
+def names(mirror):
+    return set(mirror.objects_by_name)
+
+
+async def test_changes_are_seen_within_the_pause(autojump_clock):
+    store = standin_store.StandinStore()
+    store.put(KIND, 'a', {})
+    mirror = _mirror.Mirror(KIND)
+
+    async def check():
+        await trio.sleep(1)
+        assert names(mirror) == {'a'}
+        store.put(KIND, 'b', {})
+        store.remove(KIND, 'a')
+        await trio.sleep(2 * _mirror.WATCH_PAUSE)
+        assert names(mirror) == {'b'}
+
+    await following(store, mirror, check)
+
+
+async def test_history_that_is_gone_is_made_up_by_a_list(autojump_clock):
+    store = standin_store.StandinStore()
+    store.put(KIND, 'a', {})
+    mirror = _mirror.Mirror(KIND)
+
+    async def check():
+        await trio.sleep(1)
+        store.is_down = True
+        store.put('other', 'x', {})
+        await trio.sleep(2)
+        store.remove(KIND, 'a')
+        store.put(KIND, 'b', {})
+        store.compact()
+        store.is_down = False
+        await trio.sleep(2)
+        assert names(mirror) == {'b'}
+
+    await following(store, mirror, check)
+
+
+async def test_outage_keeps_what_is_known(autojump_clock):
+    store = standin_store.StandinStore()
+    store.put(KIND, 'a', {})
+    mirror = _mirror.Mirror(KIND)
+
+    async def check():
+        await trio.sleep(1)
+        store.is_down = True
+        await trio.sleep(10)
+        assert names(mirror) == {'a'}
+        assert not mirror.is_connected
+        before = store.calls
+        await trio.sleep(10)
+        # A store that refuses is not flooded.
+        assert store.calls - before < 40
+        store.is_down = False
+        await trio.sleep(1)
+        assert mirror.is_connected
+
+    await following(store, mirror, check)
+
+
+def test_older_copies_and_changes_are_passed_over():
+    mirror = _mirror.Mirror(KIND)
+    new = ports.StoredObject('a', 9, 'new')
+    old = ports.StoredObject('a', 3, 'old')
+    assert mirror.adopt([new], 10)
+    assert not mirror.adopt([old], 5)
+    mirror.apply(ports.Changes((ports.Change('a', 3, 'old'),), 11))
+    assert mirror.objects_by_name['a'] == new
+    mirror.apply(ports.Changes((ports.Change('a', 9, None),), 8))
+    assert names(mirror) == {'a'}
+
+
+class PeersStub:
+    def __init__(self, snapshots):
+        self.snapshots = snapshots
+        self.asked = 0
+
+    async def ask(self, vm, body):
+        self.asked += 1
+        return self.snapshots.give(body.kind)
+
+
+async def test_node_that_the_store_refuses_learns_from_a_peer():
+    clock = [0.0]
+    theirs = _mirror.Mirror(KIND)
+    theirs.adopt([ports.StoredObject('a', 7, {})], 7)
+    mine = _mirror.Mirror(KIND)
+    snapshots = _snapshots.Snapshots([mine], lambda: clock[0])
+    peer = PeersStub(_snapshots.Snapshots([theirs], lambda: clock[0]))
+    assert snapshots.missing({KIND: 7}) == []
+    clock[0] = _snapshots.BEHIND_FOR
+    assert snapshots.missing({KIND: 7}) == [KIND]
+    await snapshots.fetch(peer, 'vm2', KIND)
+    assert names(mine) == {'a'}
+    assert snapshots.missing({KIND: 7}) == []
--- /dev/null
+++ b/tests/mustardlb_gateway/test_quota.py
@@ -0,0 +1,127 @@
+import random
+
+import builders
+import pytest
+
+from mustardlb_gateway import _quota
+
+RATE, BURST = 1000.0, 2000.0
+
+
+def make_account():
+    return builders.make_account(counts_tokens=True, rate=RATE, burst=BURST)
+
+
+class Fleet:
+    """Nodes that exchange counts every quarter second, unless cut."""
+
+    def __init__(self, nodes):
+        self.quotas = [_quota.Quota() for _ in range(nodes)]
+        self.cut = set()
+
+    def exchange(self, now):
+        for sender, quota in enumerate(self.quotas):
+            for receiver, other in enumerate(self.quotas):
+                if sender == receiver or {sender, receiver} & self.cut:
+                    continue
+                other.heard(f'vm{sender}', 1, dict(quota.counts()), now)
+        for quota in self.quotas:
+            quota.assume_silent(now)
+
+
+def most_in_window(admitted, window):
+    return max(
+        sum(cost for at, cost in admitted if start <= at < start + window)
+        for start, _ in admitted
+    )
+
+
+def play(fleet, seconds, demand, rng, on_second=None):
+    """Return (time, cost) of all that was admitted under `demand`."""
+    account = make_account()
+    admitted = []
+    step = 0.05
+    for tick in range(int(seconds / step)):
+        now = tick * step
+        if tick % 5 == 0:
+            fleet.exchange(now)
+        if on_second and tick % 20 == 0:
+            on_second(int(now))
+        asked = demand * step
+        while asked > 0:
+            cost = rng.choice([20, 100, 300])
+            asked -= cost
+            quota = rng.choice(fleet.quotas)
+            if quota.take(account, cost, now) == 0:
+                admitted.append((now, cost))
+    return admitted
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_flood_stays_within_rate_and_burst_over_all_nodes(seed):
+    admitted = play(Fleet(7), 30, 8 * RATE, random.Random(seed))
+    window = 8
+    # A quarter second of the flood passes before the others know of it.
+    allowed = (RATE * window + BURST) * 1.1 + 0.3 * 8 * RATE
+    assert most_in_window(admitted, window) <= allowed
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_both_sides_of_a_partition_stay_within_the_rate(seed):
+    fleet = Fleet(7)
+
+    def cut(second):
+        fleet.cut = {0, 1} if 5 <= second < 15 else set()
+
+    admitted = play(fleet, 25, 8 * RATE, random.Random(seed), cut)
+    window = 8
+    allowed = (RATE * window + BURST) * 1.1 + 1.3 * 8 * RATE
+    assert most_in_window(admitted, window) <= allowed
+
+
+def test_what_lies_within_the_limit_is_not_refused():
+    fleet = Fleet(7)
+    rng = random.Random(1)
+    admitted = play(fleet, 20, 0.7 * RATE, rng)
+    assert sum(cost for _, cost in admitted) >= 0.69 * RATE * 20
+
+
+def test_refusal_says_when_it_would_fit():
+    quota = _quota.Quota()
+    account = make_account()
+    assert quota.take(account, BURST / 2, 0.0) == 0
+    assert quota.take(account, 500, 0.0) == pytest.approx(0.5)
+    assert quota.take(account, 500, 0.5) == 0
+
+
+def test_call_that_no_target_ran_is_not_counted():
+    quota = _quota.Quota()
+    account = make_account()
+    quota.take(account, 400, 0.0)
+    quota.give_back(account, 400)
+    assert quota.level(account, 0.0) == BURST * _quota.START_LEVEL
+    assert quota.counts() == {'acme': 0}
+
+
+def test_lower_limit_holds_at_once():
+    quota = _quota.Quota()
+    quota.take(make_account(), 1, 0.0)
+    lower = builders.make_account(counts_tokens=True, rate=10.0, burst=20.0)
+    assert quota.take(lower, 30, 0.0) == 0
+    assert quota.take(lower, 30, 0.0) > 0
+
+
+def test_restarted_node_is_not_charged_twice():
+    quota = _quota.Quota()
+    account = make_account()
+    quota.take(account, 0, 0.0)
+    quota.heard('vm1', 1, {'acme': 500.0}, 0.0)
+    quota.heard('vm1', 1, {'acme': 600.0}, 0.1)
+    quota.heard('vm1', 2, {'acme': 50.0}, 0.1)
+    assert quota.level(account, 0.0) == BURST * _quota.START_LEVEL - 100
+
+
+def test_account_without_limit_is_never_refused():
+    quota = _quota.Quota()
+    free = builders.make_account()
+    assert all(quota.take(free, 1e9, 0.0) == 0 for _ in range(10))
