--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -389,6 +389,9 @@
         note_read: abc.Callable[[], None],
     ) -> None:
         """Pass events on as they come, whole."""
+        if job.splitter is not None:
+            # The next target sends the event that broke off from its start.
+            job.splitter.drop_rest()
         while True:
             with self._silence(job) as scope:
                 data = await connection.receive_data()
@@ -409,7 +412,6 @@
                     job.first_byte = trio.current_time()
                 await job.reply.send(whole)
         if job.splitter.rest:
-            job.splitter.drop_rest()
             raise http_client.ExchangeFailed('the last event is not whole')
         attempt.fate = _outcomes.Fate.ANSWERED
         await job.reply.finish()
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_keeper.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_keeper.py
@@ -351,7 +351,13 @@
         version: int | None,
         is_question: bool = False,
     ) -> _engine_client.OrderOutcome:
-        """Give an order; a question repeats one that is in progress."""
+        """Give an order; a question repeats one that is in progress.
+
+        Without knowing how many orders the engine has accepted none is
+        given: one whose answer was lost might still be carried out.
+        """
+        if self._accepted is None:
+            return _engine_client.OrderOutcome.REFUSED
         order = domain.Order(
             kind,
             adapter,
@@ -366,10 +372,13 @@
             return _engine_client.OrderOutcome.REFUSED
         outcome = await self._client.order(self.target, order)
         match outcome:
-            case _engine_client.OrderOutcome.ACCEPTED:
-                # An engine does not count the repetition of an order.
-                if self._accepted is not None and not is_question:
-                    self._accepted += 1
+            case _engine_client.OrderOutcome.ACCEPTED if not is_question:
+                self._accepted += 1
+            case _engine_client.OrderOutcome.HOLDS if (
+                kind == domain.OrderKind.UNLOAD
+            ):
+                # Carried out at once; a load that holds is not counted.
+                self._accepted += 1
             case _engine_client.OrderOutcome.FENCED:
                 self._leases.drop(
                     self.lease.target_id, 'the engine knows a later keeper'
--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -22,6 +22,10 @@
 # Seconds that a client is told to wait while nothing is known yet.
 START_RETRY_AFTER = 0.5
 
+# Seconds that a client of a stopping node is told to wait; it comes back to
+# another node.
+STOP_RETRY_AFTER = 0.02
+
 # Requests that wait or run at once; each holds its body in memory.
 MOST_REQUESTS = 1500
 
@@ -43,6 +47,14 @@
     cost: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop:
+    """When a stopping node takes fewer requests, and ends; trio times."""
+
+    notice_ends: float
+    ends: float
+
+
 class Gateway:
     """Serves the requests of clients."""
 
@@ -66,6 +78,7 @@
         self._count_request = count_request
         self._clock = clock
         self._in_flight = 0
+        self._stop: Stop | None = None
 
     async def handle(
         self, request: http_server.Request, reply: http_server.Reply
@@ -119,6 +132,7 @@
                 raise _outcomes.refusal(
                     errors.Code.UNAUTHENTICATED, 'the key is not known', step
                 )
+        self._check_time_left(call, route)
         if self._in_flight > MOST_REQUESTS:
             raise _outcomes.refusal(
                 errors.Code.OVERLOADED,
@@ -133,6 +147,27 @@
         cost = self._take_quota(account, call)
         return _Admitted(call, route, service, account, cost)
 
+    def stop_at(self, stop: Stop) -> None:
+        """From now on refuse what might not be answered before the end."""
+        self._stop = stop
+
+    def _check_time_left(
+        self, call: domain.Call, route: domain.Route
+    ) -> None:
+        stop, now = self._stop, trio.current_time()
+        if stop is None or now < stop.notice_ends:
+            return
+        if now + min(call.patience or DEFAULT_PATIENCE, route.timeout) < (
+            stop.ends
+        ):
+            return
+        raise _outcomes.refusal(
+            errors.Code.NODE_STOPPING,
+            'the node stops before the request would end',
+            steps.Step.STOP,
+            STOP_RETRY_AFTER,
+        )
+
     def _take_quota(
         self, account: domain.Account | None, call: domain.Call
     ) -> float:
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -40,9 +40,9 @@
 # Seconds between two rounds of housekeeping.
 TICK = 0.25
 
-# Seconds for which a stopping node still expects new connections: the
-# balancer takes it out after two questions, one a second.
-STOP_NOTICE = 2.6
+# Seconds for which a stopping node still takes every request: the balancer
+# takes it out after two questions, one a second.
+STOP_NOTICE = 2.7
 
 # What is left of the stop timeout when the last answers are cut, seconds.
 STOP_MARGIN = 0.5
@@ -350,9 +350,11 @@
         end = began + self.settings.stop_timeout - STOP_MARGIN
         self.is_stopping = True
         self._front.is_stopping = True
+        notice_ends = min(end, began + STOP_NOTICE)
+        self._gateway.stop_at(_gateway.Stop(notice_ends, end))
         self.keepers.leave()
         log.info('MLB-6014', in_flight=self._front.requests_in_flight)
-        await trio.sleep_until(min(end, began + STOP_NOTICE))
+        await trio.sleep_until(notice_ends)
         while trio.current_time() < end:
             self._front.close_idle()
             if not self._front.requests_in_flight:
--- a/tests/mustardlb_gateway/fronts.py
+++ b/tests/mustardlb_gateway/fronts.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import re
 
 import builders
 import scripted
@@ -20,6 +21,8 @@
 from mustardlb_gateway import http_server
 from mustardlb_gateway import ports
 
+_EVENT = re.compile(rb'(id: (\d+)\ndata: e\2\n\n)')
+
 
 class TranslationStub:
     """Headers of the tests: x-id, x-key, x-wait, x-signed, x-not-run."""
@@ -111,7 +114,7 @@
             self._load,
             self._take_retry,
         )
-        gateway = _gateway.Gateway(
+        self.gateway = _gateway.Gateway(
             translation,
             dispatcher,
             self.quota,
@@ -122,7 +125,7 @@
             clock,
         )
         self.server = http_server.Server(
-            gateway.handle, domain.RequestLimits, 50
+            self.gateway.handle, domain.RequestLimits, 50
         )
 
     async def _load(self, target, adapter, version, patience):
@@ -209,8 +212,17 @@
 
     @property
     def events(self):
-        return [
-            int(line[4:])
-            for line in self.body.split(b'\n')
-            if line.startswith(b'id: ')
-        ]
+        """Numbers of the events, each checked to the letter."""
+        found = _EVENT.findall(self.body)
+        assert b''.join(event for event, _ in found) == self.content
+        return [int(number) for _, number in found]
+
+    @property
+    def content(self):
+        """The body without the marks of its chunks."""
+        rest, content = self.body, b''
+        while rest:
+            size, _, rest = rest.partition(b'\r\n')
+            length = int(size, 16)
+            content, rest = content + rest[:length], rest[length + 2 :]
+        return content
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -5,6 +5,7 @@
 import trio
 
 from mustardlb_gateway import _dispatch
+from mustardlb_gateway import _gateway
 from mustardlb_gateway import domain
 
 NON_IDEMPOTENT = builders.make_route(kind=domain.RouteKind.NON_IDEMPOTENT)
@@ -301,3 +302,18 @@
     route = builders.make_route(path_prefix='/y/')
     async with fronts.Front(route).running(good) as front:
         assert (await front.ask()).status == 404
+
+
+async def test_stopping_node_takes_only_what_it_can_finish():
+    route = builders.make_route(timeout=1.0)
+    async with fronts.Front(route).running(good) as front:
+        now = trio.current_time()
+        front.gateway.stop_at(_gateway.Stop(now + 60, now + 61))
+        assert (await front.ask()).status == 200
+        front.gateway.stop_at(_gateway.Stop(now, now + 60))
+        assert (await front.ask()).status == 200
+        front.gateway.stop_at(_gateway.Stop(now, now + 0.5))
+        answer = await front.ask()
+        assert answer.status == 503
+        assert b'retry-after' in answer.headers
+        assert front.sends == 2
