--- a/packages/mustardlb-gateway/mustardlb_gateway/_prefixes.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_prefixes.py
@@ -48,7 +48,8 @@
             return unread
         since = self._clock() - KEPT_FOR
         for part in call.prompt_parts:
-            if seen.get((call.adapter, part.part_id), 0.0) < since:
+            seen_at = seen.get((call.adapter, part.part_id))
+            if seen_at is None or seen_at < since:
                 break
             unread -= part.tokens
         return max(0, unread)
--- a/tests/mustardlb_gateway/test_engine_keeper.py
+++ b/tests/mustardlb_gateway/test_engine_keeper.py
@@ -124,7 +124,7 @@
 
 
 @pytest.fixture
-async def world(nursery, autojump_clock):
+async def world(nursery):
     world = World()
     await world.start(nursery)
     return world
@@ -134,13 +134,13 @@
     return builders.adapter(f'a{number}')
 
 
-async def test_wanted_adapter_is_there_soon_after_it_has_arrived(world):
+async def test_wanted_adapter_is_there_soon_after_it_has_arrived(world, autojump_clock):
     began = trio.current_time()
     assert await world.keeper.want(adapter(1), 0, 5.0)
     assert trio.current_time() - began < LOAD_TIME + 0.15
 
 
-async def test_adapter_not_used_for_longest_makes_room(world):
+async def test_adapter_not_used_for_longest_makes_room(world, autojump_clock):
     for number in (1, 2, 3):
         assert await world.keeper.want(adapter(number), 0, 5.0)
     await trio.sleep(_engine_keeper.LEAST_STAY + 0.1)
@@ -151,7 +151,7 @@
     assert world.engine.most <= world.engine.slots
 
 
-async def test_adapter_in_use_is_never_evicted(world):
+async def test_adapter_in_use_is_never_evicted(world, autojump_clock):
     world.in_use = {adapter(1), adapter(2), adapter(3)}
     for number in (1, 2, 3):
         assert await world.keeper.want(adapter(number), 0, 5.0)
@@ -162,7 +162,7 @@
     assert adapter(3) not in world.engine.resident
 
 
-async def test_newer_version_replaces_the_one_that_is_held(world):
+async def test_newer_version_replaces_the_one_that_is_held(world, autojump_clock):
     assert await world.keeper.want(adapter(1), 0, 5.0)
     world.newest[adapter(1)] = 4
     await trio.sleep(1)
@@ -170,7 +170,7 @@
     assert await world.keeper.want(adapter(1), 4, 0.1)
 
 
-async def test_keeper_that_was_overtaken_gives_no_more_orders(world):
+async def test_keeper_that_was_overtaken_gives_no_more_orders(world, autojump_clock):
     assert await world.keeper.want(adapter(1), 0, 5.0)
     world.engine.highest_fence = 99
     assert not await world.keeper.want(adapter(2), 0, 2.0)
@@ -182,7 +182,7 @@
 
 @pytest.mark.parametrize('is_done', [True, False])
 async def test_lost_answers_and_late_orders_never_overfill_an_engine(
-    world, is_done
+    world, is_done, autojump_clock
 ):
     for number in (1, 2):
         assert await world.keeper.want(adapter(number), 0, 5.0)
@@ -196,7 +196,7 @@
     assert await world.keeper.want(adapter(20), 0, 5.0)
 
 
-async def test_orders_always_say_how_many_went_before(world):
+async def test_orders_always_say_how_many_went_before(world, autojump_clock):
     world.engine.lose = [False, False]
     for number in range(1, 6):
         await world.keeper.want(adapter(number), 0, 3.0)
@@ -205,7 +205,7 @@
     )
 
 
-async def test_engine_that_lost_its_model_gets_it_again(world):
+async def test_engine_that_lost_its_model_gets_it_again(world, autojump_clock):
     assert await world.keeper.want(adapter(1), 0, 5.0)
     world.engine.resident.clear()
     await trio.sleep(_engine_keeper.QUIET_REPORT_PAUSE + 1)
--- /dev/null
+++ b/tests/mustardlb_platform/test_translation.py
@@ -0,0 +1,332 @@
+import json
+
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from mustardlb_gateway import domain
+from mustardlb_platform import _calls
+from mustardlb_platform import _headers
+from mustardlb_platform import _translation
+
+translation = _translation.Translation()
+
+ENTRY = {
+    'service': 'llm',
+    'address': '10.0.0.9:8080',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 64,
+    'state': 'ready',
+    'cold_remaining_ms': 0,
+    'born': 1700000000000,
+    'models': [{'name': 'm', 'version': 3, 'adapters': ['a1@2', 'a9@1']}],
+    'sequence': 4,
+}
+
+CONFIGURATION = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r1',
+            'host': 'h.example',
+            'path_prefix': '/p/',
+            'route_type': 'streaming',
+            'timeout_ms': 5000,
+            'target_latency_ms': 1000,
+            'priority': 1,
+            'weighted_backends': [
+                {'service': 'llm', 'weight': 90},
+                {'service': 'old', 'weight': 10},
+            ],
+            'max_attempts': 2,
+            'public': False,
+            'resumable': True,
+        }
+    ],
+    'services': [
+        {
+            'name': 'llm',
+            'max_connections': 360,
+            'engine': {
+                'slots': 64,
+                'kv_capacity_tokens': 1000,
+                'models': [
+                    {
+                        'name': 'm',
+                        'weights_mb': 500.0,
+                        'load_time_s': 1.3,
+                        'adapters': 30,
+                        'adapter_mb': 6.0,
+                    }
+                ],
+                'weights_mb': 600.0,
+                'adapter_slots': 9,
+                'loads_per_s': 4.2,
+            },
+        },
+        {'name': 'old', 'max_connections': 10},
+    ],
+    'limits': {'max_header_bytes': 1000, 'idle_timeout_ms': 15000},
+    'tenants': [
+        {
+            'name': 'acme',
+            'api_keys': ['k1', 'k2'],
+            'priority': 0,
+            'unit': 'token_count',
+            'plain_tokens': 200,
+            'rate_per_s': 99,
+            'burst': 100,
+        }
+    ],
+}
+
+
+def test_target_entry():
+    target = translation.read_target('i-1', ENTRY)
+    assert (target.host, target.port) == ('10.0.0.9', 8080)
+    assert target.incarnation == 1700000000000
+    assert target.resident == {
+        domain.AdapterName('m'): 3,
+        domain.AdapterName('m', 'a1'): 2,
+        domain.AdapterName('m', 'a9'): 1,
+    }
+
+
+def test_entry_of_a_target_that_is_taken_away():
+    leaving = ENTRY | {'state': 'draining', 'remaining_ms': 1500}
+    target = translation.read_target('i-1', leaving)
+    assert target.state == domain.TargetState.DRAINING
+    assert target.expires_in == 1.5
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'address': None},
+        {'address': 'nowhere'},
+        {'state': 'paused'},
+        {'state': 7},
+        {'service': 3},
+        {'service': None},
+        {'models': 'm'},
+        {'slots': 'many'},
+    ],
+)
+def test_entry_of_another_writer_names_no_target(changes):
+    assert translation.read_target('i-1', ENTRY | changes) is None
+
+
+anything = strategies.recursive(
+    strategies.none() | strategies.booleans() | strategies.text(max_size=5)
+    | strategies.integers() | strategies.floats(allow_nan=False),
+    lambda inner: strategies.lists(inner, max_size=3)
+    | strategies.dictionaries(
+        strategies.sampled_from([*ENTRY, *CONFIGURATION, 'x']),
+        inner,
+        max_size=4,
+    ),
+    max_leaves=8,
+)
+
+
+@given(anything)
+def test_no_bytes_in_the_store_are_fatal(spec):
+    translation.read_target('i-1', spec)
+    translation.read_configuration(spec)
+    translation.read_version(spec)
+    translation.read_report(json.dumps(spec).encode())
+
+
+@given(
+    strategies.dictionaries(
+        strategies.sampled_from(list(ENTRY)), anything, max_size=3
+    )
+)
+def test_no_field_of_an_entry_is_fatal(changes):
+    translation.read_target('i-1', ENTRY | changes)
+
+
+def test_configuration():
+    found = translation.read_configuration(CONFIGURATION)
+    route = found.find_route('h.example', '/p/x')
+    assert route.kind == domain.RouteKind.STREAM
+    assert route.timeout == 5.0
+    assert route.latency_objective == 1.0
+    assert route.is_resumable
+    assert [(s.service, s.weight) for s in route.services] == [
+        ('llm', 90),
+        ('old', 10),
+    ]
+    engine = found.services_by_name['llm'].engine
+    assert engine.adapter_slots == 9
+    assert engine.models_by_name['m'].adapter_mb == 6.0
+    assert found.services_by_name['old'].engine is None
+    assert found.limits.max_header_bytes == 1000
+    assert found.limits.max_body_bytes == 4_194_304
+    account = found.account_by_key['k2']
+    assert account.counts_tokens
+    assert (account.rate, account.burst, account.priority) == (99, 100, 0)
+
+
+def test_configuration_without_accounts_needs_no_keys():
+    bare = {k: v for k, v in CONFIGURATION.items() if k != 'tenants'}
+    assert translation.read_configuration(bare).accounts_by_name is None
+
+
+HEADERS = [
+    (b'host', b'h.example:80'),
+    (b'x-mustardlb-request-id', b'9c41'),
+    (b'x-mustardlb-deadline-ms', b'5000'),
+    (b'x-mustardlb-key', b'secret'),
+    (b'x-mustardlb-tenant', b'somebody-else'),
+    (b'x-mustardlb-model', b'm/a1'),
+    (b'x-mustardlb-token-usage', b'1460,80'),
+    (b'x-mustardlb-prompt-prefix', b'5c:800,91:410'),
+    (b'x-mustardlb-hold', b'h1'),
+    (b'x-mustardlb-pin-ms', b'100'),
+    (b'x-mustardlb-kv-backup', b'1.1.1.1:1'),
+    (b'kv-from', b'1.1.1.1:1/x'),
+    (b'x-mustardlb-target-instance', b'i-9'),
+    (b'x-mustardlb-expected-version', b'1'),
+    (b'connection', b'x-own, x-mustardlb-model'),
+    (b'x-own', b'1'),
+    (b'transfer-encoding', b'chunked'),
+    (b'accept', b'*/*'),
+]
+
+
+def test_call():
+    call = translation.read_call(b'POST', b'/p/x?q=1', HEADERS, b'body')
+    assert call.host == 'h.example'
+    assert call.patience == 5.0
+    assert call.adapter == domain.AdapterName('m', 'a1')
+    assert call.tokens == (1460, 80)
+    assert [part.tokens for part in call.prompt_parts] == [800, 410]
+
+
+def test_what_goes_on_to_a_target():
+    call = translation.read_call(b'POST', b'/p/x', HEADERS, b'')
+    target = translation.read_target('i-1', ENTRY)
+    account = domain.Account('acme', frozenset())
+    sent = translation.forward_headers(
+        call, target, 3.2, account, 12, 4, '7'
+    )
+    values = dict(sent)
+    assert len(values) == len(sent)
+    assert values == {
+        b'host': b'h.example:80',
+        b'x-mustardlb-request-id': b'9c41',
+        b'x-mustardlb-deadline-ms': b'3200',
+        b'x-mustardlb-tenant': b'acme',
+        b'x-mustardlb-model': b'm/a1',
+        b'x-mustardlb-token-usage': b'1460,80',
+        b'x-mustardlb-prompt-prefix': b'5c:800,91:410',
+        b'x-mustardlb-target-instance': b'i-1',
+        b'x-mustardlb-request-priority': b'9',
+        b'x-mustardlb-expected-version': b'4',
+        b'last-event-id': b'7',
+        b'accept': b'*/*',
+    }
+
+
+@pytest.mark.parametrize('name', _headers.SINGLE)
+def test_request_that_says_two_things_is_refused(name):
+    with pytest.raises(ValueError, match='twice'):
+        translation.read_call(
+            b'GET', b'/', [*HEADERS, (name, b'other'), (name, b'more')], b''
+        )
+
+
+def test_request_without_an_id_is_refused():
+    with pytest.raises(ValueError, match='no id'):
+        translation.read_call(b'GET', b'/', [(b'host', b'h')], b'')
+
+
+def test_sizes_that_cannot_be_read_count_as_absent():
+    headers = [
+        *HEADERS[:2],
+        (b'x-mustardlb-token-usage', b'many'),
+        (b'x-mustardlb-deadline-ms', b'soon'),
+        (b'x-mustardlb-prompt-prefix', b'a,b:c,d:5'),
+    ]
+    call = translation.read_call(b'GET', b'/', headers, b'')
+    assert call.tokens is None
+    assert call.patience is None
+    assert call.prompt_parts == (domain.PromptPart('d', 5),)
+
+
+def test_answer():
+    info = translation.read_answer(
+        [
+            (b'x-mustardlb-request-id', b'9c41'),
+            (b'x-mustardlb-server-stamp', b's'),
+            (b'x-mustardlb-server-load', b'3,0,8'),
+        ]
+    )
+    assert info == domain.AnswerInfo('9c41', True, False, (3, 0, 8))
+    refused = translation.read_answer([(b'x-mustardlb-not-executed', b'1')])
+    assert refused == domain.AnswerInfo(None, False, True, None)
+
+
+def test_answer_headers_lose_only_what_concerns_the_connection():
+    headers = [
+        (b'connection', b'x-hop'),
+        (b'x-hop', b'1'),
+        (b'keep-alive', b'timeout=5'),
+        (b'content-length', b'3'),
+        (b'x-mustardlb-server-stamp', b's'),
+        (b'content-type', b'text/event-stream'),
+    ]
+    assert translation.answer_headers(headers) == headers[4:]
+
+
+@pytest.mark.parametrize('wait', [0.0, 0.33333, 1 / 3, 1.2999])
+def test_time_to_come_back_is_never_rounded_up(wait):
+    headers = dict(_calls.refusal_headers('r', wait))
+    assert wait - 0.001 <= float(headers[b'retry-after']) <= wait
+
+
+def test_orders():
+    target = translation.read_target('i-1', ENTRY)
+    order = domain.Order(
+        domain.OrderKind.LOAD, domain.AdapterName('m', 'a1'), 'vm1', 41, 2, 5
+    )
+    method, path, headers, body = translation.write_order(order, target)
+    assert (method, path) == (b'POST', b'/-/order')
+    assert (b'x-mustardlb-target-instance', b'i-1') in headers
+    assert json.loads(body) == {
+        'operation': 'load',
+        'model': 'm',
+        'adapter': 'a1',
+        'version': 5,
+        'holder': 'vm1',
+        'fencing_token': 41,
+        'expected': 2,
+    }
+
+
+def test_report():
+    report = translation.read_report(
+        json.dumps(
+            {
+                'models': ENTRY['models'],
+                'coming': ['m/a4@1'],
+                'busy': True,
+                'sequence': 6,
+                'queued': 1,
+                'active': 2,
+            }
+        ).encode()
+    )
+    assert report.accepted_orders == 6
+    assert report.loading == {domain.AdapterName('m', 'a4')}
+    assert report.is_busy
+    assert translation.read_report(b'\xff') is None
+
+
+def test_version_record():
+    found = translation.read_version(
+        {'model': 'm', 'adapter': 'a1', 'version': 9}
+    )
+    assert found == domain.AdapterVersion(domain.AdapterName('m', 'a1'), 9)
