--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -28,7 +28,7 @@
 
 # Seconds for one wait for an adapter; then the choice is made anew with
 # what has changed meanwhile.
-LOAD_PATIENCE = 1.5
+LOAD_PATIENCE = 0.8
 
 # Least time in which a call can still be answered, seconds.
 LEAST_TIME = 0.05
@@ -189,6 +189,7 @@
         """Wait for a target that can take the call."""
         began = trio.current_time()
         adapter = job.call.adapter
+        without_load: frozenset[str] = frozenset()
         while True:
             now = trio.current_time()
             left = job.deadline - now
@@ -203,11 +204,15 @@
                 versions.least,
                 versions.newest,
                 frozenset(each.target_id for each in job.attempts),
+                without_load,
             )
             choice = self._placement.choose(wish)
-            if choice is None and job.attempts:
+            if choice is None and (job.attempts or without_load):
+                without_load = frozenset()
                 choice = self._placement.choose(
-                    dataclasses.replace(wish, without=frozenset())
+                    dataclasses.replace(
+                        wish, without=frozenset(), without_load=frozenset()
+                    )
                 )
             if choice is None:
                 await trio.sleep(CHOICE_PAUSE)
@@ -221,6 +226,7 @@
             ):
                 job.waited += trio.current_time() - began
                 return choice
+            without_load |= {choice.target.target_id}
             await trio.sleep(min(CHOICE_PAUSE, left / 2))
 
     async def _attempt(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
@@ -11,9 +11,9 @@
 
 log = structlog.get_logger()
 
-# Seconds for an answer to an order or a report; engines answer in
-# milliseconds, and what got no answer must be settled by a report.
-ANSWER_TIMEOUT = 1.0
+# Seconds for an answer to an order or a report. Engines answer in
+# milliseconds; whoever waits for an adapter waits for this as well.
+ANSWER_TIMEOUT = 0.15
 
 # Largest report, bytes.
 REPORT_LIMIT = 1_000_000
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_keeper.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_keeper.py
@@ -8,6 +8,7 @@
 
 from mustardlb_gateway import _engine_client
 from mustardlb_gateway import _leases
+from mustardlb_gateway import _usage_memory
 from mustardlb_gateway import domain
 
 log = structlog.get_logger()
@@ -18,16 +19,30 @@
 # Adapters in transit to one engine at a time; the platform's limit.
 MOST_LOADING = 4
 
-# Seconds until the first question whether an adapter has arrived, between
-# two of them, and until it is given up. The first is below the time of an
-# adapter that the engine held lately.
-FIRST_QUESTION = 0.03
-QUESTION_PAUSE = 0.06
+# Seconds until the first question whether an adapter has arrived, by where
+# it comes from: the engine's host or the store of weights. Between two
+# questions, and until it is given up.
+FIRST_QUESTION_HOST = 0.028
+FIRST_QUESTION_STORE = 0.252
+QUESTION_PAUSE = 0.03
 LOAD_TIMEOUT = 6.0
 
-# Seconds that an adapter is kept after it came or was asked for, so that
-# the requests that it was loaded for can reach it.
-LEAST_STAY = 0.6
+# Times that an order is repeated while it gets no answer. The count of
+# accepted orders that it names keeps an engine from obeying it twice.
+ORDER_ATTEMPTS = 4
+
+# Seconds that an adapter is kept after it came or was asked for: until the
+# digests tell that the requests that it was loaded for use it.
+LEAST_STAY = 0.4
+
+# Adapters of a full engine that are to go next. The other nodes are no longer
+# told of them, so that an eviction meets no request on its way, and ask for
+# them first; after this many seconds all of them know.
+RETIRED_AHEAD = 2
+RETIRED_FOR = 0.35
+
+# Seconds in which half of an adapter's past use is forgotten.
+USE_HALF_LIFE = 8.0
 
 # Seconds between two reports while an order's outcome is not known, and in
 # quiet times.
@@ -70,6 +85,7 @@
         is_in_use: abc.Callable[[str, domain.AdapterName], bool],
         hears_majority: abc.Callable[[], bool],
         choose_model: abc.Callable[[], str | None],
+        was_held: abc.Callable[[str, domain.AdapterName], bool],
     ) -> None:
         self.target = target
         self.lease = lease
@@ -82,8 +98,10 @@
         self._is_in_use = is_in_use
         self._hears_majority = hears_majority
         self._choose_model = choose_model
+        self._was_held = was_held
         self.resident: dict[domain.AdapterName, int] = {}
-        self._used_at: dict[domain.AdapterName, float] = {}
+        self._uses = _usage_memory.UsageMemory(USE_HALF_LIFE)
+        self._retired: dict[domain.AdapterName, float] = {}
         self._loading: dict[domain.AdapterName, _Loading] = {}
         self._wants: list[_Want] = []
         self._accepted: int | None = None
@@ -97,7 +115,8 @@
     ) -> bool:
         """Wait until an adapter is in place; False where it cannot be."""
         now = self._clock()
-        self._used_at[adapter] = now
+        self._uses.note(adapter, now)
+        self._retired.pop(adapter, None)
         if self._has(adapter, version):
             return True
         want = _Want(adapter, version, now + patience)
@@ -118,7 +137,8 @@
 
     def touch(self, adapter: domain.AdapterName) -> None:
         """Note that an adapter is used."""
-        self._used_at[adapter] = self._clock()
+        self._uses.note(adapter, self._clock())
+        self._retired.pop(adapter, None)
 
     async def run(self) -> None:
         """Serve wants until the lease is lost."""
@@ -154,6 +174,7 @@
         await self._ask_loading()
         await self._replace_old_versions()
         self._settle_wants()
+        self._retire_ahead()
         for want in list(self._wants):
             if len(self._loading) >= MOST_LOADING:
                 return
@@ -188,7 +209,7 @@
             for adapter in report.loading
         }
         for adapter in self.resident:
-            self._used_at.setdefault(adapter, now)
+            self._uses.know(adapter, now)
 
     async def _load_model(self) -> None:
         """Load a model where the engine holds none."""
@@ -225,7 +246,7 @@
                 self.resident[adapter] = max(
                     loading.version, self._newest(adapter), 1
                 )
-                self._used_at[adapter] = self._clock()
+                self._uses.note(adapter, self._clock())
                 log.info(
                     'MLB-6403',
                     target=self.target.target_id,
@@ -275,9 +296,11 @@
         now = self._clock()
         match outcome:
             case _engine_client.OrderOutcome.ACCEPTED:
-                self._loading[adapter] = _Loading(
-                    now, wanted, now + FIRST_QUESTION
+                is_near = self._was_held(self.target.target_id, adapter)
+                first = FIRST_QUESTION_HOST if is_near else (
+                    FIRST_QUESTION_STORE
                 )
+                self._loading[adapter] = _Loading(now, wanted, now + first)
             case _engine_client.OrderOutcome.HOLDS:
                 self.resident[adapter] = max(wanted, 1)
                 self._work.set()
@@ -328,7 +351,27 @@
         )
         return used > engine.memory_mb
 
-    def _victim(self) -> domain.AdapterName | None:
+    def published(self) -> dict[domain.AdapterName, int]:
+        """Return what other nodes may use without asking."""
+        return {
+            adapter: version
+            for adapter, version in self.resident.items()
+            if adapter not in self._retired
+        }
+
+    def room(self) -> int:
+        """Return how many adapters can be taken now, less those that wait."""
+        engine = self._engine()
+        if engine is None:
+            return 0
+        taken = {each for each in self.resident if each.adapter}
+        taken -= set(self._idle())
+        taken |= set(self._loading)
+        waiting = {want.adapter for want in self._wants} - taken
+        return engine.adapter_slots - len(taken) - len(waiting)
+
+    def _idle(self) -> list[domain.AdapterName]:
+        """Return the adapters that may be evicted, the least used first."""
         now = self._clock()
         wanted = {want.adapter for want in self._wants}
         idle = [
@@ -337,12 +380,37 @@
             if adapter.adapter
             and adapter not in wanted
             and adapter not in self._loading
-            and now - self._used_at.get(adapter, 0.0) > LEAST_STAY
+            and now - self._uses.last(adapter) > LEAST_STAY
             and not self._is_in_use(self.target.target_id, adapter)
         ]
-        if not idle:
-            return None
-        return min(idle, key=lambda each: self._used_at.get(each, 0.0))
+        return sorted(idle, key=lambda each: self._uses.weight(each, now))
+
+    def _victim(self) -> domain.AdapterName | None:
+        """Return the adapter to evict, one of which nobody knows if any."""
+        idle = self._idle()
+        since = self._clock() - RETIRED_FOR
+        for adapter in idle:
+            if self._retired.get(adapter, since + 1) <= since:
+                return adapter
+        return idle[0] if idle else None
+
+    def _retire_ahead(self) -> None:
+        """Choose what goes next while the engine is full."""
+        engine = self._engine()
+        self._retired = {
+            adapter: since
+            for adapter, since in self._retired.items()
+            if adapter in self.resident
+        }
+        held = sum(1 for adapter in self.resident if adapter.adapter)
+        free = 0 if engine is None else engine.adapter_slots - held
+        lack = RETIRED_AHEAD - max(0, free) - len(self._retired)
+        for adapter in self._idle():
+            if lack <= 0:
+                return
+            if adapter not in self._retired:
+                self._retired[adapter] = self._clock()
+                lack -= 1
 
     async def _order(
         self,
@@ -366,11 +434,15 @@
             self._accepted,
             version,
         )
-        if not await self._leases.may_order(
-            self.lease, self._hears_majority()
-        ):
-            return _engine_client.OrderOutcome.REFUSED
-        outcome = await self._client.order(self.target, order)
+        outcome = _engine_client.OrderOutcome.REFUSED
+        for _ in range(ORDER_ATTEMPTS):
+            if not await self._leases.may_order(
+                self.lease, self._hears_majority()
+            ):
+                return _engine_client.OrderOutcome.REFUSED
+            outcome = await self._client.order(self.target, order)
+            if outcome != _engine_client.OrderOutcome.UNKNOWN:
+                break
         match outcome:
             case _engine_client.OrderOutcome.ACCEPTED if not is_question:
                 self._accepted += 1
--- a/packages/mustardlb-gateway/mustardlb_gateway/_keepers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_keepers.py
@@ -119,6 +119,7 @@
             self._targets.is_in_use,
             self._peers.hears_majority,
             lambda: self._model_for(target),
+            self.was_held,
         )
 
     def _model_for(self, target: domain.Target) -> str | None:
@@ -216,7 +217,8 @@
                 keeper.lease.fence,
                 keeper.target.incarnation,
                 keeper.is_acting,
-                dict(keeper.resident),
+                keeper.published(),
+                keeper.room(),
             )
             for target_id, keeper in self._by_target.items()
         )
@@ -227,7 +229,7 @@
         """Return what an engine holds, by whoever knows best."""
         keeper = self._by_target.get(target.target_id)
         if keeper is not None and keeper.is_acting and keeper.resident:
-            return keeper.resident
+            return keeper.published()
         holder = self._holder(target.target_id)
         if holder is not None:
             holding = holder[1]
@@ -245,6 +247,14 @@
         holder = self._holder(target_id)
         return holder is not None and holder[1].is_acting
 
+    def room(self, target_id: str) -> int:
+        """Return how many adapters an engine can take now."""
+        keeper = self._by_target.get(target_id)
+        if keeper is not None:
+            return keeper.room()
+        holder = self._holder(target_id)
+        return holder[1].room if holder else 0
+
     async def want(
         self,
         target_id: str,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -28,6 +28,7 @@
     :ivar fence: grows with each keeper of the target
     :ivar incarnation: of the target
     :ivar is_acting: the sender gives orders already
+    :ivar room: adapters that the target can take now, less those that wait
     """
 
     target_id: str
@@ -35,6 +36,7 @@
     incarnation: int
     is_acting: bool
     resident: dict[domain.AdapterName, int]
+    room: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,6 +177,7 @@
                 'incarnation': holding.incarnation,
                 'isActing': holding.is_acting,
                 'resident': _named(holding.resident),
+                'room': holding.room,
             }
             for holding in digest.holdings
         ],
@@ -235,6 +238,7 @@
                 each.incarnation,
                 each.isActing,
                 {parse(one.name): one.number for one in each.resident},
+                each.room,
             )
             for each in digest.holdings
         ),
--- a/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
@@ -28,6 +28,10 @@
 # same engine, and the same one again later, while it is not much busier.
 RANK_SPREAD = 0.5
 
+# What an engine without room is worse by, seconds: about the time until one
+# of its adapters is no longer in use, for each that has to become so.
+FULL_COST = 0.5
+
 # What a failing target is worse by, seconds, when all its requests fail.
 FAILURE_COST = 2.0
 
@@ -53,6 +57,7 @@
     :ivar version: the least of the adapter that will do, 0 for any
     :ivar preferred_version: the newest known
     :ivar without: targets that had the call already
+    :ivar without_load: targets that did not get the adapter in time
     """
 
     service: domain.Service
@@ -60,6 +65,7 @@
     version: int
     preferred_version: int
     without: frozenset[str]
+    without_load: frozenset[str] = frozenset()
 
 
 class Placement:
@@ -74,12 +80,14 @@
         ],
         is_kept: abc.Callable[[str], bool],
         was_held: abc.Callable[[str, domain.AdapterName], bool],
+        room: abc.Callable[[str], int],
     ) -> None:
         self._targets = targets
         self._prefixes = prefixes
         self._resident = resident
         self._is_kept = is_kept
         self._was_held = was_held
+        self._room = room
 
     def choose(self, wish: Wish) -> Choice | None:
         """Return the best target, None where no target will do now."""
@@ -147,13 +155,9 @@
         engine = wish.service.engine
         if engine is None or not self._is_kept(target.target_id):
             return False
-        if wish.call.adapter is None or not wish.call.adapter.adapter:
+        if target.target_id in wish.without_load:
             return False
-        in_use = set()
-        for usage in self._targets.usages(target.target_id):
-            in_use.update(usage.by_adapter)
-        busy = sum(1 for adapter in in_use if adapter.adapter)
-        return busy < engine.adapter_slots
+        return bool(wish.call.adapter and wish.call.adapter.adapter)
 
     def _held(self, wish: Wish, target: domain.Target) -> Choice:
         unread = self._prefixes.unread(target.target_id, wish.call)
@@ -169,7 +173,8 @@
         else:
             rank = _leases.rank(str(adapter), target.target_id)
             cost = COPY_COST + RANK_SPREAD * (1 - rank[0] / 255)
-        estimate = self._estimate(target, unread) + cost
+        lack = max(0, 1 - self._room(target.target_id))
+        estimate = self._estimate(target, unread) + cost + lack * FULL_COST
         return Choice(target, True, unread, estimate)
 
     def _estimate(self, target: domain.Target, unread: int) -> float:
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -147,6 +147,7 @@
             self.keepers.resident,
             self.keepers.is_kept,
             self.keepers.was_held,
+            self.keepers.room,
         )
 
         async def load(
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -49,6 +49,7 @@
   incarnation @2 :UInt64;   # of the target
   isActing @3 :Bool;        # gives orders already
   resident @4 :List(Named); # adapters and their versions
+  room @5 :Int16;           # adapters that can be taken now; may be negative
 }
 
 struct Snapshot {
--- a/tests/mustardlb_gateway/fronts.py
+++ b/tests/mustardlb_gateway/fronts.py
@@ -108,6 +108,7 @@
                 lambda target: target.resident,
                 lambda target_id: True,
                 lambda target_id, adapter: False,
+                lambda target_id: 3,
             ),
             prefixes,
             lambda adapter: self.versions,
