--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -162,8 +162,15 @@
             left=round(job.deadline - now, 3),
             **attempt.describe(now),
         )
+        if now >= job.deadline:
+            # The call took longer than its route allows; that may be right.
+            return
         if attempt.fate != _outcomes.Fate.NOT_RUN or not attempt.was_sent:
-            self._targets.note_failure(attempt.target_id, attempt.problem)
+            self._targets.note_failure(
+                attempt.target_id,
+                attempt.problem,
+                attempt.fate == _outcomes.Fate.ANSWERED,
+            )
 
     def _final(self, job: Job, problem: str) -> errors.Error:
         """Return the error that ends a call."""
--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -67,6 +67,7 @@
         configuration: abc.Callable[[], domain.Configuration | None],
         configuration_age: abc.Callable[[], float],
         count_request: abc.Callable[[str], None],
+        tell_counts: abc.Callable[[], None],
         clock: abc.Callable[[], float],
     ) -> None:
         self._translation = translation
@@ -76,6 +77,7 @@
         self._configuration = configuration
         self._configuration_age = configuration_age
         self._count_request = count_request
+        self._tell_counts = tell_counts
         self._clock = clock
         self._in_flight = 0
         self._stop: Stop | None = None
@@ -183,6 +185,8 @@
                 steps.Step.LIMIT,
                 lack,
             )
+        if self._quota.is_near_limit(account):
+            self._tell_counts()
         return cost
 
     async def _run(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -97,7 +97,14 @@
     is_there: bool
 
 
-Body = Digest | SnapshotRequest | Snapshot | Want | Wanted
+@dataclasses.dataclass(frozen=True, slots=True)
+class Counts:
+    """What a node admitted, between two digests, of accounts near a limit."""
+
+    admitted: dict[str, float]
+
+
+Body = Digest | SnapshotRequest | Snapshot | Want | Wanted | Counts
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -148,22 +155,25 @@
             }
         case Wanted():
             return 'wanted', body.is_there
+        case Counts():
+            return 'counts', _counted(body.admitted)
 
 
 def _named(numbers: dict[Any, int]) -> list[dict[str, Any]]:
     return [{'name': str(k), 'number': v} for k, v in numbers.items()]
 
 
+def _counted(amounts: dict[str, float]) -> list[dict[str, Any]]:
+    return [{'name': k, 'amount': v} for k, v in amounts.items()]
+
+
 def _digest_fields(digest: Digest) -> dict[str, Any]:
     return {
         'host': digest.host,
         'port': digest.port,
         'isLeaving': digest.is_leaving,
         'revisions': _named(digest.revisions),
-        'admitted': [
-            {'name': name, 'amount': amount}
-            for name, amount in digest.admitted.items()
-        ],
+        'admitted': _counted(digest.admitted),
         'usages': [
             {
                 'target': usage.target_id,
@@ -215,6 +225,8 @@
             return Want(
                 want.target, adapter, want.version, want.patience, want.slack
             )
+        case 'counts':
+            return Counts({each.name: each.amount for each in found.counts})
         case _:
             return Wanted(found.wanted)
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
@@ -15,8 +15,9 @@
 WATCH_WAIT = 5.0
 
 # Pause between two watches, seconds: changes that come close together cost
-# one call, and nothing is known later than a small part of its bound.
-WATCH_PAUSE = 0.3
+# one call, and nothing is known later than a third of the shortest time in
+# which a change is to be in force, two seconds.
+WATCH_PAUSE = 0.6
 
 # Pauses after a failure, seconds.
 FIRST_PAUSE = 0.15
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
@@ -35,6 +35,9 @@
 # Seconds between two attempts to reach a node that does not answer.
 RECONNECT_PAUSE = 0.5
 
+# Nodes up to which messages between two digests are sent to all.
+MOST_TOLD = 16
+
 # A node that was never reached for so long is no longer dialled, seconds;
 # it dials by itself when it is back.
 FORGET_AFTER = 60.0
@@ -68,6 +71,7 @@
     [_messages.Message], abc.Awaitable[_messages.Body | None]
 ]
 Hear = abc.Callable[[str, int, _messages.Digest], None]
+HearCounts = abc.Callable[[_messages.Message, _messages.Counts], None]
 
 
 class Peers:
@@ -84,7 +88,9 @@
         make_digest: abc.Callable[[], _messages.Digest],
         hear: Hear,
         answer: Answer,
+        hear_counts: HearCounts,
     ) -> None:
+        self._hear_counts = hear_counts
         self.me = me
         self.incarnation = incarnation
         self._clock = clock
@@ -147,6 +153,14 @@
             return None
         return await link.ask(body, timeout)
 
+    async def tell(self, body: _messages.Body) -> None:
+        """Send a message to every other node, where fleets are small."""
+        if len(self._links_by_vm) > MOST_TOLD:
+            return
+        data = self.encode(body)
+        for link in list(self._links_by_vm.values()):
+            await link.tell(data)
+
     def digest(self) -> bytes:
         """Return this node's digest, made anew for each round."""
         now = self._clock()
@@ -179,6 +193,9 @@
                     if isinstance(message.body, _messages.Digest):
                         self._take_digest(message, message.body)
                         continue
+                    if isinstance(message.body, _messages.Counts):
+                        self._hear_counts(message, message.body)
+                        continue
                     nursery.start_soon(self._reply, stream, lock, message)
                 nursery.cancel_scope.cancel()
         except* (*_BROKEN, ValueError) as broken:
@@ -288,6 +305,15 @@
             if waiting is not None:
                 waiting.send_nowait(message.body)
 
+    async def tell(self, data: bytes) -> None:
+        """Send a message if the link is up and free."""
+        if self._stream is None or self._send_lock.locked():
+            return
+        try:
+            await self._send(data)
+        except _BROKEN as error:
+            log.info('MLB-6305', peer=self.vm.vm, problem=repr(error))
+
     async def ask(
         self, body: _messages.Body, timeout: float
     ) -> _messages.Body | None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_quota.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_quota.py
@@ -7,6 +7,7 @@
 two sides of a partition together stay within the rate.
 """
 
+from collections import abc
 import dataclasses
 
 from mustardlb_gateway import domain
@@ -19,9 +20,31 @@
 # any restart and most partitions.
 ENDED_AFTER = 20.0
 
-# Part of the burst that a node starts with when it knows no other's counts;
-# what was spent before its start is not known to it.
-START_LEVEL = 0.5
+# Part of the tolerance of limits that a start may use up: what was spent
+# before it is not known to the node.
+START_PART = 0.6
+
+# An account is near its limit when its bucket holds less than so many seconds
+# of its rate: a few exchanges of counts.
+NEAR_LIMIT = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tolerance:
+    """By how much all nodes together may exceed a limit.
+
+    :ivar part: of what the limit allows in a window
+    :ivar slack: tokens or requests besides
+    :ivar window: seconds
+    """
+
+    part: float = 0.0
+    slack: float = 0.0
+    window: float = 1.0
+
+    def of(self, rate: float, burst: float) -> float:
+        """Return the excess that is tolerated in a window."""
+        return self.part * (rate * self.window + burst) + self.slack
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,7 +69,11 @@
 class Quota:
     """The buckets of all accounts as this node sees them."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        tolerance: abc.Callable[[], Tolerance] = Tolerance,
+    ) -> None:
+        self._tolerance = tolerance
         self._buckets_by_account: dict[str, _Bucket] = {}
         self._peers_by_vm: dict[str, _Peer] = {}
 
@@ -79,6 +106,13 @@
             bucket.level = min(bucket.burst, bucket.level + cost)
             bucket.admitted -= cost
 
+    def is_near_limit(self, account: domain.Account) -> bool:
+        """Whether the other nodes should hear at once of what was taken."""
+        bucket = self._buckets_by_account.get(account.name)
+        if bucket is None or account.rate <= 0:
+            return False
+        return bucket.level < NEAR_LIMIT * bucket.rate
+
     def level(self, account: domain.Account, now: float) -> float:
         """Return what is left in an account's bucket."""
         return self._bucket(account, now).level
@@ -104,7 +138,7 @@
                 continue
             before = peer.admitted_by_account.get(name, 0.0)
             bucket.level = min(bucket.burst, bucket.level - admitted + before)
-        peer.admitted_by_account = counts
+        peer.admitted_by_account = peer.admitted_by_account | counts
         peer.heard_at = now
 
     def forget(self, vm: str) -> None:
@@ -130,7 +164,8 @@
     def _bucket(self, account: domain.Account, now: float) -> _Bucket:
         bucket = self._buckets_by_account.get(account.name)
         if bucket is None:
-            level = account.burst * START_LEVEL
+            tolerated = self._tolerance().of(account.rate, account.burst)
+            level = min(account.burst, tolerated * START_PART)
             bucket = _Bucket(account.rate, account.burst, level, now)
             self._buckets_by_account[account.name] = bucket
         self._fill(bucket, now)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -174,11 +174,19 @@
         health.suspension = FIRST_SUSPENSION
         health.failure_share *= 1 - FAILURE_WEIGHT
 
-    def note_failure(self, target_id: str, problem: str) -> None:
-        """Note that a target failed a request or could not be reached."""
+    def note_failure(
+        self, target_id: str, problem: str, is_answer: bool = False
+    ) -> None:
+        """Note that a target failed a request or could not be reached.
+
+        A failure that the target answered counts against it, but does not
+        suspend it: others of its requests may go well.
+        """
         health = self.health(target_id)
-        health.failures_in_row += 1
         health.failure_share += FAILURE_WEIGHT * (1 - health.failure_share)
+        if is_answer:
+            return
+        health.failures_in_row += 1
         if health.failures_in_row < FAILURES_TO_SUSPEND:
             return
         health.suspended_until = self._clock() + health.suspension
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -50,6 +50,9 @@
 # Descriptors that are not for clients' connections.
 OTHER_DESCRIPTORS = 1500
 
+# Seconds in which what is taken near a limit is gathered before it is told.
+COUNTS_PAUSE = 0.015
+
 # Seconds between two attempts to register at the store.
 REGISTER_PAUSE = 0.5
 
@@ -92,7 +95,8 @@
         self.targets = _targets.TargetTable(
             targets_mirror, translation, clock
         )
-        self._quota = _quota.Quota()
+        self._quota = _quota.Quota(lambda: self.settings.limit_tolerance)
+        self._counts_changed = trio.Event()
         self.peers = _peers.Peers(
             _peers.Vm(settings.vm, settings.host, settings.peer_port),
             incarnation,
@@ -100,6 +104,7 @@
             self._make_digest,
             self._hear,
             self._answer_peer,
+            self._hear_counts,
         )
         self._pool = http_client.Pool(CONNECT_TIMEOUT)
         self.leases = _leases.Leases(
@@ -131,6 +136,7 @@
             lambda: self.state.configuration,
             lambda: clock() - configurations.confirmed,
             lambda service: self._budget(service).add_request(),
+            lambda: self._counts_changed.set(),
             clock,
         )
         self._front = self._make_front()
@@ -229,6 +235,21 @@
                     self._snapshots.fetch, self.peers, vm, kind
                 )
 
+    def _hear_counts(
+        self, message: _messages.Message, counts: _messages.Counts
+    ) -> None:
+        self._quota.heard(
+            message.vm, message.incarnation, counts.admitted, self._clock()
+        )
+
+    async def _tell_counts(self) -> None:
+        """Tell all nodes at once what was taken near a limit."""
+        while True:
+            await self._counts_changed.wait()
+            await trio.sleep(COUNTS_PAUSE)
+            self._counts_changed = trio.Event()
+            await self.peers.tell(_messages.Counts(self._quota.counts()))
+
     async def _answer_peer(
         self, message: _messages.Message
     ) -> _messages.Body | None:
@@ -266,6 +287,7 @@
             nursery.start_soon(self._register)
             nursery.start_soon(self.keepers.run, nursery)
             nursery.start_soon(self._keep_house)
+            nursery.start_soon(self._tell_counts)
 
     async def _serve(self, nursery: trio.Nursery) -> None:
         host = self.settings.host
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -12,6 +12,7 @@
     snapshot @5 :Snapshot;
     want @6 :Want;
     wanted @7 :Bool;        # whether the adapter is in place
+    counts @8 :List(Counted);  # admitted, as in a digest
   }
 }
 
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -36,6 +36,7 @@
         _messages.Want('t1', builders.adapter('a1'), 3, 1.5, -0.5),
         _messages.Wanted(True),
         _messages.Wanted(False),
+        _messages.Counts({'acme': 12.5, 'other': 0.0}),
     ],
 )
 def test_every_message_comes_back_as_it_was(body):
@@ -58,6 +59,7 @@
 class Node:
     def __init__(self, vm, answer=None):
         self.heard = []
+        self.counts = []
         self.is_leaving = False
         self.me = _peers.Vm(vm, '127.0.0.1', free_port())
         self.peers = _peers.Peers(
@@ -67,6 +69,7 @@
             self.digest,
             lambda vm, incarnation, digest: self.heard.append(vm),
             answer or self.answer,
+            lambda message, counts: self.counts.append(counts),
         )
 
     def digest(self):
@@ -141,6 +144,18 @@
         await until(lambda: not one.peers.alive())
 
 
+async def test_counts_are_told_to_all():
+    one, two, three = Node('vm1'), Node('vm2'), Node('vm3')
+    async with running(one, two, three):
+        one.peers.add(two.me)
+        one.peers.add(three.me)
+        await until(lambda: len(one.peers.alive()) == 2)
+        counts = _messages.Counts({'acme': 3.0})
+        await one.peers.tell(counts)
+        await until(lambda: two.counts and three.counts)
+        assert two.counts == three.counts == [counts]
+
+
 async def test_bytes_that_are_no_message_end_only_their_link():
     one, two = Node('vm1'), Node('vm2')
     async with running(one, two):
