--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -61,9 +61,7 @@
     arrived: float
     deadline: float
     reply: http_server.Reply
-    attempts: list[_outcomes.Attempt] = dataclasses.field(
-        default_factory=list
-    )
+    attempts: list[_outcomes.Attempt] = dataclasses.field(default_factory=list)
     splitter: _events.EventSplitter | None = None
     first_byte: float | None = None
     waited: float = 0.0
@@ -388,16 +386,12 @@
             scope.deadline = now + wait
         return scope
 
-    async def _pass_on(
-        self, job: Job, answer: _outcomes.WholeAnswer
-    ) -> None:
+    async def _pass_on(self, job: Job, answer: _outcomes.WholeAnswer) -> None:
         if job.splitter is not None:
             # A stream has begun: it can only break off.
             return
         job.first_byte = trio.current_time()
-        await job.reply.send_whole(
-            answer.status, answer.headers, answer.body
-        )
+        await job.reply.send_whole(answer.status, answer.headers, answer.body)
 
     async def _relay(
         self,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
@@ -83,9 +83,7 @@
                 target, self._translation.write_report_request(target)
             )
         except http_client.ExchangeFailed as error:
-            log.info(
-                'MLB-6402', target=target.target_id, problem=str(error)
-            )
+            log.info('MLB-6402', target=target.target_id, problem=str(error))
             return None
         if status != 200:
             log.info('MLB-6402', target=target.target_id, problem=status)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_keeper.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_keeper.py
@@ -321,9 +321,7 @@
         self, adapter: domain.AdapterName, version: int
     ) -> bool:
         """Order a load; False where the engine takes none now."""
-        if adapter not in self.resident and not await self._make_room(
-            adapter
-        ):
+        if adapter not in self.resident and not await self._make_room(adapter):
             return True
         wanted = max(version, self._newest(adapter))
         outcome = await self._order(
@@ -333,8 +331,8 @@
         match outcome:
             case _engine_client.OrderOutcome.ACCEPTED:
                 is_near = self._was_held(self.target.target_id, adapter)
-                first = FIRST_QUESTION_HOST if is_near else (
-                    FIRST_QUESTION_STORE
+                first = (
+                    FIRST_QUESTION_HOST if is_near else (FIRST_QUESTION_STORE)
                 )
                 self._loading[adapter] = _Loading(now, wanted, now + first)
             case _engine_client.OrderOutcome.HOLDS:
@@ -353,9 +351,7 @@
             victim = self._victim()
             if victim is None:
                 return False
-            outcome = await self._order(
-                domain.OrderKind.UNLOAD, victim, None
-            )
+            outcome = await self._order(domain.OrderKind.UNLOAD, victim, None)
             if outcome != _engine_client.OrderOutcome.HOLDS:
                 if outcome == _engine_client.OrderOutcome.ACCEPTED:
                     # It waits for requests that arrived meanwhile.
@@ -369,9 +365,7 @@
         self, engine: domain.EngineSpec, adapter: domain.AdapterName
     ) -> bool:
         held = {
-            each
-            for each in (*self.resident, *self._loading)
-            if each.adapter
+            each for each in (*self.resident, *self._loading) if each.adapter
         }
         if len(held) >= engine.adapter_slots:
             return True
--- a/packages/mustardlb-gateway/mustardlb_gateway/_events.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_events.py
@@ -10,17 +10,17 @@
 
 
 class EventSplitter:
-    """Holds back the beginning of an event until its end has come.
+    r"""Holds back the beginning of an event until its end has come.
 
     :ivar last_id: of the last whole event, or None
 
     >>> splitter = EventSplitter()
-    >>> splitter.feed(b'id: 1\\ndata: a\\n\\nid: 2\\nda')
-    b'id: 1\\ndata: a\\n\\n'
+    >>> splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda')
+    b'id: 1\ndata: a\n\n'
     >>> splitter.last_id
     '1'
     >>> splitter.rest
-    b'id: 2\\nda'
+    b'id: 2\nda'
     """
 
     def __init__(self, last_id: str | None = None) -> None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -153,9 +153,7 @@
         """From now on refuse what might not be answered before the end."""
         self._stop = stop
 
-    def _check_time_left(
-        self, call: domain.Call, route: domain.Route
-    ) -> None:
+    def _check_time_left(self, call: domain.Call, route: domain.Route) -> None:
         stop, now = self._stop, trio.current_time()
         if stop is None or now < stop.notice_ends:
             return
@@ -242,7 +240,10 @@
         first = job.first_byte or now
         account = job.account.name if job.account else ''
         self._metrics.observe(
-            account, job.route.name, outcome, first - job.arrived,
+            account,
+            job.route.name,
+            outcome,
+            first - job.arrived,
             now - job.arrived,
         )
         log.info(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_keepers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_keepers.py
@@ -54,9 +54,7 @@
         self._service = service
         self._newest = newest
         self._by_target: dict[str, _engine_keeper.EngineKeeper] = {}
-        self._holdings_by_target: dict[
-            str, dict[str, _messages.Holding]
-        ] = {}
+        self._holdings_by_target: dict[str, dict[str, _messages.Holding]] = {}
         self._lately_by_target: dict[
             str, collections.OrderedDict[domain.AdapterName, None]
         ] = {}
@@ -166,9 +164,7 @@
         for holdings in self._holdings_by_target.values():
             holdings.pop(vm, None)
         for holding in digest.holdings:
-            by_vm = self._holdings_by_target.setdefault(
-                holding.target_id, {}
-            )
+            by_vm = self._holdings_by_target.setdefault(holding.target_id, {})
             by_vm[vm] = holding
             self._note_held(holding.target_id, holding.resident)
         for usage in digest.usages:
@@ -225,9 +221,7 @@
             for target_id, keeper in self._by_target.items()
         )
 
-    def resident(
-        self, target: domain.Target
-    ) -> dict[domain.AdapterName, int]:
+    def resident(self, target: domain.Target) -> dict[domain.AdapterName, int]:
         """Return what an engine holds, by whoever knows best."""
         keeper = self._by_target.get(target.target_id)
         if keeper is not None and keeper.is_acting and keeper.resident:
@@ -235,8 +229,10 @@
         holder = self._holder(target.target_id)
         if holder is not None:
             holding = holder[1]
-            if holding.is_acting and holding.resident and (
-                holding.incarnation == target.incarnation
+            if (
+                holding.is_acting
+                and holding.resident
+                and (holding.incarnation == target.incarnation)
             ):
                 return holding.resident
         return target.resident
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -218,7 +218,9 @@
             objects = msgspec.json.decode(
                 found.snapshot.objects, type=tuple[ports.StoredObject, ...]
             )
-            return Snapshot(found.snapshot.kind, found.snapshot.revision, objects)
+            return Snapshot(
+                found.snapshot.kind, found.snapshot.revision, objects
+            )
         case 'want':
             want = found.want
             adapter = domain.AdapterName.parse(want.adapter)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
@@ -75,9 +75,7 @@
         self,
         targets: _targets.TargetTable,
         prefixes: _prefixes.PrefixMemory,
-        resident: abc.Callable[
-            [domain.Target], dict[domain.AdapterName, int]
-        ],
+        resident: abc.Callable[[domain.Target], dict[domain.AdapterName, int]],
         is_kept: abc.Callable[[str], bool],
         was_held: abc.Callable[[str, domain.AdapterName], bool],
         room: abc.Callable[[str], int],
@@ -161,9 +159,7 @@
 
     def _held(self, wish: Wish, target: domain.Target) -> Choice:
         unread = self._prefixes.unread(target.target_id, wish.call)
-        return Choice(
-            target, False, unread, self._estimate(target, unread)
-        )
+        return Choice(target, False, unread, self._estimate(target, unread))
 
     def _absent(self, wish: Wish, target: domain.Target) -> Choice:
         unread = wish.call.prompt_tokens
--- a/packages/mustardlb-gateway/mustardlb_gateway/_quota.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_quota.py
@@ -178,6 +178,4 @@
     def _fill(bucket: _Bucket, now: float) -> None:
         elapsed = max(0.0, now - bucket.filled_at)
         bucket.filled_at = max(now, bucket.filled_at)
-        bucket.level = min(
-            bucket.burst, bucket.level + bucket.rate * elapsed
-        )
+        bucket.level = min(bucket.burst, bucket.level + bucket.rate * elapsed)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_retry_budget.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_retry_budget.py
@@ -64,6 +64,6 @@
 
     def _slack(self) -> float:
         # A part for what was earned before a window and is spent in it.
-        return self._limit().slack * USED_PART / 2 / max(
-            1, self._count_nodes()
+        return (
+            self._limit().slack * USED_PART / 2 / max(1, self._count_nodes())
         )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_sockets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_sockets.py
@@ -22,9 +22,7 @@
     stream.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL
     )
-    stream.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES
-    )
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     stream.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
     )
@@ -45,4 +43,3 @@
     stream = trio.SocketStream(sock)
     tune(stream)
     return stream
-
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -219,9 +219,7 @@
         if usage is not None:
             usage.unread_tokens = max(0, usage.unread_tokens - tokens)
 
-    def end(
-        self, target_id: str, adapter: domain.AdapterName | None
-    ) -> None:
+    def end(self, target_id: str, adapter: domain.AdapterName | None) -> None:
         """Count a request that has ended at a target."""
         usage = self.usage_by_id[target_id]
         usage.running -= 1
--- a/packages/mustardlb-gateway/mustardlb_gateway/_usage_memory.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_usage_memory.py
@@ -4,7 +4,6 @@
 
 from mustardlb_gateway import domain
 
-
 # Adapters remembered; many times the slots of an engine.
 MOST_ADAPTERS = 4096
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -7,7 +7,6 @@
 import trio
 
 from mustardlb import clock as clocks
-from mustardlb_gateway import _snapshots
 from mustardlb_gateway import _dispatch
 from mustardlb_gateway import _engine_client
 from mustardlb_gateway import _gateway
@@ -21,6 +20,7 @@
 from mustardlb_gateway import _prefixes
 from mustardlb_gateway import _quota
 from mustardlb_gateway import _retry_budget
+from mustardlb_gateway import _snapshots
 from mustardlb_gateway import _state
 from mustardlb_gateway import _targets
 from mustardlb_gateway import domain
@@ -92,9 +92,7 @@
             clock,
             lambda: self.settings.version_time,
         )
-        self.targets = _targets.TargetTable(
-            targets_mirror, translation, clock
-        )
+        self.targets = _targets.TargetTable(targets_mirror, translation, clock)
         self._quota = _quota.Quota(lambda: self.settings.limit_tolerance)
         self._counts_changed = trio.Event()
         self.peers = _peers.Peers(
@@ -263,8 +261,10 @@
     def is_ready(self) -> bool:
         """Whether the node can serve new connections."""
         knows = all(mirror.revision for mirror in self._mirrors[:2])
-        return knows and self.state.configuration is not None and (
-            not self.is_stopping
+        return (
+            knows
+            and self.state.configuration is not None
+            and (not self.is_stopping)
         )
 
     async def _answer_ready(
@@ -291,9 +291,7 @@
 
     async def _serve(self, nursery: trio.Nursery) -> None:
         host = self.settings.host
-        await nursery.start(
-            self._front.serve, host, self.settings.front_port
-        )
+        await nursery.start(self._front.serve, host, self.settings.front_port)
         ready = http_server.Server(
             self._answer_ready, domain.RequestLimits, 100
         )
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -9,6 +9,7 @@
 import dataclasses
 import re
 import select
+from typing import Any
 
 import h11
 import trio
@@ -186,7 +187,7 @@
                 raise ExchangeFailed('the answer is too large')
         return bytes(body)
 
-    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+    async def _next_event(self) -> Any:
         while True:
             try:
                 event = self._h11.next_event()
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+from typing import Any
 
 import h11
 import structlog
@@ -275,7 +276,7 @@
         except h11.RemoteProtocolError as error:
             raise BadRequest(400, str(error)) from error
 
-    async def _next_event(self) -> h11.Event | None:
+    async def _next_event(self) -> Any:
         while True:
             try:
                 event = self._h11.next_event()
@@ -369,9 +370,7 @@
             headers
         ):
             headers = [*headers, (b'connection', b'close')]
-        out = self._h11.send(
-            h11.Response(status_code=status, headers=headers)
-        )
+        out = self._h11.send(h11.Response(status_code=status, headers=headers))
         block = out or b''
         if data:
             block += self._h11.send(h11.Data(data=data)) or b''
--- a/packages/mustardlb-gateway/mustardlb_gateway/ports.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/ports.py
@@ -2,7 +2,8 @@
 
 from collections import abc
 import dataclasses
-from typing import Any, Protocol
+from typing import Any
+from typing import Protocol
 
 from mustardlb_gateway import domain
 
@@ -62,9 +63,7 @@
 class Store(Protocol):
     """The platform's store. All calls raise StoreUnavailable."""
 
-    async def list_objects(
-        self, kind: str
-    ) -> tuple[list[StoredObject], int]:
+    async def list_objects(self, kind: str) -> tuple[list[StoredObject], int]:
         """Return all objects of a kind and the revision they stand for."""
 
     async def watch(self, kind: str, revision: int, wait: float) -> Changes:
--- a/packages/mustardlbd/mustardlbd/_peer_server.py
+++ b/packages/mustardlbd/mustardlbd/_peer_server.py
@@ -8,8 +8,8 @@
 import trio
 
 from mustardlb import errors
-from mustardlb import schema
 from mustardlb import frames
+from mustardlb import schema
 
 log = structlog.get_logger()
 
--- a/packages/mustardlbd/mustardlbd/_peers.py
+++ b/packages/mustardlbd/mustardlbd/_peers.py
@@ -8,10 +8,10 @@
 import trio
 
 from mustardlb import errors
+from mustardlb import frames
 from mustardlb import schema
 from mustardlb import steps
 from mustardlb import vm_list
-from mustardlb import frames
 
 # Connections without a request kept open to one peer.
 IDLE_LIMIT = 4
--- a/tests/mustardlb_gateway/builders.py
+++ b/tests/mustardlb_gateway/builders.py
@@ -31,8 +31,7 @@
         'state': domain.TargetState.READY,
         'slots': 8,
         'incarnation': 1,
-        'resident': {adapter(''): 1}
-        | {adapter(name): 1 for name in resident},
+        'resident': {adapter(''): 1} | {adapter(name): 1 for name in resident},
     }
     return domain.Target(**(fields | changes))
 
--- a/tests/mustardlb_gateway/fronts.py
+++ b/tests/mustardlb_gateway/fronts.py
@@ -151,9 +151,7 @@
                 for script in scripts
             ]
             self._list(changes)
-            self.port = await nursery.start(
-                self.server.serve, '127.0.0.1', 0
-            )
+            self.port = await nursery.start(self.server.serve, '127.0.0.1', 0)
             yield self
             nursery.cancel_scope.cancel()
 
@@ -203,9 +201,7 @@
             return cls(0, {}, b'', False)
         headers = {
             name.strip().lower(): value.strip()
-            for name, _, value in (
-                line.partition(b':') for line in lines[1:]
-            )
+            for name, _, value in (line.partition(b':') for line in lines[1:])
         }
         is_complete = body.endswith(b'0\r\n\r\n')
         if b'content-length' in headers:
--- a/tests/mustardlb_gateway/scripted.py
+++ b/tests/mustardlb_gateway/scripted.py
@@ -22,9 +22,7 @@
     @contextlib.asynccontextmanager
     async def running(self):
         async with trio.open_nursery() as nursery:
-            listeners = await nursery.start(
-                trio.serve_tcp, self._serve, 0
-            )
+            listeners = await nursery.start(trio.serve_tcp, self._serve, 0)
             self.port = listeners[0].socket.getsockname()[1]
             yield self
             nursery.cancel_scope.cancel()
--- a/tests/mustardlb_gateway/standin_store.py
+++ b/tests/mustardlb_gateway/standin_store.py
@@ -58,9 +58,7 @@
 
     async def list_objects(self, kind):
         await self._enter()
-        return list(
-            self.objects_by_kind.get(kind, {}).values()
-        ), self.revision
+        return list(self.objects_by_kind.get(kind, {}).values()), self.revision
 
     async def watch(self, kind, revision, wait):
         await self._enter()
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -158,9 +158,7 @@
     async def script(connection, head, body):
         last = dict(head.headers).get(b'last-event-id')
         start = int(last) + 1 if last else 0
-        await connection.send(
-            scripted.stream_head(scripted.request_id(head))
-        )
+        await connection.send(scripted.stream_head(scripted.request_id(head)))
         for number in numbers:
             if number >= start:
                 await connection.send(scripted.event(number))
@@ -176,9 +174,7 @@
 
 
 async def test_stream_is_passed_on_event_by_event():
-    async with fronts.Front(STREAM).running(
-        make_stream(range(5))
-    ) as front:
+    async with fronts.Front(STREAM).running(make_stream(range(5))) as front:
         answer = await front.ask()
     assert answer.is_complete
     assert answer.events == [0, 1, 2, 3, 4]
@@ -229,9 +225,7 @@
 
 async def test_adapter_that_is_held_is_not_loaded():
     front = fronts.Front(STREAM, engine=True)
-    async with front.running(
-        make_stream(range(1)), resident=['a7']
-    ) as front:
+    async with front.running(make_stream(range(1)), resident=['a7']) as front:
         await front.ask(b'x-adapter: a7\r\n')
     assert front.loads == []
 
@@ -239,9 +233,7 @@
 async def test_old_version_of_an_adapter_does_not_serve():
     front = fronts.Front(STREAM, engine=True)
     front.versions = _dispatch.Versions(2, 2)
-    async with front.running(
-        make_stream(range(1)), resident=['a7']
-    ) as front:
+    async with front.running(make_stream(range(1)), resident=['a7']) as front:
         await front.ask(b'x-adapter: a7\r\n')
     assert front.loads == [('t0', builders.adapter('a7'))]
 
@@ -271,9 +263,7 @@
 async def test_account_beyond_its_limit_is_told_when_to_come_back():
     front = fronts.Front(IDEMPOTENT, accounts=[ACME])
     async with front.running(good) as front:
-        answers = [
-            await front.ask(b'x-key: key-acme\r\n') for _ in range(4)
-        ]
+        answers = [await front.ask(b'x-key: key-acme\r\n') for _ in range(4)]
         assert [each.status for each in answers] == [200, 200, 429, 429]
         assert 0 < float(answers[-1].headers[b'retry-after']) <= 2 / 3
         assert front.sends == 2
@@ -283,8 +273,7 @@
     front = fronts.Front(IDEMPOTENT, accounts=[ACME])
     async with front.running(refuse) as front:
         statuses = [
-            (await front.ask(b'x-key: key-acme\r\n')).status
-            for _ in range(4)
+            (await front.ask(b'x-key: key-acme\r\n')).status for _ in range(4)
         ]
     assert statuses == [503] * 4
 
--- a/tests/mustardlb_gateway/test_engine_keeper.py
+++ b/tests/mustardlb_gateway/test_engine_keeper.py
@@ -135,7 +135,9 @@
     return builders.adapter(f'a{number}')
 
 
-async def test_wanted_adapter_is_there_soon_after_it_has_arrived(world, autojump_clock):
+async def test_wanted_adapter_is_there_soon_after_it_has_arrived(
+    world, autojump_clock
+):
     began = trio.current_time()
     assert await world.keeper.want(adapter(1), 0, 5.0)
     assert trio.current_time() - began < LOAD_TIME + 0.15
@@ -179,7 +181,9 @@
     assert adapter(3) not in world.engine.resident
 
 
-async def test_newer_version_replaces_the_one_that_is_held(world, autojump_clock):
+async def test_newer_version_replaces_the_one_that_is_held(
+    world, autojump_clock
+):
     assert await world.keeper.want(adapter(1), 0, 5.0)
     world.newest[adapter(1)] = 4
     await trio.sleep(1)
@@ -187,7 +191,9 @@
     assert await world.keeper.want(adapter(1), 4, 0.1)
 
 
-async def test_keeper_that_was_overtaken_gives_no_more_orders(world, autojump_clock):
+async def test_keeper_that_was_overtaken_gives_no_more_orders(
+    world, autojump_clock
+):
     assert await world.keeper.want(adapter(1), 0, 5.0)
     world.engine.highest_fence = 99
     assert not await world.keeper.want(adapter(2), 0, 2.0)
@@ -217,9 +223,7 @@
     world.engine.lose = [False, False]
     for number in range(1, 6):
         await world.keeper.want(adapter(number), 0, 3.0)
-    assert all(
-        order.expected is not None for order in world.engine.orders
-    )
+    assert all(order.expected is not None for order in world.engine.orders)
 
 
 @pytest.mark.parametrize('is_done', [True, False])
--- a/tests/mustardlb_gateway/test_http_server.py
+++ b/tests/mustardlb_gateway/test_http_server.py
@@ -61,7 +61,8 @@
     async with Front().running() as front:
         received = await front.send(
             b'POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\nab'
-            b'POST /b HTTP/1.1\r\nhost: h\r\n' + CLOSE
+            b'POST /b HTTP/1.1\r\nhost: h\r\n'
+            + CLOSE
             + b'transfer-encoding: chunked\r\n\r\n2\r\ncd\r\n0\r\n\r\n'
         )
     assert received.count(b'HTTP/1.1 200') == 2
@@ -124,9 +125,7 @@
 
 async def test_answer_that_is_cut_does_not_look_complete():
     async with Front().running() as front:
-        received = await front.send(
-            b'GET /cut HTTP/1.1\r\nhost: h\r\n\r\n'
-        )
+        received = await front.send(b'GET /cut HTTP/1.1\r\nhost: h\r\n\r\n')
     assert b'begun' in received
     assert not received.endswith(b'0\r\n\r\n')
 
@@ -134,9 +133,7 @@
 async def test_stopping_server_ends_connections_after_their_answers():
     async with Front().running() as front:
         front.server.is_stopping = True
-        received = await front.send(
-            b'GET / HTTP/1.1\r\nhost: h\r\n\r\n'
-        )
+        received = await front.send(b'GET / HTTP/1.1\r\nhost: h\r\n\r\n')
     assert b'connection: close' in received.lower()
     assert b'got ' in received
 
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -15,9 +15,7 @@
     is_leaving=False,
     revisions={'config': 7},
     admitted={'acme': 12.5},
-    usages=(
-        _messages.TargetUsage('t1', 2, 300, (builders.adapter('a1'),)),
-    ),
+    usages=(_messages.TargetUsage('t1', 2, 300, (builders.adapter('a1'),)),),
     holdings=(
         _messages.Holding('t1', 4, 99, True, {builders.adapter('a1'): 2}, -1),
     ),
--- a/tests/mustardlb_gateway/test_placement.py
+++ b/tests/mustardlb_gateway/test_placement.py
@@ -120,9 +120,7 @@
 
 def test_prompt_that_was_read_there_counts_less():
     world = World(*three())
-    call = builders.make_call(
-        prompt=9000, parts=[('p', 8000), ('own', 1000)]
-    )
+    call = builders.make_call(prompt=9000, parts=[('p', 8000), ('own', 1000)])
     world.prefixes.note('t2', call)
     for target in ('t0', 't1'):
         world.table.begin(target, None, 1)
--- a/tests/mustardlb_gateway/test_retry_budget.py
+++ b/tests/mustardlb_gateway/test_retry_budget.py
@@ -28,7 +28,7 @@
         for budget in budgets:
             while budget.take(now):
                 repeats.append(now)
-    for start in range(0, 30):
+    for start in range(30):
         window = [at for at in repeats if start <= at < start + LIMIT.window]
         asked = [at for at in requests if start <= at < start + LIMIT.window]
         assert len(window) <= LIMIT.ratio * len(asked) + LIMIT.slack
--- a/tests/mustardlb_platform/test_store.py
+++ b/tests/mustardlb_platform/test_store.py
@@ -9,10 +9,14 @@
 
 def reply(status, fields=None, raw=None):
     body = raw if raw is not None else json.dumps(fields).encode()
-    return b'HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n' % (
-        status,
-        len(body),
-    ) + body
+    return (
+        b'HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n'
+        % (
+            status,
+            len(body),
+        )
+        + body
+    )
 
 
 def stored(name, revision, spec=None):
--- a/tests/mustardlb_platform/test_translation.py
+++ b/tests/mustardlb_platform/test_translation.py
@@ -118,13 +118,18 @@
 
 
 anything = strategies.recursive(
-    strategies.none() | strategies.booleans() | strategies.text(max_size=5)
-    | strategies.integers() | strategies.floats(allow_nan=False),
-    lambda inner: strategies.lists(inner, max_size=3)
-    | strategies.dictionaries(
-        strategies.sampled_from([*ENTRY, *CONFIGURATION, 'x']),
-        inner,
-        max_size=4,
+    strategies.none()
+    | strategies.booleans()
+    | strategies.text(max_size=5)
+    | strategies.integers()
+    | strategies.floats(allow_nan=False),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.sampled_from([*ENTRY, *CONFIGURATION, 'x']),
+            inner,
+            max_size=4,
+        )
     ),
     max_leaves=8,
 )
@@ -209,9 +214,7 @@
     call = translation.read_call(b'POST', b'/p/x', HEADERS, b'')
     target = translation.read_target('i-1', ENTRY)
     account = domain.Account('acme', frozenset())
-    sent = translation.forward_headers(
-        call, target, 3.2, account, 12, 4, '7'
-    )
+    sent = translation.forward_headers(call, target, 3.2, account, 12, 4, '7')
     values = dict(sent)
     assert len(values) == len(sent)
     assert values == {
--- a/tests/mustardlbd/test_peers.py
+++ b/tests/mustardlbd/test_peers.py
@@ -12,8 +12,8 @@
 import trustme
 
 from mustardlb import errors
-from mustardlb import vm_list
 from mustardlb import frames
+from mustardlb import vm_list
 from mustardlbd import _peer_server
 from mustardlbd import _peers
 
