--- a/packages/mustardlb-cli/mustardlb_cli/_main.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_main.py
@@ -22,6 +22,7 @@
 from mustardlb_cli import _fleet_status
 from mustardlb_cli import _key
 from mustardlb_cli import _output
+from mustardlb_cli import _request_log
 from mustardlb_cli import _settings
 from mustardlb_cli import _site
 
@@ -85,6 +86,17 @@
             lambda: _fleet_status.show_histograms(self._open, account)
         )
 
+    def explain(self, *logs: str, request: str) -> _command.Command:
+        """Show what the nodes' logs say of one request, in order.
+
+        Example: mustardlb explain node-*.log --request=9c41d07be2a35f68
+
+        Args:
+          logs: files with what the nodes wrote to standard output
+          request: the id of the request
+        """
+        return _request_log.make_command(logs, str(request))
+
 
 def main() -> NoReturn:
     """Run the command line of this process and exit."""
--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -128,6 +128,7 @@
                 choice.target.target_id, trio.current_time()
             )
             job.attempts.append(attempt)
+            self._note_choice(job, choice)
             await self._attempt(job, attempt, choice)
             self._note(job, attempt)
             if attempt.fate == _outcomes.Fate.ANSWERED:
@@ -148,6 +149,24 @@
             return False
         return job.route.may_repeat or not job.may_have_run
 
+    def _note_choice(self, job: Job, choice: _placement.Choice) -> None:
+        log.info(
+            'MLB-6604',
+            request=job.call.request_id,
+            target=choice.target.target_id,
+            attempt=len(job.attempts),
+            was_loaded=choice.must_load,
+            unread_tokens=choice.unread_tokens,
+            estimate=round(choice.estimate, 3),
+            running=self._targets.running(choice.target.target_id),
+            failure_share=round(
+                self._targets.health(choice.target.target_id).failure_share, 2
+            ),
+            targets_revision=self._targets.revision,
+            targets_age=round(self._targets.age, 3),
+            left=round(job.deadline - trio.current_time(), 3),
+        )
+
     def _note(self, job: Job, attempt: _outcomes.Attempt) -> None:
         now = trio.current_time()
         if attempt.fate == _outcomes.Fate.ANSWERED and not attempt.answer:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -77,6 +77,16 @@
         self._gone: list[abc.Callable[[domain.Target], None]] = []
         mirror.on_change(self._refresh)
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the store that the targets are known by."""
+        return self._mirror.revision
+
+    @property
+    def age(self) -> float:
+        """Return the seconds since the store confirmed it."""
+        return self._clock() - self._mirror.confirmed
+
     def on_gone(self, notify: abc.Callable[[domain.Target], None]) -> None:
         """Call a function for each target that is gone or restarted."""
         self._gone.append(notify)
