--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
@@ -101,7 +101,7 @@
         try:
             with trio.fail_after(ANSWER_TIMEOUT):
                 await connection.send(*request)
-                head = await connection.receive_head(_is_unaddressed)
+                head = await connection.receive_head(self._is_to_an_order)
                 body = await connection.receive_body(REPORT_LIMIT)
         except trio.TooSlowError as error:
             connection.close()
@@ -112,7 +112,7 @@
         self._pool.give_back(target.target_id, connection)
         return head.status, body
 
-
-def _is_unaddressed(head: http_client.Head) -> bool:
-    """Whether an answer may be one to an order: it bears no signature."""
-    return not any(name.endswith(b'-server-stamp') for name, _ in head.headers)
+    def _is_to_an_order(self, head: http_client.Head) -> bool:
+        """Whether an answer may be one to an order: it names no request."""
+        info = self._translation.read_answer(head.headers)
+        return info.request_id is None and not info.is_signed
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -70,6 +70,7 @@
         self._translation = translation
         self._clock = clock
         self.by_id: dict[str, domain.Target] = {}
+        self._read_by_id: dict[str, tuple[int, domain.Target | None]] = {}
         self._lapsed_by_id: dict[str, tuple[domain.Target, float]] = {}
         self._health_by_id: dict[str, Health] = {}
         self.usage_by_id: dict[str, Usage] = {}
@@ -92,11 +93,7 @@
         self._gone.append(notify)
 
     def _refresh(self) -> None:
-        fresh: dict[str, domain.Target] = {}
-        for name, stored in self._mirror.objects_by_name.items():
-            target = self._translation.read_target(name, stored.spec)
-            if target is not None:
-                fresh[name] = target
+        fresh = self._read_changed()
         before, self.by_id = self.by_id, fresh
         now = self._clock()
         for target_id, target in before.items():
@@ -122,6 +119,23 @@
             )
             self._lapsed_by_id.pop(target_id, None)
 
+    def _read_changed(self) -> dict[str, domain.Target]:
+        """Decode the entries that changed and return all usable ones."""
+        read: dict[str, tuple[int, domain.Target | None]] = {}
+        for name, stored in self._mirror.objects_by_name.items():
+            known = self._read_by_id.get(name)
+            if known is not None and known[0] == stored.revision:
+                read[name] = known
+                continue
+            target = self._translation.read_target(name, stored.spec)
+            read[name] = (stored.revision, target)
+        self._read_by_id = read
+        return {
+            name: target
+            for name, (_, target) in read.items()
+            if target is not None
+        }
+
     def _note_removed(self, target: domain.Target, now: float) -> None:
         until = self._mirror.connected_at + LAPSE_TIME
         if not self._mirror.is_connected:
--- /dev/null
+++ b/tests/test_wire_names.py
@@ -0,0 +1,19 @@
+"""Only the adapter knows the platform's names."""
+
+import pathlib
+import re
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parent.parent
+NAMES = re.compile(
+    r'x-mustardlb-|cold_remaining_ms|MUSTARDLB_BOOT|fencing_token|'
+    r'kv_used|weighted_backends|api_keys',
+    re.IGNORECASE,
+)
+SOURCES = sorted((ROOT / 'packages').glob('*/*/**/*.py'))
+
+
+@pytest.mark.parametrize('source', SOURCES, ids=lambda path: path.stem)
+def test_no_name_of_the_platform_outside_its_adapter(source):
+    assert not NAMES.search(source.read_text())
