--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -253,7 +253,7 @@
                 versions.least,
                 patience,
                 late_at - read_time - now,
-            ):
+            ) and self._targets.takes_requests(choice.target):
                 job.waited += trio.current_time() - began
                 return choice
             without_load |= {choice.target.target_id}
--- a/packages/mustardlb-gateway/mustardlb_gateway/_keepers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_keepers.py
@@ -21,7 +21,7 @@
 
 # Seconds after the start before engines are claimed: the digests of the
 # others tell which have a keeper.
-START_PAUSE = 1.2
+START_PAUSE = 0.8
 
 # Adapters of each engine that are remembered as held lately; an engine has
 # them at hand in its host's memory and loads them in a tenth of the time.
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -182,6 +182,16 @@
             if target.service == service
         ]
 
+    def takes_requests(self, target: domain.Target) -> bool:
+        """Whether a target that was chosen before still takes requests."""
+        now = self.by_id.get(target.target_id)
+        if now is None:
+            return target.target_id in self._lapsed_by_id
+        return (
+            now.state == domain.TargetState.READY
+            and now.incarnation == target.incarnation
+        )
+
     def health(self, target_id: str) -> Health:
         """Return what was seen of a target."""
         return self._health_by_id.setdefault(target_id, Health())
--- a/tests/mustardlb_gateway/fronts.py
+++ b/tests/mustardlb_gateway/fronts.py
@@ -98,7 +98,7 @@
         self.targets = _targets.TargetTable(mirror, translation, clock)
         prefixes = _prefixes.PrefixMemory(clock)
         self.quota = _quota.Quota(lambda: _quota.Tolerance(0.0, 10.0))
-        dispatcher = _dispatch.Dispatcher(
+        self.dispatcher = _dispatch.Dispatcher(
             translation,
             http_client.Pool(0.5),
             self.targets,
@@ -117,7 +117,7 @@
         )
         self.gateway = _gateway.Gateway(
             translation,
-            dispatcher,
+            self.dispatcher,
             self.quota,
             _metrics.Metrics(),
             lambda: self.configuration,
@@ -150,15 +150,16 @@
                 )
                 for script in scripts
             ]
-            self._list(changes)
+            self.list_targets(**changes)
             self.port = await nursery.start(self.server.serve, '127.0.0.1', 0)
             yield self
             nursery.cancel_scope.cancel()
 
-    def _list(self, changes):
+    def list_targets(self, without='', **changes):
         listed = [
             builders.make_target(f't{number}', port=server.port, **changes)
             for number, server in enumerate(self.scripted)
+            if f't{number}' != without
         ]
         self.mirror.adopt(
             [ports.StoredObject(each.target_id, 1, each) for each in listed],
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -223,6 +223,28 @@
     assert front.loads == [('t0', builders.adapter('a7'))]
 
 
+async def test_target_that_left_while_it_loaded_gets_no_request():
+    front = fronts.Front(STREAM, engine=True)
+    first = True
+
+    async def load(target_id, adapter, version, patience, slack):
+        nonlocal first
+        await trio.lowlevel.checkpoint()
+        if first:
+            first = False
+            front.loads.append(target_id)
+            front.list_targets(without=target_id)
+        return True
+
+    front.dispatcher._load = load
+    streams = [make_stream(range(1)), make_stream(range(1))]
+    async with front.running(*streams) as front:
+        answer = await front.ask(b'x-adapter: a7\r\n')
+        assert answer.is_complete
+        left = front.scripted[int(front.loads[0][1:])]
+        assert left.requests == []
+
+
 async def test_adapter_that_is_held_is_not_loaded():
     front = fronts.Front(STREAM, engine=True)
     async with front.running(make_stream(range(1)), resident=['a7']) as front:
