--- a/packages/mustardlb-gateway/mustardlb_gateway/_snapshots.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_snapshots.py
@@ -14,6 +14,10 @@
 # node's own watch is the cheaper way while it works.
 BEHIND_FOR = 0.5
 
+# Least time between two fetches of a kind, seconds: changes that come close
+# together are fetched at once.
+FETCH_PAUSE = 0.15
+
 
 class Snapshots:
     """The mirrors of a node and how far those of its peers are."""
@@ -26,6 +30,7 @@
         self._mirrors_by_kind = {mirror.kind: mirror for mirror in mirrors}
         self._clock = clock
         self._behind_since: dict[str, float] = {}
+        self._fetched_at: dict[str, float] = {}
 
     def revisions(self) -> dict[str, int]:
         """Return the revision of the last change of each kind."""
@@ -49,8 +54,11 @@
                 self._behind_since.pop(kind, None)
                 continue
             since = self._behind_since.setdefault(kind, now)
+            if now - self._fetched_at.get(kind, 0.0) < FETCH_PAUSE:
+                continue
             if not watches or now - since >= BEHIND_FOR:
                 found.append(kind)
+                self._fetched_at[kind] = now
                 self._behind_since[kind] = now
         return found
 
@@ -65,7 +73,7 @@
         is_newer = mirror.adopt_changes(
             answer.objects, answer.names, answer.revision
         )
-        log.info(
+        log.debug(
             'MLB-6104',
             kind=kind,
             peer=vm,
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -243,6 +243,9 @@
         }
         self.keepers.hear(vm, digest)
         watches = self.membership.must_watch()
+        if not watches and vm not in self.membership.neighbours():
+            # The hubs have it as well, and are linked already.
+            return
         for kind in self._snapshots.missing(digest.revisions, watches):
             if self._nursery is not None:
                 self._nursery.start_soon(
