--- a/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
@@ -17,8 +17,10 @@
 # Seconds to await an answer.
 ANSWER_TIMEOUT = 1.5
 
-# Seconds in which a hub gathers what it passes on.
+# Seconds in which news are gathered before they are passed on in a small
+# fleet; in a larger one, a part of the time between two digests.
 RELAY_PAUSE = 0.05
+RELAY_PART = 0.5
 
 # Seconds between two looks at which links are needed.
 LINK_PAUSE = 0.25
@@ -218,7 +220,10 @@
             async with trio.open_nursery() as nursery:
                 for channel, keys in list(self._destinations()):
                     nursery.start_soon(self._send_news, channel, keys)
-            await trio.sleep(RELAY_PAUSE)
+            pause = RELAY_PAUSE
+            if len(self.membership.vms_by_name) > MOST_TOLD:
+                pause = RELAY_PART * self.membership.interval
+            await trio.sleep(pause)
 
     def _destinations(
         self,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_snapshots.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_snapshots.py
@@ -54,7 +54,8 @@
                 self._behind_since.pop(kind, None)
                 continue
             since = self._behind_since.setdefault(kind, now)
-            if now - self._fetched_at.get(kind, 0.0) < FETCH_PAUSE:
+            fetched_at = self._fetched_at.get(kind)
+            if fetched_at is not None and now - fetched_at < FETCH_PAUSE:
                 continue
             if not watches or now - since >= BEHIND_FOR:
                 found.append(kind)
