--- a/packages/mustardlb-gateway/mustardlb_gateway/_membership.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_membership.py
@@ -24,7 +24,7 @@
 
 # Digests a second of all nodes together; larger fleets send each less often.
 # A digest costs a node a quarter of a millisecond.
-MOST_DIGESTS = 160.0
+MOST_DIGESTS = 60.0
 
 # A node is silent after so many intervals without a digest, and at least so
 # many seconds, which cover the way over two hubs.
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
@@ -22,6 +22,10 @@
 RELAY_PAUSE = 0.05
 RELAY_PART = 0.5
 
+# In a larger fleet the second hub of a data centre repeats what the first
+# has told only in every so many rounds.
+SECOND_HUB_ROUNDS = 4
+
 # Seconds between two looks at which links are needed.
 LINK_PAUSE = 0.25
 
@@ -214,11 +218,11 @@
 
     async def _pass_on(self) -> None:
         """Send news to the neighbours, and as a hub to those that dialled."""
-        while True:
+        for number in itertools.count():
             await self._has_news.wait()
             self._has_news = trio.Event()
             async with trio.open_nursery() as nursery:
-                for channel, keys in list(self._destinations()):
+                for channel, keys in list(self._destinations(number)):
                     nursery.start_soon(self._send_news, channel, keys)
             pause = RELAY_PAUSE
             if len(self.membership.vms_by_name) > MOST_TOLD:
@@ -226,12 +230,12 @@
             await trio.sleep(pause)
 
     def _destinations(
-        self,
+        self, number: int
     ) -> abc.Iterator[tuple[_links.Channel, list[_links.NewsKey]]]:
         """Return each channel with the news that go that way."""
         is_hub = self.membership.is_hub()
         vms = self.membership.vms_by_name
-        hubs = set(self.membership.hubs(self.me.data_centre))
+        hubs = self.membership.hubs(self.me.data_centre)
         own = [key for key in self._news if key[0] == self.me.vm]
         if is_hub:
             own += [
@@ -246,6 +250,12 @@
                 continue
             is_led = is_hub and name in vms and name not in self._all_hubs()
             yield channel, list(self._news) if is_led else own
+        if (
+            len(vms) > MOST_TOLD
+            and hubs[0] != self.me.vm
+            and number % SECOND_HUB_ROUNDS
+        ):
+            return
         for channel in self._accepted:
             if channel.vm and channel.vm not in self._channels_by_vm:
                 yield channel, list(self._news)
