--- a/tests/mustardlb_platform/test_translation.py
+++ b/tests/mustardlb_platform/test_translation.py
@@ -122,7 +122,7 @@
     | strategies.booleans()
     | strategies.text(max_size=5)
     | strategies.integers()
-    | strategies.floats(allow_nan=False),
+    | strategies.floats(),
     lambda inner: (
         strategies.lists(inner, max_size=3)
         | strategies.dictionaries(
