Space model loads of many engines; remove what is no longer used

A deployment with many engines and a slow weight store could have begun more loads at once than it allows: each node spaces its own. Removed: a way to take a fresh connection, to forget a node's counts, the time of an adapter's last use.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -219,17 +219,7 @@
             left = job.deadline - now
             if left <= LEAST_TIME:
                 raise self._final(job, 'no target could take it in time')
-            versions = Versions(0, 0)
-            if adapter is not None and adapter.adapter:
-                versions = self._versions(adapter)
-            wish = _placement.Wish(
-                job.service,
-                job.call,
-                versions.least,
-                versions.newest,
-                frozenset(each.target_id for each in job.attempts),
-                without_load,
-            )
+            wish = self._wish(job, without_load)
             choice = self._placement.choose(wish)
             if choice is None and (job.attempts or without_load):
                 without_load = frozenset()
@@ -250,7 +240,7 @@
             if await self._load(
                 choice.target.target_id,
                 adapter,
-                versions.least,
+                wish.version,
                 patience,
                 late_at - read_time - now,
             ) and self._targets.takes_requests(choice.target):
@@ -259,6 +249,20 @@
             without_load |= {choice.target.target_id}
             await trio.sleep(min(CHOICE_PAUSE, left / 2))
 
+    def _wish(self, job: Job, without_load: frozenset[str]) -> _placement.Wish:
+        adapter = job.call.adapter
+        versions = Versions(0, 0)
+        if adapter is not None and adapter.adapter:
+            versions = self._versions(adapter)
+        return _placement.Wish(
+            job.service,
+            job.call,
+            versions.least,
+            versions.newest,
+            frozenset(each.target_id for each in job.attempts),
+            without_load,
+        )
+
     async def _attempt(
         self,
         job: Job,
@@ -293,6 +297,7 @@
         note_read: abc.Callable[[], None],
     ) -> None:
         connection: http_client.Connection | None = None
+        client_gone = False
         try:
             async with trio.open_nursery() as nursery:
                 nursery.cancel_scope.deadline = job.deadline
@@ -300,7 +305,6 @@
                     target.target_id,
                     target.host,
                     target.port,
-                    fresh=False,
                 )
                 attempt.was_sent = True
                 await connection.send(
@@ -318,15 +322,14 @@
             if not attempt.was_sent:
                 attempt.fate = _outcomes.Fate.NOT_RUN
         except* http_server.ClientGone:
-            # Told below, outside of the group.
-            attempt.problem = 'the client has gone'
+            client_gone = True
         finally:
             if connection is not None:
                 if attempt.fate == _outcomes.Fate.UNKNOWN:
                     connection.close()
                 else:
                     self._pool.give_back(target.target_id, connection)
-        if attempt.problem == 'the client has gone':
+        if client_gone:
             raise http_server.ClientGone
         if attempt.fate == _outcomes.Fate.UNKNOWN and not attempt.problem:
             attempt.problem = 'no answer in time'
--- a/packages/mustardlb-gateway/mustardlb_gateway/_keepers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_keepers.py
@@ -23,6 +23,12 @@
 # others tell which have a keeper.
 START_PAUSE = 0.8
 
+# Model loads that all engines may begin at once are no more than the weight
+# store allows in this time, seconds; beyond, each node spaces its own so that
+# all together use this part of the store's rate.
+MODEL_LOAD_WINDOW = 2.5
+MODEL_RATE_PART = 0.8
+
 # Adapters of each engine that are remembered as held lately; an engine has
 # them at hand in its host's memory and loads them in a tenth of the time.
 HELD_LATELY = 50
@@ -58,6 +64,7 @@
         self._lately_by_target: dict[
             str, collections.OrderedDict[domain.AdapterName, None]
         ] = {}
+        self._model_load_at = float('-inf')
         self.is_leaving = False
         targets.on_gone(self._target_gone)
 
@@ -126,6 +133,8 @@
         if service is None or service.engine is None:
             return None
         engine = service.engine
+        if not self._may_load_model(service.name, engine.loads_per_second):
+            return None
         copies = {
             name: 0
             for name, model in engine.models_by_name.items()
@@ -137,6 +146,19 @@
                     copies[adapter.model] += 1
         return min(copies, key=lambda name: copies[name], default=None)
 
+    def _may_load_model(self, service: str, loads_per_second: float) -> bool:
+        """Whether this node may begin a load; the next one is spaced."""
+        engines = len(self._targets.ready(service))
+        if engines <= loads_per_second * MODEL_LOAD_WINDOW:
+            return True
+        now = self._clock()
+        nodes = len(self._peers.alive()) + 1
+        pause = nodes / max(0.01, loads_per_second * MODEL_RATE_PART)
+        if now < self._model_load_at + pause:
+            return False
+        self._model_load_at = now
+        return True
+
     def _yield_to_later(
         self, target_id: str, lease: _leases.Lease | None
     ) -> None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_quota.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_quota.py
@@ -141,10 +141,6 @@
         peer.admitted_by_account = peer.admitted_by_account | counts
         peer.heard_at = now
 
-    def forget(self, vm: str) -> None:
-        """Assume nothing more of a node that has left."""
-        self._peers_by_vm.pop(vm, None)
-
     def assume_silent(self, now: float) -> None:
         """Charge the even share of each node that is not heard from."""
         nodes = len(self._peers_by_vm) + 1
--- a/packages/mustardlb-gateway/mustardlb_gateway/_usage_memory.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_usage_memory.py
@@ -1,7 +1,5 @@
 """How much each adapter was used, the recent past counting most."""
 
-import math
-
 from mustardlb_gateway import domain
 
 # Adapters remembered; many times the slots of an engine.
@@ -38,10 +36,6 @@
         """Note an adapter of which no use is known."""
         self._weight_and_time.setdefault(adapter, (0.0, now))
 
-    def last(self, adapter: domain.AdapterName) -> float:
-        """Return when an adapter was used last."""
-        return self._weight_and_time.get(adapter, (0.0, -math.inf))[1]
-
     def weight(self, adapter: domain.AdapterName, now: float) -> float:
         """Return how much an adapter was used."""
         weight, since = self._weight_and_time.get(adapter, (0.0, now))
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -227,13 +227,11 @@
         self._connect_timeout = connect_timeout
         self._idle_by_peer: dict[str, list[Connection]] = {}
 
-    async def take(
-        self, peer: str, host: str, port: int, fresh: bool = False
-    ) -> Connection:
+    async def take(self, peer: str, host: str, port: int) -> Connection:
         """Return a connection to a peer; raises ExchangeFailed unsent."""
         idle = self._idle_by_peer.get(peer, [])
         now = trio.current_time()
-        while idle and not fresh:
+        while idle:
             found = idle.pop()
             if found.is_usable(now):
                 return found
