--- /dev/null
+++ b/tests/soak/soak_store.py
@@ -0,0 +1,115 @@
+"""The platform's store over HTTP, as its published protocol says."""
+
+import json
+import urllib.parse
+
+import scripted
+import trio
+
+
+class HttpStore:
+    """Objects by kind, with revisions, conditional writes and watches.
+
+    :ivar is_down: every call is answered with 503
+    :ivar loses_answers: writes are done and their connections closed
+    """
+
+    def __init__(self):
+        self.revision = 1
+        self.objects_by_kind = {}
+        self.events = []
+        self.is_down = False
+        self.loses_answers = False
+        self._changed = trio.Event()
+        self.server = scripted.ScriptedServer(self._serve)
+
+    def put(self, kind, name, spec):
+        """Write an object as the operators or targets do."""
+        self.revision += 1
+        fields = {
+            'metadata': {'name': name, 'revision': self.revision},
+            'spec': spec,
+            'status': None,
+        }
+        self.objects_by_kind.setdefault(kind, {})[name] = fields
+        self._note(kind, fields, False)
+        return fields
+
+    def remove(self, kind, name):
+        """Remove an object."""
+        fields = self.objects_by_kind.get(kind, {}).pop(name, None)
+        if fields is not None:
+            self.revision += 1
+            self._note(kind, fields, True)
+
+    def _note(self, kind, fields, removed):
+        event = {'object': fields, 'removed': removed}
+        self.events.append((self.revision, kind, event))
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def _serve(self, connection, head, body):
+        status, fields = await self._answer(head, body)
+        if status is None:
+            await connection.reset()
+            return
+        payload = json.dumps(fields).encode()
+        await connection.send(
+            b'HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n'
+            % (status, len(payload))
+            + payload
+        )
+
+    async def _answer(self, head, body):
+        if self.is_down:
+            return 503, {}
+        url = urllib.parse.urlsplit(head.target.decode())
+        kind, _, name = url.path.removeprefix('/-/objects/').partition('/')
+        query = dict(urllib.parse.parse_qsl(url.query))
+        if head.method == b'GET':
+            return await self._read(kind, name, query)
+        result = self._write(head.method, kind, name, json.loads(body))
+        return (None, None) if self.loses_answers else result
+
+    async def _read(self, kind, name, query):
+        objects = self.objects_by_kind.get(kind, {})
+        if name:
+            found = objects.get(name)
+            return (200, found) if found else (404, {})
+        if 'watch' in query:
+            return await self._watch(kind, query)
+        return 200, {
+            'items': list(objects.values()),
+            'has_more': False,
+            'current_rev': self.revision,
+        }
+
+    async def _watch(self, kind, query):
+        since = int(query['watch'])
+        with trio.move_on_after(int(query['wait_ms']) / 1000):
+            while not self._since(kind, since):
+                await self._changed.wait()
+        return 200, {
+            'events': self._since(kind, since),
+            'current_rev': self.revision,
+        }
+
+    def _since(self, kind, since):
+        return [
+            event
+            for revision, each, event in self.events
+            if each == kind and revision > since
+        ]
+
+    def _write(self, method, kind, name, fields):
+        name = name or fields['metadata']['name']
+        current = self.objects_by_kind.get(kind, {}).get(name)
+        if method == b'POST' and current is not None:
+            return 409, current
+        if method == b'PUT':
+            if current is None:
+                return 404, {}
+            wanted = fields['metadata'].get('revision')
+            if wanted not in (None, current['metadata']['revision']):
+                return 409, current
+        return 200, self.put(kind, name, fields['spec'])
