--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -51,7 +51,9 @@
     harmed_until: float = 0.0
 
     def start(self):
-        """Start the process; its log is kept in the folder."""
+        """Start the process, unless another fault has; keep its log."""
+        if self.process is not None and self.process.poll() is None:
+            return
         path = self.folder / f'{self.name}.json'
         path.write_text(json.dumps(self._settings()))
         environment = os.environ | {
