--- a/tests/soak/soak_clients.py
+++ b/tests/soak/soak_clients.py
@@ -154,8 +154,8 @@
 def check(outcomes, record, withdrawn):
     """Return what broke a promise, as sentences.
 
-    `withdrawn` gives for a key the time from which no node in touch may
-    serve it; clients note only those nodes.
+    `withdrawn` gives for a key the time from which no sound node may
+    serve it, or None.
     """
     found = list(record.violations)
     for each in outcomes:
