--- a/packages/mustardlb-gateway/mustardlb_gateway/_keepers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_keepers.py
@@ -6,6 +6,7 @@
 import structlog
 import trio
 
+from mustardlb_gateway import _centres
 from mustardlb_gateway import _engine_client
 from mustardlb_gateway import _engine_keeper
 from mustardlb_gateway import _leases
@@ -60,7 +61,8 @@
         self._service = service
         self._newest = newest
         self._by_target: dict[str, _engine_keeper.EngineKeeper] = {}
-        self._holdings_by_target: dict[str, dict[str, _messages.Holding]] = {}
+        self._holdings_by_target: dict[str, dict[str, _centres.Holding]] = {}
+        self._touched_at = float('-inf')
         self._lately_by_target: dict[
             str, collections.OrderedDict[domain.AdapterName, None]
         ] = {}
@@ -181,23 +183,26 @@
             self._leases.drop(target_id, 'this node stops')
         self._by_target.clear()
 
-    def hear(self, vm: str, digest: _messages.Digest) -> None:
-        """Note which engines another node keeps, and what it uses."""
-        for holdings in self._holdings_by_target.values():
-            holdings.pop(vm, None)
-        for holding in digest.holdings:
-            by_vm = self._holdings_by_target.setdefault(holding.target_id, {})
-            by_vm[vm] = holding
-            self._note_held(holding.target_id, holding.resident)
-        for usage in digest.usages:
-            keeper = self._by_target.get(usage.target_id)
-            if keeper is not None:
-                for adapter in usage.adapters:
-                    keeper.touch(adapter)
-        for keeper in self._by_target.values():
+    def hear(self, view: dict[str, _centres.Centre]) -> None:
+        """Note which engines other nodes keep, and which adapters they use."""
+        self._holdings_by_target = {}
+        for centre in view.values():
+            for (vm, target_id), holding in centre.holdings.items():
+                by_vm = self._holdings_by_target.setdefault(target_id, {})
+                by_vm[vm] = holding
+                self._note_held(target_id, holding.resident)
+        now = self._clock()
+        is_due = now - self._touched_at >= TICK
+        if is_due:
+            self._touched_at = now
+        for target_id, keeper in self._by_target.items():
+            if is_due:
+                for centre in view.values():
+                    for adapter in centre.uses.get(target_id, ()):
+                        keeper.touch(adapter)
             keeper.usage_changed()
 
-    def _holder(self, target_id: str) -> tuple[str, _messages.Holding] | None:
+    def _holder(self, target_id: str) -> tuple[str, _centres.Holding] | None:
         """Return the live node that keeps a target, by the latest fence."""
         alive = self._peers.alive()
         found = [
@@ -227,12 +232,12 @@
         """Whether an engine held an adapter lately."""
         return adapter in self._lately_by_target.get(target_id, ())
 
-    def own_holdings(self) -> tuple[_messages.Holding, ...]:
+    def own_holdings(self) -> tuple[_centres.Holding, ...]:
         """Return what this node keeps, for its digest."""
         for target_id, keeper in self._by_target.items():
             self._note_held(target_id, keeper.resident)
         return tuple(
-            _messages.Holding(
+            _centres.Holding(
                 target_id,
                 keeper.lease.fence,
                 keeper.target.incarnation,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_links.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_links.py
@@ -7,7 +7,7 @@
 import trio
 
 from mustardlb import frames
-from mustardlb_gateway import _membership
+from mustardlb_gateway import _centres
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _sockets
 
@@ -33,13 +33,12 @@
     trio.TooSlowError,
 )
 
-# Handles a message, given its bytes too; what it returns is sent back.
-Handle = abc.Callable[
-    ['Channel', _messages.Message, bytes],
-    abc.Awaitable[_messages.Body | None],
+# Takes a message that is told, in the order of the connection.
+Hear = abc.Callable[['Channel', _messages.Message], None]
+# Answers a question; what it returns is sent back.
+Answer = abc.Callable[
+    [_messages.Message], abc.Awaitable[_messages.Body | None]
 ]
-# Who tells something, and which type of message it is.
-NewsKey = tuple[str, type]
 
 Encode = abc.Callable[[_messages.Body, int], bytes]
 
@@ -48,7 +47,9 @@
     """One connection to a node, whichever side opened it.
 
     :ivar vm: who is at the other end, '' until it said so
-    :ivar sent: last news of each kind that went this way
+    :ivar subscriptions: asked for by the other end so far; the last counts
+    :ivar is_subscribed: this node has asked for updates
+    :ivar is_open: messages can still pass
     """
 
     def __init__(
@@ -57,7 +58,9 @@
         self._stream = stream
         self._encode = encode
         self.vm = vm
-        self.sent: dict[NewsKey, tuple[int, int]] = {}
+        self.subscriptions = 0
+        self.is_subscribed = False
+        self.is_open = True
         self._lock = trio.Lock()
         self._numbers = itertools.count(1)
         self._waiting: dict[int, trio.MemorySendChannel[_messages.Body]] = {}
@@ -69,10 +72,15 @@
     async def send(self, data: bytes) -> None:
         """Send the bytes of a message; raises one of BROKEN."""
         async with self._lock:
-            # Shielded: half a message would spoil all that follow.
-            with trio.fail_after(SEND_TIMEOUT) as scope:
-                scope.shield = True
-                await frames.send(self._stream, data)
+            try:
+                # Shielded: half a message would spoil all that follow.
+                with trio.fail_after(SEND_TIMEOUT) as scope:
+                    scope.shield = True
+                    await frames.send(self._stream, data)
+            except BROKEN:
+                self.is_open = False
+                await trio.aclose_forcefully(self._stream)
+                raise
 
     async def ask(
         self, body: _messages.Body, timeout: float
@@ -92,20 +100,22 @@
             self._waiting.pop(number, None)
         return None
 
-    async def run(self, handle: Handle) -> None:
+    async def run(self, hear: Hear, answer: Answer) -> None:
         """Receive messages until the connection ends or breaks."""
         try:
             async with trio.open_nursery() as nursery:
                 while (data := await frames.receive(self._stream)) is not None:
                     message = _messages.decode(data)
-                    if isinstance(
-                        message.body, _messages.Wanted | _messages.Snapshot
-                    ):
-                        self._answered(message)
-                        continue
-                    nursery.start_soon(self._handle, handle, message, data)
+                    match message.body:
+                        case _messages.Wanted() | _messages.Snapshot():
+                            self._answered(message)
+                        case _messages.Want() | _messages.SnapshotRequest():
+                            nursery.start_soon(self._reply, answer, message)
+                        case _:
+                            hear(self, message)
                 nursery.cancel_scope.cancel()
         finally:
+            self.is_open = False
             await trio.aclose_forcefully(self._stream)
 
     def _answered(self, message: _messages.Message) -> None:
@@ -113,15 +123,13 @@
         if waiting is not None:
             waiting.send_nowait(message.body)
 
-    async def _handle(
-        self, handle: Handle, message: _messages.Message, data: bytes
-    ) -> None:
-        body = await handle(self, message, data)
+    async def _reply(self, answer: Answer, message: _messages.Message) -> None:
+        body = await answer(message)
         if body is not None:
             await self.send(self._encode(body, message.request))
 
 
-async def open_channel(vm: _membership.Vm, encode: Encode) -> Channel:
+async def open_channel(vm: _centres.Vm, encode: Encode) -> Channel:
     """Connect to a node; raises OSError."""
     stream = await _sockets.connect(vm.host, vm.port, CONNECT_TIMEOUT)
     return Channel(stream, encode, vm.vm)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_membership.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_membership.py
@@ -1,155 +1,196 @@
 """Which nodes there are, which of them live, and which are hubs.
 
 In each data centre the two nodes with the widest links are hubs. Every node
-has links to the hubs of its data centre, every hub to all other hubs; hubs
-pass on what they hear. Nobody appoints a hub: whoever is dialled serves, and
-a hub that does not answer is passed over for the next one.
+has links to the hubs of its data centre, every hub to all other hubs. Nobody
+appoints a hub: whoever is dialled serves, and a hub that does not answer is
+passed over for the next one.
 """
 
 from collections import abc
-import dataclasses
 import hashlib
 
 import structlog
 
-from mustardlb_gateway import _messages
+from mustardlb_gateway import _centres
 
 log = structlog.get_logger()
 
 # Hubs of a data centre: one more than may fail at once without a pause.
 HUBS_PER_CENTRE = 2
 
-# Seconds between two digests of a node in a small fleet.
-DIGEST_INTERVAL = 0.25
+# Seconds between two digests of a node, and two updates of a hub, while
+# something changes; more in a larger fleet, where each brings more news.
+INTERVAL = 0.25
+INTERVAL_PER_NODE = 1 / 400
 
-# Digests a second of all nodes together; larger fleets send each less often.
-# A digest costs a node a quarter of a millisecond.
-MOST_DIGESTS = 60.0
+# Nodes up to which news are passed on within a few hundredths of a second.
+SMALL_FLEET = 16
+SMALL_FLEET_PAUSE = 0.05
 
-# A node is silent after so many intervals without a digest, and at least so
-# many seconds, which cover the way over two hubs.
+# Intervals after which a digest or an update is sent without any news. Three
+# of these fit the silence after which an account's limit is shared out.
+QUIET_INTERVALS = 1.5
+
+# A node is silent after so many intervals without a digest, and at least
+# so many seconds.
 MISSED_DIGESTS = 4
 LEAST_SILENCE = 1.0
 
-# Seconds for which a node that cannot be reached is passed over as a hub.
-SUSPECTED_FOR = 4.0
+# Seconds for which a node that cannot be reached is passed over as a hub: at
+# first, a start that came a moment later, and at most.
+FIRST_SUSPICION = 0.5
+LONGEST_SUSPICION = 4.0
 
 # Seconds after which a node that is neither heard nor reached is forgotten;
 # it comes back by itself.
 FORGET_AFTER = 60.0
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Vm:
-    """A node of the fleet and where its peers reach it.
-
-    :ivar capacity: of its network link, Mbit/s
-    """
-
-    vm: str
-    host: str
-    port: int
-    data_centre: str
-    capacity: float
-
-
-@dataclasses.dataclass(slots=True)
-class Heard:
-    """The last digest of a node."""
-
-    incarnation: int
-    digest: _messages.Digest
-    at: float
+# Seconds for which a node that fell silent may still serve requests: beyond
+# most partitions.
+LOST_FOR = 20.0
 
 
 class Membership:
-    """The nodes that this one knows."""
+    """The nodes that this one knows.
+
+    :ivar live: those that their hubs hear, without this one
+    """
 
-    def __init__(self, me: Vm, clock: abc.Callable[[], float]) -> None:
+    def __init__(
+        self, me: _centres.Vm, clock: abc.Callable[[], float]
+    ) -> None:
         self.me = me
         self._clock = clock
-        self.vms_by_name: dict[str, Vm] = {}
-        self.heard_by_vm: dict[str, Heard] = {}
+        self.vms_by_name: dict[str, _centres.Vm] = {}
+        self.live: frozenset[str] = frozenset()
         self._met_at: dict[str, float] = {}
+        self._heard_at: dict[str, float] = {}
+        self._left: set[str] = set()
         self._suspected_until: dict[str, float] = {}
+        self._suspicion: dict[str, float] = {}
+        # Hubs by data centre, until a suspicion ends.
+        self._hubs: dict[str, list[str]] = {}
+        self._hubs_until = float('inf')
 
     @property
     def interval(self) -> float:
-        """Seconds between two digests of a node."""
-        return max(DIGEST_INTERVAL, len(self.vms_by_name) / MOST_DIGESTS)
+        """Seconds between two digests of a node, or updates of a hub."""
+        return max(INTERVAL, len(self.vms_by_name) * INTERVAL_PER_NODE)
+
+    @property
+    def pause(self) -> float:
+        """Seconds in which news are gathered before they are passed on."""
+        if len(self.vms_by_name) <= SMALL_FLEET:
+            return SMALL_FLEET_PAUSE
+        return self.interval
+
+    @property
+    def silence(self) -> float:
+        """Seconds without a digest after which a node counts as silent."""
+        return max(LEAST_SILENCE, MISSED_DIGESTS * self.interval)
 
-    def add(self, vm: Vm) -> None:
+    def add(self, vm: _centres.Vm) -> None:
         """Note a node, or its new address."""
         if vm.vm == self.me.vm or self.vms_by_name.get(vm.vm) == vm:
             return
         log.info('MLB-6301', peer=vm.vm, host=vm.host)
         self.vms_by_name[vm.vm] = vm
         self._met_at[vm.vm] = self._clock()
-        self._suspected_until.pop(vm.vm, None)
+        self.trust(vm.vm)
+        self._hubs.clear()
 
-    def hear(
-        self, message: _messages.Message, digest: _messages.Digest
-    ) -> None:
-        """Take the digest of a node."""
-        before = self.heard_by_vm.get(message.vm)
-        if before is None or before.incarnation != message.incarnation:
-            log.info(
-                'MLB-6302', peer=message.vm, incarnation=message.incarnation
-            )
-        self.heard_by_vm[message.vm] = Heard(
-            message.incarnation, digest, self._clock()
-        )
-        self.add(
-            Vm(
-                message.vm,
-                digest.host,
-                digest.port,
-                digest.data_centre,
-                digest.capacity,
-            )
-        )
+    def note_heard(self, vm: str, is_leaving: bool = False) -> None:
+        """Note that a node, or a hub of it, told that it lives."""
+        self._heard_at[vm] = self._clock()
+        if is_leaving:
+            self._left.add(vm)
+        else:
+            self._left.discard(vm)
 
-    def alive(self) -> set[str]:
-        """Return the nodes whose digests came lately, without this one."""
-        silence = max(LEAST_SILENCE, MISSED_DIGESTS * self.interval)
-        since = self._clock() - silence
-        return {
-            vm
-            for vm, heard in self.heard_by_vm.items()
-            if heard.at >= since and not heard.digest.is_leaving
-        }
+    def set_live(self, vms: abc.Iterable[str]) -> None:
+        """Note which nodes live now."""
+        self.live = frozenset(vms) - {self.me.vm}
 
     def hears_majority(self) -> bool:
-        """Whether more than half of all known nodes were heard lately."""
-        return 2 * (len(self.alive()) + 1) > len(self.vms_by_name) + 1
+        """Whether more than half of all known nodes live."""
+        return 2 * (len(self.live) + 1) > len(self.vms_by_name) + 1
+
+    def lost_lately(self, data_centre: str) -> list[str]:
+        """Return the nodes that were heard not long ago, now or before.
+
+        Without those that said that they leave.
+        """
+        since = self._clock() - LOST_FOR
+        return [
+            vm.vm
+            for vm in self.vms_by_name.values()
+            if vm.data_centre == data_centre
+            and self._heard_at.get(vm.vm, since) > since
+            and vm.vm not in self._left
+        ]
 
     def suspect(self, vm: str) -> None:
-        """Note that a node cannot be reached."""
-        self._suspected_until[vm] = self._clock() + SUSPECTED_FOR
+        """Note that a node cannot be reached, for longer each time."""
+        seconds = self._suspicion.get(vm, FIRST_SUSPICION)
+        self._suspicion[vm] = min(2 * seconds, LONGEST_SUSPICION)
+        self._suspected_until[vm] = self._clock() + seconds
+        self._hubs.clear()
+
+    def trust(self, vm: str) -> None:
+        """Note that a node was reached."""
+        self._suspicion.pop(vm, None)
+        if self._suspected_until.pop(vm, None) is not None:
+            self._hubs.clear()
 
     def forget_lost(self) -> None:
         """Forget nodes that were not heard for long."""
         since = self._clock() - FORGET_AFTER
         for vm in list(self.vms_by_name):
-            heard = self.heard_by_vm.get(vm)
-            latest = heard.at if heard else self._met_at[vm]
-            if latest < since:
+            if self._heard_at.get(vm, self._met_at[vm]) < since:
                 del self.vms_by_name[vm]
                 del self._met_at[vm]
-                self.heard_by_vm.pop(vm, None)
+                self._heard_at.pop(vm, None)
+                self._suspicion.pop(vm, None)
+                self._left.discard(vm)
+                self._hubs.clear()
                 log.info('MLB-6303', peer=vm)
 
+    def data_centres(self) -> set[str]:
+        """Return the data centres of all known nodes."""
+        centres = {vm.data_centre for vm in self.vms_by_name.values()}
+        return centres | {self.me.data_centre}
+
     def hubs(self, data_centre: str) -> list[str]:
         """Return the hubs of a data centre, as this node sees it."""
+        if self._clock() >= self._hubs_until:
+            self._hubs.clear()
+        if not self._hubs:
+            self._hubs = self._find_hubs()
+        return self._hubs.get(data_centre, [])
+
+    def _find_hubs(self) -> dict[str, list[str]]:
         now = self._clock()
-        candidates = [
-            vm
-            for vm in (self.me, *self.vms_by_name.values())
-            if vm.data_centre == data_centre
-            and self._suspected_until.get(vm.vm, now) <= now
-        ]
-        candidates.sort(key=lambda vm: (-vm.capacity, _order(vm.vm)))
-        return [vm.vm for vm in candidates[:HUBS_PER_CENTRE]]
+        self._suspected_until = {
+            vm: until
+            for vm, until in self._suspected_until.items()
+            if until > now
+        }
+        self._hubs_until = min(
+            self._suspected_until.values(), default=float('inf')
+        )
+        by_centre: dict[str, list[_centres.Vm]] = {}
+        for vm in (self.me, *self.vms_by_name.values()):
+            if vm.vm not in self._suspected_until:
+                by_centre.setdefault(vm.data_centre, []).append(vm)
+        return {
+            centre: [
+                vm.vm
+                for vm in sorted(
+                    vms, key=lambda vm: (-vm.capacity, spread(vm.vm))
+                )[:HUBS_PER_CENTRE]
+            ]
+            for centre, vms in by_centre.items()
+        }
 
     def is_hub(self) -> bool:
         """Whether this node is a hub of its data centre."""
@@ -167,20 +208,15 @@
                 vm.vm
                 for vm in self.vms_by_name.values()
                 if vm.data_centre == self.me.data_centre
-                and vm.vm not in self.heard_by_vm
+                and vm.vm not in self._heard_at
             )
-            centres = {vm.data_centre for vm in self.vms_by_name.values()}
-            for centre in centres - {self.me.data_centre}:
+            for centre in self.data_centres() - {self.me.data_centre}:
                 found.update(self.hubs(centre))
         return found - {self.me.vm}
 
-    def must_watch(self) -> bool:
-        """Whether this node has to watch the store itself."""
-        if self.is_hub():
-            return True
-        alive = self.alive()
-        return not any(self.heard_by_vm[vm].digest.is_watching for vm in alive)
-
 
-def _order(vm: str) -> bytes:
-    return hashlib.blake2b(vm.encode(), digest_size=8).digest()
+def spread(vm: str) -> int:
+    """Return a number that differs from node to node, the same everywhere."""
+    return int.from_bytes(
+        hashlib.blake2b(vm.encode(), digest_size=8).digest(), 'big'
+    )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from mustardlb import schema
+from mustardlb_gateway import _centres
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
 
@@ -21,32 +22,14 @@
     adapters: tuple[domain.AdapterName, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Holding:
-    """A target that the sender keeps.
-
-    :ivar fence: grows with each keeper of the target
-    :ivar incarnation: of the target
-    :ivar is_acting: the sender gives orders already
-    :ivar room: adapters that the target can take now, less those that wait
-    """
-
-    target_id: str
-    fence: int
-    incarnation: int
-    is_acting: bool
-    resident: dict[domain.AdapterName, int]
-    room: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Digest:
-    """What a node tells the others, several times a second.
+    """What a node tells its hubs, several times a second.
 
     :ivar revisions: of the last change seen, by kind
     :ivar admitted: cost admitted since the process started, by account
     :ivar capacity: of the sender's network link, Mbit/s
-    :ivar is_watching: the store answers the sender
+    :ivar is_watching: the sender watches the store, and is answered
     """
 
     host: str
@@ -58,7 +41,13 @@
     revisions: dict[str, int]
     admitted: dict[str, float]
     usages: tuple[TargetUsage, ...]
-    holdings: tuple[Holding, ...]
+    holdings: tuple[_centres.Holding, ...]
+
+    def vm(self, name: str) -> _centres.Vm:
+        """Return the sender's address; the message names it."""
+        return _centres.Vm(
+            name, self.host, self.port, self.data_centre, self.capacity
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,20 +92,30 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Counts:
-    """What a node admitted, between two digests, of accounts near a limit."""
+class Subscription:
+    """Asks a hub for updates on this connection, from a full one on."""
 
-    admitted: dict[str, float]
+    is_wanted: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Relayed:
-    """Messages of other nodes, each with its own sender."""
+class Update:
+    """What changed at a hub since its last update on this connection.
+
+    :ivar is_full: it builds on nothing
+    :ivar revisions: as in a digest
+    :ivar levels: what is left of each account's burst, in a full one
+    """
 
-    messages: tuple[bytes, ...]
+    is_full: bool
+    revisions: dict[str, int]
+    changes: tuple[_centres.CentreChange, ...]
+    levels: dict[str, float]
 
 
-Body = Digest | SnapshotRequest | Snapshot | Want | Wanted | Counts | Relayed
+Body = (
+    Digest | SnapshotRequest | Snapshot | Want | Wanted | Subscription | Update
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,7 +123,6 @@
     """A message.
 
     :ivar request: pairs a question with its answer; grows with each digest
-        and each message of counts
     """
 
     vm: str
@@ -175,10 +173,15 @@
             }
         case Wanted():
             return 'wanted', body.is_there
-        case Counts():
-            return 'counts', _counted(body.admitted)
-        case Relayed():
-            return 'relayed', list(body.messages)
+        case Subscription():
+            return 'subscription', body.is_wanted
+        case Update():
+            return 'update', {
+                'isFull': body.is_full,
+                'revisions': _named(body.revisions),
+                'changes': [_change_fields(each) for each in body.changes],
+                'levels': _counted(body.levels),
+            }
 
 
 def _named(numbers: dict[Any, int]) -> list[dict[str, Any]]:
@@ -205,23 +208,64 @@
             }
             for usage in digest.usages
         ],
-        'holdings': [
-            {
-                'target': holding.target_id,
-                'fence': holding.fence,
-                'incarnation': holding.incarnation,
-                'isActing': holding.is_acting,
-                'resident': _named(holding.resident),
-                'room': holding.room,
-            }
-            for holding in digest.holdings
-        ],
+        'holdings': [_holding_fields(each) for each in digest.holdings],
         'dataCentre': digest.data_centre,
         'capacity': digest.capacity,
         'isWatching': digest.is_watching,
     }
 
 
+def _holding_fields(holding: _centres.Holding) -> dict[str, Any]:
+    return {
+        'target': holding.target_id,
+        'fence': holding.fence,
+        'incarnation': holding.incarnation,
+        'isActing': holding.is_acting,
+        'resident': _named(holding.resident),
+        'room': holding.room,
+    }
+
+
+def _change_fields(change: _centres.CentreChange) -> dict[str, Any]:
+    return {
+        'dataCentre': change.data_centre,
+        'silent': change.silent,
+        'isWatching': change.is_watching,
+        'members': [
+            {
+                'vm': each.vm.vm,
+                'host': each.vm.host,
+                'port': each.vm.port,
+                'capacity': each.vm.capacity,
+                'incarnation': each.incarnation,
+            }
+            for each in change.members
+        ],
+        'goneMembers': list(change.gone_members),
+        'admitted': _counted(change.admitted),
+        'loads': [
+            {
+                'target': target_id,
+                'running': load.running,
+                'unreadTokens': load.unread_tokens,
+            }
+            for target_id, load in change.loads.items()
+        ],
+        'uses': [
+            {'target': target_id, 'adapters': [str(a) for a in adapters]}
+            for target_id, adapters in change.uses.items()
+        ],
+        'holdings': [
+            {'vm': vm, 'holding': _holding_fields(holding)}
+            for (vm, _), holding in change.holdings.items()
+        ],
+        'goneHoldings': [
+            {'vm': vm, 'target': target_id}
+            for vm, target_id in change.gone_holdings
+        ],
+    }
+
+
 def decode(data: bytes) -> Message:
     """Read a message; raises ValueError where it is none."""
     try:
@@ -255,10 +299,16 @@
             return Want(
                 want.target, adapter, want.version, want.patience, want.slack
             )
-        case 'counts':
-            return Counts({each.name: each.amount for each in found.counts})
-        case 'relayed':
-            return Relayed(tuple(found.relayed))
+        case 'subscription':
+            return Subscription(found.subscription)
+        case 'update':
+            update = found.update
+            return Update(
+                update.isFull,
+                {each.name: each.number for each in update.revisions},
+                tuple(_read_change(each) for each in update.changes),
+                {each.name: each.amount for each in update.levels},
+            )
         case _:
             return Wanted(found.wanted)
 
@@ -283,15 +333,54 @@
             )
             for each in digest.usages
         ),
+        tuple(_read_holding(each) for each in digest.holdings),
+    )
+
+
+def _read_holding(holding: Any) -> _centres.Holding:
+    parse = domain.AdapterName.parse
+    return _centres.Holding(
+        holding.target,
+        holding.fence,
+        holding.incarnation,
+        holding.isActing,
+        {parse(each.name): each.number for each in holding.resident},
+        holding.room,
+    )
+
+
+def _read_change(change: Any) -> _centres.CentreChange:
+    parse = domain.AdapterName.parse
+    return _centres.CentreChange(
+        change.dataCentre,
+        change.silent,
+        change.isWatching,
         tuple(
-            Holding(
-                each.target,
-                each.fence,
+            _centres.Member(
+                _centres.Vm(
+                    each.vm,
+                    each.host,
+                    each.port,
+                    change.dataCentre,
+                    each.capacity,
+                ),
                 each.incarnation,
-                each.isActing,
-                {parse(one.name): one.number for one in each.resident},
-                each.room,
             )
-            for each in digest.holdings
+            for each in change.members
         ),
+        tuple(change.goneMembers),
+        {each.name: each.amount for each in change.admitted},
+        {
+            each.target: _centres.Load(each.running, each.unreadTokens)
+            for each in change.loads
+        },
+        {
+            each.target: frozenset(parse(name) for name in each.adapters)
+            for each in change.uses
+        },
+        {
+            (each.vm, each.holding.target): _read_holding(each.holding)
+            for each in change.holdings
+        },
+        tuple((each.vm, each.target) for each in change.goneHoldings),
     )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
@@ -1,12 +1,13 @@
-"""What the nodes tell and ask each other."""
+"""Connections to the other nodes: what they tell and ask each other."""
 
 from collections import abc
-import dataclasses
 import itertools
 
 import structlog
 import trio
 
+from mustardlb_gateway import _centres
+from mustardlb_gateway import _fleet
 from mustardlb_gateway import _links
 from mustardlb_gateway import _membership
 from mustardlb_gateway import _messages
@@ -17,70 +18,53 @@
 # Seconds to await an answer.
 ANSWER_TIMEOUT = 1.5
 
-# Seconds in which news are gathered before they are passed on in a small
-# fleet; in a larger one, a part of the time between two digests.
-RELAY_PAUSE = 0.05
-RELAY_PART = 0.5
-
-# In a larger fleet the second hub of a data centre repeats what the first
-# has told only in every so many rounds.
-SECOND_HUB_ROUNDS = 4
-
-# Seconds between two looks at which links are needed.
+# Seconds between two looks at which links and feeds are needed.
 LINK_PAUSE = 0.25
 
-# Nodes up to which counts are told between two digests.
-MOST_TOLD = 16
-
-Answer = abc.Callable[
-    [_messages.Message], abc.Awaitable[_messages.Body | None]
-]
-Hear = abc.Callable[[_messages.Message, _messages.Digest], None]
-HearCounts = abc.Callable[[_messages.Message, _messages.Counts], None]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _News:
-    """The last digest, or the last counts, of a node."""
-
-    incarnation: int
-    sequence: int
-    data: bytes
-
 
 class Peers:
-    """The other nodes of the fleet."""
+    """The other nodes of the fleet.
+
+    `looked` is called after each look at what they tell, `revised` when
+    one tells how far its copies of the store are, and `levels` and
+    `know_levels` give and take what is left in the accounts' buckets.
+    """
 
     def __init__(
         self,
         membership: _membership.Membership,
+        fleet: _fleet.Fleet,
         incarnation: int,
         make_digest: abc.Callable[[], _messages.Digest],
-        hear: Hear,
-        answer: Answer,
-        hear_counts: HearCounts,
+        answer: _links.Answer,
+        looked: abc.Callable[[], None],
+        revised: abc.Callable[[str, dict[str, int]], None],
+        levels: abc.Callable[[], dict[str, float]],
+        know_levels: abc.Callable[[dict[str, float]], None],
     ) -> None:
         self.membership = membership
+        self.fleet = fleet
         self.me = membership.me
         self.incarnation = incarnation
         self._make_digest = make_digest
-        self._hear = hear
         self._answer = answer
-        self._hear_counts = hear_counts
+        self._looked = looked
+        self._revised = revised
+        self._levels = levels
+        self._know_levels = know_levels
         self._sequence = itertools.count(1)
-        self._news: dict[_links.NewsKey, _News] = {}
-        self._has_news = trio.Event()
+        self._news = trio.Event()
+        self._must_tell = trio.Event()
         self._channels_by_vm: dict[str, _links.Channel] = {}
-        self._accepted: set[_links.Channel] = set()
         self._links: set[str] = set()
         self._nursery: trio.Nursery | None = None
 
-    def alive(self) -> set[str]:
-        """Return the nodes whose digests came lately, without this one."""
-        return self.membership.alive()
+    def alive(self) -> frozenset[str]:
+        """Return the nodes that live, without this one."""
+        return self.membership.live
 
     def hears_majority(self) -> bool:
-        """Whether more than half of all known nodes were heard lately."""
+        """Whether more than half of all known nodes live."""
         return self.membership.hears_majority()
 
     async def run(self, nursery: trio.Nursery) -> None:
@@ -91,8 +75,8 @@
         )
         nursery.start_soon(trio.serve_listeners, self._serve, listeners)
         nursery.start_soon(self._keep_links, nursery)
-        nursery.start_soon(self._send_digests)
-        nursery.start_soon(self._pass_on)
+        nursery.start_soon(self._tell)
+        nursery.start_soon(self._look)
 
     def encode(self, body: _messages.Body, request: int = 0) -> bytes:
         """Return the bytes of a message from this node."""
@@ -103,9 +87,18 @@
     async def _keep_links(self, nursery: trio.Nursery) -> None:
         while True:
             self.membership.forget_lost()
+            wanted = set(self.fleet.wanted_feeds().values())
             for vm in self.membership.neighbours() - self._links:
                 self._links.add(vm)
                 nursery.start_soon(self._link, vm)
+            for vm, channel in list(self._channels_by_vm.items()):
+                if channel.is_subscribed != (vm in wanted):
+                    channel.is_subscribed = vm in wanted
+                    nursery.start_soon(
+                        self._send,
+                        channel,
+                        self.encode(_messages.Subscription(vm in wanted)),
+                    )
             await trio.sleep(LINK_PAUSE)
 
     async def _link(self, name: str) -> None:
@@ -126,25 +119,27 @@
         self._links.discard(name)
 
     async def _introduce(self, channel: _links.Channel) -> None:
-        """Say who dialled, so that the other end tells its news."""
-        try:
-            await channel.send(self.encode(self._make_digest()))
-        except _links.BROKEN as error:
-            log.info('MLB-6305', peer=channel.vm, problem=repr(error))
+        """Say who dialled, and ask for updates where they are wanted."""
+        digest = self._make_digest()
+        await self._send(channel, self.encode(digest, next(self._sequence)))
+        if channel.vm in self.fleet.wanted_feeds().values():
+            channel.is_subscribed = True
+            await self._send(
+                channel, self.encode(_messages.Subscription(True))
+            )
 
-    async def _open(self, vm: _membership.Vm) -> _links.Channel | None:
+    async def _open(self, vm: _centres.Vm) -> _links.Channel | None:
         try:
             channel = await _links.open_channel(vm, self.encode)
         except OSError as error:
             log.info('MLB-6305', peer=vm.vm, problem=str(error))
             return None
         self._channels_by_vm[vm.vm] = channel
-        self._has_news.set()
         return channel
 
     async def _run_channel(self, channel: _links.Channel) -> None:
         try:
-            await channel.run(self._handle)
+            await channel.run(self._hear, self._answer)
         except* _links.BROKEN as broken:
             log.info(
                 'MLB-6305',
@@ -157,137 +152,135 @@
     async def _serve(self, stream: trio.SocketStream) -> None:
         _sockets.tune(stream)
         channel = _links.Channel(stream, self.encode)
-        self._accepted.add(channel)
         try:
-            await channel.run(self._handle)
+            await channel.run(self._hear, self._answer)
         except* _links.BROKEN as broken:
             log.info('MLB-6304', problem=repr(broken.exceptions[0]))
-        finally:
-            self._accepted.discard(channel)
 
-    async def _handle(
-        self, channel: _links.Channel, message: _messages.Message, data: bytes
-    ) -> _messages.Body | None:
+    async def _send(self, channel: _links.Channel, data: bytes) -> None:
+        try:
+            await channel.send(data)
+        except _links.BROKEN as error:
+            log.info('MLB-6305', peer=channel.vm, problem=repr(error))
+
+    def _hear(
+        self, channel: _links.Channel, message: _messages.Message
+    ) -> None:
         match message.body:
-            case _messages.Relayed():
-                for each in message.body.messages:
-                    self._take(_messages.decode(each), each)
-                return None
-            case _messages.Digest() | _messages.Counts():
+            case _messages.Digest():
                 channel.vm = message.vm
-                self._take(message, data)
-                return None
-        return await self._answer(message)
-
-    def _take(self, message: _messages.Message, data: bytes) -> None:
-        """Take a digest or counts, once, and keep it to be passed on."""
-        key = (message.vm, type(message.body))
-        known = self._news.get(key)
-        if message.vm == self.me.vm or (
-            known is not None
-            and known.incarnation == message.incarnation
-            and known.sequence >= message.request
-        ):
+                self.fleet.hear_digest(message, message.body)
+                self._revised(message.vm, message.body.revisions)
+            case _messages.Subscription():
+                channel.vm = message.vm
+                channel.subscriptions += 1
+                if message.body.is_wanted and self._nursery is not None:
+                    self._nursery.start_soon(
+                        self._serve_feed, channel, channel.subscriptions
+                    )
+                return
+            case _messages.Update():
+                self._hear_update(channel, message, message.body)
+        self._has_news()
+
+    def _hear_update(
+        self,
+        channel: _links.Channel,
+        message: _messages.Message,
+        update: _messages.Update,
+    ) -> None:
+        if not self.fleet.hear_update(message, update):
+            # Asked for anew, from a full one on.
+            channel.is_subscribed = False
             return
-        if isinstance(message.body, _messages.Digest):
-            self.membership.hear(message, message.body)
-            self._hear(message, message.body)
-        elif isinstance(message.body, _messages.Counts):
-            self._hear_counts(message, message.body)
-        self._add(key, _News(message.incarnation, message.request, data))
-
-    def _add(self, key: _links.NewsKey, news: _News) -> None:
-        self._news[key] = news
-        self._has_news.set()
-
-    async def _send_digests(self) -> None:
+        if update.is_full:
+            self._know_levels(update.levels)
+        self._revised(message.vm, update.revisions)
+
+    def _has_news(self) -> None:
+        self._news.set()
+        self._news = trio.Event()
+
+    def tell_now(self) -> None:
+        """Send a digest without awaiting its time, in a small fleet."""
+        if len(self.membership.vms_by_name) <= _membership.SMALL_FLEET:
+            self._must_tell.set()
+
+    async def _tell(self) -> None:
+        """Send digests to the hubs: what changed, or that nothing did."""
+        told: _messages.Digest | None = None
+        told_at = float('-inf')
         while True:
-            self._tell(self._make_digest())
-            await trio.sleep(self.membership.interval)
-
-    def tell_counts(self, counts: _messages.Counts) -> None:
-        """Tell all nodes at once what was admitted, in a small fleet."""
-        if len(self.membership.vms_by_name) <= MOST_TOLD:
-            self._tell(counts)
-
-    def _tell(self, body: _messages.Digest | _messages.Counts) -> None:
-        sequence = next(self._sequence)
-        data = self.encode(body, sequence)
-        news = _News(self.incarnation, sequence, data)
-        self._add((self.me.vm, type(body)), news)
-
-    async def _pass_on(self) -> None:
-        """Send news to the neighbours, and as a hub to those that dialled."""
-        for number in itertools.count():
-            await self._has_news.wait()
-            self._has_news = trio.Event()
-            async with trio.open_nursery() as nursery:
-                for channel, keys in list(self._destinations(number)):
-                    nursery.start_soon(self._send_news, channel, keys)
-            pause = RELAY_PAUSE
-            if len(self.membership.vms_by_name) > MOST_TOLD:
-                pause = RELAY_PART * self.membership.interval
-            await trio.sleep(pause)
-
-    def _destinations(
-        self, number: int
-    ) -> abc.Iterator[tuple[_links.Channel, list[_links.NewsKey]]]:
-        """Return each channel with the news that go that way."""
-        is_hub = self.membership.is_hub()
-        vms = self.membership.vms_by_name
+            self._must_tell = trio.Event()
+            digest = self._make_digest()
+            now = trio.current_time()
+            quiet = _membership.QUIET_INTERVALS * self.membership.interval
+            if digest != told or now - told_at >= quiet:
+                told, told_at = digest, now
+                self._tell_hubs(digest)
+                self._has_news()
+            with trio.move_on_after(self.membership.interval):
+                await self._must_tell.wait()
+
+    def _tell_hubs(self, digest: _messages.Digest) -> None:
         hubs = self.membership.hubs(self.me.data_centre)
-        own = [key for key in self._news if key[0] == self.me.vm]
-        if is_hub:
-            own += [
-                key
-                for key in self._news
-                if key[0] in vms
-                and vms[key[0]].data_centre == self.me.data_centre
-                and key[0] not in hubs
-            ]
-        for name, channel in self._channels_by_vm.items():
-            if name not in self._links:
-                continue
-            is_led = is_hub and name in vms and name not in self._all_hubs()
-            yield channel, list(self._news) if is_led else own
-        if (
-            len(vms) > MOST_TOLD
-            and hubs[0] != self.me.vm
-            and number % SECOND_HUB_ROUNDS
-        ):
-            return
-        for channel in self._accepted:
-            if channel.vm and channel.vm not in self._channels_by_vm:
-                yield channel, list(self._news)
-
-    def _all_hubs(self) -> set[str]:
-        centres = {
-            vm.data_centre for vm in self.membership.vms_by_name.values()
-        }
-        centres.add(self.me.data_centre)
-        return {vm for each in centres for vm in self.membership.hubs(each)}
-
-    async def _send_news(
-        self, channel: _links.Channel, keys: list[_links.NewsKey]
-    ) -> None:
-        messages = []
-        is_own = True
-        for key in keys:
-            news = self._news[key]
-            place = (news.incarnation, news.sequence)
-            if key[0] != channel.vm and channel.sent.get(key) != place:
-                channel.sent[key] = place
-                messages.append(news.data)
-                is_own = is_own and key[0] == self.me.vm
-        if not messages:
+        channels = [
+            channel
+            for vm, channel in self._channels_by_vm.items()
+            if vm in hubs
+        ]
+        if not channels or self._nursery is None:
             return
-        data = messages[0]
-        if len(messages) > 1 or not is_own:
-            data = self.encode(_messages.Relayed(tuple(messages)))
-        try:
-            await channel.send(data)
-        except _links.BROKEN as error:
-            log.info('MLB-6305', peer=channel.vm, problem=repr(error))
+        data = self.encode(digest, next(self._sequence))
+        for channel in channels:
+            self._nursery.start_soon(self._send, channel, data)
+
+    async def _serve_feed(self, channel: _links.Channel, number: int) -> None:
+        """Tell a subscriber what changes, until it asks anew or is gone."""
+        told: dict[str, _centres.Centre] = {}
+        told_at = float('-inf')
+        is_full = True
+        while channel.is_open and channel.subscriptions == number:
+            news = self._news
+            fresh = self.fleet.told_to(channel.vm)
+            changes = self._changes(told, fresh)
+            now = trio.current_time()
+            quiet = _membership.QUIET_INTERVALS * self.membership.interval
+            if changes or is_full or now - told_at >= quiet:
+                update = _messages.Update(
+                    is_full,
+                    self._make_digest().revisions,
+                    changes,
+                    self._levels() if is_full else {},
+                )
+                await self._send(channel, self.encode(update))
+                told, told_at, is_full = fresh, now, False
+            await trio.sleep(self.membership.pause)
+            with trio.move_on_after(self.membership.interval):
+                await news.wait()
+
+    @staticmethod
+    def _changes(
+        told: dict[str, _centres.Centre], fresh: dict[str, _centres.Centre]
+    ) -> tuple[_centres.CentreChange, ...]:
+        nothing = _centres.Centre()
+        found = (
+            _centres.difference(
+                name, told.get(name, nothing), fresh.get(name, nothing)
+            )
+            for name in told | fresh
+        )
+        return tuple(change for change in found if change is not None)
+
+    async def _look(self) -> None:
+        """Take what the others tell, soon after each of their messages."""
+        while True:
+            news = self._news
+            self.fleet.look()
+            self._looked()
+            await trio.sleep(self.membership.pause)
+            with trio.move_on_after(self.membership.interval):
+                await news.wait()
 
     async def ask(
         self, vm: str, body: _messages.Body, timeout: float = ANSWER_TIMEOUT
--- a/packages/mustardlb-gateway/mustardlb_gateway/_quota.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_quota.py
@@ -1,10 +1,11 @@
 """Rates and bursts of accounts, counted over all VMs.
 
 Every node charges what every node admits: its own requests at once, those
-of the others when their counts arrive. A bucket may so become negative by
-what the others admitted in the meantime, and is refused until it has filled
-again. A node that is not heard from is taken to use its even share, so that
-two sides of a partition together stay within the rate.
+of the others when their counts arrive, one sum for each data centre. A
+bucket may so become negative by what the others admitted in the meantime,
+and is refused until it has filled again. A node that is not heard from is
+taken to use its even share, so that two sides of a partition together stay
+within the rate; its counts take the place of the share when they come.
 """
 
 from collections import abc
@@ -12,11 +13,11 @@
 
 from mustardlb_gateway import domain
 
-# Seconds without counts of a node until its even share is assumed; several
-# rounds of gossip.
+# Seconds without counts of a source until the even share of its nodes is
+# assumed; several updates.
 SILENT_AFTER = 1.0
 
-# A node that has been silent for so long counts as ended, seconds: beyond
+# A source that has been silent for so long counts as ended, seconds: beyond
 # any restart and most partitions.
 ENDED_AFTER = 20.0
 
@@ -57,13 +58,24 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Peer:
-    """Counts of another node: the last ones, and when they were heard."""
+class _Source:
+    """Counts of other nodes: the last ones, and when they were heard.
 
-    incarnation: int
+    :ivar epoch: counts of another one begin anew
+    :ivar nodes: whose counts they are
+    :ivar silent: nodes of the same source that it does not hear from
+    :ivar assumed_by_account: charged since then without any counts
+    """
+
+    epoch: abc.Hashable
     heard_at: float
     assumed_until: float
+    nodes: int
+    silent: int
     admitted_by_account: dict[str, float]
+    assumed_by_account: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class Quota:
@@ -75,7 +87,8 @@
     ) -> None:
         self._tolerance = tolerance
         self._buckets_by_account: dict[str, _Bucket] = {}
-        self._peers_by_vm: dict[str, _Peer] = {}
+        self._sources_by_name: dict[str, _Source] = {}
+        self._told_levels: dict[str, float] = {}
 
     @staticmethod
     def cost(account: domain.Account, call: domain.Call) -> float:
@@ -117,6 +130,29 @@
         """Return what is left in an account's bucket."""
         return self._bucket(account, now).level
 
+    def know(self, accounts: abc.Iterable[domain.Account], now: float) -> None:
+        """Begin to count for accounts of which no request came yet."""
+        for account in accounts:
+            if account.rate > 0:
+                self._bucket(account, now)
+
+    def levels(self, now: float) -> dict[str, float]:
+        """Return what is left in each bucket, for a node that starts."""
+        for bucket in self._buckets_by_account.values():
+            self._fill(bucket, now)
+        return {
+            name: bucket.level
+            for name, bucket in self._buckets_by_account.items()
+        }
+
+    def know_levels(self, levels: dict[str, float]) -> None:
+        """Take another node's levels where they are lower than this one's."""
+        self._told_levels = levels
+        for name, level in levels.items():
+            bucket = self._buckets_by_account.get(name)
+            if bucket is not None:
+                bucket.level = min(bucket.level, level)
+
     def counts(self) -> dict[str, float]:
         """Return what this node admitted of each account since its start."""
         return {
@@ -125,43 +161,76 @@
         }
 
     def heard(
-        self, vm: str, incarnation: int, counts: dict[str, float], now: float
+        self,
+        source: str,
+        epoch: abc.Hashable,
+        counts: dict[str, float],
+        now: float,
+        nodes: int = 1,
+        silent: int = 0,
     ) -> None:
-        """Charge what another node admitted since its last counts."""
-        peer = self._peers_by_vm.get(vm)
-        if peer is None or peer.incarnation != incarnation:
-            self._peers_by_vm[vm] = _Peer(incarnation, now, now, counts)
+        """Charge what other nodes admitted since their last counts."""
+        known = self._sources_by_name.get(source)
+        if known is None or known.epoch != epoch:
+            self._sources_by_name[source] = _Source(
+                epoch, now, now, nodes, silent, counts
+            )
             return
         for name, admitted in counts.items():
             bucket = self._buckets_by_account.get(name)
             if bucket is None:
                 continue
-            before = peer.admitted_by_account.get(name, 0.0)
-            bucket.level = min(bucket.burst, bucket.level - admitted + before)
-        peer.admitted_by_account = peer.admitted_by_account | counts
-        peer.heard_at = now
+            before = known.admitted_by_account.get(name, 0.0)
+            assumed = known.assumed_by_account.get(name, 0.0)
+            charge = admitted - before - assumed
+            bucket.level = min(bucket.burst, bucket.level - charge)
+        if not known.silent:
+            known.assumed_until = now
+        known.admitted_by_account = known.admitted_by_account | counts
+        known.assumed_by_account.clear()
+        known.heard_at = now
+        known.nodes, known.silent = nodes, silent
+
+    def forget(self, source: str) -> None:
+        """Note that the nodes of a source are counted elsewhere."""
+        self._sources_by_name.pop(source, None)
 
     def assume_silent(self, now: float) -> None:
         """Charge the even share of each node that is not heard from."""
-        nodes = len(self._peers_by_vm) + 1
-        for vm, peer in list(self._peers_by_vm.items()):
-            silent_since = peer.heard_at + SILENT_AFTER
-            if now < silent_since:
+        sources = self._sources_by_name
+        nodes = 1 + sum(
+            known.nodes + known.silent for known in sources.values()
+        )
+        for name, known in list(sources.items()):
+            if now > known.heard_at + ENDED_AFTER:
+                del sources[name]
                 continue
-            if now > peer.heard_at + ENDED_AFTER:
-                del self._peers_by_vm[vm]
+            silent_since = known.heard_at + SILENT_AFTER
+            whole = max(0.0, now - max(silent_since, known.assumed_until))
+            part = now - known.assumed_until
+            known.assumed_until = now
+            node_seconds = known.nodes * whole + known.silent * part
+            if not node_seconds:
                 continue
-            since = max(silent_since, peer.assumed_until)
-            peer.assumed_until = now
-            for bucket in self._buckets_by_account.values():
+            for account, bucket in self._buckets_by_account.items():
                 self._fill(bucket, now)
-                bucket.level -= bucket.rate / nodes * (now - since)
+                share = bucket.rate / nodes * node_seconds
+                bucket.level -= share
+                if known.nodes and whole:
+                    assumed = known.assumed_by_account
+                    assumed[account] = assumed.get(account, 0.0) + (
+                        bucket.rate / nodes * known.nodes * whole
+                    )
 
     def _bucket(self, account: domain.Account, now: float) -> _Bucket:
         bucket = self._buckets_by_account.get(account.name)
         if bucket is None:
             tolerated = self._tolerance().of(account.rate, account.burst)
-            level = min(account.burst, tolerated * START_PART)
+            level = min(
+                account.burst,
+                tolerated * START_PART,
+                self._told_levels.get(account.name, account.burst),
+            )
             bucket = _Bucket(account.rate, account.burst, level, now)
             self._buckets_by_account[account.name] = bucket
         self._fill(bucket, now)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from mustardlb_gateway import _centres
 from mustardlb_gateway import _mirror
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
@@ -74,7 +75,7 @@
         self._lapsed_by_id: dict[str, tuple[domain.Target, float]] = {}
         self._health_by_id: dict[str, Health] = {}
         self.usage_by_id: dict[str, Usage] = {}
-        self.peer_usage_by_vm: dict[str, dict[str, Usage]] = {}
+        self.others_by_centre: dict[str, _centres.Centre] = {}
         self._gone: list[abc.Callable[[domain.Target], None]] = []
         mirror.on_change(self._refresh)
 
@@ -264,26 +265,35 @@
         if not usage.running:
             del self.usage_by_id[target_id]
 
-    def usages(self, target_id: str) -> abc.Iterator[Usage]:
-        """Return the usage of a target by this node and by each other."""
-        own = self.usage_by_id.get(target_id)
-        if own is not None:
-            yield own
-        for by_id in self.peer_usage_by_vm.values():
-            usage = by_id.get(target_id)
-            if usage is not None:
-                yield usage
-
     def running(self, target_id: str) -> int:
         """Return the requests in flight at a target, from all nodes."""
-        return sum(usage.running for usage in self.usages(target_id))
+        own = self.usage_by_id.get(target_id)
+        return (own.running if own else 0) + sum(
+            load.running for load in self._other_loads(target_id)
+        )
 
     def unread_tokens(self, target_id: str) -> int:
         """Return the prompt tokens that a target still has to read."""
-        return sum(usage.unread_tokens for usage in self.usages(target_id))
+        own = self.usage_by_id.get(target_id)
+        return (own.unread_tokens if own else 0) + sum(
+            load.unread_tokens for load in self._other_loads(target_id)
+        )
+
+    def _other_loads(self, target_id: str) -> abc.Iterator[_centres.Load]:
+        for centre in self.others_by_centre.values():
+            load = centre.loads.get(target_id)
+            if load is not None:
+                yield load
 
     def is_in_use(self, target_id: str, adapter: domain.AdapterName) -> bool:
-        """Whether any node has a request in flight for an adapter there."""
+        """Whether a node has a request in flight for an adapter there.
+
+        The other nodes are known to this one for targets that it keeps.
+        """
+        own = self.usage_by_id.get(target_id)
+        if own is not None and adapter in own.by_adapter:
+            return True
         return any(
-            adapter in usage.by_adapter for usage in self.usages(target_id)
+            adapter in centre.uses.get(target_id, ())
+            for centre in self.others_by_centre.values()
         )
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -7,8 +7,10 @@
 import trio
 
 from mustardlb import clock as clocks
+from mustardlb_gateway import _centres
 from mustardlb_gateway import _dispatch
 from mustardlb_gateway import _engine_client
+from mustardlb_gateway import _fleet
 from mustardlb_gateway import _gateway
 from mustardlb_gateway import _keepers
 from mustardlb_gateway import _leases
@@ -97,7 +99,7 @@
         self._quota = _quota.Quota(lambda: self.settings.limit_tolerance)
         self._counts_changed = trio.Event()
         self.membership = _membership.Membership(
-            _membership.Vm(
+            _centres.Vm(
                 settings.vm,
                 settings.host,
                 settings.peer_port,
@@ -106,13 +108,19 @@
             ),
             clock,
         )
+        self.fleet = _fleet.Fleet(
+            self.membership, incarnation, self._make_digest, clock
+        )
         self.peers = _peers.Peers(
             self.membership,
+            self.fleet,
             incarnation,
             self._make_digest,
-            self._hear,
             self._answer_peer,
-            self._hear_counts,
+            self._looked,
+            self._revised,
+            lambda: self._quota.levels(clock()),
+            self._quota.know_levels,
         )
         self._pool = http_client.Pool(CONNECT_TIMEOUT)
         self.leases = _leases.Leases(
@@ -218,7 +226,8 @@
             self.settings.peer_port,
             self.settings.data_centre,
             self.settings.link_capacity,
-            all(mirror.is_connected for mirror in self._mirrors),
+            self.fleet.must_watch()
+            and all(mirror.is_connected for mirror in self._mirrors),
             self.is_stopping,
             self._snapshots.revisions(),
             self._quota.counts(),
@@ -226,46 +235,39 @@
             self.keepers.own_holdings(),
         )
 
-    def _hear(
-        self, message: _messages.Message, digest: _messages.Digest
-    ) -> None:
-        vm = message.vm
-        self._quota.heard(
-            vm, message.incarnation, digest.admitted, self._clock()
-        )
-        self.targets.peer_usage_by_vm[vm] = {
-            usage.target_id: _targets.Usage(
-                usage.running,
-                usage.unread_tokens,
-                dict.fromkeys(usage.adapters, 1),
-            )
-            for usage in digest.usages
-        }
-        self.keepers.hear(vm, digest)
-        watches = self.membership.must_watch()
-        if not watches and vm not in self.membership.neighbours():
-            # The hubs have it as well, and are linked already.
-            return
-        for kind in self._snapshots.missing(digest.revisions, watches):
+    def _looked(self) -> None:
+        """Take what the other nodes do from the fleet's view."""
+        view = self.fleet.view
+        self.targets.others_by_centre = view
+        self.keepers.hear(view)
+        now = self._clock()
+        for name, centre in view.items():
+            if self.fleet.is_fresh(name):
+                self._quota.heard(
+                    name,
+                    self.fleet.sums_itself(name),
+                    dict(self.fleet.admitted(name)),
+                    now,
+                    len(centre.members),
+                    centre.silent,
+                )
+
+    def _revised(self, vm: str, revisions: dict[str, int]) -> None:
+        """Fetch from another node what it knows and this one does not."""
+        watches = self.fleet.must_watch()
+        for kind in self._snapshots.missing(revisions, watches):
             if self._nursery is not None:
                 self._nursery.start_soon(
                     self._snapshots.fetch, self.peers, vm, kind
                 )
 
-    def _hear_counts(
-        self, message: _messages.Message, counts: _messages.Counts
-    ) -> None:
-        self._quota.heard(
-            message.vm, message.incarnation, counts.admitted, self._clock()
-        )
-
     async def _tell_counts(self) -> None:
-        """Tell all nodes at once what was taken near a limit."""
+        """Tell the hubs at once what was taken near a limit."""
         while True:
             await self._counts_changed.wait()
             await trio.sleep(COUNTS_PAUSE)
             self._counts_changed = trio.Event()
-            self.peers.tell_counts(_messages.Counts(self._quota.counts()))
+            self.peers.tell_now()
 
     async def _answer_peer(
         self, message: _messages.Message
@@ -307,7 +309,7 @@
                     mirror,
                     self._store,
                     self._clock,
-                    self.membership.must_watch,
+                    self.fleet.must_watch,
                 )
             nursery.start_soon(self._register)
             nursery.start_soon(self.keepers.run, nursery)
@@ -369,7 +371,7 @@
         host, port = spec.get('host'), spec.get('port')
         if isinstance(host, str) and isinstance(port, int):
             self.membership.add(
-                _membership.Vm(
+                _centres.Vm(
                     stored.name,
                     host,
                     port,
@@ -381,12 +383,13 @@
     async def _keep_house(self) -> None:
         while True:
             await trio.sleep(TICK)
-            self._quota.assume_silent(self._clock())
+            now = self._clock()
+            configuration = self.state.configuration
+            if configuration is not None:
+                accounts = (configuration.accounts_by_name or {}).values()
+                self._quota.know(accounts, now)
+            self._quota.assume_silent(now)
             self._pool.close_expired()
-            alive = self.peers.alive()
-            for vm in list(self.targets.peer_usage_by_vm):
-                if vm not in alive:
-                    del self.targets.peer_usage_by_vm[vm]
 
     def reload(self, settings: gateway_settings.Settings) -> None:
         """Put settings into force that may change while the node runs."""
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -5,16 +5,16 @@
 struct PeerMessage {
   vm @0 :Text;              # who sends
   incarnation @1 :UInt64;   # of its process
-  request @2 :UInt64;       # pairs a question with its answer; of digests
-                            # and counts, grows with each
+  request @2 :UInt64;       # pairs a question with its answer; grows with
+                            # each digest
   union {
     digest @3 :Digest;
     snapshotRequest @4 :Named;  # the kind, and the revision that is held
     snapshot @5 :Snapshot;
     want @6 :Want;
     wanted @7 :Bool;        # whether the adapter is in place
-    counts @8 :List(Counted);  # admitted, as in a digest
-    relayed @9 :List(Data);    # messages of other nodes
+    subscription @8 :Bool;  # whether updates are wanted
+    update @9 :Update;
   }
 }
 
@@ -28,7 +28,56 @@
   holdings @6 :List(Holding);
   dataCentre @7 :Text;
   capacity @8 :Float64;     # of the sender's network link, Mbit/s
-  isWatching @9 :Bool;      # the store answers the sender
+  isWatching @9 :Bool;      # the sender watches the store, and is answered
+}
+
+struct Update {
+  isFull @0 :Bool;          # builds on nothing that was sent before
+  revisions @1 :List(Named);
+  changes @2 :List(Change); # by data centre
+  levels @3 :List(Counted); # what is left of each account's burst
+}
+
+struct Change {
+  dataCentre @0 :Text;
+  silent @1 :UInt16;        # nodes that ended lately, or cannot be heard
+  isWatching @2 :Bool;      # the store answers one of the nodes
+  members @3 :List(Member);
+  goneMembers @4 :List(Text);
+  admitted @5 :List(Counted);
+  loads @6 :List(Load);     # nothing running: gone
+  uses @7 :List(Uses);      # no adapters: gone
+  holdings @8 :List(Held);
+  goneHoldings @9 :List(HoldingKey);
+}
+
+struct Member {
+  vm @0 :Text;
+  host @1 :Text;
+  port @2 :UInt16;
+  capacity @3 :Float64;
+  incarnation @4 :UInt64;   # of the process
+}
+
+struct Load {
+  target @0 :Text;
+  running @1 :UInt32;
+  unreadTokens @2 :UInt32;
+}
+
+struct Uses {
+  target @0 :Text;
+  adapters @1 :List(Text);
+}
+
+struct Held {
+  vm @0 :Text;
+  holding @1 :Holding;
+}
+
+struct HoldingKey {
+  vm @0 :Text;
+  target @1 :Text;
 }
 
 struct Named {
--- a/tests/mustardlb_gateway/test_app.py
+++ b/tests/mustardlb_gateway/test_app.py
@@ -1,9 +1,9 @@
 """Whole nodes over a stand-in store and scripted targets."""
 
 import contextlib
-import socket
 
 import builders
+import free_ports
 import fronts
 import pytest
 import scripted
@@ -40,14 +40,6 @@
         return spec
 
 
-def free_ports(count):
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind(('127.0.0.1', 0))
-        return [each.getsockname()[1] for each in sockets]
-
-
 class Site:
     """A store, one target, and nodes before them."""
 
@@ -69,7 +61,7 @@
     async def running(self, nodes=1):
         async with self.target.running(), trio.open_nursery() as nursery:
             for number in range(nodes):
-                front, ready, peer, metrics = free_ports(4)
+                front, ready, peer, metrics = free_ports.take(4)
                 settings = gateway_settings.Settings(
                     vm=f'vm{number}',
                     data_centre='a',
--- a/tests/mustardlb_gateway/test_keepers.py
+++ b/tests/mustardlb_gateway/test_keepers.py
@@ -3,9 +3,9 @@
 import builders
 import standin_store
 
+from mustardlb_gateway import _centres
 from mustardlb_gateway import _keepers
 from mustardlb_gateway import _leases
-from mustardlb_gateway import _messages
 from mustardlb_gateway import _mirror
 from mustardlb_gateway import _targets
 from mustardlb_gateway import ports
@@ -67,7 +67,7 @@
         )
 
     def hear(self, fence=1, is_acting=True, resident=(), room=2):
-        holding = _messages.Holding(
+        holding = _centres.Holding(
             't0',
             fence,
             1,
@@ -75,12 +75,8 @@
             {builders.adapter(name): 1 for name in ('', *resident)},
             room,
         )
-        self.keepers.hear(
-            'vm2',
-            _messages.Digest(
-                'h', 1, 'a', 1.0, True, False, {}, {}, (), (holding,)
-            ),
-        )
+        centre = _centres.Centre(holdings={('vm2', 't0'): holding})
+        self.keepers.hear({'a': centre})
 
 
 def test_few_engines_load_their_models_at_once():
--- a/tests/mustardlb_gateway/test_quota.py
+++ b/tests/mustardlb_gateway/test_quota.py
@@ -31,6 +31,9 @@
                 if sender == receiver or {sender, receiver} & self.cut:
                     continue
                 other.heard(f'vm{sender}', 1, dict(quota.counts()), now)
+        self.assume_silent(now)
+
+    def assume_silent(self, now):
         for quota in self.quotas:
             quota.assume_silent(now)
 
@@ -92,6 +95,66 @@
     assert sum(cost for _, cost in admitted) >= 0.69 * RATE * 20
 
 
+@pytest.mark.parametrize('ticks', [24, 32])
+def test_counts_that_come_late_cost_nothing_within_the_limit(ticks):
+    fleet = Fleet(80)
+    rng = random.Random(1)
+    account = make_account()
+    for quota in fleet.quotas:
+        quota.know([account], 0.0)
+    refused = 0
+    for tick in range(600):
+        now = tick / 20
+        if tick % ticks == 0:
+            fleet.exchange(now)
+        elif tick % 5 == 0:
+            fleet.assume_silent(now)
+        cost = 0.85 * RATE / 20
+        lack = fleet.quotas[rng.randrange(80)].take(account, cost, now)
+        # A start leaves little in the bucket.
+        refused += lack > 0 and now > 8
+    assert not refused
+
+
+def test_share_of_a_silent_node_gives_way_to_its_counts():
+    quota = make_quota()
+    account = make_account()
+    quota.take(account, 0, 0.0)
+    quota.heard('vm1', 1, {'acme': 0.0}, 0.0)
+    quota.assume_silent(1.0)
+    quota.assume_silent(1.2)
+    half = RATE / 2 * 0.2
+    assert quota.level(account, 1.2) == pytest.approx(
+        START + 1.2 * RATE - half
+    )
+    quota.heard('vm1', 1, {'acme': 30.0}, 1.2)
+    assert quota.level(account, 1.2) == pytest.approx(START + 1.2 * RATE - 30)
+
+
+def test_nodes_that_a_source_does_not_hear_get_their_share():
+    quota = make_quota()
+    account = make_account()
+    quota.take(account, 0, 0.0)
+    for tick in range(1, 11):
+        now = tick / 10
+        quota.heard('centre', 1, {'acme': 0.0}, now, nodes=2, silent=1)
+        quota.assume_silent(now)
+    # One of four nodes was silent for the last 0.9 s.
+    silent = RATE / 4 * 0.9
+    assert quota.level(account, 1.0) == pytest.approx(START + RATE - silent)
+
+
+def test_start_takes_the_level_that_others_tell():
+    quota = make_quota()
+    account = make_account()
+    quota.know_levels({'acme': -50.0})
+    assert quota.level(account, 0.0) == -50.0
+    quota.know_levels({'acme': 1000.0})
+    assert quota.level(account, 0.0) == -50.0
+    assert _quota.Quota(lambda: TOLERANCE).levels(0.0) == {}
+    assert quota.levels(0.0) == {'acme': -50.0}
+
+
 def test_refusal_says_when_it_would_fit():
     quota = make_quota()
     account = make_account()
--- a/tests/mustardlb_gateway/test_targets.py
+++ b/tests/mustardlb_gateway/test_targets.py
@@ -1,6 +1,7 @@
 import builders
 import pytest
 
+from mustardlb_gateway import _centres
 from mustardlb_gateway import _mirror
 from mustardlb_gateway import _targets
 from mustardlb_gateway import domain
@@ -111,9 +112,10 @@
 def test_usage_of_all_nodes_adds_up(world):
     adapter = builders.adapter('a1')
     world.table.begin('t1', adapter, 500)
-    world.table.peer_usage_by_vm['vm2'] = {
-        't1': _targets.Usage(2, 300, {builders.adapter('a2'): 1})
-    }
+    world.table.others_by_centre['a'] = _centres.Centre(
+        loads={'t1': _centres.Load(2, 300)},
+        uses={'t1': frozenset({builders.adapter('a2')})},
+    )
     assert world.table.running('t1') == 3
     assert world.table.unread_tokens('t1') == 800
     assert world.table.is_in_use('t1', builders.adapter('a2'))
--- a/tools/bench_digests.py
+++ b/tools/bench_digests.py
@@ -4,6 +4,7 @@
 
 import fire
 
+from mustardlb_gateway import _centres
 from mustardlb_gateway import _messages
 from mustardlb_gateway import domain
 
@@ -29,7 +30,7 @@
             for number in range(engines)
         ),
         tuple(
-            _messages.Holding(
+            _centres.Holding(
                 f'i-{number:010x}', 4, 1, True, dict.fromkeys(names, 1), 2
             )
             for number in range(max(1, engines // 4))
