--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -223,7 +223,7 @@
         finally:
             if account is not None and not job.may_have_run:
                 self._quota.give_back(account, admitted.cost)
-            self._log(job, outcome)
+            self._log(job, outcome, admitted.cost)
 
     async def _send(self, job: _dispatch.Job) -> None:
         try:
@@ -235,7 +235,7 @@
                 held.answer.status, held.answer.headers, held.answer.body
             )
 
-    def _log(self, job: _dispatch.Job, outcome: str) -> None:
+    def _log(self, job: _dispatch.Job, outcome: str, cost: float) -> None:
         now = trio.current_time()
         first = job.first_byte or now
         account = job.account.name if job.account else ''
@@ -251,6 +251,7 @@
             request=job.call.request_id,
             route=job.route.name,
             account=account,
+            cost=cost,
             adapter=str(job.call.adapter or ''),
             outcome=outcome,
             targets=[each.target_id for each in job.attempts],
