--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -261,6 +261,7 @@
             versions.newest,
             frozenset(each.target_id for each in job.attempts),
             without_load,
+            job.arrived + job.route.latency_objective - trio.current_time(),
         )
 
     async def _attempt(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
@@ -18,11 +18,22 @@
 # present accelerators, used only to compare engines with each other.
 READ_RATE = 38_000.0
 
-# What a copy of an adapter must save, seconds. From the weight store it
-# takes a load that all engines share and the slot of another adapter; where
-# the engine held it lately, the slot alone.
-COPY_COST = 0.9
-LATELY_COST = 0.1
+# Time of a load of an adapter from the weight store, and where the engine
+# held it lately, from its host's memory; seconds.
+STORE_LOAD_TIME = 0.28
+HOST_LOAD_TIME = 0.04
+
+# What a copy of an adapter must save beyond its load's time, seconds. From
+# the weight store it takes a load that all engines share and the slot of
+# another adapter; where the engine held it lately, the slot alone.
+COPY_COST = 0.62
+LATELY_COST = 0.06
+
+# What an engine is worse by that would answer too late, seconds: more than a
+# copy costs. It counts as late beyond this part of the time left, since what
+# other nodes send meanwhile is not known yet.
+LATE_COST = 0.8
+ON_TIME_PART = 0.6
 
 # Preference among engines for a new copy, seconds: all nodes choose the
 # same engine, and the same one again later, while it is not much busier.
@@ -56,6 +67,7 @@
 
     :ivar version: the least of the adapter that will do, 0 for any
     :ivar preferred_version: the newest known
+    :ivar time_left: seconds until its answer would be late
     :ivar without: targets that had the call already
     :ivar without_load: targets that did not get the adapter in time
     """
@@ -66,6 +78,7 @@
     preferred_version: int
     without: frozenset[str]
     without_load: frozenset[str] = frozenset()
+    time_left: float = float('inf')
 
 
 class Placement:
@@ -159,27 +172,40 @@
 
     def _held(self, wish: Wish, target: domain.Target) -> Choice:
         unread = self._prefixes.unread(target.target_id, wish.call)
-        return Choice(target, False, unread, self._estimate(target, unread))
+        answer_in = self._queue(target) + unread / READ_RATE
+        estimate = self._estimate(wish, target, answer_in)
+        return Choice(target, False, unread, estimate)
 
     def _absent(self, wish: Wish, target: domain.Target) -> Choice:
         unread = wish.call.prompt_tokens
         adapter = wish.call.adapter
         if adapter and self._was_held(target.target_id, adapter):
-            cost = LATELY_COST
+            load_time, cost = HOST_LOAD_TIME, LATELY_COST
         else:
             rank = _leases.rank(str(adapter), target.target_id)
+            load_time = STORE_LOAD_TIME
             cost = COPY_COST + RANK_SPREAD * (1 - rank[0] / 255)
         lack = max(0, 1 - self._room(target.target_id))
-        estimate = self._estimate(target, unread) + cost + lack * FULL_COST
+        # Other prompts are read while the adapter is loaded.
+        answer_in = (
+            max(self._queue(target), load_time + lack * FULL_COST)
+            + unread / READ_RATE
+        )
+        estimate = self._estimate(wish, target, answer_in) + cost
         return Choice(target, True, unread, estimate)
 
-    def _estimate(self, target: domain.Target, unread: int) -> float:
-        waiting = self._targets.unread_tokens(target.target_id)
+    def _queue(self, target: domain.Target) -> float:
+        """Return the seconds until the engine reads another prompt."""
+        return self._targets.unread_tokens(target.target_id) / READ_RATE
+
+    def _estimate(
+        self, wish: Wish, target: domain.Target, answer_in: float
+    ) -> float:
+        """Weigh an engine that would begin to answer in so many seconds."""
         running = self._targets.running(target.target_id)
         health = self._targets.health(target.target_id)
         fullness = max(0.0, running / max(1, target.slots) - 0.8)
-        return (
-            (waiting + unread) / READ_RATE
-            + fullness
-            + FAILURE_COST * health.failure_share
-        )
+        estimate = answer_in + fullness + FAILURE_COST * health.failure_share
+        if answer_in > ON_TIME_PART * wish.time_left > 0:
+            estimate += LATE_COST
+        return estimate
--- a/tests/mustardlb_gateway/test_placement.py
+++ b/tests/mustardlb_gateway/test_placement.py
@@ -39,7 +39,9 @@
         )
         self.service = builders.make_service(engine=engine)
 
-    def choose(self, call=None, version=0, newest=0, without=()):
+    def choose(
+        self, call=None, version=0, newest=0, without=(), time_left=1e9
+    ):
         choice = self.placement.choose(
             _placement.Wish(
                 self.service,
@@ -47,6 +49,7 @@
                 version,
                 newest,
                 frozenset(without),
+                time_left=time_left,
             )
         )
         return choice and (choice.target.target_id, choice.must_load)
@@ -79,6 +82,18 @@
     assert must_load
 
 
+@pytest.mark.parametrize(
+    ('time_left', 'must_load'),
+    [(1.0, True), (0.3, False), (5.0, False), (-0.5, False)],
+)
+def test_copy_is_made_where_it_keeps_an_answer_on_time(time_left, must_load):
+    world = World(*three(['a1', 'a2', 'a2']))
+    # The holder reads for 0.7 s before this prompt.
+    world.table.begin('t0', None, 26_600)
+    chosen = world.choose(builders.make_call('a1'), time_left=time_left)
+    assert chosen[1] == must_load
+
+
 def test_new_copies_of_an_adapter_go_to_the_same_engine():
     worlds = [World(*three(['x', 'y', 'z'])) for _ in range(3)]
     assert len({world.choose() for world in worlds}) == 1
