--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -33,9 +33,10 @@
 # Least time in which a call can still be answered, seconds.
 LEAST_TIME = 0.05
 
-# Silence of a target before a call that may be repeated goes elsewhere:
-# part of the latency objective, and the least, seconds. A stream that waits
-# behind others for its first token is silent for long without any fault.
+# Silence of a target before it counts against the target, and before a call
+# that may be repeated goes elsewhere: part of the latency objective, and the
+# least, seconds. A stream that waits behind others for its first token is
+# silent for long without any fault.
 SILENCE_PART = 1.6
 LEAST_SILENCE = 0.35
 STREAM_SILENCE = 2.5
@@ -306,8 +307,10 @@
                     target.target_id,
                     target.host,
                     target.port,
+                    target.service,
                 )
                 attempt.was_sent = True
+                nursery.start_soon(self._watch_silence, job, target.target_id)
                 await connection.send(
                     job.call.method,
                     job.call.path,
@@ -322,6 +325,8 @@
             attempt.problem = attempt.problem or str(failure)
             if not attempt.was_sent:
                 attempt.fate = _outcomes.Fate.NOT_RUN
+            elif connection is not None:
+                self._pool.note_broken(connection, target.service)
         except* http_server.ClientGone:
             client_gone = True
         finally:
@@ -367,6 +372,7 @@
         if scope.cancelled_caught:
             raise http_client.ExchangeFailed('the target is silent')
         info = self._translation.read_answer(head.headers)
+        self._targets.note_answer(attempt.target_id)
         attempt.status = head.status
         is_success = 200 <= head.status < 300
         if info.not_executed or head.status == 421:
@@ -402,13 +408,17 @@
         scope = trio.CancelScope(deadline=float('inf'))
         if not job.route.may_repeat or job.sends >= job.route.max_attempts:
             return scope
-        wait = max(LEAST_SILENCE, SILENCE_PART * job.route.latency_objective)
-        if job.route.kind == domain.RouteKind.STREAM:
-            wait = max(wait, STREAM_SILENCE)
+        wait = _longest_silence(job.route)
         if now + wait + wait / 2 < job.deadline:
             scope.deadline = now + wait
         return scope
 
+    async def _watch_silence(self, job: Job, target_id: str) -> None:
+        """Count it against a target that it gives no sign of life."""
+        wait = _longest_silence(job.route)
+        await trio.sleep(wait)
+        self._targets.note_silence(target_id, wait)
+
     async def _pass_on(self, job: Job, answer: _outcomes.WholeAnswer) -> None:
         if job.splitter is not None:
             # A stream has begun: it can only break off.
@@ -442,6 +452,7 @@
             if data is None:
                 break
             note_read()
+            self._targets.note_answer(attempt.target_id)
             whole = job.splitter.feed(data)
             if whole:
                 if job.first_byte is None:
@@ -453,6 +464,14 @@
         await job.reply.finish()
 
 
+def _longest_silence(route: domain.Route) -> float:
+    """Return the seconds after which a silent target is in doubt."""
+    wait = max(LEAST_SILENCE, SILENCE_PART * route.latency_objective)
+    if route.kind == domain.RouteKind.STREAM:
+        wait = max(wait, STREAM_SILENCE)
+    return wait
+
+
 class HeldAnswer(Exception):
     """A target's failure is the best answer that there is."""
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_keeper.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_keeper.py
@@ -87,6 +87,7 @@
         hears_majority: abc.Callable[[], bool],
         choose_model: abc.Callable[[], str | None],
         was_held: abc.Callable[[str, domain.AdapterName], bool],
+        is_held_elsewhere: abc.Callable[[domain.AdapterName, int], bool],
     ) -> None:
         self.target = target
         self.lease = lease
@@ -100,6 +101,7 @@
         self._hears_majority = hears_majority
         self._choose_model = choose_model
         self._was_held = was_held
+        self._is_held_elsewhere = is_held_elsewhere
         self.resident: dict[domain.AdapterName, int] = {}
         self._uses = _usage_memory.UsageMemory(USE_HALF_LIFE)
         self._granted_at: dict[domain.AdapterName, float] = {}
@@ -270,12 +272,26 @@
                 self._accepted = None
 
     async def _replace_old_versions(self) -> None:
+        """Replace or drop old versions that no request uses.
+
+        One in use is left: the engine would wait for its requests and hold
+        up those that come, while another engine takes the newer version.
+        """
         for adapter, version in list(self.resident.items()):
             newest = self._newest(adapter)
             if not adapter.adapter or version >= newest:
                 continue
             if adapter in self._loading or self._accepted is None:
                 continue
+            if self._is_in_use(self.target.target_id, adapter):
+                continue
+            if self._is_held_elsewhere(adapter, newest):
+                outcome = await self._order(
+                    domain.OrderKind.UNLOAD, adapter, None
+                )
+                if outcome == _engine_client.OrderOutcome.HOLDS:
+                    del self.resident[adapter]
+                continue
             if len(self._loading) >= MOST_LOADING:
                 return
             await self._start_load(adapter, newest)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_keepers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_keepers.py
@@ -127,6 +127,19 @@
             self._peers.hears_majority,
             lambda: self._model_for(target),
             self.was_held,
+            lambda adapter, version: self._is_held_elsewhere(
+                target, adapter, version
+            ),
+        )
+
+    def _is_held_elsewhere(
+        self, target: domain.Target, adapter: domain.AdapterName, version: int
+    ) -> bool:
+        """Whether another engine of the service has a version of an adapter."""
+        return any(
+            self.resident(other).get(adapter, -1) >= version
+            for other in self._targets.ready(target.service)
+            if other.target_id != target.target_id
         )
 
     def _model_for(self, target: domain.Target) -> str | None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_membership.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_membership.py
@@ -18,12 +18,18 @@
 # Hubs of a data centre: one more than may fail at once without a pause.
 HUBS_PER_CENTRE = 2
 
-# Seconds between two digests of a node, and two updates of a hub, while
-# something changes; more in a larger fleet, where each brings more news.
+# Seconds that the times below are counted in; more in a larger fleet, where
+# each digest and update brings more news.
 INTERVAL = 0.25
 INTERVAL_PER_NODE = 1 / 400
 
-# Nodes up to which news are passed on within a few hundredths of a second.
+# Seconds in which news are gathered before they are passed on: less than a
+# prompt takes to be read, so that few requests meet at one target unseen;
+# more in a larger fleet, as above.
+PAUSE = 0.1
+PAUSE_PER_NODE = 1 / 800
+
+# Nodes up to which it is less, and some news are told at once.
 SMALL_FLEET = 16
 SMALL_FLEET_PAUSE = 0.05
 
@@ -76,7 +82,7 @@
 
     @property
     def interval(self) -> float:
-        """Seconds between two digests of a node, or updates of a hub."""
+        """Seconds that silences and quiet times are counted in."""
         return max(INTERVAL, len(self.vms_by_name) * INTERVAL_PER_NODE)
 
     @property
@@ -84,7 +90,7 @@
         """Seconds in which news are gathered before they are passed on."""
         if len(self.vms_by_name) <= SMALL_FLEET:
             return SMALL_FLEET_PAUSE
-        return self.interval
+        return max(PAUSE, len(self.vms_by_name) * PAUSE_PER_NODE)
 
     @property
     def silence(self) -> float:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
@@ -223,7 +223,7 @@
                 told, told_at = digest, now
                 self._tell_hubs(digest)
                 self._has_news()
-            with trio.move_on_after(self.membership.interval):
+            with trio.move_on_after(self.membership.pause):
                 await self._must_tell.wait()
 
     def _tell_hubs(self, digest: _messages.Digest) -> None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
@@ -31,14 +31,21 @@
 
 # What an engine is worse by that would answer too late, seconds: more than a
 # copy costs. It counts as late beyond this part of the time left, since what
-# other nodes send meanwhile is not known yet.
+# other nodes send meanwhile is not known yet. A copy takes the slot of
+# another adapter, so engines with less room than this count as late too.
 LATE_COST = 0.8
 ON_TIME_PART = 0.6
+AMPLE_ROOM = 3
 
 # Preference among engines for a new copy, seconds: all nodes choose the
 # same engine, and the same one again later, while it is not much busier.
 RANK_SPREAD = 0.5
 
+# What an engine is worse by that holds an older version of the adapter than
+# the newest, seconds: more than a copy elsewhere costs. A replacement there
+# would wait for all requests in flight, and hold up those that come.
+OLD_VERSION_COST = 2.0
+
 # What an engine without room is worse by, seconds: about the time until one
 # of its adapters is no longer in use, for each that has to become so.
 FULL_COST = 0.5
@@ -149,19 +156,26 @@
             version = resident.get(call.adapter)
             if version is None or version < wish.version:
                 if self._can_take(wish, target):
-                    absent.append(self._absent(wish, target))
+                    choice = self._absent(wish, target)
+                    absent.append(self._worse_if_old(wish, version, choice))
                 continue
             choice = self._held(wish, target)
-            if version < wish.preferred_version:
-                choice = dataclasses.replace(
-                    choice, estimate=choice.estimate + LATELY_COST
-                )
-            held.append(choice)
+            held.append(self._worse_if_old(wish, version, choice))
         both = held + absent
         if not both:
             return None
         return min(both, key=lambda choice: choice.estimate)
 
+    @staticmethod
+    def _worse_if_old(
+        wish: Wish, version: int | None, choice: Choice
+    ) -> Choice:
+        if version is None or version >= wish.preferred_version:
+            return choice
+        return dataclasses.replace(
+            choice, estimate=choice.estimate + OLD_VERSION_COST
+        )
+
     def _can_take(self, wish: Wish, target: domain.Target) -> bool:
         engine = wish.service.engine
         if engine is None or not self._is_kept(target.target_id):
@@ -191,6 +205,8 @@
             max(self._queue(target), load_time + lack * FULL_COST)
             + unread / READ_RATE
         )
+        if self._room(target.target_id) < AMPLE_ROOM:
+            cost += LATE_COST
         estimate = self._estimate(wish, target, answer_in) + cost
         return Choice(target, True, unread, estimate)
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -35,12 +35,14 @@
 
     :ivar failure_share: moving share of requests that failed there
     :ivar suspended_until: left alone until then, clock seconds
+    :ivar heard_at: when the target last answered anything, clock seconds
     """
 
     failures_in_row: int = 0
     failure_share: float = 0.0
     suspended_until: float = float('-inf')
     suspension: float = FIRST_SUSPENSION
+    heard_at: float = float('-inf')
 
 
 @dataclasses.dataclass(slots=True)
@@ -202,6 +204,18 @@
         health = self._health_by_id.get(target_id)
         return health is not None and health.suspended_until > self._clock()
 
+    def note_answer(self, target_id: str) -> None:
+        """Note that something came from a target."""
+        self.health(target_id).heard_at = self._clock()
+
+    def note_silence(self, target_id: str, seconds: float) -> None:
+        """Note that a request has waited so long for its answer.
+
+        It counts as a failure unless the target answered others meanwhile.
+        """
+        if self.health(target_id).heard_at < self._clock() - seconds:
+            self.note_failure(target_id, f'silent for {seconds:.2f} s')
+
     def note_success(self, target_id: str) -> None:
         """Note that a target answered well."""
         health = self.health(target_id)
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -12,11 +12,14 @@
 from typing import Any
 
 import h11
+import structlog
 import trio
 
 from mustardlb_gateway import _sockets
 from mustardlb_gateway import domain
 
+log = structlog.get_logger()
+
 # Largest read, bytes.
 MAX_READ = 65_536
 
@@ -27,6 +30,16 @@
 # How long a connection is kept idle where the peer does not say, seconds.
 DEFAULT_KEEPALIVE = 4.0
 
+# Where a peer forgot an idle connection without closing it, others are used
+# up to this part of the time that it had rested, at least so many seconds,
+# and twice as long again after each such time.
+SAFE_IDLE_PART = 0.5
+LEAST_SAFE_IDLE = 0.05
+SAFE_IDLE_DOUBLES = 10.0
+
+# Seconds after which all that is forgotten again.
+MOST_SAFE_IDLE_TIME = 60.0
+
 # Bodies up to this size fit the socket's buffer, bytes; larger ones are sent
 # while the answer is awaited, since it may come first.
 SMALL_BODY = 8192
@@ -62,7 +75,11 @@
 
 
 class Connection:
-    """A connection on which one request at a time is answered."""
+    """A connection on which one request at a time is answered.
+
+    :ivar rested: seconds that it was idle before the present request
+    :ivar has_answered: a byte of the present answer has come
+    """
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
@@ -70,6 +87,9 @@
         self._request: h11.Request | None = None
         self._unsent = b''
         self._idle_until = 0.0
+        self._rested_since = float('inf')
+        self.rested = 0.0
+        self.has_answered = False
         self.is_closed = False
 
     def close(self) -> None:
@@ -82,6 +102,7 @@
         """Whether another request may be sent on this idle connection."""
         if self.is_closed or now >= self._idle_until:
             return False
+        self.rested = now - self._rested_since
         # Bytes or an end that nobody asked for: no request may follow.
         poll = select.poll()
         poll.register(self._stream.socket.fileno(), select.POLLIN)
@@ -199,6 +220,7 @@
                 data = await self._stream.receive_some(MAX_READ)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as e:
                 raise ExchangeFailed('the connection was reset') from e
+            self.has_answered |= bool(data)
             try:
                 self._h11.receive_data(bytes(data))
             except h11.RemoteProtocolError as error:
@@ -217,8 +239,42 @@
             self.close()
             return False
         self._h11.start_next_cycle()
+        self._rested_since = trio.current_time()
+        self.has_answered = False
         return True
 
+    @property
+    def was_forgotten(self) -> bool:
+        """Whether the peer seems to have dropped it while it was idle."""
+        return self.rested > 0 and not self.has_answered
+
+
+class SafeIdle:
+    """How long connections of a group of peers may rest, as was seen.
+
+    >>> safe = SafeIdle()
+    >>> safe.note_forgotten(0.4, 100.0)
+    >>> safe.limit(100.0), safe.limit(111.0), safe.limit(200.0)
+    (0.2, 0.4, inf)
+    """
+
+    def __init__(self) -> None:
+        self._limit = float('inf')
+        self._since = float('-inf')
+
+    def note_forgotten(self, rested: float, now: float) -> None:
+        """Note that a connection was gone after it had rested."""
+        limit = max(LEAST_SAFE_IDLE, rested * SAFE_IDLE_PART)
+        self._limit = min(self.limit(now), limit)
+        self._since = now
+
+    def limit(self, now: float) -> float:
+        """Return the seconds that a connection may have rested."""
+        if now >= self._since + MOST_SAFE_IDLE_TIME:
+            return float('inf')
+        doublings = int((now - self._since) / SAFE_IDLE_DOUBLES)
+        return self._limit * 2.0**doublings
+
 
 class Pool:
     """Idle connections by target; the one used last is taken first."""
@@ -226,14 +282,22 @@
     def __init__(self, connect_timeout: float) -> None:
         self._connect_timeout = connect_timeout
         self._idle_by_peer: dict[str, list[Connection]] = {}
+        self._safe_idle_by_group: dict[str, SafeIdle] = {}
 
-    async def take(self, peer: str, host: str, port: int) -> Connection:
-        """Return a connection to a peer; raises ExchangeFailed unsent."""
+    async def take(
+        self, peer: str, host: str, port: int, group: str = ''
+    ) -> Connection:
+        """Return a connection to a peer; raises ExchangeFailed unsent.
+
+        Peers of a group are taken to keep idle connections alike.
+        """
         idle = self._idle_by_peer.get(peer, [])
         now = trio.current_time()
+        safe_idle = self._safe_idle_by_group.get(group)
+        limit = safe_idle.limit(now) if safe_idle else float('inf')
         while idle:
             found = idle.pop()
-            if found.is_usable(now):
+            if found.is_usable(now) and found.rested <= limit:
                 return found
             found.close()
         try:
@@ -242,6 +306,20 @@
             raise ExchangeFailed(f'no connection: {error}', False) from error
         return Connection(stream)
 
+    def note_broken(self, connection: Connection, group: str) -> None:
+        """Learn from a connection that ended without an answer."""
+        if not connection.was_forgotten:
+            return
+        safe_idle = self._safe_idle_by_group.setdefault(group, SafeIdle())
+        now = trio.current_time()
+        safe_idle.note_forgotten(connection.rested, now)
+        log.info(
+            'MLB-6605',
+            group=group,
+            rested=round(connection.rested, 3),
+            limit=round(safe_idle.limit(now), 3),
+        )
+
     def give_back(self, peer: str, connection: Connection) -> None:
         """Keep a connection whose exchange has ended, if it can be used."""
         if connection.finish():
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -328,3 +328,59 @@
         assert answer.status == 503
         assert b'retry-after' in answer.headers
         assert front.sends == 2
+
+
+async def test_target_that_accepts_and_never_answers_is_left_alone():
+    route = builders.make_route(latency_objective=0.1, timeout=3.0)
+    async with fronts.Front(route).running(hang, good) as front:
+        async with trio.open_nursery() as nursery:
+            for number in range(8):
+                nursery.start_soon(front.ask, b'', b'r%d' % number)
+            with trio.fail_after(2):
+                while not front.targets.is_suspended('t0'):
+                    await trio.sleep(0.02)
+            assert not front.targets.is_suspended('t1')
+            stuck = len(front.scripted[0].requests)
+            for _ in range(4):
+                assert (await front.ask()).status == 200
+            assert len(front.scripted[0].requests) == stuck
+            nursery.cancel_scope.cancel()
+
+
+async def test_slow_target_that_answers_others_is_not_suspended():
+    async def slow(connection, head, body):
+        await trio.sleep(0.6)
+        await connection.send(scripted.answer(scripted.request_id(head)))
+
+    route = builders.make_route(latency_objective=0.1, timeout=3.0)
+    front = fronts.Front(route)
+    async with front.running(slow), trio.open_nursery() as nursery:
+        for number in range(6):
+            nursery.start_soon(front.ask, b'', b'r%d' % number)
+            await trio.sleep(0.15)
+        assert front.targets.health('t0').failures_in_row == 0
+
+
+async def test_idle_connections_that_a_target_forgets_cost_one_request():
+    rested_from = {}
+
+    async def forgetful(connection, head, body):
+        now = trio.current_time()
+        if now - rested_from.get(connection, now) > 0.15:
+            await connection.reset()
+            return
+        await connection.send(scripted.answer(scripted.request_id(head)))
+        rested_from[connection] = trio.current_time()
+
+    route = builders.make_route(kind='non_idempotent')
+    async with fronts.Front(route).running(forgetful) as front:
+        statuses = []
+        for _ in range(5):
+            statuses.append((await front.ask()).status)
+            await trio.sleep(0.3)
+        assert statuses == [200, 502, 200, 200, 200]
+        # What rests for less is still used.
+        opened = front.scripted[0].opened
+        assert (await front.ask()).status == 200
+        assert (await front.ask()).status == 200
+        assert front.scripted[0].opened == opened + 1
--- a/tests/mustardlb_gateway/test_engine_keeper.py
+++ b/tests/mustardlb_gateway/test_engine_keeper.py
@@ -98,6 +98,7 @@
         self.engine = EngineStub()
         self.in_use = set()
         self.newest = {}
+        self.elsewhere = {}
         self.store = standin_store.StandinStore()
         self.leases = _leases.Leases(
             'vm1', 1, self.store, trio.current_time, lambda: 3.0, lambda: True
@@ -119,6 +120,7 @@
             lambda: True,
             lambda: builders.MODEL,
             lambda target_id, adapter: False,
+            lambda adapter, version: self.elsewhere.get(adapter, 0) >= version,
         )
         nursery.start_soon(self.keeper.run)
         return self.keeper
@@ -191,6 +193,31 @@
     assert await world.keeper.want(adapter(1), 4, 0.1)
 
 
+async def test_old_version_in_use_is_not_replaced_under_its_requests(
+    world, autojump_clock
+):
+    assert await world.keeper.want(adapter(1), 0, 5.0)
+    world.in_use.add(adapter(1))
+    world.newest[adapter(1)] = 4
+    await trio.sleep(3)
+    assert world.engine.resident[adapter(1)] == 1
+    world.in_use.clear()
+    await trio.sleep(1)
+    assert world.engine.resident[adapter(1)] == 4
+
+
+async def test_old_version_goes_where_another_engine_has_the_newer(
+    world, autojump_clock
+):
+    assert await world.keeper.want(adapter(1), 0, 5.0)
+    world.newest[adapter(1)] = 4
+    world.elsewhere[adapter(1)] = 4
+    loads = len(world.engine.orders)
+    await trio.sleep(1)
+    assert adapter(1) not in world.engine.resident
+    assert len(world.engine.orders) == loads + 1
+
+
 async def test_keeper_that_was_overtaken_gives_no_more_orders(
     world, autojump_clock
 ):
--- a/tests/mustardlb_gateway/test_placement.py
+++ b/tests/mustardlb_gateway/test_placement.py
@@ -161,10 +161,21 @@
 
 def test_old_version_serves_only_while_it_may():
     world = World(*three(['a1', 'x', 'x']))
+    world.kept = set()
     assert world.choose(newest=2) == ('t0', False)
+    assert world.choose(version=2, newest=2) is None
+    world.kept = {'t0', 't1', 't2'}
     target, must_load = world.choose(version=2, newest=2)
     assert must_load
-    assert target
+    assert target in ('t1', 't2')
+
+
+def test_newer_version_is_put_on_another_engine_first():
+    world = World(*three(['a1', 'x', 'x']))
+    world.table.begin('t0', builders.adapter('a1'), 0)
+    target, must_load = world.choose(newest=2)
+    assert must_load
+    assert target in ('t1', 't2')
 
 
 def test_target_that_fails_is_left_alone_while_others_serve():
