--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -332,33 +332,35 @@
 
 async def test_target_that_accepts_and_never_answers_is_left_alone():
     route = builders.make_route(latency_objective=0.1, timeout=3.0)
-    async with fronts.Front(route).running(hang, good) as front:
-        async with trio.open_nursery() as nursery:
-            for number in range(8):
-                nursery.start_soon(front.ask, b'', b'r%d' % number)
-            with trio.fail_after(2):
-                while not front.targets.is_suspended('t0'):
-                    await trio.sleep(0.02)
-            assert not front.targets.is_suspended('t1')
-            stuck = len(front.scripted[0].requests)
-            for _ in range(4):
-                assert (await front.ask()).status == 200
-            assert len(front.scripted[0].requests) == stuck
-            nursery.cancel_scope.cancel()
+    front = fronts.Front(route)
+    async with front.running(hang, good), trio.open_nursery() as nursery:
+        for number in range(8):
+            nursery.start_soon(front.ask, b'', b'r%d' % number)
+        with trio.fail_after(2):
+            while not front.targets.is_suspended('t0'):
+                await trio.sleep(0.02)
+        assert not front.targets.is_suspended('t1')
+        stuck = len(front.scripted[0].requests)
+        for _ in range(4):
+            assert (await front.ask()).status == 200
+        assert len(front.scripted[0].requests) == stuck
+        nursery.cancel_scope.cancel()
 
 
 async def test_slow_target_that_answers_others_is_not_suspended():
-    async def slow(connection, head, body):
-        await trio.sleep(0.6)
-        await connection.send(scripted.answer(scripted.request_id(head)))
+    async def slow_at_times(connection, head, body):
+        request_id = scripted.request_id(head)
+        if int(request_id) % 2:
+            await trio.sleep(0.6)
+        await connection.send(scripted.answer(request_id))
 
     route = builders.make_route(latency_objective=0.1, timeout=3.0)
     front = fronts.Front(route)
-    async with front.running(slow), trio.open_nursery() as nursery:
-        for number in range(6):
-            nursery.start_soon(front.ask, b'', b'r%d' % number)
-            await trio.sleep(0.15)
-        assert front.targets.health('t0').failures_in_row == 0
+    async with front.running(slow_at_times), trio.open_nursery() as nursery:
+        for number in range(12):
+            nursery.start_soon(front.ask, b'', b'%d' % number)
+            await trio.sleep(0.1)
+            assert front.targets.health('t0').failures_in_row == 0
 
 
 async def test_idle_connections_that_a_target_forgets_cost_one_request():
