--- a/packages/mustardlb-gateway/mustardlb_gateway/_keepers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_keepers.py
@@ -135,7 +135,7 @@
     def _is_held_elsewhere(
         self, target: domain.Target, adapter: domain.AdapterName, version: int
     ) -> bool:
-        """Whether another engine of the service has a version of an adapter."""
+        """Whether another engine of the service has a version."""
         return any(
             self.resident(other).get(adapter, -1) >= version
             for other in self._targets.ready(target.service)
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -331,7 +331,11 @@
 
 
 async def test_target_that_accepts_and_never_answers_is_left_alone():
-    route = builders.make_route(latency_objective=0.1, timeout=3.0)
+    route = builders.make_route(
+        kind=domain.RouteKind.NON_IDEMPOTENT,
+        latency_objective=0.1,
+        timeout=3.0,
+    )
     front = fronts.Front(route)
     async with front.running(hang, good), trio.open_nursery() as nursery:
         for number in range(8):
@@ -354,7 +358,11 @@
             await trio.sleep(0.6)
         await connection.send(scripted.answer(request_id))
 
-    route = builders.make_route(latency_objective=0.1, timeout=3.0)
+    route = builders.make_route(
+        kind=domain.RouteKind.NON_IDEMPOTENT,
+        latency_objective=0.1,
+        timeout=3.0,
+    )
     front = fronts.Front(route)
     async with front.running(slow_at_times), trio.open_nursery() as nursery:
         for number in range(12):
@@ -374,8 +382,7 @@
         await connection.send(scripted.answer(scripted.request_id(head)))
         rested_from[connection] = trio.current_time()
 
-    route = builders.make_route(kind='non_idempotent')
-    async with fronts.Front(route).running(forgetful) as front:
+    async with fronts.Front(NON_IDEMPOTENT).running(forgetful) as front:
         statuses = []
         for _ in range(5):
             statuses.append((await front.ask()).status)
