--- a/packages/mustardlb-gateway/mustardlb_gateway/_fleet.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_fleet.py
@@ -230,8 +230,12 @@
         )
 
     def must_watch(self) -> bool:
-        """Whether this node has to watch the store itself."""
-        if self._membership.is_hub():
+        """Whether this node has to watch the store itself.
+
+        In a small fleet all do: a store that answers only some of them is
+        noticed late by those whose watch has fallen silent.
+        """
+        if self._membership.is_hub() or self._membership.is_small:
             return True
         return not any(centre.is_watching for centre in self.view.values())
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_membership.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_membership.py
@@ -80,6 +80,11 @@
         self._dialled: dict[str, list[str]] = {}
         self._hubs_until = float('inf')
 
+    @property
+    def is_small(self) -> bool:
+        """Whether each node can afford what hubs do in a larger fleet."""
+        return len(self.vms_by_name) < SMALL_FLEET
+
     @property
     def interval(self) -> float:
         """Seconds that silences and quiet times are counted in."""
@@ -88,7 +93,7 @@
     @property
     def pause(self) -> float:
         """Seconds in which news are gathered before they are passed on."""
-        if len(self.vms_by_name) <= SMALL_FLEET:
+        if self.is_small:
             return SMALL_FLEET_PAUSE
         return max(PAUSE, len(self.vms_by_name) * PAUSE_PER_NODE)
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
@@ -207,7 +207,7 @@
 
     def tell_now(self) -> None:
         """Send a digest without awaiting its time, in a small fleet."""
-        if len(self.membership.vms_by_name) <= _membership.SMALL_FLEET:
+        if self.membership.is_small:
             self._must_tell.set()
 
     async def _tell(self) -> None:
@@ -243,22 +243,27 @@
         """Tell a subscriber what changes, until it asks anew or is gone."""
         told: dict[str, _centres.Centre] = {}
         told_at = float('-inf')
+        revisions: dict[str, int] = {}
         is_full = True
         while channel.is_open and channel.subscriptions == number:
             news = self._news
             fresh = self.fleet.told_to(channel.vm)
-            changes = self._changes(told, fresh)
+            update = _messages.Update(
+                is_full,
+                self._make_digest().revisions,
+                self._changes(told, fresh),
+                self._levels() if is_full else {},
+            )
             now = trio.current_time()
             quiet = _membership.QUIET_INTERVALS * self.membership.interval
-            if changes or is_full or now - told_at >= quiet:
-                update = _messages.Update(
-                    is_full,
-                    self._make_digest().revisions,
-                    changes,
-                    self._levels() if is_full else {},
-                )
+            if (
+                update.changes
+                or update.revisions != revisions
+                or now - told_at >= quiet
+            ):
                 await self._send(channel, self.encode(update))
                 told, told_at, is_full = fresh, now, False
+                revisions = update.revisions
             await trio.sleep(self.membership.pause)
             with trio.move_on_after(self.membership.interval):
                 await news.wait()
--- a/packages/mustardlb-gateway/mustardlb_gateway/_snapshots.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_snapshots.py
@@ -11,8 +11,9 @@
 log = structlog.get_logger()
 
 # Seconds that a copy may be behind a peer's before it is fetched there: the
-# node's own watch is the cheaper way while it works.
-BEHIND_FOR = 0.5
+# node's own watch is the cheaper way while it works, but a tenth of the time
+# in which a change is to be in force is all that can be waited for it.
+BEHIND_FOR = 0.2
 
 # Least time between two fetches of a kind, seconds: changes that come close
 # together are fetched at once.
--- a/tests/mustardlb_gateway/test_app.py
+++ b/tests/mustardlb_gateway/test_app.py
@@ -178,6 +178,53 @@
         return attempt
 
 
+class SilentStore(RefusingStore):
+    """One that answers nothing instead of refusing."""
+
+    def __getattr__(self, name):
+        call = getattr(self._store, name)
+
+        async def attempt(*arguments):
+            if self.refuses:
+                await trio.sleep(6)
+                raise ports.StoreUnavailable('no answer in time')
+            return await call(*arguments)
+
+        return attempt
+
+
+async def test_change_reaches_nodes_that_the_store_no_longer_answers():
+    site = Site(good)
+    site.configure()
+    views = [SilentStore(site.store) for _ in range(5)]
+    site.views = list(views)
+    async with site.running(nodes=5):
+        site.register()
+        for node in site.nodes:
+            await until(lambda node=node: is_ready(node))
+        await until(lambda: all_meet(site))
+        for version in range(2, 5):
+            for view in views[:4]:
+                view.refuses = True
+            # A watch that was answered before is not repeated at once.
+            await trio.sleep(0.7)
+            site.configure(version, path_prefix=f'/v{version}/')
+            # The platform allows two seconds.
+            with trio.fail_after(1.5):
+                for node in site.nodes:
+                    while node.state.configuration.version < version:
+                        await trio.sleep(0.02)
+            for view in views:
+                view.refuses = False
+            await trio.sleep(0.3)
+
+
+async def all_meet(site):
+    await trio.lowlevel.checkpoint()
+    others = len(site.nodes) - 1
+    return all(len(node.peers.alive()) == others for node in site.nodes)
+
+
 async def test_node_that_the_store_refuses_learns_from_another():
     site = Site(good)
     site.configure()
--- a/tests/mustardlb_gateway/test_fleet.py
+++ b/tests/mustardlb_gateway/test_fleet.py
@@ -348,13 +348,19 @@
 
 
 def test_nodes_watch_the_store_while_no_hub_does():
-    network = Network('ab', 4)
+    network = Network('ab', 10)
     assert all(node.fleet.must_watch() for node in network.live())
     network.run(4)
     watching = {n.vm.vm for n in network.live() if n.fleet.must_watch()}
     assert watching == {'a0', 'a1', 'b0', 'b1'}
 
 
+def test_all_nodes_of_a_small_fleet_watch_the_store():
+    network = Network('ab', 4)
+    network.run(4)
+    assert all(node.fleet.must_watch() for node in network.live())
+
+
 def test_data_centre_without_a_feed_is_not_taken_for_alive():
     network = Network('ab', 3)
     network.run(3)
