--- a/packages/mustardlb-gateway/mustardlb_gateway/_snapshots.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_snapshots.py
@@ -30,6 +30,9 @@
     ) -> None:
         self._mirrors_by_kind = {mirror.kind: mirror for mirror in mirrors}
         self._clock = clock
+        # Latest revision that a peer told of, and since when this node is
+        # behind it, by kind.
+        self._latest: dict[str, int] = {}
         self._behind_since: dict[str, float] = {}
         self._fetched_at: dict[str, float] = {}
 
@@ -51,9 +54,14 @@
         now = self._clock()
         for kind, revision in theirs.items():
             mirror = self._mirrors_by_kind.get(kind)
-            if mirror is None or mirror.revision >= revision:
+            if mirror is None:
+                continue
+            if mirror.revision >= self._latest.get(kind, 0):
+                # Only then: other peers may be as far behind as this node.
                 self._behind_since.pop(kind, None)
+            if mirror.revision >= revision:
                 continue
+            self._latest[kind] = max(revision, self._latest.get(kind, 0))
             since = self._behind_since.setdefault(kind, now)
             fetched_at = self._fetched_at.get(kind)
             if fetched_at is not None and now - fetched_at < FETCH_PAUSE:
@@ -61,7 +69,6 @@
             if not watches or now - since >= BEHIND_FOR:
                 found.append(kind)
                 self._fetched_at[kind] = now
-                self._behind_since[kind] = now
         return found
 
     async def fetch(self, peers: _peers.Peers, vm: str, kind: str) -> None:
--- a/tests/mustardlb_gateway/test_mirror.py
+++ b/tests/mustardlb_gateway/test_mirror.py
@@ -157,3 +157,19 @@
         await trio.sleep(2)
         assert names(mirror) == {'a', 'b'}
         nursery.cancel_scope.cancel()
+
+
+def test_peers_that_are_behind_as_well_do_not_hide_one_that_is_ahead():
+    mine = _mirror.Mirror(KIND)
+    mine.adopt([], 5)
+    clock = [0.0]
+    snapshots = _snapshots.Snapshots([mine], lambda: clock[0])
+    found = []
+    for _ in range(20):
+        clock[0] += 0.05
+        found += snapshots.missing({KIND: 9})
+        for _ in range(3):
+            assert snapshots.missing({KIND: 5}) == []
+    assert found
+    mine.adopt([], 9)
+    assert snapshots.missing({KIND: 9}) == []
