--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -10,6 +10,7 @@
 from mustardlb import errors
 from mustardlb import steps
 from mustardlb_gateway import _dispatch
+from mustardlb_gateway import _jobs
 from mustardlb_gateway import _metrics
 from mustardlb_gateway import _outcomes
 from mustardlb_gateway import _quota
@@ -198,7 +199,7 @@
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
-        job = _dispatch.Job(
+        job = _jobs.Job(
             admitted.call,
             route,
             admitted.service,
@@ -225,17 +226,17 @@
                 self._quota.give_back(account, admitted.cost)
             self._log(job, outcome, admitted.cost)
 
-    async def _send(self, job: _dispatch.Job) -> None:
+    async def _send(self, job: _jobs.Job) -> None:
         try:
             await self._dispatcher.run(job)
-        except _dispatch.HeldAnswer as held:
+        except _jobs.HeldAnswer as held:
             if job.reply.has_begun:
                 return
             await job.reply.send_whole(
                 held.answer.status, held.answer.headers, held.answer.body
             )
 
-    def _log(self, job: _dispatch.Job, outcome: str, cost: float) -> None:
+    def _log(self, job: _jobs.Job, outcome: str, cost: float) -> None:
         now = trio.current_time()
         first = job.first_byte or now
         account = job.account.name if job.account else ''
--- a/packages/mustardlb-gateway/mustardlb_gateway/_state.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_state.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from mustardlb_gateway import _dispatch
+from mustardlb_gateway import _jobs
 from mustardlb_gateway import _mirror
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
@@ -86,12 +86,12 @@
         """Return the newest version named for an adapter, 0 for none."""
         return self._newest_by_adapter.get(adapter, (0, 0.0))[0]
 
-    def versions(self, adapter: domain.AdapterName) -> _dispatch.Versions:
+    def versions(self, adapter: domain.AdapterName) -> _jobs.Versions:
         """Return which versions of an adapter a call may run on."""
         newest, since = self._newest_by_adapter.get(adapter, (0, 0.0))
         grace = self._version_time() * VERSION_PART
         is_due = self._clock() - since >= grace
-        return _dispatch.Versions(newest if is_due else 0, newest)
+        return _jobs.Versions(newest if is_due else 0, newest)
 
     def service(self, name: str) -> domain.Service | None:
         """Return a service of the configuration in force."""
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -10,6 +10,7 @@
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _dispatch
 from mustardlb_gateway import _engine_client
+from mustardlb_gateway import _exchange
 from mustardlb_gateway import _fleet
 from mustardlb_gateway import _gateway
 from mustardlb_gateway import _keepers
@@ -173,11 +174,15 @@
         )
 
         return _dispatch.Dispatcher(
-            translation,
-            self._pool,
+            _exchange.Exchange(
+                translation,
+                self._pool,
+                self.targets,
+                self._prefixes,
+                self.state.versions,
+            ),
             self.targets,
             placement,
-            self._prefixes,
             self.state.versions,
             self.keepers.want,
             lambda service: self._budget(service).take(self._clock()),
--- a/tests/mustardlb_gateway/fronts.py
+++ b/tests/mustardlb_gateway/fronts.py
@@ -9,7 +9,9 @@
 import trio
 
 from mustardlb_gateway import _dispatch
+from mustardlb_gateway import _exchange
 from mustardlb_gateway import _gateway
+from mustardlb_gateway import _jobs
 from mustardlb_gateway import _metrics
 from mustardlb_gateway import _mirror
 from mustardlb_gateway import _placement
@@ -89,7 +91,7 @@
         self.retries = retries
         self.loads = []
         self.load_result = True
-        self.versions = _dispatch.Versions(0, 0)
+        self.versions = _jobs.Versions(0, 0)
         translation = TranslationStub()
         mirror = _mirror.Mirror('servers')
         mirror.is_connected = True
@@ -99,8 +101,13 @@
         prefixes = _prefixes.PrefixMemory(clock)
         self.quota = _quota.Quota(lambda: _quota.Tolerance(0.0, 10.0))
         self.dispatcher = _dispatch.Dispatcher(
-            translation,
-            http_client.Pool(0.5),
+            _exchange.Exchange(
+                translation,
+                http_client.Pool(0.5),
+                self.targets,
+                prefixes,
+                lambda adapter: self.versions,
+            ),
             self.targets,
             _placement.Placement(
                 self.targets,
@@ -110,7 +117,6 @@
                 lambda target_id, adapter: False,
                 lambda target_id: 3,
             ),
-            prefixes,
             lambda adapter: self.versions,
             self._load,
             self._take_retry,
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -4,8 +4,8 @@
 import scripted
 import trio
 
-from mustardlb_gateway import _dispatch
 from mustardlb_gateway import _gateway
+from mustardlb_gateway import _jobs
 from mustardlb_gateway import domain
 
 NON_IDEMPOTENT = builders.make_route(kind=domain.RouteKind.NON_IDEMPOTENT)
@@ -254,7 +254,7 @@
 
 async def test_old_version_of_an_adapter_does_not_serve():
     front = fronts.Front(STREAM, engine=True)
-    front.versions = _dispatch.Versions(2, 2)
+    front.versions = _jobs.Versions(2, 2)
     async with front.running(make_stream(range(1)), resident=['a7']) as front:
         await front.ask(b'x-adapter: a7\r\n')
     assert front.loads == [('t0', builders.adapter('a7'))]
