--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_keeper.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_keeper.py
@@ -7,8 +7,8 @@
 import trio
 
 from mustardlb_gateway import _engine_client
+from mustardlb_gateway import _engine_contents
 from mustardlb_gateway import _leases
-from mustardlb_gateway import _usage_memory
 from mustardlb_gateway import domain
 
 log = structlog.get_logger()
@@ -31,19 +31,6 @@
 # accepted orders that it names keeps an engine from obeying it twice.
 ORDER_ATTEMPTS = 4
 
-# Seconds that an adapter is kept after it came or was asked for: until the
-# digests tell that the requests that it was loaded for use it.
-LEAST_STAY = 0.4
-
-# Adapters of a full engine that are to go next. The other nodes are no longer
-# told of them, so that an eviction meets no request on its way, and ask for
-# them first; after this many seconds all of them know.
-RETIRED_AHEAD = 2
-RETIRED_FOR = 0.35
-
-# Seconds in which half of an adapter's past use is forgotten.
-USE_HALF_LIFE = 8.0
-
 # Seconds between two reports while an order's outcome is not known, and in
 # quiet times.
 REPORT_PAUSE = 0.25
@@ -63,13 +50,6 @@
     is_there: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class _Loading:
-    since: float
-    version: int
-    ask_at: float
-
-
 class EngineKeeper:
     """What this node does for an engine whose lease it holds."""
 
@@ -97,16 +77,13 @@
         self._clock = clock
         self._engine = engine
         self._newest = newest
-        self._is_in_use = is_in_use
         self._hears_majority = hears_majority
         self._choose_model = choose_model
         self._was_held = was_held
         self._is_held_elsewhere = is_held_elsewhere
-        self.resident: dict[domain.AdapterName, int] = {}
-        self._uses = _usage_memory.UsageMemory(USE_HALF_LIFE)
-        self._granted_at: dict[domain.AdapterName, float] = {}
-        self._retired: dict[domain.AdapterName, float] = {}
-        self._loading: dict[domain.AdapterName, _Loading] = {}
+        self._contents = _engine_contents.EngineContents(
+            target.target_id, clock, is_in_use
+        )
         self._wants: list[_Want] = []
         self._accepted: int | None = None
         self._work = trio.Event()
@@ -127,10 +104,9 @@
         be late after `slack` seconds whatever happens.
         """
         now = self._clock()
-        self._uses.note(adapter, now)
-        self._granted_at[adapter] = now
-        self._retired.pop(adapter, None)
-        if self._has(adapter, version):
+        self._contents.touch(adapter)
+        self._contents.grant(adapter)
+        if self._contents.has(adapter, version):
             return True
         want = _Want(adapter, version, now + patience, now + slack)
         self._wants.append(want)
@@ -141,17 +117,29 @@
             self._wants.remove(want)
         return want.is_there
 
-    def _has(self, adapter: domain.AdapterName, version: int) -> bool:
-        return (
-            adapter in self.resident
-            and self.resident[adapter] >= version
-            and adapter not in self._loading
-        )
+    @property
+    def resident(self) -> dict[domain.AdapterName, int]:
+        """Return the version of each model and adapter in place."""
+        return self._contents.resident
 
     def touch(self, adapter: domain.AdapterName) -> None:
         """Note that an adapter is used."""
-        self._uses.note(adapter, self._clock())
-        self._retired.pop(adapter, None)
+        self._contents.touch(adapter)
+
+    def published(self) -> dict[domain.AdapterName, int]:
+        """Return what other nodes may use without asking."""
+        return self._contents.published()
+
+    def room(self) -> int:
+        """Return how many adapters can be taken now, less those that wait."""
+        return self._contents.room(self._slots(), self._waiting())
+
+    def _slots(self) -> int:
+        engine = self._engine()
+        return engine.adapter_slots if engine else 0
+
+    def _waiting(self) -> set[domain.AdapterName]:
+        return {want.adapter for want in self._wants}
 
     async def run(self) -> None:
         """Serve wants until the lease is lost."""
@@ -169,7 +157,7 @@
 
     def _pause(self) -> float:
         now = self._clock()
-        due = [each.ask_at - now for each in self._loading.values()]
+        due = [each.ask_at - now for each in self._contents.loading.values()]
         if not self.is_acting:
             due.append(self.lease.acts_from - now)
         pause = min([TICK, *(each for each in due if each > 0)])
@@ -187,9 +175,9 @@
         await self._ask_loading()
         await self._replace_old_versions()
         self._settle_wants()
-        self._retire_ahead()
+        self._contents.retire_ahead(self._slots(), self._waiting())
         for want in self._in_order():
-            if len(self._loading) >= MOST_LOADING:
+            if len(self._contents.loading) >= MOST_LOADING:
                 return
             if not await self._start_load(want.adapter, want.version):
                 return
@@ -206,21 +194,14 @@
         report = await self._client.report(self.target)
         if report is None:
             return self._accepted is not None
-        if self._accepted is None or not self._loading:
+        if self._accepted is None or not self._contents.loading:
             # Else the report lags behind the orders in progress.
             self._take(report)
         return True
 
     def _take(self, report: domain.EngineReport) -> None:
-        now = self._clock()
         self._accepted = report.accepted_orders
-        self.resident = dict(report.resident)
-        self._loading = {
-            adapter: self._loading.get(adapter, _Loading(now, 0, now))
-            for adapter in report.loading
-        }
-        for adapter in self.resident:
-            self._uses.know(adapter, now)
+        self._contents.take(report)
 
     async def _load_model(self) -> None:
         """Load a model where the engine holds none."""
@@ -242,7 +223,7 @@
 
     async def _ask_loading(self) -> None:
         """Find out which adapters have arrived, by ordering them again."""
-        for adapter, loading in list(self._loading.items()):
+        for adapter, loading in list(self._contents.loading.items()):
             now = self._clock()
             if now < loading.ask_at:
                 continue
@@ -253,11 +234,9 @@
                 is_question=True,
             )
             if outcome == _engine_client.OrderOutcome.HOLDS:
-                self._loading.pop(adapter, None)
-                self.resident[adapter] = max(
-                    loading.version, self._newest(adapter), 1
+                self._contents.arrive(
+                    adapter, max(loading.version, self._newest(adapter), 1)
                 )
-                self._granted_at[adapter] = self._clock()
                 log.info(
                     'MLB-6403',
                     target=self.target.target_id,
@@ -268,7 +247,7 @@
                 continue
             loading.ask_at = self._clock() + QUESTION_PAUSE
             if now - loading.since > LOAD_TIMEOUT:
-                self._loading.pop(adapter, None)
+                self._contents.loading.pop(adapter, None)
                 self._accepted = None
 
     async def _replace_old_versions(self) -> None:
@@ -281,9 +260,9 @@
             newest = self._newest(adapter)
             if not adapter.adapter or version >= newest:
                 continue
-            if adapter in self._loading or self._accepted is None:
+            if adapter in self._contents.loading or self._accepted is None:
                 continue
-            if self._is_in_use(self.target.target_id, adapter):
+            if self._contents.is_in_use(adapter):
                 continue
             if self._is_held_elsewhere(adapter, newest):
                 outcome = await self._order(
@@ -292,14 +271,14 @@
                 if outcome == _engine_client.OrderOutcome.HOLDS:
                     del self.resident[adapter]
                 continue
-            if len(self._loading) >= MOST_LOADING:
+            if len(self._contents.loading) >= MOST_LOADING:
                 return
             await self._start_load(adapter, newest)
 
     def _settle_wants(self) -> None:
         now = self._clock()
         for want in list(self._wants):
-            if self._has(want.adapter, want.version):
+            if self._contents.has(want.adapter, want.version):
                 want.is_there = True
             elif now < want.until:
                 continue
@@ -315,7 +294,7 @@
         now = self._clock()
         by_adapter: dict[domain.AdapterName, list[_Want]] = {}
         for want in self._wants:
-            if want.adapter not in self._loading:
+            if want.adapter not in self._contents.loading:
                 by_adapter.setdefault(want.adapter, []).append(want)
 
         def rank(wants: list[_Want]) -> tuple[bool, int]:
@@ -350,7 +329,9 @@
                 first = (
                     FIRST_QUESTION_HOST if is_near else (FIRST_QUESTION_STORE)
                 )
-                self._loading[adapter] = _Loading(now, wanted, now + first)
+                self._contents.loading[adapter] = _engine_contents.Loading(
+                    now, wanted, now + first
+                )
             case _engine_client.OrderOutcome.HOLDS:
                 self.resident[adapter] = max(wanted, 1)
                 self._work.set()
@@ -363,8 +344,8 @@
         engine = self._engine()
         if engine is None:
             return False
-        while self._is_full(engine, adapter):
-            victim = self._victim()
+        while self._contents.is_full(engine, adapter):
+            victim = self._contents.victim(self._waiting())
             if victim is None:
                 return False
             outcome = await self._order(domain.OrderKind.UNLOAD, victim, None)
@@ -377,92 +358,6 @@
             self.resident.pop(victim, None)
         return True
 
-    def _is_full(
-        self, engine: domain.EngineSpec, adapter: domain.AdapterName
-    ) -> bool:
-        held = {
-            each for each in (*self.resident, *self._loading) if each.adapter
-        }
-        if len(held) >= engine.adapter_slots:
-            return True
-        models = engine.models_by_name
-        used = sum(
-            models[each.model].adapter_mb
-            for each in held | {adapter}
-            if each.model in models
-        ) + sum(
-            models[each.model].size_mb
-            for each in self.resident
-            if not each.adapter and each.model in models
-        )
-        return used > engine.memory_mb
-
-    def published(self) -> dict[domain.AdapterName, int]:
-        """Return what other nodes may use without asking."""
-        return {
-            adapter: version
-            for adapter, version in self.resident.items()
-            if adapter not in self._retired
-        }
-
-    def room(self) -> int:
-        """Return how many adapters can be taken now, less those that wait."""
-        engine = self._engine()
-        if engine is None:
-            return 0
-        taken = {each for each in self.resident if each.adapter}
-        taken -= set(self._idle())
-        taken |= set(self._loading)
-        waiting = {want.adapter for want in self._wants} - taken
-        return engine.adapter_slots - len(taken) - len(waiting)
-
-    def _idle(self) -> list[domain.AdapterName]:
-        """Return the adapters that may be evicted, the least used first."""
-        now = self._clock()
-        wanted = {want.adapter for want in self._wants}
-        idle = [
-            adapter
-            for adapter in self.resident
-            if adapter.adapter
-            and adapter not in wanted
-            and adapter not in self._loading
-            and now - self._granted_at.get(adapter, 0.0) > LEAST_STAY
-            and not self._is_in_use(self.target.target_id, adapter)
-        ]
-        return sorted(idle, key=lambda each: self._uses.weight(each, now))
-
-    def _victim(self) -> domain.AdapterName | None:
-        """Return the adapter to evict, one of which nobody knows if any."""
-        idle = self._idle()
-        since = self._clock() - RETIRED_FOR
-        for adapter in idle:
-            if self._retired.get(adapter, since + 1) <= since:
-                return adapter
-        return idle[0] if idle else None
-
-    def _retire_ahead(self) -> None:
-        """Choose what goes next while the engine is full."""
-        engine = self._engine()
-        self._retired = {
-            adapter: since
-            for adapter, since in self._retired.items()
-            if adapter in self.resident
-        }
-        self._granted_at = {
-            adapter: at
-            for adapter, at in self._granted_at.items()
-            if self._clock() - at <= LEAST_STAY
-        }
-        held = sum(1 for adapter in self.resident if adapter.adapter)
-        free = 0 if engine is None else engine.adapter_slots - held
-        lack = RETIRED_AHEAD - max(0, free) - len(self._retired)
-        for adapter in self._idle():
-            if lack <= 0:
-                return
-            if adapter not in self._retired:
-                self._retired[adapter] = self._clock()
-                lack -= 1
-
     async def _order(
         self,
         kind: domain.OrderKind,
--- a/tests/mustardlb_gateway/test_engine_keeper.py
+++ b/tests/mustardlb_gateway/test_engine_keeper.py
@@ -4,6 +4,7 @@
 import trio
 
 from mustardlb_gateway import _engine_client
+from mustardlb_gateway import _engine_contents
 from mustardlb_gateway import _engine_keeper
 from mustardlb_gateway import _leases
 from mustardlb_gateway import domain
@@ -148,9 +149,9 @@
 async def test_adapter_not_used_for_longest_makes_room(world, autojump_clock):
     for number in (1, 2, 3):
         assert await world.keeper.want(adapter(number), 0, 5.0)
-    await trio.sleep(_engine_keeper.LEAST_STAY + 0.1)
+    await trio.sleep(_engine_contents.LEAST_STAY + 0.1)
     world.keeper.touch(adapter(1))
-    await trio.sleep(_engine_keeper.LEAST_STAY + 0.1)
+    await trio.sleep(_engine_contents.LEAST_STAY + 0.1)
     assert await world.keeper.want(adapter(4), 0, 5.0)
     assert adapter(2) not in world.engine.resident
     assert world.engine.most <= world.engine.slots
@@ -161,9 +162,9 @@
 ):
     for number in (1, 2, 3):
         assert await world.keeper.want(adapter(number), 0, 5.0)
-    await trio.sleep(_engine_keeper.LEAST_STAY + 1)
+    await trio.sleep(_engine_contents.LEAST_STAY + 1)
     hidden = set(world.keeper.resident) - set(world.keeper.published())
-    assert len(hidden) == _engine_keeper.RETIRED_AHEAD
+    assert len(hidden) == _engine_contents.RETIRED_AHEAD
     assert world.keeper.room() == 3
     assert await world.keeper.want(adapter(4), 0, 5.0)
     assert hidden - set(world.engine.resident)
