--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -145,6 +145,9 @@
         self._prefixes = _prefixes.PrefixMemory(clock)
         self._budgets_by_service: dict[str, _retry_budget.RetryBudget] = {}
         self.metrics = _metrics.Metrics()
+        self._live_nodes = self.metrics.gauge(
+            'mustardlb_live_nodes', 'Other nodes that this one hears of.'
+        )
         self._gateway = _gateway.Gateway(
             translation,
             self._make_dispatcher(translation),
@@ -243,6 +246,7 @@
     def _looked(self) -> None:
         """Take what the other nodes do from the fleet's view."""
         view = self.fleet.view
+        self._live_nodes.set(len(self.membership.live))
         self.targets.others_by_centre = view
         self.keepers.hear(view)
         now = self._clock()
--- a/tests/mustardlb_gateway/test_app.py
+++ b/tests/mustardlb_gateway/test_app.py
@@ -219,6 +219,20 @@
             await trio.sleep(0.3)
 
 
+async def test_metrics_tell_how_many_other_nodes_live():
+    site = Site(good)
+    site.configure()
+    async with site.running(nodes=3):
+        site.register()
+        await until(lambda: all_meet(site))
+
+        async def tells():
+            metrics = await ask(site.nodes[0].settings.metrics_port)
+            return b'mustardlb_live_nodes 2.0' in metrics.body
+
+        await until(tells)
+
+
 async def all_meet(site):
     await trio.lowlevel.checkpoint()
     others = len(site.nodes) - 1
