--- a/packages/mustardlb-gateway/mustardlb_gateway/_fleet.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_fleet.py
@@ -18,6 +18,7 @@
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _sums
 from mustardlb_gateway import _tally
+from mustardlb_gateway import domain
 
 log = structlog.get_logger()
 
@@ -33,6 +34,11 @@
 CENTRE_SILENCE = 2
 
 
+# Stands for all data centres but the reader's own: their loads, added up. A
+# reader sums over all anyway, and is told a fraction of the entries.
+ELSEWHERE = ''
+
+
 @dataclasses.dataclass(slots=True)
 class _Heard:
     """The last digest of a node."""
@@ -86,6 +92,7 @@
         self._told_by_centre: dict[str, tuple[_centres.Centre, float]] = {}
         self._sums: _sums.Sums | None = None
         self._sums_at = float('-inf')
+        self._elsewhere = _centres.Centre()
         self.view: dict[str, _centres.Centre] = {}
 
     def hear_digest(
@@ -224,11 +231,22 @@
             for name, (state, at) in self._told_by_centre.items()
         }
         if self._membership.is_hub():
+            self.view.pop(ELSEWHERE, None)
             self.view[self._me.data_centre] = self._own_centre(self._me.vm)
+            self._elsewhere = self._sum_elsewhere()
         self._membership.set_live(
             vm for centre in self.view.values() for vm in centre.members
         )
 
+    def _sum_elsewhere(self) -> _centres.Centre:
+        """Return the loads and uses of all other data centres."""
+        total = _centres.Centre()
+        for name, state in self.view.items():
+            if name != self._me.data_centre:
+                loads = _centres.Centre(loads=state.loads, uses=state.uses)
+                total = _centres.merge(total, loads)
+        return total
+
     def must_watch(self) -> bool:
         """Whether this node has to watch the store itself.
 
@@ -248,12 +266,19 @@
             return self._relayed(reader)
         kept = self._kept(reader, is_near)
         told = {own: self._own_centre(reader, kept)}
-        if is_near:
-            told |= {
-                name: self._reduced(name, state, kept)
-                for name, state in self.view.items()
-                if name != own
-            }
+        if not is_near:
+            return told
+        for name, state in self.view.items():
+            if name != own:
+                told[name] = dataclasses.replace(
+                    state,
+                    admitted=dict(self.admitted(name)),
+                    loads={},
+                    uses={},
+                )
+        told[ELSEWHERE] = dataclasses.replace(
+            self._elsewhere, uses=_chosen(self._elsewhere.uses, kept)
+        )
         return told
 
     def _kept(self, reader: str, is_near: bool) -> frozenset[str]:
@@ -272,7 +297,9 @@
         digest = self._make_digest()
         me = _sums.Sums({self._me.vm: (self._incarnation, digest)}, digest)
         told = {
-            centre: self._reduced(centre, state, None)
+            centre: dataclasses.replace(
+                state, admitted=dict(self.admitted(centre))
+            )
             for centre, state in self.view.items()
         }
         told[name] = _centres.merge(
@@ -282,21 +309,6 @@
         told[name].members.pop(reader, None)
         return told
 
-    def _reduced(
-        self,
-        name: str,
-        state: _centres.Centre,
-        kept: frozenset[str] | None,
-    ) -> _centres.Centre:
-        """Return a state with this node's sums, and the uses it needs."""
-        uses = {
-            target_id: adapters
-            for target_id, adapters in state.uses.items()
-            if kept is None or target_id in kept
-        }
-        admitted = dict(self.admitted(name))
-        return dataclasses.replace(state, admitted=admitted, uses=uses)
-
     def _own_centre(
         self, reader: str, kept: frozenset[str] | None = None
     ) -> _centres.Centre:
@@ -333,6 +345,13 @@
         return self._sums
 
 
+def _chosen(
+    uses: dict[str, frozenset[domain.AdapterName]], kept: frozenset[str]
+) -> dict[str, frozenset[domain.AdapterName]]:
+    """Return the uses of some targets."""
+    return {key: uses[key] for key in uses.keys() & kept}
+
+
 def _silenced(centre: _centres.Centre) -> _centres.Centre:
     """Return a data centre of which nothing has been heard for long."""
     return _centres.Centre(
--- a/tests/mustardlb_gateway/test_fleet.py
+++ b/tests/mustardlb_gateway/test_fleet.py
@@ -254,6 +254,18 @@
     expect_agreement(network)
 
 
+def test_loads_of_other_data_centres_come_as_one_sum():
+    network = Network('abc', 4)
+    for node in network.live():
+        network.use(node, 2)
+    network.run(4)
+    view = network.nodes['a3'].fleet.view
+    assert view['a'].loads['t1'].running == 6
+    assert view[_fleet.ELSEWHERE].loads['t1'].running == 16
+    assert view['b'].loads == view['c'].loads == {}
+    assert len(view['b'].members) == 4
+
+
 def test_keeper_learns_which_adapters_are_in_use():
     network = Network('ab', 4)
     keeper = network.nodes['b3']
--- a/tools/bench_fleet.py
+++ b/tools/bench_fleet.py
@@ -2,7 +2,8 @@
 
 Digests of the nodes of one data centre are drawn at random, with as many
 requests in flight and changes in each interval as the rate of requests
-brings; the other data centres are as large as this one.
+brings. All other data centres together, whose loads reach a reader as one
+sum, are taken to cost what the own one does.
 """
 
 import dataclasses
@@ -21,6 +22,9 @@
 IN_FLIGHT = 1.2
 
 ADAPTERS_PER_ENGINE = 9
+
+# Sums that a node is told: its own data centre's, and of all the others.
+SUMS = 2
 ROUNDS = 12
 
 
@@ -133,12 +137,12 @@
 
 
 def measure(shape: Shape) -> dict[str, float]:
-    """Return bytes and milliseconds of one interval of a shape."""
+    """Return bytes and milliseconds of one pause between updates."""
     site = Site(shape)
     told: dict[str, _centres.Centre] = {}
     sums = dict.fromkeys(('digest', 'update', 'hear', 'tell', 'read'), 0.0)
     for number in range(ROUNDS + 1):
-        site.now += site.membership.interval
+        site.now += site.membership.pause
         began = time.perf_counter()
         digest = site.hear_all()
         heard = time.perf_counter()
@@ -159,12 +163,12 @@
         if number:
             # The first one is full.
             sums['digest'] += digest
-            sums['update'] += len(data) * shape.centres
+            sums['update'] += len(data) * SUMS
             sums['hear'] += (heard - began) / (len(site.vms) - 1) * 1e3
-            sums['tell'] += (said - heard) * shape.centres * 1e3
-            sums['read'] += (read - said) * shape.centres * 1e3
+            sums['tell'] += (said - heard) * SUMS * 1e3
+            sums['read'] += (read - said) * SUMS * 1e3
     return {name: total / ROUNDS for name, total in sums.items()} | {
-        'interval': site.membership.interval,
+        'interval': site.membership.pause,
         'members': len(site.vms),
     }
 
@@ -172,7 +176,7 @@
 def main() -> None:
     """Print what one interval costs, and what that is in a second."""
     print(
-        'nodes engines interval_s digest_B update_B hear_ms tell_ms read_ms'
+        'nodes engines pause_s digest_B update_B hear_ms tell_ms read_ms'
         ' node_KB/s node_core% hub_core%'
     )
     for shape in SHAPES:
