--- a/packages/mustardlb-gateway/mustardlb_gateway/_membership.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_membership.py
@@ -128,8 +128,14 @@
             self._hubs.clear()
 
     def hears_majority(self) -> bool:
-        """Whether more than half of all known nodes live."""
-        return 2 * (len(self.live) + 1) > len(self.vms_by_name) + 1
+        """Whether more nodes live than were lost or met lately unheard."""
+        since = self._clock() - LOST_FOR
+        unheard = sum(
+            self._heard_at.get(vm, met_at) > since
+            for vm, met_at in self._met_at.items()
+            if vm not in self.live
+        )
+        return len(self.live) + 1 > unheard
 
     def lost_lately(self, data_centre: str) -> list[str]:
         """Return the nodes that were heard not long ago, now or before.
--- a/packages/mustardlb-gateway/mustardlb_gateway/_quota.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_quota.py
@@ -191,10 +191,6 @@
         known.heard_at = now
         known.nodes, known.silent = nodes, silent
 
-    def forget(self, source: str) -> None:
-        """Note that the nodes of a source are counted elsewhere."""
-        self._sources_by_name.pop(source, None)
-
     def assume_silent(self, now: float) -> None:
         """Charge the even share of each node that is not heard from."""
         sources = self._sources_by_name
--- a/tests/mustardlb_gateway/test_fleet.py
+++ b/tests/mustardlb_gateway/test_fleet.py
@@ -382,4 +382,16 @@
     node = network.nodes['a2']
     assert node.membership.live == {'a0', 'a1'}
     assert node.fleet.view['b'].silent == 3
-    assert not node.membership.hears_majority() or 2 * 3 > 6
+    # Three live and three were lost.
+    assert not node.membership.hears_majority()
+
+
+def test_nodes_that_are_lost_for_good_are_no_majority_for_long():
+    network = Network('ab', 4)
+    network.run(3)
+    for name in ('a0', 'a1', 'b0', 'b1', 'b2'):
+        network.stop(name)
+    network.run(10)
+    assert not any(n.membership.hears_majority() for n in network.live())
+    network.run(15)
+    assert all(n.membership.hears_majority() for n in network.live())
