--- a/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
@@ -185,7 +185,7 @@
                 return
             case _messages.Update():
                 self._hear_update(channel, message, message.body)
-        self._has_news()
+        self._note_news()
 
     def _hear_update(
         self,
@@ -201,7 +201,7 @@
             self._know_levels(update.levels)
         self._revised(message.vm, update.revisions)
 
-    def _has_news(self) -> None:
+    def _note_news(self) -> None:
         self._news.set()
         self._news = trio.Event()
 
@@ -222,7 +222,7 @@
             if digest != told or now - told_at >= quiet:
                 told, told_at = digest, now
                 self._tell_hubs(digest)
-                self._has_news()
+                self._note_news()
             with trio.move_on_after(self.membership.pause):
                 await self._must_tell.wait()
 
