--- a/tests/mustardlb_gateway/test_quota.py
+++ b/tests/mustardlb_gateway/test_quota.py
@@ -214,3 +214,30 @@
     quota = make_quota()
     free = builders.make_account()
     assert all(quota.take(free, 1e9, 0.0) == 0 for _ in range(10))
+
+
+def test_flood_at_many_nodes_stays_within_what_operators_tolerate():
+    rate, burst, window = 180_000.0, 320_000.0, 8
+    tolerance = _quota.Tolerance(0.1, 110_000.0, window)
+    account = builders.make_account(counts_tokens=True, rate=rate, burst=burst)
+    fleet = Fleet(80)
+    fleet.quotas = [_quota.Quota(lambda: tolerance) for _ in range(80)]
+    for quota in fleet.quotas:
+        quota.know([account], 0.0)
+    rng = random.Random(1)
+    admitted = []
+    for tick in range(500):
+        now = tick / 20
+        # What a node admits reaches the others over two hubs.
+        if tick % 12 == 0:
+            fleet.exchange(now)
+        elif tick % 5 == 0:
+            fleet.assume_silent(now)
+        # A quiet time fills the burst before the flood.
+        asked = (0.2 if now < 10 else 5.0) * rate / 20
+        while rng.random() * 10_000 < asked:
+            asked -= 10_000
+            if rng.choice(fleet.quotas).take(account, 10_000, now) == 0:
+                admitted.append((now, 10_000))
+    allowed = (rate * window + burst) * 1.1 + 110_000
+    assert most_in_window(admitted, window) <= allowed
