Log whether a failed attempt had brought output and how its connection ended

So the logs could not tell whether the requests that an engine had begun to answer when it ended share a part.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -119,6 +119,7 @@
             if not attempt.was_sent:
                 attempt.outcome = _outcomes.Outcome.NOT_RUN
             elif connection is not None:
+                attempt.is_broken = connection.is_ended_by_peer
                 self._pool.record_broken(connection, target.service)
         except* http_server.ClientDisconnected:
             client_disconnected = True
@@ -198,6 +199,7 @@
                 'the target stopped sending the response'
             )
         record_prefill()
+        attempt.output_at = trio.current_time()
         attempt.outcome = _outcomes.Outcome.ANSWERED
         response = _outcomes.BufferedResponse(
             head.status, self._translation.response_headers(head.headers), body
@@ -274,6 +276,8 @@
             if data is None:
                 break
             record_prefill()
+            if attempt.output_at is None:
+                attempt.output_at = trio.current_time()
             self._targets.record_response(attempt.target_id)
             complete = job.splitter.feed(data)
             if complete:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -30,6 +30,8 @@
 # Limits memory: each request in flight holds its body.
 MAX_IN_FLIGHT_REQUESTS = 1500
 
+MAX_LOGGED_PARTS = 8
+
 # Used if a call doesn't state how long its client waits.
 DEFAULT_CLIENT_TIMEOUT_SECONDS = 60.0
 
@@ -274,6 +276,7 @@
             account=account,
             cost=cost,
             adapter=str(job.call.adapter or ''),
+            parts=job.call.shared_parts[:MAX_LOGGED_PARTS],
             outcome=outcome,
             targets=[attempt.target_id for attempt in job.attempts],
             waited=round(job.waited, 3),
--- a/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
@@ -39,6 +39,10 @@
 
     :ivar started_at: trio time
     :ivar was_sent: whether a part of the request may have been sent
+    :ivar is_broken: whether the target closed or reset the connection before
+        the response was complete
+    :ivar output_at: trio time of the first part of the response body, None
+        if none was received
     :ivar response: error response that is forwarded to the client if no
         further attempt succeeds
     """
@@ -50,6 +54,8 @@
     was_sent: bool = False
     status: int = 0
     response: BufferedResponse | None = None
+    is_broken: bool = False
+    output_at: float | None = None
 
     def describe(self, now: float) -> dict[str, object]:
         """Return the fields of a log event; `fate` is the outcome."""
@@ -58,6 +64,9 @@
             'fate': str(self.outcome),
             'status': self.status,
             'problem': self.problem,
+            'is_broken': self.is_broken,
+            'output_seconds': self.output_at
+            and round(now - self.output_at, 3),
             'seconds': round(now - self.started_at, 3),
         }
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/domain.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/domain.py
@@ -254,6 +254,11 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     last_event_id: str | None = None
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the ids of the prompt's parts that others may share."""
+        return tuple(part.part_id for part in self.prompt_parts[:-1])
+
     @property
     def prompt_tokens(self) -> int:
         """Return the number of tokens in the prompt, 0 if unknown."""
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -81,6 +81,7 @@
     :ivar idle_seconds: idle time before the current request
     :ivar has_response_data: whether any byte was received since the current
         request was sent
+    :ivar is_ended_by_peer: whether the peer closed or reset the connection
     """
 
     def __init__(self, stream: trio.SocketStream) -> None:
@@ -92,6 +93,7 @@
         self._idle_since = float('inf')
         self.idle_seconds = 0.0
         self.has_response_data = False
+        self.is_ended_by_peer = False
         self.is_closed = False
 
     def close(self) -> None:
@@ -234,8 +236,10 @@
             try:
                 data = await self._stream.receive_some(MAX_READ_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as e:
+                self.is_ended_by_peer = not self.is_closed
                 raise ExchangeFailed('the connection was reset') from e
             self.has_response_data |= bool(data)
+            self.is_ended_by_peer = not data
             try:
                 self._h11.receive_data(bytes(data))
             except h11.RemoteProtocolError as error:
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -2,6 +2,7 @@
 import gateway_harness
 import pytest
 import scripted
+from structlog import testing
 import trio
 
 from mustardlb_gateway import _dispatch
@@ -243,6 +244,34 @@
     assert response.events == [0]
 
 
+async def break_without_output(connection, head, body):
+    await connection.send(scripted.stream_head(scripted.request_id(head)))
+    await trio.sleep(0.02)
+    await connection.reset()
+
+
+# Without these fields, the log does not show which request a target that
+# crashed had begun to answer.
+@pytest.mark.parametrize(
+    ('script', 'is_broken', 'has_output'),
+    [
+        (break_without_output, True, False),
+        (make_stream(range(2), ends=False), True, True),
+        (never_respond, False, False),
+    ],
+)
+async def test_failed_attempt_is_logged_with_its_output(
+    script, is_broken, has_output
+):
+    route = builders.make_route(kind=domain.RouteKind.STREAM, timeout=0.4)
+    async with gateway_harness.Harness(route).running(script) as harness:
+        with testing.capture_logs() as logs:
+            await harness.send_request()
+    (failed,) = [each for each in logs if each['event'] == 'MLB-6602']
+    assert failed['is_broken'] == is_broken
+    assert (failed['output_seconds'] is not None) == has_output
+
+
 async def test_adapter_is_loaded_before_the_request_is_sent():
     harness = gateway_harness.Harness(STREAM, engine=True)
     async with harness.running(make_stream(range(1))) as harness:
