--- a/tests/mustardlb_gateway/test_app.py
+++ b/tests/mustardlb_gateway/test_app.py
@@ -46,6 +46,7 @@
     def __init__(self, script):
         self.store = simulated_store.SimulatedStore()
         self.target = scripted.ScriptedServer(script)
+        self.translation = TranslationStub()
         self.nodes = []
         self.store_views = []
 
@@ -75,7 +76,7 @@
                 store = (
                     self.store_views.pop(0) if self.store_views else self.store
                 )
-                node = app.Node(settings, store, TranslationStub())
+                node = app.Node(settings, store, self.translation)
                 self.nodes.append(node)
                 nursery.start_soon(node.run)
             yield self
