Keep requests that crash engines from further ones, at all nodes

Cause: nodes kept failures by target only. An engine that ends was left alone, but nothing connected the ends of several engines with what they had been sent, and no node knew what the others had seen. Ruled out: orders (the first engine had none for 3.7 s), the gateways' own repeats (each suspect was sent once).

Change: a node reports a target that ends (refuses connections after one broke, or loses its registration) with the parts of its requests that had no output yet. Reports, and the last outputs of suspects since, are merged by all nodes: in digests and updates, and in the store for the case that all start again. A part with three crashes and no output between, and with a third of all crashes, is quarantined for up to ten minutes: its requests are rejected at once with the time left, before they are charged, before each attempt and while they wait. Parts with output elsewhere, such as the shared first one, stay in use. Calls without a prompt are described by their content.

--- /dev/null
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_crash_records.py
@@ -0,0 +1,107 @@
+"""Saves the evidence on crashes in the store.
+
+Nodes keep it in memory and tell each other. The store holds what counts
+against quarantined suspects for the case that all nodes start again.
+"""
+
+import random
+from typing import Any
+
+import structlog
+import trio
+
+from mustardlb_gateway import _crashes
+from mustardlb_gateway import ports
+
+log = structlog.get_logger()
+
+KIND = 'gateway-crashes'
+NAME = 'current'
+
+RETRY_SECONDS = 0.5
+
+
+def encode(evidence: _crashes.Evidence) -> dict[str, Any]:
+    """Return the stored form of evidence."""
+    return {
+        'reports': [
+            {
+                'target': report.target_id,
+                'incarnation': report.incarnation,
+                'at': report.at,
+                'suspects': sorted(report.suspects),
+            }
+            for report in evidence.report_by_key.values()
+        ],
+        'outputs': evidence.output_at_by_suspect,
+    }
+
+
+def decode(spec: Any) -> _crashes.Evidence:
+    """Return stored evidence; what is malformed is logged and left out."""
+    try:
+        reports = [
+            _crashes.CrashReport(
+                str(each['target']),
+                int(each['incarnation']),
+                float(each['at']),
+                frozenset(map(str, each['suspects'])),
+            )
+            for each in spec['reports']
+        ]
+        outputs = {str(key): float(at) for key, at in spec['outputs'].items()}
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        log.warning('MLB-6208', problem=repr(error))
+        return _crashes.Evidence()
+    return _crashes.Evidence(
+        {report.key: report for report in reports}, outputs
+    )
+
+
+async def load(store: ports.Store) -> _crashes.Evidence:
+    """Return the saved evidence, as soon as the store answers."""
+    while True:
+        try:
+            stored = await store.get(KIND, NAME)
+        except ports.StoreUnavailable as error:
+            log.info('MLB-6209', call='get', problem=str(error))
+            await _sleep_before_retry()
+            continue
+        return decode(stored.spec) if stored else _crashes.Evidence()
+
+
+async def save(
+    store: ports.Store, evidence: _crashes.Evidence, now: float
+) -> None:
+    """Add evidence to the saved one; `now` is in Unix seconds."""
+    while True:
+        try:
+            if await _try_save(store, evidence, now):
+                return
+        except ports.StoreUnavailable as error:
+            log.info('MLB-6209', call='replace', problem=str(error))
+        await _sleep_before_retry()
+
+
+async def _try_save(
+    store: ports.Store, evidence: _crashes.Evidence, now: float
+) -> bool:
+    stored = await store.get(KIND, NAME)
+    saved = decode(stored.spec) if stored else _crashes.Evidence()
+    merged = _crashes.without_expired(_crashes.merge(saved, evidence), now)
+    merged = _crashes.only_outputs_of(merged, merged.suspects)
+    if merged == saved:
+        return True
+    try:
+        if stored is None:
+            await store.create(KIND, NAME, encode(merged))
+        else:
+            await store.replace(KIND, NAME, encode(merged), stored.revision)
+    except ports.Conflict:
+        # Another node has saved its evidence at the same time.
+        return False
+    return True
+
+
+async def _sleep_before_retry() -> None:
+    await trio.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
--- /dev/null
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_crash_watch.py
@@ -0,0 +1,84 @@
+"""Detects targets that have ended; saves the evidence in the store."""
+
+from collections import abc
+import time
+
+import trio
+
+from mustardlb_gateway import _crash_records
+from mustardlb_gateway import _quarantine
+from mustardlb_gateway import _sockets
+from mustardlb_gateway import domain
+from mustardlb_gateway import ports
+
+# A process that ends closes its connections before its listening socket is
+# gone. One that has ended refuses connections until it is started again.
+CHECK_DELAYS_SECONDS = (0.05, 0.25)
+
+CONNECT_TIMEOUT_SECONDS = 0.4
+
+SAVE_INTERVAL_SECONDS = 0.25
+
+
+class CrashWatch:
+    """Checks targets whose connections broke while they began to answer."""
+
+    def __init__(
+        self,
+        quarantine: _quarantine.Quarantine,
+        store: ports.Store,
+        has_lapsed: abc.Callable[[domain.Target], bool],
+        wall_clock: abc.Callable[[], float] = time.time,
+    ) -> None:
+        self._quarantine = quarantine
+        self._store = store
+        self._has_lapsed = has_lapsed
+        self._wall_clock = wall_clock
+        self._checked: set[tuple[str, int]] = set()
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        """Load the saved evidence, then save what is found."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            saved = await _crash_records.load(self._store)
+            self._quarantine.add(saved, is_settled=True)
+            while True:
+                await trio.sleep(SAVE_INTERVAL_SECONDS)
+                evidence = self._quarantine.take_unsaved()
+                if evidence is not None:
+                    await _crash_records.save(
+                        self._store, evidence, self._wall_clock()
+                    )
+
+    def record_failure(
+        self, target: domain.Target, call: domain.Call, is_broken: bool
+    ) -> None:
+        """Record a call that failed without lasting output.
+
+        :param is_broken: the target closed or reset the connection
+        """
+        self._quarantine.record_failure(target, call)
+        key = target.target_id, target.incarnation
+        if is_broken and self._nursery and key not in self._checked:
+            self._checked.add(key)
+            self._nursery.start_soon(self._check, target)
+
+    def handle_removal(self, target: domain.Target) -> None:
+        """Handle a target that was removed from the store or restarted."""
+        if not self._has_lapsed(target):
+            self._quarantine.confirm_crash(target, 'removed')
+
+    async def _check(self, target: domain.Target) -> None:
+        """Report a crash if a target refuses connections."""
+        for delay in CHECK_DELAYS_SECONDS:
+            await trio.sleep(delay)
+            try:
+                stream = await _sockets.connect(
+                    target.host, target.port, CONNECT_TIMEOUT_SECONDS
+                )
+            except OSError as error:
+                self._quarantine.confirm_crash(target, str(error))
+                break
+            await trio.aclose_forcefully(stream)
+        self._checked.discard((target.target_id, target.incarnation))
--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -47,7 +47,12 @@
 
 
 class Dispatcher:
-    """Sends calls to targets and retries them."""
+    """Sends calls to targets and retries them.
+
+    `quarantine_wait` returns the seconds for which a call is not sent, and
+    `record_failure` is called with each attempt that a target may have failed
+    on, and whether its connection broke.
+    """
 
     def __init__(
         self,
@@ -63,6 +68,8 @@
             [_messages.Reserve], abc.Awaitable[_messages.Reserved | None]
         ],
         acquire_retry: abc.Callable[[str], bool],
+        quarantine_wait: abc.Callable[[domain.Call], float],
+        record_failure: abc.Callable[[domain.Target, domain.Call, bool], None],
     ) -> None:
         self._exchange = exchange
         self._targets = targets
@@ -71,11 +78,14 @@
         self._load = load
         self._reserve = reserve
         self._acquire_retry = acquire_retry
+        self._quarantine_wait = quarantine_wait
+        self._record_failure = record_failure
 
     async def run(self, job: _jobs.Job) -> None:
         """Send the response to a call, or raise the error to respond with."""
         while True:
             choice = await self._choose_target(job)
+            self._check_quarantine(job)
             if job.sent_attempts and not self._acquire_retry(job.service.name):
                 raise self._final_error(job, 'the retry budget is exhausted')
             attempt = _outcomes.Attempt(
@@ -85,6 +95,13 @@
             self._log_choice(job, choice)
             await self._exchange.run(job, attempt, choice)
             self._record_attempt(job, attempt)
+            if (
+                attempt.outcome == _outcomes.Outcome.UNKNOWN
+                and not attempt.has_lasting_output(trio.current_time())
+            ):
+                self._record_failure(
+                    choice.target, job.call, attempt.is_broken
+                )
             if attempt.outcome == _outcomes.Outcome.ANSWERED:
                 if attempt.response is None:
                     return
@@ -95,6 +112,13 @@
             if not self._may_retry(job):
                 raise self._final_error(job, attempt.problem)
 
+    def _check_quarantine(self, job: _jobs.Job) -> None:
+        """Raise the final error of a call that is quarantined by now."""
+        wait = self._quarantine_wait(job.call)
+        if wait > 0 and job.may_have_run:
+            raise self._final_error(job, 'targets have ended on such requests')
+        _outcomes.reject_quarantined(wait, steps.Step.DISPATCH)
+
     def _may_retry(self, job: _jobs.Job) -> bool:
         """Return whether the call may be sent to another target."""
         if job.sent_attempts >= job.route.max_attempts:
@@ -254,6 +278,7 @@
                 raise self._final_error(
                     job, 'no target was available before the deadline'
                 )
+            self._check_quarantine(job)
             request = self._placement_request(
                 job, load_excluded, queue_seconds, absent
             )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -38,12 +38,14 @@
         targets: _targets.TargetTable,
         prefix_index: _prefix_index.PrefixIndex,
         versions: abc.Callable[[domain.AdapterName], _jobs.AdapterVersions],
+        record_output: abc.Callable[[domain.Call, float], None],
     ) -> None:
         self._translation = translation
         self._pool = pool
         self._targets = targets
         self._prefix_index = prefix_index
         self._versions = versions
+        self._record_output = record_output
 
     async def run(
         self,
@@ -200,6 +202,8 @@
             )
         record_prefill()
         attempt.output_at = trio.current_time()
+        if is_success:
+            self._record_output(job.call, 0.0)
         attempt.outcome = _outcomes.Outcome.ANSWERED
         response = _outcomes.BufferedResponse(
             head.status, self._translation.response_headers(head.headers), body
@@ -263,8 +267,10 @@
             # The next target repeats the interrupted event from its start.
             job.splitter.discard_partial()
         timeout = self._response_timeout_seconds(job)
+        is_recorded = False
         while True:
             data = await _receive_data(connection, job, timeout)
+            now = trio.current_time()
             if job.splitter is None:
                 job.splitter = _event_stream.EventSplitter(
                     job.call.last_event_id
@@ -277,15 +283,20 @@
                 break
             record_prefill()
             if attempt.output_at is None:
-                attempt.output_at = trio.current_time()
+                attempt.output_at = now
+            elif not is_recorded and attempt.has_lasting_output(now):
+                is_recorded = True
+                self._record_output(job.call, now - attempt.output_at)
             self._targets.record_response(attempt.target_id)
             complete = job.splitter.feed(data)
             if complete:
                 if job.first_byte is None:
-                    job.first_byte = trio.current_time()
+                    job.first_byte = now
                 await job.reply.send(complete)
         if job.splitter.partial:
             raise http_client.ExchangeFailed('the last event is incomplete')
+        if not is_recorded and attempt.output_at is not None:
+            self._record_output(job.call, now - attempt.output_at)
         attempt.outcome = _outcomes.Outcome.ANSWERED
         await job.reply.finish()
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -78,6 +78,7 @@
         configuration_age: abc.Callable[[], float],
         count_request: abc.Callable[[str], None],
         publish_counts: abc.Callable[[], None],
+        quarantine_wait: abc.Callable[[domain.Call], float],
         clock: abc.Callable[[], float],
     ) -> None:
         self._translation = translation
@@ -88,6 +89,7 @@
         self._configuration_age = configuration_age
         self._count_request = count_request
         self._publish_counts = publish_counts
+        self._quarantine_wait = quarantine_wait
         self._clock = clock
         self._in_flight = 0
         self._stop_schedule: StopSchedule | None = None
@@ -152,6 +154,7 @@
                     errors.Code.UNAUTHENTICATED, 'unknown API key', step
                 )
         self._check_time_left(call, route)
+        _outcomes.reject_quarantined(self._quarantine_wait(call), step)
         if self._in_flight > MAX_IN_FLIGHT_REQUESTS:
             raise _outcomes.rejection(
                 errors.Code.OVERLOADED,
@@ -296,7 +299,9 @@
     ) -> None:
         """Send the error response of a rejected or failed call."""
         retry_after = error.retry_after
-        if retry_after is not None:
+        # A quarantine ends later than most clients wait. They are told when,
+        # as coming back before is of no use to them.
+        if retry_after is not None and error.code != errors.Code.QUARANTINED:
             retry_after = max(
                 0.0,
                 min(retry_after, time_left * _outcomes.MAX_RETRY_AFTER_RATIO),
--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -7,6 +7,7 @@
 
 from mustardlb import schema
 from mustardlb_gateway import _centres
+from mustardlb_gateway import _crashes
 from mustardlb_gateway import _messages
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
@@ -88,6 +89,7 @@
                 'revisions': _encode_numbers(body.revisions),
                 'changes': _encode_changes(body.changes),
                 'levels': _encode_amounts(body.levels),
+                'crashEvidence': _evidence_fields(body.crash_evidence),
             }
 
 
@@ -128,6 +130,22 @@
         'capacity': digest.capacity,
         'isWatching': digest.is_watching,
         'canClaim': digest.can_claim,
+        'crashEvidence': _evidence_fields(digest.crash_evidence),
+    }
+
+
+def _evidence_fields(evidence: _crashes.Evidence) -> dict[str, Any]:
+    return {
+        'reports': [
+            {
+                'target': report.target_id,
+                'incarnation': report.incarnation,
+                'at': report.at,
+                'suspects': sorted(report.suspects),
+            }
+            for report in evidence.report_by_key.values()
+        ],
+        'outputs': _encode_amounts(evidence.output_at_by_suspect),
     }
 
 
@@ -281,6 +299,7 @@
                     for each in _changes_decoder.decode(update.changes)
                 ),
                 {each.name: each.amount for each in update.levels},
+                _decode_evidence(update.crashEvidence),
             )
         case _:
             return _messages.Wanted(decoded.wanted)
@@ -315,6 +334,20 @@
         ),
         tuple(_decode_holding(each) for each in digest.holdings),
         digest.canClaim,
+        _decode_evidence(digest.crashEvidence),
+    )
+
+
+def _decode_evidence(evidence: Any) -> _crashes.Evidence:
+    reports = [
+        _crashes.CrashReport(
+            each.target, each.incarnation, each.at, frozenset(each.suspects)
+        )
+        for each in evidence.reports
+    ]
+    return _crashes.Evidence(
+        {report.key: report for report in reports},
+        {each.name: each.amount for each in evidence.outputs},
     )
 
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from mustardlb_gateway import _centres
+from mustardlb_gateway import _crashes
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
 
@@ -29,6 +30,7 @@
     :ivar revisions: revision of the last change, by kind
     :ivar admitted: cost admitted since the process started, by account
     :ivar can_claim: whether the sender can claim leases in the store
+    :ivar crash_evidence: found by the sender
     """
 
     host: str
@@ -42,6 +44,7 @@
     usages: tuple[TargetUsage, ...]
     holdings: tuple[_centres.Holding, ...]
     can_claim: bool = True
+    crash_evidence: _crashes.Evidence = _crashes.Evidence()
 
     def vm(self, name: str) -> _centres.Vm:
         """Return the sender, whose name is given in the message."""
@@ -172,12 +175,14 @@
     :ivar is_full: whether it replaces all earlier updates
     :ivar revisions: revision of the hub's last change, by kind
     :ivar levels: level of each account's bucket, in a full update only
+    :ivar crash_evidence: known to the hub and not sent before
     """
 
     is_full: bool
     revisions: dict[str, int]
     changes: tuple[_centres.CentreDelta, ...]
     levels: dict[str, float]
+    crash_evidence: _crashes.Evidence = _crashes.Evidence()
 
 
 Body = (
--- a/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
@@ -5,6 +5,7 @@
 
 from mustardlb import errors
 from mustardlb import steps
+from mustardlb_gateway import _quarantine
 from mustardlb_gateway import domain
 
 # Largest Retry-After as a ratio of the time that the client still waits.
@@ -70,6 +71,13 @@
             'seconds': round(now - self.started_at, 3),
         }
 
+    def has_lasting_output(self, now: float) -> bool:
+        """Return whether output went on for a while, as of a trio time."""
+        return (
+            self.output_at is not None
+            and now - self.output_at >= _quarantine.MIN_OUTPUT_SECONDS
+        )
+
 
 def rejection(
     code: errors.Code,
@@ -81,3 +89,14 @@
     return errors.Error(
         code, message, step, not_run=True, retry_after=retry_after
     )
+
+
+def reject_quarantined(wait: float, step: steps.Step) -> None:
+    """Raise a rejection if a call is quarantined for some seconds."""
+    if wait > 0:
+        raise rejection(
+            errors.Code.QUARANTINED,
+            'targets have ended on requests like this one',
+            step,
+            wait,
+        )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
@@ -7,6 +7,7 @@
 import trio
 
 from mustardlb_gateway import _centres
+from mustardlb_gateway import _crashes
 from mustardlb_gateway import _fleet
 from mustardlb_gateway import _membership
 from mustardlb_gateway import _message_codec
@@ -29,7 +30,9 @@
     `on_view_refresh` is called after each refresh of the fleet's view and
     `on_revisions` with the revisions of a node's copies of the store.
     `get_levels` returns the levels of the accounts' buckets, and
-    `on_levels` is called with those of another node.
+    `on_levels` is called with those of another node. `get_evidence` returns
+    what is known about crashes of targets, and `on_evidence` is called with
+    what another node knows.
     """
 
     def __init__(
@@ -43,6 +46,8 @@
         on_revisions: abc.Callable[[str, dict[str, int]], None],
         get_levels: abc.Callable[[], dict[str, float]],
         on_levels: abc.Callable[[dict[str, float]], None],
+        get_evidence: abc.Callable[[], _crashes.Evidence],
+        on_evidence: abc.Callable[[_crashes.Evidence], None],
     ) -> None:
         self.membership = membership
         self.fleet = fleet
@@ -54,6 +59,8 @@
         self._on_revisions = on_revisions
         self._get_levels = get_levels
         self._on_levels = on_levels
+        self._get_evidence = get_evidence
+        self._on_evidence = on_evidence
         self._sequence = itertools.count(1)
         self._changed = trio.Event()
         self._send_requested = trio.Event()
@@ -187,6 +194,8 @@
                 channel.vm = message.vm
                 self.fleet.receive_digest(message, message.body)
                 self._on_revisions(message.vm, message.body.revisions)
+                if message.body.crash_evidence:
+                    self._on_evidence(message.body.crash_evidence)
             case _messages.Subscription():
                 channel.vm = message.vm
                 channel.subscriptions += 1
@@ -207,6 +216,8 @@
         message: _messages.Message,
         update: _messages.Update,
     ) -> None:
+        if update.crash_evidence:
+            self._on_evidence(update.crash_evidence)
         if not self.fleet.receive_update(message, update):
             # The next connection check then renews the subscription, which
             # starts with a full update.
@@ -266,15 +277,18 @@
         sent: dict[str, _centres.CentreState] = {}
         sent_at = float('-inf')
         revisions: dict[str, int] = {}
+        sent_evidence = _crashes.Evidence()
         is_full = True
         while channel.is_open and channel.subscriptions == subscription:
             changed = self._changed
             current = self.fleet.state_for(channel.vm)
+            evidence = self._get_evidence()
             update = _messages.Update(
                 is_full,
                 self._make_digest().revisions,
                 self._diff_states(sent, current),
                 self._get_levels() if is_full else {},
+                _crashes.news(sent_evidence, evidence),
             )
             now = trio.current_time()
             heartbeat_seconds = (
@@ -282,12 +296,13 @@
             )
             if (
                 update.changes
+                or update.crash_evidence
                 or update.revisions != revisions
                 or now - sent_at >= heartbeat_seconds
             ):
                 await self._send(channel, self.encode(update))
                 sent, sent_at, is_full = current, now, False
-                revisions = update.revisions
+                revisions, sent_evidence = update.revisions, evidence
             await _timers.sleep(self.membership.batch_delay)
             with trio.move_on_after(self.membership.base_interval):
                 await changed.wait()
--- /dev/null
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_quarantine.py
@@ -0,0 +1,310 @@
+"""Keeps requests that crash targets away from the targets."""
+
+import collections
+from collections import abc
+import dataclasses
+import hashlib
+import time
+
+import structlog
+
+from mustardlb_gateway import _crashes
+from mustardlb_gateway import domain
+
+log = structlog.get_logger()
+
+# A target may end shortly after the first output of a request that crashes
+# it. A request whose output goes on for longer did not.
+MIN_OUTPUT_SECONDS = 0.5
+
+# A target that ends within this time of a request's failure may have failed
+# because of it. Registrations of targets that crashed expire later than
+# their connections close.
+CONFIRMATION_SECONDS = 8.0
+
+# A crash counts once it has been known for this time, a multiple of the age
+# of what nodes tell. Until then, other nodes report outputs of suspects that
+# only waited at the target.
+MIN_SETTLE_SECONDS = 0.5
+SETTLE_LOAD_AGES = 1.5
+
+# Suspects whose last output is remembered, so that a crash that a node learns
+# about later does not count against them.
+MAX_REMEMBERED_OUTPUTS = 2048
+
+# Expired evidence is discarded at this interval.
+REFRESH_INTERVAL_SECONDS = 1.0
+
+MAX_LOGGED_SUSPECTS = 16
+
+_CONTENT_PREFIX = 'content:'
+
+
+def suspects_of(call: domain.Call) -> tuple[str, ...]:
+    """Return what a crash on a call may be due to.
+
+    The last part of a prompt belongs to this request alone. A call without
+    prompt parts is described by its content, which retries repeat.
+    """
+    if call.prompt_parts:
+        parts = call.shared_parts[: _crashes.MAX_SUSPECTS_PER_REPORT]
+        return tuple(part for part in parts if part)
+    digest = hashlib.blake2b(digest_size=8)
+    for field in (call.method, call.path, call.body):
+        digest.update(b'%d:' % len(field) + field)
+    return (_CONTENT_PREFIX + digest.hexdigest(),)
+
+
+@dataclasses.dataclass(slots=True)
+class _Failures:
+    """Requests of this node that failed without output at one target.
+
+    :ivar first_at: time of the first failure, Unix seconds
+    :ivar last_at: time of the last failure, clock seconds
+    """
+
+    first_at: float
+    last_at: float
+    suspects: set[str] = dataclasses.field(default_factory=set)
+
+
+class Quarantine:
+    """Crashes that this node has observed or was told of, and the suspects.
+
+    :ivar evidence: of all nodes
+    :ivar own_evidence: found by this node, which the other nodes are told
+    """
+
+    def __init__(
+        self,
+        clock: abc.Callable[[], float],
+        load_age: abc.Callable[[], float],
+        wall_clock: abc.Callable[[], float] = time.time,
+    ) -> None:
+        self._clock = clock
+        self._load_age = load_age
+        self._wall_clock = wall_clock
+        self.evidence = _crashes.Evidence()
+        self.own_evidence = _crashes.Evidence()
+        self._failures_by_key: dict[_crashes.CrashKey, _Failures] = {}
+        self._output_at: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self._learned_at: dict[tuple[_crashes.CrashKey, str], float] = {}
+        self._has_content_suspects = False
+        self._until_by_suspect: dict[str, float] = {}
+        self._valid_until = float('inf')
+        self._convicted: frozenset[str] = frozenset()
+        self._is_unsaved = False
+
+    @property
+    def size(self) -> int:
+        """Return the number of quarantined suspects."""
+        return len(self._until_by_suspect)
+
+    def wait(self, call: domain.Call) -> float:
+        """Return the seconds for which a call is not sent to targets."""
+        if self._clock() >= self._valid_until:
+            self.refresh()
+        if not self._until_by_suspect:
+            return 0.0
+        if not call.prompt_parts and not self._has_content_suspects:
+            return 0.0
+        until = max(
+            (
+                self._until_by_suspect.get(suspect, 0.0)
+                for suspect in suspects_of(call)
+            ),
+            default=0.0,
+        )
+        return max(0.0, until - self._wall_clock())
+
+    def record_failure(self, target: domain.Target, call: domain.Call) -> None:
+        """Record a request that failed without lasting output.
+
+        Its suspects are reported if the target turns out to have ended.
+        """
+        now = self._clock()
+        self._failures_by_key = {
+            key: failures
+            for key, failures in self._failures_by_key.items()
+            if failures.last_at > now - CONFIRMATION_SECONDS
+        }
+        failures = self._failures_by_key.setdefault(
+            (target.target_id, target.incarnation),
+            _Failures(self._wall_clock(), now),
+        )
+        failures.last_at = now
+        failures.suspects.update(suspects_of(call))
+
+    def confirm_crash(self, target: domain.Target, reason: str) -> None:
+        """Report the requests that failed at a target that has ended.
+
+        A target that announced its end has not crashed.
+        """
+        key = target.target_id, target.incarnation
+        failures = self._failures_by_key.pop(key, None)
+        if (
+            failures is None
+            or not failures.suspects
+            or failures.last_at < self._clock() - CONFIRMATION_SECONDS
+            or target.state != domain.TargetState.READY
+        ):
+            return
+        report = _crashes.CrashReport(
+            *key, failures.first_at, frozenset(failures.suspects)
+        )
+        log.warning(
+            'MLB-6205',
+            target=target.target_id,
+            incarnation=target.incarnation,
+            reason=reason,
+            suspects=sorted(report.suspects)[:MAX_LOGGED_SUSPECTS],
+        )
+        self._report(_crashes.Evidence({key: report}))
+
+    def record_output(self, call: domain.Call, seconds_ago: float) -> None:
+        """Record that a call had its first lasting output some time ago."""
+        at = self._wall_clock() - seconds_ago
+        suspects: tuple[str, ...] = (_crashes.ANY_REQUEST,)
+        if call.prompt_parts or self._has_content_suspects:
+            suspects += suspects_of(call)
+        for suspect in suspects:
+            self._output_at[suspect] = max(
+                at, self._output_at.get(suspect, at)
+            )
+            self._output_at.move_to_end(suspect)
+        while len(self._output_at) > MAX_REMEMBERED_OUTPUTS:
+            self._output_at.popitem(last=False)
+        self._report_outputs(suspects)
+
+    def _report_outputs(self, suspects: abc.Iterable[str]) -> None:
+        """Report outputs that are later than a known crash.
+
+        Nothing is reported that is known from another node already.
+        """
+        needed = {}
+        known = self.evidence.output_at_by_suspect
+        for suspect in suspects:
+            output_at = self._output_at.get(suspect, float('-inf'))
+            known_at = known.get(suspect, float('-inf'))
+            if output_at > known_at and any(
+                known_at < report.at < output_at
+                for report in self.evidence.report_by_key.values()
+                if suspect in (*report.suspects, _crashes.ANY_REQUEST)
+            ):
+                needed[suspect] = output_at
+        if needed:
+            self._report(_crashes.Evidence({}, needed))
+
+    def _report(self, evidence: _crashes.Evidence) -> None:
+        self.own_evidence = _crashes.merge(self.own_evidence, evidence)
+        self.add(evidence)
+
+    def add(
+        self, evidence: _crashes.Evidence, is_settled: bool = False
+    ) -> None:
+        """Add evidence that this node or another one has found.
+
+        :param is_settled: the crashes count at once
+        """
+        merged = _crashes.merge(self.evidence, evidence)
+        if merged == self.evidence:
+            return
+        learned_at = float('-inf') if is_settled else self._clock()
+        for key, report in evidence.report_by_key.items():
+            for suspect in report.suspects:
+                self._learned_at.setdefault((key, suspect), learned_at)
+        self.evidence = merged
+        self.refresh()
+        if evidence.report_by_key:
+            self._report_outputs(
+                (*self.evidence.suspects, _crashes.ANY_REQUEST)
+            )
+
+    def refresh(self) -> None:
+        """Discard expired evidence and decide on the suspects again."""
+        now, wall_now = self._clock(), self._wall_clock()
+        self.evidence = _crashes.without_expired(self.evidence, wall_now)
+        suspects = self.evidence.suspects
+        self.evidence = _crashes.only_outputs_of(self.evidence, suspects)
+        self.own_evidence = _crashes.only_outputs_of(
+            _crashes.without_expired(self.own_evidence, wall_now), suspects
+        )
+        self._has_content_suspects = any(
+            suspect.startswith(_CONTENT_PREFIX) for suspect in suspects
+        )
+        reports = self.evidence.report_by_key
+        self._learned_at = {
+            (key, suspect): self._learned_at.get((key, suspect), now)
+            for key, report in reports.items()
+            for suspect in report.suspects
+        }
+        settle_seconds = max(
+            MIN_SETTLE_SECONDS, SETTLE_LOAD_AGES * self._load_age()
+        )
+        settled_since = now - settle_seconds
+        self._replace(
+            _crashes.quarantined(
+                self.evidence,
+                lambda report, suspect: (
+                    self._learned_at[report.key, suspect] <= settled_since
+                ),
+            )
+        )
+        self._valid_until = min(
+            (
+                learned_at + settle_seconds
+                for learned_at in self._learned_at.values()
+                if learned_at > settled_since
+            ),
+            default=float('inf'),
+        )
+        if reports:
+            self._valid_until = min(
+                self._valid_until, now + REFRESH_INTERVAL_SECONDS
+            )
+
+    def _replace(self, until_by_suspect: dict[str, float]) -> None:
+        """Replace the quarantined suspects and log what has changed."""
+        before, self._until_by_suspect = (
+            self._until_by_suspect,
+            until_by_suspect,
+        )
+        for suspect in until_by_suspect.keys() - before.keys():
+            log.warning(
+                'MLB-6206',
+                suspect=suspect,
+                targets=[
+                    report.target_id
+                    for report in self.evidence.report_by_key.values()
+                    if suspect in report.suspects
+                ],
+                seconds=round(
+                    until_by_suspect[suspect] - self._wall_clock(), 1
+                ),
+            )
+        for suspect in before.keys() - until_by_suspect.keys():
+            log.info(
+                'MLB-6207',
+                suspect=suspect,
+                had_output=suspect in self.evidence.output_at_by_suspect,
+            )
+        if until_by_suspect == before:
+            return
+        self._convicted |= until_by_suspect.keys()
+        self._is_unsaved |= any(
+            report.suspects & self._convicted
+            for report in self.own_evidence.report_by_key.values()
+        )
+
+    def take_unsaved(self) -> _crashes.Evidence | None:
+        """Return evidence to save for nodes that start later, once.
+
+        Only nodes that have reported a crash of a quarantined suspect
+        themselves save it, so that few write the same.
+        """
+        if not self._is_unsaved:
+            return None
+        self._is_unsaved = False
+        return _crashes.about(self.evidence, self._convicted)
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -9,6 +9,7 @@
 from mustardlb import clock as clocks
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _charging
+from mustardlb_gateway import _crash_watch
 from mustardlb_gateway import _current_config
 from mustardlb_gateway import _dispatch
 from mustardlb_gateway import _engine_client
@@ -25,6 +26,7 @@
 from mustardlb_gateway import _peers
 from mustardlb_gateway import _placement
 from mustardlb_gateway import _prefix_index
+from mustardlb_gateway import _quarantine
 from mustardlb_gateway import _quota
 from mustardlb_gateway import _retry_budget
 from mustardlb_gateway import _targets
@@ -117,6 +119,12 @@
         self.fleet = _fleet.Fleet(
             self.membership, incarnation, self._make_digest, clock
         )
+        self.quarantine = _quarantine.Quarantine(
+            clock, lambda: self.membership.load_age
+        )
+        self._crash_watch = _crash_watch.CrashWatch(
+            self.quarantine, store, self.targets.takes_requests
+        )
         self.peers = _peers.Peers(
             self.membership,
             self.fleet,
@@ -127,6 +135,8 @@
             self._fetch_missing_snapshots,
             lambda: self._quota.levels(clock()),
             self._quota.adopt_levels,
+            lambda: self.quarantine.evidence,
+            self.quarantine.add,
         )
         self._charging = _charging.Charging(
             settings.vm,
@@ -166,6 +176,15 @@
         self._live_nodes = self.metrics.add_gauge(
             'mustardlb_live_nodes', 'Other nodes that this one hears of.'
         )
+        self._quarantined = self.metrics.add_gauge(
+            'mustardlb_quarantined',
+            'Parts of prompts, or contents, that are kept from targets.',
+        )
+        self._crashes = self.metrics.add_gauge(
+            'mustardlb_crash_reports',
+            'Targets that ended in the last minutes on requests without '
+            'output, at any node.',
+        )
         self._gateway = _gateway.Gateway(
             translation,
             self._make_dispatcher(translation),
@@ -175,6 +194,7 @@
             lambda: clock() - configurations.confirmed_at,
             lambda service: self._get_retry_budget(service).add_request(),
             lambda: self._counts_changed.set(),
+            self.quarantine.wait,
             clock,
         )
         self._client_server = self._make_client_server()
@@ -203,6 +223,7 @@
                 self.targets,
                 self._prefix_index,
                 self.state.versions,
+                self.quarantine.record_output,
             ),
             self.targets,
             placement,
@@ -212,6 +233,8 @@
             lambda service: self._get_retry_budget(service).try_acquire(
                 self._clock()
             ),
+            self.quarantine.wait,
+            self._crash_watch.record_failure,
         )
 
     def _make_client_server(self) -> http_server.Server:
@@ -245,6 +268,7 @@
     def _on_target_removed(self, target: domain.Target) -> None:
         self._pool.remove_peer(target.target_id)
         self._prefix_index.discard(target.target_id)
+        self._crash_watch.handle_removal(target)
 
     def _make_digest(self) -> _messages.Digest:
         usages = tuple(
@@ -269,6 +293,7 @@
             usages,
             self.engine_manager.own_holdings(),
             self.engine_manager.can_claim(),
+            self.quarantine.own_evidence,
         )
 
     def _apply_fleet_view(self) -> None:
@@ -362,6 +387,7 @@
             nursery.start_soon(self.engine_manager.run, nursery)
             nursery.start_soon(self._run_maintenance)
             nursery.start_soon(self._publish_counts)
+            nursery.start_soon(self._crash_watch.run)
 
     async def _serve(self, nursery: trio.Nursery) -> None:
         host = self.settings.host
@@ -439,6 +465,9 @@
                 self._quota.add_accounts(accounts, now)
             self._quota.charge_assumed_shares(now)
             self._pool.close_expired()
+            self.quarantine.refresh()
+            self._quarantined.set(self.quarantine.size)
+            self._crashes.set(len(self.quarantine.evidence.report_by_key))
 
     def reload(self, settings: gateway_settings.Settings) -> None:
         """Apply changed settings while the node runs."""
--- a/packages/mustardlb/mustardlb/errors.py
+++ b/packages/mustardlb/mustardlb/errors.py
@@ -26,6 +26,7 @@
     NODE_STOPPING = 'node_stopping'
     OVERLOADED = 'overloaded'
     NO_TARGET = 'no_target'
+    QUARANTINED = 'quarantined'
     LOAD_FAILED = 'load_failed'
     TARGET_FAILED = 'target_failed'
     TARGET_TIMEOUT = 'target_timeout'
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -35,6 +35,7 @@
   capacity @8 :Float64;     # capacity of the sender's network link, Mbit/s
   isWatching @9 :Bool;      # whether the sender's watch of the store works
   canClaim @10 :Bool = true;  # false if the store does not answer the sender
+  crashEvidence @11 :CrashEvidence; # found by the sender
 }
 
 struct Update {
@@ -42,6 +43,19 @@
   revisions @1 :List(Named);
   changes @2 :Data;         # changes of each data centre, MessagePack
   levels @3 :List(Counted); # levels of the accounts' token buckets
+  crashEvidence @4 :CrashEvidence;  # known to the sender, not sent before
+}
+
+struct CrashEvidence {
+  reports @0 :List(CrashReport);
+  outputs @1 :List(Counted);  # last output of suspects, Unix seconds
+}
+
+struct CrashReport {
+  target @0 :Text;
+  incarnation @1 :UInt64;   # of the target
+  at @2 :Float64;           # when it ended, Unix seconds
+  suspects @3 :List(Text);  # of requests that had no output
 }
 
 struct Named {
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -17,6 +17,7 @@
 from mustardlb_gateway import _mirror
 from mustardlb_gateway import _placement
 from mustardlb_gateway import _prefix_index
+from mustardlb_gateway import _quarantine
 from mustardlb_gateway import _quota
 from mustardlb_gateway import _targets
 from mustardlb_gateway import domain
@@ -92,6 +93,8 @@
     :ivar load_requests: target and adapter of each requested load
     :ivar load_result: whether loads succeed
     :ivar load_age: age of the loads that nodes tell, seconds
+    :ivar failures: target, and whether its connection broke, of each failure
+        without lasting output
     :ivar reservations: responses to reservations, None if nobody decides
     """
 
@@ -115,6 +118,8 @@
         self.targets = _targets.TargetTable(mirror, translation, clock)
         prefix_index = _prefix_index.PrefixIndex(clock)
         self.quota = _quota.Quota(lambda: _quota.Tolerance(0.0, 10.0))
+        self.quarantine = _quarantine.Quarantine(clock, lambda: 0.0, clock)
+        self.failures = []
         self.dispatcher = _dispatch.Dispatcher(
             _exchange.Exchange(
                 translation,
@@ -122,6 +127,7 @@
                 self.targets,
                 prefix_index,
                 lambda adapter: self.versions,
+                self.quarantine.record_output,
             ),
             self.targets,
             _placement.Placement(
@@ -137,6 +143,8 @@
             self._load,
             self._reserve,
             self._acquire_retry,
+            self.quarantine.wait,
+            self._record_failure,
         )
         charging = _charging.Charging(
             'vm1', 'a', self.quota, None, None, frozenset, None, clock
@@ -150,6 +158,7 @@
             lambda: 0.0,
             lambda service: None,
             lambda: None,
+            self.quarantine.wait,
             clock,
         )
         self.server = http_server.Server(
@@ -166,6 +175,9 @@
         self.reserve_requests.append(request)
         return self.reservations.pop(0) if self.reservations else None
 
+    def _record_failure(self, target, call, is_broken):
+        self.failures.append((target.target_id, is_broken))
+
     def _acquire_retry(self, service):
         self.retries_left -= 1
         return self.retries_left >= 0
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -272,6 +272,75 @@
     assert (failed['output_seconds'] is not None) == has_output
 
 
+def quarantine_calls(harness, seconds=30.0):
+    harness.quarantine.wait = lambda call: seconds
+    harness.dispatcher._quarantine_wait = harness.quarantine.wait
+    harness.gateway._quarantine_wait = harness.quarantine.wait
+
+
+# Callers are told when to come back instead of waiting for their deadline.
+async def test_quarantined_call_is_rejected_at_once_and_not_charged():
+    account = builders.make_account(rate=10.0, burst=10.0)
+    harness = gateway_harness.Harness(STREAM, [account])
+    async with harness.running(make_stream(range(2))):
+        quarantine_calls(harness)
+        started_at = trio.current_time()
+        response = await harness.send_request(b'x-key: key-acme\r\n')
+        assert trio.current_time() - started_at < 0.2
+        assert response.status == 503
+        assert float(response.headers[b'retry-after']) == 30.0
+        assert harness.request_count == 0
+        assert not harness.quota.admitted_costs().get('acme')
+
+
+async def test_call_that_waits_is_rejected_once_it_is_quarantined():
+    async with (
+        gateway_harness.Harness(STREAM).running() as harness,
+        trio.open_nursery() as nursery,
+    ):
+        started_at = trio.current_time()
+
+        async def quarantine_later():
+            await trio.sleep(0.2)
+            quarantine_calls(harness)
+
+        nursery.start_soon(quarantine_later)
+        response = await harness.send_request()
+    assert trio.current_time() - started_at < 0.6
+    assert response.status == 503
+    assert response.headers[b'retry-after']
+
+
+# The first target may have run it, so the response must not say that nothing
+# did.
+async def test_call_that_may_have_run_is_not_resumed_in_quarantine():
+    async with gateway_harness.Harness(STREAM).running(
+        break_without_output, break_without_output
+    ) as harness:
+        dispatcher = harness.dispatcher
+        dispatcher._record_failure = lambda *_: quarantine_calls(harness)
+        response = await harness.send_request()
+        assert response.status == 502
+        assert harness.request_count == 1
+
+
+@pytest.mark.parametrize(
+    ('script', 'failures'),
+    [
+        (break_without_output, [('t0', True)]),
+        (reset_connection, [('t0', True)]),
+        (never_respond, [('t0', False)]),
+        (reject_not_run, []),
+        (respond_500, []),
+    ],
+)
+async def test_failures_without_output_are_recorded(script, failures):
+    route = builders.make_route(kind=domain.RouteKind.STREAM, timeout=0.4)
+    async with gateway_harness.Harness(route).running(script) as harness:
+        await harness.send_request()
+        assert harness.failures == failures
+
+
 async def test_adapter_is_loaded_before_the_request_is_sent():
     harness = gateway_harness.Harness(STREAM, engine=True)
     async with harness.running(make_stream(range(1))) as harness:
--- a/tests/mustardlb_gateway/test_fleet.py
+++ b/tests/mustardlb_gateway/test_fleet.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mustardlb_gateway import _centres
+from mustardlb_gateway import _crashes
 from mustardlb_gateway import _fleet
 from mustardlb_gateway import _membership
 from mustardlb_gateway import _message_codec
@@ -117,6 +118,8 @@
     :ivar blocked: pairs of nodes that cannot reach each other
     """
 
+    node_class = Node
+
     def __init__(self, centres, per_centre, seed=0):
         self.now = 100.0
         self.rng = random.Random(seed)
@@ -138,7 +141,7 @@
 
     def start(self, vm):
         self.generation[vm.vm] += 1
-        node = Node(self, vm, self.generation[vm.vm])
+        node = self.node_class(self, vm, self.generation[vm.vm])
         for other in self.vms:
             node.membership.add(other)
         self.nodes[vm.vm] = node
@@ -187,6 +190,8 @@
             subscriber, hub = connection[:2]
             if not self.is_connected(subscriber, hub):
                 continue
+            if not self.is_update_due(connection):
+                continue
             node = self.nodes[hub]
             current = node.fleet.state_for(subscriber)
             empty = _centres.CentreState()
@@ -197,11 +202,21 @@
                 for name in sent | current
             ]
             update = _messages.Update(
-                not sent, {}, tuple(each for each in changes if each), {}
+                not sent,
+                {},
+                tuple(each for each in changes if each),
+                {},
+                self.evidence_to_send(connection, not sent),
             )
             self.feeds[connection] = current
             self.send(node, subscriber, node.message(update))
 
+    def is_update_due(self, connection):
+        return True
+
+    def evidence_to_send(self, connection, is_full):
+        return _crashes.Evidence()
+
     def run(self, seconds, on_step=lambda: None):
         for _ in range(round(seconds / STEP_SECONDS)):
             self.now += STEP_SECONDS
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -6,6 +6,7 @@
 import trio
 
 from mustardlb_gateway import _centres
+from mustardlb_gateway import _crashes
 from mustardlb_gateway import _fleet
 from mustardlb_gateway import _membership
 from mustardlb_gateway import _message_codec
@@ -13,6 +14,11 @@
 from mustardlb_gateway import _peers
 from mustardlb_gateway import ports
 
+EVIDENCE = _crashes.Evidence(
+    {('t1', 99): _crashes.CrashReport('t1', 99, 1.5, frozenset({'p1', 'p2'}))},
+    {'p2': 2.5, _crashes.ANY_REQUEST: 3.5},
+)
+
 DIGEST = _messages.Digest(
     host='10.0.0.1',
     port=7600,
@@ -26,6 +32,7 @@
     holdings=(
         _centres.Holding('t1', 4, 99, True, {builders.adapter('a1'): 2}, -1),
     ),
+    crash_evidence=EVIDENCE,
 )
 
 CHANGE = _centres.CentreDelta(
@@ -63,7 +70,9 @@
         _messages.Wanted(False),
         _messages.Subscription(True),
         _messages.Subscription(False),
-        _messages.Update(True, {'config': 7}, (CHANGE,), {'acme': -1.5}),
+        _messages.Update(
+            True, {'config': 7}, (CHANGE,), {'acme': -1.5}, EVIDENCE
+        ),
     ],
 )
 def test_message_round_trip(body):
@@ -83,6 +92,7 @@
         self.admitted = {}
         self.revision_senders = []
         self.received_levels = {}
+        self.evidence = self.own_evidence = _crashes.Evidence()
         self.vm = _centres.Vm(
             vm, '127.0.0.1', free_ports.find(1)[0], data_centre, capacity
         )
@@ -100,8 +110,13 @@
             lambda vm, revisions: self.revision_senders.append(vm),
             lambda: {'acme': 7.0},
             self.received_levels.update,
+            lambda: self.evidence,
+            self.add_evidence,
         )
 
+    def add_evidence(self, evidence):
+        self.evidence = _crashes.merge(self.evidence, evidence)
+
     def digest(self):
         return _messages.Digest(
             self.vm.host,
@@ -114,6 +129,7 @@
             dict(self.admitted),
             (),
             (),
+            crash_evidence=self.own_evidence,
         )
 
     @property
@@ -322,3 +338,15 @@
         for node in rest:
             assert set(node.membership.hubs('a')) == {'a2', 'a3'}
             assert node.fleet.must_watch()
+
+
+# A node that was not told of a crash would go on sending such requests.
+async def test_crash_evidence_reaches_all_nodes():
+    nodes = [Node(f'vm{n}', 'ab'[n % 2], 5.0 - n) for n in range(6)]
+    async with running(*nodes):
+        for node in nodes[1:]:
+            node.membership.add(nodes[0].vm)
+        nodes[5].own_evidence = nodes[5].evidence = EVIDENCE
+        with trio.fail_after(4):
+            while any(node.evidence != EVIDENCE for node in nodes):
+                await trio.sleep(0.02)
--- a/tests/mustardlb_gateway/test_stale_loads.py
+++ b/tests/mustardlb_gateway/test_stale_loads.py
@@ -77,6 +77,8 @@
             None,
             self.reserve,
             lambda service: True,
+            lambda call: 0.0,
+            lambda target, call, is_broken: None,
         )
         self.waits = []
 
