Do not take an unframed stream without an event for a complete answer

A response may have neither a length nor chunks and end with its connection, which is also how a target ends that crashes. A stream that ended so before its first event was passed on as complete and empty. It counts as broken now: repeated where that is permitted, else 502, and evidence of a crash. test_unframed_stream_without_an_event_is_no_answer failed before (status 200).

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -271,6 +271,16 @@
         while True:
             data = await _receive_data(connection, job, timeout)
             now = trio.current_time()
+            if (
+                data is None
+                and attempt.output_at is None
+                and not head.has_length
+            ):
+                # Without a length or chunks, this is how a target that ends
+                # looks too.
+                raise http_client.ExchangeFailed(
+                    'the stream ended before its first event'
+                )
             if job.splitter is None:
                 job.splitter = _event_stream.EventSplitter(
                     job.call.last_event_id
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -341,6 +341,45 @@
         assert harness.failures == failures
 
 
+async def end_unframed_stream(connection, head, body):
+    await connection.send(
+        b'HTTP/1.1 200 OK\r\nx-signed: 1\r\nx-id: '
+        + scripted.request_id(head)
+        + b'\r\n\r\n'
+    )
+    await trio.sleep(0.02)
+    await connection.stream.aclose()
+
+
+# An engine that ends closes its connections, which is also how a response
+# without a length or chunks ends.
+async def test_unframed_stream_without_an_event_is_no_answer():
+    async with gateway_harness.Harness(NON_RESUMABLE_STREAM).running(
+        end_unframed_stream
+    ) as harness:
+        response = await harness.send_request()
+        assert response.status == 502
+        assert harness.failures == [('t0', True)]
+
+
+async def test_unframed_stream_that_ends_after_an_event_is_complete():
+    async def script(connection, head, body):
+        await connection.send(
+            b'HTTP/1.1 200 OK\r\nx-signed: 1\r\nx-id: '
+            + scripted.request_id(head)
+            + b'\r\n\r\nid: 1\ndata: e1\n\n'
+        )
+        await connection.stream.aclose()
+
+    async with gateway_harness.Harness(NON_RESUMABLE_STREAM).running(
+        script
+    ) as harness:
+        response = await harness.send_request()
+        assert response.is_complete
+        assert response.events == [1]
+        assert not harness.failures
+
+
 async def test_adapter_is_loaded_before_the_request_is_sent():
     harness = gateway_harness.Harness(STREAM, engine=True)
     async with harness.running(make_stream(range(1))) as harness:
