--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -39,6 +39,7 @@
         prefix_index: _prefix_index.PrefixIndex,
         versions: abc.Callable[[domain.AdapterName], _jobs.AdapterVersions],
         record_output: abc.Callable[[domain.Call, float], None],
+        record_limit: abc.Callable[[domain.Target, float | None, float], None],
     ) -> None:
         self._translation = translation
         self._pool = pool
@@ -46,6 +47,7 @@
         self._prefix_index = prefix_index
         self._versions = versions
         self._record_output = record_output
+        self._record_limit = record_limit
 
     async def run(
         self,
@@ -112,7 +114,7 @@
                     nursery,
                 )
                 await self._receive_response(
-                    job, attempt, connection, record_prefill
+                    job, attempt, target, connection, record_prefill
                 )
                 nursery.cancel_scope.cancel()
         except* http_client.ExchangeFailed as group:
@@ -161,6 +163,7 @@
         self,
         job: _jobs.Job,
         attempt: _outcomes.Attempt,
+        target: domain.Target,
         connection: http_client.Connection,
         record_prefill: abc.Callable[[], None],
     ) -> None:
@@ -176,6 +179,11 @@
             )
         info = self._translation.read_response(head.headers)
         self._targets.record_response(attempt.target_id)
+        self._record_limit(
+            target,
+            info.request_limit,
+            trio.current_time() - attempt.started_at,
+        )
         attempt.status = head.status
         is_success = 200 <= head.status < 300
         # Status 421 (Misdirected Request) means that the target did not
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -209,6 +209,11 @@
             and current.incarnation == target.incarnation
         )
 
+    def incarnation(self, target_id: str) -> int | None:
+        """Return the incarnation of a registered target, else None."""
+        target = self.by_id.get(target_id)
+        return target.incarnation if target is not None else None
+
     def health(self, target_id: str) -> Health:
         """Return the health of a target."""
         return self._health_by_id.setdefault(target_id, Health())
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -29,6 +29,7 @@
 from mustardlb_gateway import _quarantine
 from mustardlb_gateway import _quota
 from mustardlb_gateway import _retry_budget
+from mustardlb_gateway import _target_limits
 from mustardlb_gateway import _targets
 from mustardlb_gateway import _timers
 from mustardlb_gateway import domain
@@ -119,6 +120,9 @@
         self.fleet = _fleet.Fleet(
             self.membership, incarnation, self._make_digest, clock
         )
+        self.target_limits = _target_limits.TargetLimits(
+            self.targets.incarnation
+        )
         self.quarantine = _quarantine.Quarantine(
             clock, lambda: self.membership.load_age
         )
@@ -224,6 +228,7 @@
                 self._prefix_index,
                 self.state.versions,
                 self.quarantine.record_output,
+                self.target_limits.record_response,
             ),
             self.targets,
             placement,
@@ -466,6 +471,7 @@
             self._quota.charge_assumed_shares(now)
             self._pool.close_expired()
             self.quarantine.refresh()
+            self.target_limits.remove_gone()
             self._quarantined.set(self.quarantine.size)
             self._crashes.set(len(self.quarantine.evidence.report_by_key))
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/domain.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/domain.py
@@ -273,12 +273,15 @@
     :ivar is_signed: the response has the target's signature
     :ivar not_executed: the target did not execute the request
     :ivar load: running requests, queued requests and slots, or None
+    :ivar request_limit: requests a second that the target accepts from all
+        nodes together, None for no limit
     """
 
     request_id: str | None
     is_signed: bool
     not_executed: bool
     load: tuple[int, int, int] | None = None
+    request_limit: float | None = None
 
 
 class CommandKind(enum.StrEnum):
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -19,6 +19,7 @@
 from mustardlb_gateway import _prefix_index
 from mustardlb_gateway import _quarantine
 from mustardlb_gateway import _quota
+from mustardlb_gateway import _target_limits
 from mustardlb_gateway import _targets
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_client
@@ -32,7 +33,7 @@
     """Reads and writes the headers that the tests use.
 
     Requests have `x-id`, `x-key`, `x-wait` (client timeout in seconds) and
-    `x-adapter`; responses have `x-id`, `x-signed` and `x-not-run`.
+    `x-adapter`; responses have `x-id`, `x-signed`, `x-not-run` and `x-limit`.
     """
 
     def read_target(self, name, spec):
@@ -75,6 +76,9 @@
             request_id and request_id.decode(),
             b'x-signed' in values,
             b'x-not-run' in values,
+            request_limit=float(values[b'x-limit'])
+            if b'x-limit' in values
+            else None,
         )
 
     def response_headers(self, headers):
@@ -119,6 +123,9 @@
         prefix_index = _prefix_index.PrefixIndex(clock)
         self.quota = _quota.Quota(lambda: _quota.Tolerance(0.0, 10.0))
         self.quarantine = _quarantine.Quarantine(clock, lambda: 0.0, clock)
+        self.target_limits = _target_limits.TargetLimits(
+            self.targets.incarnation, clock
+        )
         self.failures = []
         self.dispatcher = _dispatch.Dispatcher(
             _exchange.Exchange(
@@ -128,6 +135,7 @@
                 prefix_index,
                 lambda adapter: self.versions,
                 self.quarantine.record_output,
+                self.target_limits.record_response,
             ),
             self.targets,
             _placement.Placement(
--- a/tests/mustardlb_platform/test_translation.py
+++ b/tests/mustardlb_platform/test_translation.py
@@ -279,6 +279,24 @@
     assert not_executed == domain.ResponseInfo(None, False, True, None)
 
 
+@pytest.mark.parametrize(
+    ('value', 'limit'),
+    [
+        (b'1.7', 1.7),
+        (b'0', 0.0),
+        (b'', None),
+        (b'many', None),
+        (b'-1', None),
+        (b'nan', None),
+        (b'inf', None),
+    ],
+)
+def test_limit_of_a_target_is_decoded(value, limit):
+    info = translation.read_response([(b'server-limit', value)])
+    assert info.request_limit == limit
+    assert translation.read_response([]).request_limit is None
+
+
 def test_only_hop_by_hop_response_headers_are_dropped():
     headers = [
         (b'connection', b'x-hop'),
