--- a/packages/mustardlb-gateway/mustardlb_gateway/_charging.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_charging.py
@@ -1,36 +1,23 @@
 """Charges requests at the owner of their account.
 
-The owner of an account is the live node that ranks highest for it by
-rendezvous hashing. It decides on each request of the account before the
+The owner of an account decides on each request of the account before the
 request is admitted, because counters that are exchanged afterwards show a
-flood only after a part of the nodes have exceeded the limit. If the owner
-does not respond, the node of the next rank is asked; if that one does not
-respond either, the node's own bucket decides.
+flood only after a part of the nodes have exceeded the limit. If no node that
+may be asked responds, the node's own bucket decides.
 """
 
 from collections import abc
 import dataclasses
-import itertools
 
 import structlog
 
-from mustardlb_gateway import _leases
 from mustardlb_gateway import _messages
+from mustardlb_gateway import _owners
 from mustardlb_gateway import _quota
 from mustardlb_gateway import domain
 
 log = structlog.get_logger()
 
-# Time to wait for an owner. It allows a few round trips between data centres
-# and is short against the latency objectives of requests.
-RESPONSE_TIMEOUT_SECONDS = 0.12
-
-# A node that did not respond is not asked for this time. The fleet notices
-# by then if it has stopped.
-BACKOFF_SECONDS = 2.0
-
-MAX_OWNERS_ASKED = 2
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decision:
@@ -74,12 +61,9 @@
         self._quota = quota
         self._request = request
         self._notify = notify
-        self._live = live
+        self._owners = _owners.Owners(vm, live, clock)
         self._account = account
         self._clock = clock
-        self._unresponsive_until: dict[str, float] = {}
-        self._ranked_vms: frozenset[str] = frozenset()
-        self._ranking_by_account: dict[str, list[str]] = {}
 
     async def charge(
         self, account: domain.Account, call: domain.Call
@@ -88,7 +72,7 @@
         cost = self._quota.cost(account, call)
         if account.rate <= 0:
             return Decision(self._vm, cost, 0.0, 0.0)
-        for owner in self._owners(account.name):
+        for owner in self._owners.to_ask(account.name):
             if owner == self._vm:
                 break
             decision = await self._ask(owner, account, cost, call.request_id)
@@ -110,7 +94,7 @@
         response = await self._request(
             owner,
             _messages.Charge(account.name, cost, self._data_centre),
-            RESPONSE_TIMEOUT_SECONDS,
+            _owners.RESPONSE_TIMEOUT_SECONDS,
         )
         now = self._clock()
         if isinstance(response, _messages.Charged) and response.is_decided:
@@ -119,7 +103,7 @@
             return Decision(owner, cost, response.wait, response.level)
         is_silent = not isinstance(response, _messages.Charged)
         if is_silent:
-            self._unresponsive_until[owner] = now + BACKOFF_SECONDS
+            self._owners.mark_unresponsive(owner)
         log.info(
             'MLB-6606',
             request=request_id,
@@ -160,28 +144,3 @@
             self._quota.refund_grant(
                 account, charge.cost, charge.data_centre, self._clock()
             )
-
-    def _owners(self, account: str) -> list[str]:
-        """Return the nodes to ask, by rank."""
-        now = self._clock()
-        self._unresponsive_until = {
-            vm: until
-            for vm, until in self._unresponsive_until.items()
-            if until > now
-        }
-        vms = self._live() | {self._vm}
-        if vms != self._ranked_vms:
-            self._ranked_vms = vms
-            self._ranking_by_account.clear()
-        ranking = self._ranking_by_account.get(account)
-        if ranking is None:
-            ranking = sorted(
-                vms,
-                key=lambda vm: _leases.rendezvous_weight(vm, account),
-                reverse=True,
-            )
-            self._ranking_by_account[account] = ranking
-        responsive = (
-            vm for vm in ranking if vm not in self._unresponsive_until
-        )
-        return list(itertools.islice(responsive, MAX_OWNERS_ASKED))
