Keep to the limits that targets name, over all nodes together

Cause: nothing read the limit; targets could only be rejected from or found slow.

Change: the latest notice of any node binds all (_target_limits; digests and updates). A request to a target with a limit needs a permit of the target's owner, the live node of the first rank; nodes that it does not respond to ask the next ones, which hand out less (_target_permits). A target at its limit is left out of the choice; a call for which nothing else is left waits for a permit within half of its latency objective, or is rejected at once with the time to come back, spread. Retries and resumed streams need a permit as well; limits in reports and in responses to commands are read too.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -16,6 +16,7 @@
 from mustardlb_gateway import _outcomes
 from mustardlb_gateway import _placement
 from mustardlb_gateway import _prefill_queue
+from mustardlb_gateway import _target_permits
 from mustardlb_gateway import _targets
 from mustardlb_gateway import domain
 
@@ -41,6 +42,10 @@
 # client has time left to return.
 MAX_SLOT_WAIT_RATIO = 0.5
 
+# A call waits for a target that has reached its limit up to this part of its
+# latency objective.
+MAX_PERMIT_WAIT_RATIO = 0.5
+
 # Retry-After of a rejection without a better estimate; about the duration of
 # an adapter load.
 DEFAULT_RETRY_AFTER_SECONDS = 0.3
@@ -49,6 +54,7 @@
 class Dispatcher:
     """Sends calls to targets and retries them.
 
+    `permits` decides on requests to targets that have named a limit.
     `quarantine_wait` returns the seconds for which a call is not sent, and
     `record_failure` is called with each attempt that a target may have failed
     on, and whether its connection broke.
@@ -70,6 +76,7 @@
         acquire_retry: abc.Callable[[str], bool],
         quarantine_wait: abc.Callable[[domain.Call], float],
         record_failure: abc.Callable[[domain.Target, domain.Call, bool], None],
+        permits: _target_permits.TargetPermits,
     ) -> None:
         self._exchange = exchange
         self._targets = targets
@@ -80,18 +87,22 @@
         self._acquire_retry = acquire_retry
         self._quarantine_wait = quarantine_wait
         self._record_failure = record_failure
+        self._permits = permits
 
     async def run(self, job: _jobs.Job) -> None:
         """Send the response to a call, or raise the error to respond with."""
         while True:
             choice = await self._choose_target(job)
             self._check_quarantine(job)
+            if not await self._is_permitted(job, choice.target):
+                continue
             if job.sent_attempts and not self._acquire_retry(job.service.name):
                 raise self._final_error(job, 'the retry budget is exhausted')
             attempt = _outcomes.Attempt(
                 choice.target.target_id, trio.current_time()
             )
             job.attempts.append(attempt)
+            job.permitted_until.pop(choice.target.target_id, None)
             self._log_choice(job, choice)
             await self._exchange.run(job, attempt, choice)
             self._record_attempt(job, attempt)
@@ -119,6 +130,23 @@
             raise self._final_error(job, 'targets have ended on such requests')
         _outcomes.reject_quarantined(wait, steps.Step.DISPATCH)
 
+    async def _is_permitted(
+        self, job: _jobs.Job, target: domain.Target
+    ) -> bool:
+        """Return whether a call may be sent to a target with a limit.
+
+        A permit is kept while the adapter is loaded.
+        """
+        target_id = target.target_id
+        if job.permitted_until.get(target_id, 0.0) > trio.current_time():
+            return True
+        if not await self._permits.acquire(target, job.call.request_id):
+            return False
+        job.permitted_until[target_id] = (
+            trio.current_time() + _target_permits.PERMIT_TTL_SECONDS
+        )
+        return True
+
     def _may_retry(self, job: _jobs.Job) -> bool:
         """Return whether the call may be sent to another target."""
         if job.sent_attempts >= job.route.max_attempts:
@@ -283,10 +311,14 @@
                 job, load_excluded, queue_seconds, absent
             )
             choice = self._choose(job, request)
+            if choice is None and request.denied:
+                await self._wait_for_permit(job, request)
             if choice is None:
                 await trio.sleep(CHOICE_RETRY_SECONDS)
                 queue_seconds, absent = {}, frozenset()
                 continue
+            if not await self._is_permitted(job, choice.target):
+                continue
             max_queue = choice.max_queue
             if rejections >= MAX_REJECTED_RESERVATIONS:
                 max_queue = math.inf
@@ -300,6 +332,36 @@
             if not reserved.is_resident:
                 absent |= {target_id}
 
+    async def _wait_for_permit(
+        self, job: _jobs.Job, request: _placement.PlacementRequest
+    ) -> None:
+        """Wait for a target that has reached its limit, if that is short.
+
+        Raises a rejection if the wait would be long. Returns at once if there
+        is no such target either.
+        """
+        without_limits = dataclasses.replace(request, denied=frozenset())
+        if self._choose(job, without_limits) is None:
+            return
+        wait = min(self._permits.denied().values(), default=0.0)
+        now = trio.current_time()
+        latest = job.arrived + MAX_PERMIT_WAIT_RATIO * (
+            job.route.latency_objective
+        )
+        if now + wait <= latest:
+            await trio.sleep(wait)
+            return
+        problem = 'all targets have reached the limits that they named'
+        if job.may_have_run:
+            raise self._final_error(job, problem)
+        # Those who return are spread over as long again.
+        raise _outcomes.rejection(
+            errors.Code.OVERLOADED,
+            problem,
+            steps.Step.DISPATCH,
+            random.uniform(wait, 2 * wait + DEFAULT_RETRY_AFTER_SECONDS),
+        )
+
     def _choose(
         self, job: _jobs.Job, request: _placement.PlacementRequest
     ) -> _placement.Choice | None:
@@ -359,4 +421,5 @@
             job.arrived + job.route.latency_objective - trio.current_time(),
             queue_seconds,
             absent,
+            frozenset(self._permits.denied()),
         )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
@@ -1,5 +1,6 @@
 """HTTP client for engine commands and reports."""
 
+from collections import abc
 import enum
 
 import structlog
@@ -50,10 +51,14 @@
     """Sends commands to engines and requests their reports."""
 
     def __init__(
-        self, pool: http_client.Pool, translation: ports.Translation
+        self,
+        pool: http_client.Pool,
+        translation: ports.Translation,
+        record_limit: abc.Callable[[domain.Target, float | None, float], None],
     ) -> None:
         self._pool = pool
         self._translation = translation
+        self._record_limit = record_limit
 
     async def send_command(
         self, target: domain.Target, command: domain.Command
@@ -120,6 +125,10 @@
             connection.close()
             raise
         self._pool.release(target.target_id, connection)
+        info = self._translation.read_response(head.headers)
+        if info.request_limit is not None:
+            # Only responses to calls show that there is none any more.
+            self._record_limit(target, info.request_limit, 0.0)
         return head.status, body
 
     def _is_command_response(self, head: http_client.Head) -> bool:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -22,6 +22,8 @@
     :ivar controllers_asked: controllers that decided on a reservation
     :ivar reserved_queue: queue of the engine that accepted the reservation,
         seconds; None without a reservation
+    :ivar permitted_until: until when the call may be sent to a target with a
+        limit
     """
 
     call: domain.Call
@@ -38,6 +40,7 @@
     waited: float = 0.0
     controllers_asked: int = 0
     reserved_queue: float | None = None
+    permitted_until: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
     def sent_attempts(self) -> int:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -9,6 +9,7 @@
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _crashes
 from mustardlb_gateway import _messages
+from mustardlb_gateway import _target_limits
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
 
@@ -81,6 +82,13 @@
             }
         case _messages.Refund():
             return 'refund', _charge_fields(body.charge)
+        case _messages.Permit():
+            return 'permit', {
+                'notice': _notice_fields(body.notice),
+                'rank': body.rank,
+            }
+        case _messages.Permitted():
+            return 'permitted', body.wait
         case _messages.Subscription():
             return 'subscription', body.is_wanted
         case _messages.Update():
@@ -90,6 +98,7 @@
                 'changes': _encode_changes(body.changes),
                 'levels': _encode_amounts(body.levels),
                 'crashEvidence': _evidence_fields(body.crash_evidence),
+                'targetLimits': _limit_fields(body.target_limits),
             }
 
 
@@ -131,6 +140,23 @@
         'isWatching': digest.is_watching,
         'canClaim': digest.can_claim,
         'crashEvidence': _evidence_fields(digest.crash_evidence),
+        'targetLimits': _limit_fields(digest.target_limits),
+    }
+
+
+def _limit_fields(
+    notices: _target_limits.NoticesByKey,
+) -> list[dict[str, Any]]:
+    return [_notice_fields(notice) for notice in notices.values()]
+
+
+def _notice_fields(notice: _target_limits.LimitNotice) -> dict[str, Any]:
+    return {
+        'target': notice.target_id,
+        'incarnation': notice.incarnation,
+        'isLimited': notice.limit is not None,
+        'limit': notice.limit or 0.0,
+        'at': notice.at,
     }
 
 
@@ -287,6 +313,11 @@
             )
         case 'refund':
             return _messages.Refund(_decode_charge(decoded.refund))
+        case 'permit':
+            permit = decoded.permit
+            return _messages.Permit(_decode_notice(permit.notice), permit.rank)
+        case 'permitted':
+            return _messages.Permitted(decoded.permitted)
         case 'subscription':
             return _messages.Subscription(decoded.subscription)
         case 'update':
@@ -300,6 +331,7 @@
                 ),
                 {each.name: each.amount for each in update.levels},
                 _decode_evidence(update.crashEvidence),
+                _decode_limits(update.targetLimits),
             )
         case _:
             return _messages.Wanted(decoded.wanted)
@@ -335,6 +367,21 @@
         tuple(_decode_holding(each) for each in digest.holdings),
         digest.canClaim,
         _decode_evidence(digest.crashEvidence),
+        _decode_limits(digest.targetLimits),
+    )
+
+
+def _decode_limits(notices: Any) -> _target_limits.NoticesByKey:
+    decoded = map(_decode_notice, notices)
+    return {notice.key: notice for notice in decoded}
+
+
+def _decode_notice(notice: Any) -> _target_limits.LimitNotice:
+    return _target_limits.LimitNotice(
+        notice.target,
+        notice.incarnation,
+        notice.limit if notice.isLimited else None,
+        notice.at,
     )
 
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -4,6 +4,7 @@
 
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _crashes
+from mustardlb_gateway import _target_limits
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
 
@@ -31,6 +32,7 @@
     :ivar admitted: cost admitted since the process started, by account
     :ivar can_claim: whether the sender can claim leases in the store
     :ivar crash_evidence: found by the sender
+    :ivar target_limits: that targets have told the sender
     """
 
     host: str
@@ -45,6 +47,9 @@
     holdings: tuple[_centres.Holding, ...]
     can_claim: bool = True
     crash_evidence: _crashes.Evidence = _crashes.Evidence()
+    target_limits: _target_limits.NoticesByKey = dataclasses.field(
+        default_factory=dict
+    )
 
     def vm(self, name: str) -> _centres.Vm:
         """Return the sender, whose name is given in the message."""
@@ -161,6 +166,28 @@
     charge: Charge
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Permit:
+    """A request for a permit, sent to the owner of a target with a limit.
+
+    :ivar rank: of the receiver; 0 is the owner, others are asked if nodes of
+        a higher rank do not respond
+    """
+
+    notice: _target_limits.LimitNotice
+    rank: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Permitted:
+    """The response to `Permit`.
+
+    :ivar wait: 0 if a request may be sent, otherwise seconds until it may
+    """
+
+    wait: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Subscription:
     """Starts updates on this connection with a full one, or ends them."""
@@ -176,6 +203,7 @@
     :ivar revisions: revision of the hub's last change, by kind
     :ivar levels: level of each account's bucket, in a full update only
     :ivar crash_evidence: known to the hub and not sent before
+    :ivar target_limits: known to the hub and not sent before
     """
 
     is_full: bool
@@ -183,6 +211,9 @@
     changes: tuple[_centres.CentreDelta, ...]
     levels: dict[str, float]
     crash_evidence: _crashes.Evidence = _crashes.Evidence()
+    target_limits: _target_limits.NoticesByKey = dataclasses.field(
+        default_factory=dict
+    )
 
 
 Body = (
@@ -196,6 +227,8 @@
     | Charge
     | Charged
     | Refund
+    | Permit
+    | Permitted
     | Subscription
     | Update
 )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
@@ -14,6 +14,7 @@
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _peer_channel
 from mustardlb_gateway import _sockets
+from mustardlb_gateway import _target_limits
 from mustardlb_gateway import _timers
 
 log = structlog.get_logger()
@@ -30,9 +31,9 @@
     `on_view_refresh` is called after each refresh of the fleet's view and
     `on_revisions` with the revisions of a node's copies of the store.
     `get_levels` returns the levels of the accounts' buckets, and
-    `on_levels` is called with those of another node. `get_evidence` returns
-    what is known about crashes of targets, and `on_evidence` is called with
-    what another node knows.
+    `on_levels` is called with those of another node. `get_evidence` and
+    `get_limits` return what is known about crashes and limits of targets;
+    `on_target_news` is called with what another node knows.
     """
 
     def __init__(
@@ -47,7 +48,10 @@
         get_levels: abc.Callable[[], dict[str, float]],
         on_levels: abc.Callable[[dict[str, float]], None],
         get_evidence: abc.Callable[[], _crashes.Evidence],
-        on_evidence: abc.Callable[[_crashes.Evidence], None],
+        get_limits: abc.Callable[[], _target_limits.NoticesByKey],
+        on_target_news: abc.Callable[
+            [_crashes.Evidence, _target_limits.NoticesByKey], None
+        ],
     ) -> None:
         self.membership = membership
         self.fleet = fleet
@@ -60,7 +64,8 @@
         self._get_levels = get_levels
         self._on_levels = on_levels
         self._get_evidence = get_evidence
-        self._on_evidence = on_evidence
+        self._get_limits = get_limits
+        self._on_target_news = on_target_news
         self._sequence = itertools.count(1)
         self._changed = trio.Event()
         self._send_requested = trio.Event()
@@ -194,8 +199,9 @@
                 channel.vm = message.vm
                 self.fleet.receive_digest(message, message.body)
                 self._on_revisions(message.vm, message.body.revisions)
-                if message.body.crash_evidence:
-                    self._on_evidence(message.body.crash_evidence)
+                self._on_target_news(
+                    message.body.crash_evidence, message.body.target_limits
+                )
             case _messages.Subscription():
                 channel.vm = message.vm
                 channel.subscriptions += 1
@@ -216,8 +222,7 @@
         message: _messages.Message,
         update: _messages.Update,
     ) -> None:
-        if update.crash_evidence:
-            self._on_evidence(update.crash_evidence)
+        self._on_target_news(update.crash_evidence, update.target_limits)
         if not self.fleet.receive_update(message, update):
             # The next connection check then renews the subscription, which
             # starts with a full update.
@@ -278,17 +283,19 @@
         sent_at = float('-inf')
         revisions: dict[str, int] = {}
         sent_evidence = _crashes.Evidence()
+        sent_limits: _target_limits.NoticesByKey = {}
         is_full = True
         while channel.is_open and channel.subscriptions == subscription:
             changed = self._changed
             current = self.fleet.state_for(channel.vm)
-            evidence = self._get_evidence()
+            evidence, limits = self._get_evidence(), self._get_limits()
             update = _messages.Update(
                 is_full,
                 self._make_digest().revisions,
                 self._diff_states(sent, current),
                 self._get_levels() if is_full else {},
                 _crashes.news(sent_evidence, evidence),
+                _target_limits.news(sent_limits, limits),
             )
             now = trio.current_time()
             heartbeat_seconds = (
@@ -297,12 +304,14 @@
             if (
                 update.changes
                 or update.crash_evidence
+                or update.target_limits
                 or update.revisions != revisions
                 or now - sent_at >= heartbeat_seconds
             ):
                 await self._send(channel, self.encode(update))
                 sent, sent_at, is_full = current, now, False
-                revisions, sent_evidence = update.revisions, evidence
+                revisions = update.revisions
+                sent_evidence, sent_limits = evidence, limits
             await _timers.sleep(self.membership.batch_delay)
             with trio.move_on_after(self.membership.base_interval):
                 await changed.wait()
--- a/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
@@ -98,6 +98,7 @@
     :ivar queue_seconds: queues of prompts that controllers have told, by
         target
     :ivar absent: targets that do not have the adapter any more
+    :ivar denied: targets that take no further request at present
     """
 
     service: domain.Service
@@ -111,6 +112,7 @@
         default_factory=dict
     )
     absent: frozenset[str] = frozenset()
+    denied: frozenset[str] = frozenset()
 
 
 class Placement:
@@ -142,6 +144,7 @@
             target
             for target in self._targets.ready(request.service.name)
             if target.target_id not in request.excluded
+            and target.target_id not in request.denied
         ]
         healthy = [
             target
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_limits.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_limits.py
@@ -68,6 +68,15 @@
     return merged
 
 
+def news(sent: NoticesByKey, current: NoticesByKey) -> NoticesByKey:
+    """Return the notices that have not been sent yet."""
+    return {
+        key: notice
+        for key, notice in current.items()
+        if sent.get(key) != notice
+    }
+
+
 def _order(notice: LimitNotice) -> tuple[float, float]:
     # Of two notices of the same time, the lower limit applies.
     limit = float('inf') if notice.limit is None else notice.limit
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -10,6 +10,7 @@
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _charging
 from mustardlb_gateway import _crash_watch
+from mustardlb_gateway import _crashes
 from mustardlb_gateway import _current_config
 from mustardlb_gateway import _dispatch
 from mustardlb_gateway import _engine_client
@@ -30,6 +31,7 @@
 from mustardlb_gateway import _quota
 from mustardlb_gateway import _retry_budget
 from mustardlb_gateway import _target_limits
+from mustardlb_gateway import _target_permits
 from mustardlb_gateway import _targets
 from mustardlb_gateway import _timers
 from mustardlb_gateway import domain
@@ -140,7 +142,8 @@
             lambda: self._quota.levels(clock()),
             self._quota.adopt_levels,
             lambda: self.quarantine.evidence,
-            self.quarantine.add,
+            lambda: self.target_limits.notice_by_key,
+            self._handle_target_news,
         )
         self._charging = _charging.Charging(
             settings.vm,
@@ -152,6 +155,13 @@
             self.state.account,
             clock,
         )
+        self._permits = _target_permits.TargetPermits(
+            settings.vm,
+            self.target_limits,
+            self.peers.request,
+            self.peers.alive,
+            clock,
+        )
         self._pool = http_client.Pool(CONNECT_TIMEOUT_SECONDS)
         self.leases = _leases.Leases(
             settings.vm,
@@ -164,7 +174,9 @@
         self.engine_manager = _engine_manager.EngineManager(
             settings.vm,
             self.leases,
-            _engine_client.EngineClient(self._pool, translation),
+            _engine_client.EngineClient(
+                self._pool, translation, self.target_limits.record_response
+            ),
             self.targets,
             self.peers,
             clock,
@@ -240,6 +252,7 @@
             ),
             self.quarantine.wait,
             self._crash_watch.record_failure,
+            self._permits,
         )
 
     def _make_client_server(self) -> http_server.Server:
@@ -299,8 +312,20 @@
             self.engine_manager.own_holdings(),
             self.engine_manager.can_claim(),
             self.quarantine.own_evidence,
+            self.target_limits.own_notice_by_key,
         )
 
+    def _handle_target_news(
+        self,
+        evidence: _crashes.Evidence,
+        limits: _target_limits.NoticesByKey,
+    ) -> None:
+        """Add what another node knows about crashes and limits."""
+        if evidence:
+            self.quarantine.add(evidence)
+        if limits:
+            self.target_limits.add(limits)
+
     def _apply_fleet_view(self) -> None:
         """Update targets, engines and quota from the fleet's view."""
         view = self.fleet.view
@@ -354,6 +379,8 @@
                 return self.engine_manager.handle_reserve(message.body)
             case _messages.Charge():
                 return self._charging.handle_charge(message.body)
+            case _messages.Permit():
+                return self._permits.handle_permit(message.body)
             case _messages.Refund():
                 self._charging.handle_refund(message.body)
         return None
@@ -472,6 +499,7 @@
             self._pool.close_expired()
             self.quarantine.refresh()
             self.target_limits.remove_gone()
+            self._permits.remove_gone()
             self._quarantined.set(self.quarantine.size)
             self._crashes.set(len(self.quarantine.evidence.report_by_key))
 
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -20,6 +20,8 @@
     refund @12 :Charge;     # of an earlier `charge`; has no response
     reserve @13 :Reserve;
     reserved @14 :Reserved; # response to `reserve`
+    permit @15 :Permit;
+    permitted @16 :Float64; # response to `permit`: 0, or seconds to wait
   }
 }
 
@@ -36,6 +38,7 @@
   isWatching @9 :Bool;      # whether the sender's watch of the store works
   canClaim @10 :Bool = true;  # false if the store does not answer the sender
   crashEvidence @11 :CrashEvidence; # found by the sender
+  targetLimits @12 :List(LimitNotice);
 }
 
 struct Update {
@@ -44,6 +47,7 @@
   changes @2 :Data;         # changes of each data centre, MessagePack
   levels @3 :List(Counted); # levels of the accounts' token buckets
   crashEvidence @4 :CrashEvidence;  # known to the sender, not sent before
+  targetLimits @5 :List(LimitNotice); # known to the sender, not sent before
 }
 
 struct CrashEvidence {
@@ -58,6 +62,19 @@
   suspects @3 :List(Text);  # of requests that had no output
 }
 
+struct LimitNotice {
+  target @0 :Text;
+  incarnation @1 :UInt64;   # of the target
+  isLimited @2 :Bool;
+  limit @3 :Float64;        # requests a second
+  at @4 :Float64;           # when the target said so, Unix seconds
+}
+
+struct Permit {
+  notice @0 :LimitNotice;
+  rank @1 :UInt16;          # of the receiver, 0 for the owner
+}
+
 struct Named {
   name @0 :Text;
   number @1 :UInt64;
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -20,6 +20,7 @@
 from mustardlb_gateway import _quarantine
 from mustardlb_gateway import _quota
 from mustardlb_gateway import _target_limits
+from mustardlb_gateway import _target_permits
 from mustardlb_gateway import _targets
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_client
@@ -126,6 +127,9 @@
         self.target_limits = _target_limits.TargetLimits(
             self.targets.incarnation, clock
         )
+        self.permits = _target_permits.TargetPermits(
+            'vm1', self.target_limits, None, frozenset, clock
+        )
         self.failures = []
         self.dispatcher = _dispatch.Dispatcher(
             _exchange.Exchange(
@@ -153,6 +157,7 @@
             self._acquire_retry,
             self.quarantine.wait,
             self._record_failure,
+            self.permits,
         )
         charging = _charging.Charging(
             'vm1', 'a', self.quota, None, None, frozenset, None, clock
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -698,3 +698,66 @@
         assert asked == 1
     else:
         assert asked == _dispatch.MAX_REJECTED_RESERVATIONS + 1
+
+
+def limit_targets(harness, *target_ids, limit=1.0):
+    for target_id in target_ids:
+        target = builders.make_target(target_id)
+        harness.target_limits.record_response(target, limit, 0.0)
+
+
+async def test_call_goes_to_another_target_than_one_at_its_limit():
+    async with gateway_harness.Harness(NON_IDEMPOTENT).running(
+        respond_ok, respond_ok
+    ) as harness:
+        limit_targets(harness, 't0')
+        for _ in range(6):
+            assert (await harness.send_request()).status == 200
+        assert len(harness.scripted[0].requests) <= 1
+
+
+# Callers are told when to come back instead of waiting for their deadline.
+async def test_call_is_rejected_at_once_if_all_targets_are_at_their_limits():
+    async with gateway_harness.Harness(NON_IDEMPOTENT).running(
+        respond_ok, respond_ok
+    ) as harness:
+        limit_targets(harness, 't0', 't1', limit=0.5)
+        started_at = trio.current_time()
+        response = await harness.send_request()
+        assert trio.current_time() - started_at < 0.3
+        assert response.status == 503
+        assert float(response.headers[b'retry-after']) > 0.1
+        assert harness.request_count == 0
+
+
+async def test_call_waits_for_a_target_that_soon_takes_another():
+    route = builders.make_route(latency_objective=1.0)
+    async with gateway_harness.Harness(route).running(respond_ok) as harness:
+        limit_targets(harness, 't0', limit=10.0)
+        statuses = [(await harness.send_request()).status for _ in range(3)]
+        assert statuses == [200, 200, 200]
+
+
+# A repeat is one more request to the target.
+async def test_retry_keeps_to_the_limit_of_a_target():
+    async with gateway_harness.Harness(IDEMPOTENT).running(
+        respond_500, respond_500
+    ) as harness:
+        limit_targets(harness, 't0', 't1', limit=0.5)
+        harness.permits._denied_until = {'t0': float('inf')}
+        await harness.send_request()
+        assert not harness.scripted[0].requests
+        assert len(harness.scripted[1].requests) <= 1
+
+
+async def test_limit_in_a_response_is_recorded():
+    async def respond_limited(connection, head, body):
+        await connection.send(
+            scripted.response(scripted.request_id(head), extra=b'x-limit: 1.7')
+        )
+
+    async with gateway_harness.Harness(NON_IDEMPOTENT).running(
+        respond_limited
+    ) as harness:
+        await harness.send_request()
+        assert harness.target_limits.limit(builders.make_target('t0')) == 1.7
--- a/tests/mustardlb_gateway/test_engine_client.py
+++ b/tests/mustardlb_gateway/test_engine_client.py
@@ -20,7 +20,7 @@
 async def send_command(script):
     async with scripted.ScriptedServer(script).running() as server:
         client = _engine_client.EngineClient(
-            http_client.Pool(0.5), TranslationStub()
+            http_client.Pool(0.5), TranslationStub(), lambda *_: None
         )
         target = builders.make_target(port=server.port)
         return await client.send_command(target, COMMAND)
@@ -67,7 +67,7 @@
 
 async def test_command_that_was_never_sent_is_refused():
     client = _engine_client.EngineClient(
-        http_client.Pool(0.5), TranslationStub()
+        http_client.Pool(0.5), TranslationStub(), lambda *_: None
     )
     target = builders.make_target(port=1)
     assert await client.send_command(target, COMMAND) == 'refused'
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -12,6 +12,7 @@
 from mustardlb_gateway import _message_codec
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _peers
+from mustardlb_gateway import _target_limits
 from mustardlb_gateway import ports
 
 EVIDENCE = _crashes.Evidence(
@@ -19,6 +20,11 @@
     {'p2': 2.5, _crashes.ANY_REQUEST: 3.5},
 )
 
+LIMITS = {
+    ('t1', 99): _target_limits.LimitNotice('t1', 99, 1.7, 4.5),
+    ('t2', 98): _target_limits.LimitNotice('t2', 98, None, 5.5),
+}
+
 DIGEST = _messages.Digest(
     host='10.0.0.1',
     port=7600,
@@ -33,6 +39,7 @@
         _centres.Holding('t1', 4, 99, True, {builders.adapter('a1'): 2}, -1),
     ),
     crash_evidence=EVIDENCE,
+    target_limits=LIMITS,
 )
 
 CHANGE = _centres.CentreDelta(
@@ -71,8 +78,10 @@
         _messages.Subscription(True),
         _messages.Subscription(False),
         _messages.Update(
-            True, {'config': 7}, (CHANGE,), {'acme': -1.5}, EVIDENCE
+            True, {'config': 7}, (CHANGE,), {'acme': -1.5}, EVIDENCE, LIMITS
         ),
+        _messages.Permit(LIMITS['t1', 99], 2),
+        _messages.Permitted(0.25),
     ],
 )
 def test_message_round_trip(body):
@@ -93,6 +102,7 @@
         self.revision_senders = []
         self.received_levels = {}
         self.evidence = self.own_evidence = _crashes.Evidence()
+        self.limits = self.own_limits = {}
         self.vm = _centres.Vm(
             vm, '127.0.0.1', free_ports.find(1)[0], data_centre, capacity
         )
@@ -111,11 +121,13 @@
             lambda: {'acme': 7.0},
             self.received_levels.update,
             lambda: self.evidence,
-            self.add_evidence,
+            lambda: self.limits,
+            self.add_target_news,
         )
 
-    def add_evidence(self, evidence):
+    def add_target_news(self, evidence, limits):
         self.evidence = _crashes.merge(self.evidence, evidence)
+        self.limits = _target_limits.merge(self.limits, limits)
 
     def digest(self):
         return _messages.Digest(
@@ -130,6 +142,7 @@
             (),
             (),
             crash_evidence=self.own_evidence,
+            target_limits=self.own_limits,
         )
 
     @property
@@ -340,13 +353,17 @@
             assert node.fleet.must_watch()
 
 
-# A node that was not told of a crash would go on sending such requests.
-async def test_crash_evidence_reaches_all_nodes():
+# A node that was not told of a crash or a limit would go on sending requests.
+async def test_evidence_and_limits_reach_all_nodes():
     nodes = [Node(f'vm{n}', 'ab'[n % 2], 5.0 - n) for n in range(6)]
     async with running(*nodes):
         for node in nodes[1:]:
             node.membership.add(nodes[0].vm)
         nodes[5].own_evidence = nodes[5].evidence = EVIDENCE
+        nodes[5].own_limits = nodes[5].limits = LIMITS
         with trio.fail_after(4):
-            while any(node.evidence != EVIDENCE for node in nodes):
+            while any(
+                (node.evidence, node.limits) != (EVIDENCE, LIMITS)
+                for node in nodes
+            ):
                 await trio.sleep(0.02)
--- a/tests/mustardlb_gateway/test_stale_loads.py
+++ b/tests/mustardlb_gateway/test_stale_loads.py
@@ -19,6 +19,8 @@
 from mustardlb_gateway import _placement
 from mustardlb_gateway import _prefill_queue
 from mustardlb_gateway import _prefix_index
+from mustardlb_gateway import _target_limits
+from mustardlb_gateway import _target_permits
 from mustardlb_gateway import _targets
 from mustardlb_gateway import ports
 
@@ -79,6 +81,13 @@
             lambda service: True,
             lambda call: 0.0,
             lambda target, call, is_broken: None,
+            _target_permits.TargetPermits(
+                'vm1',
+                _target_limits.TargetLimits(lambda target_id: 1),
+                None,
+                frozenset,
+                clock,
+            ),
         )
         self.waits = []
 
