Try a request in quarantine now and then; count coinciding crashes once

Found by reading the quarantine for ordinary trouble: engines that end together (a rack, a power loss) gave three crashes without an output between to every request that waited at them, and what was quarantined had no output any more and stayed so for ten minutes, also where the crashes had another cause.

Change: crashes within a quarter of a second count as one. From ten seconds after the last crash on, the owner of a suspect permits a single request of the whole fleet (_trials); its output ends the quarantine, a further crash makes the next wait six times as long. Retry-After tells that time.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_crashes.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_crashes.py
@@ -21,10 +21,18 @@
 # Requests that only waited at the targets are suspects of a few of them.
 MIN_CRASH_SHARE = 1 / 3
 
-# Afterwards a crash is forgotten, so that a request is tried again that a
-# repaired target might answer.
+# Afterwards a crash is forgotten.
 REPORT_TTL_SECONDS = 600.0
 
+# Targets that end within this time have a common cause, such as a failing
+# rack, and count as one crash.
+COINCIDENCE_SECONDS = 0.25
+
+# Delay from the last crash until one request is tried. It grows with each
+# further crash.
+FIRST_TRIAL_SECONDS = 10.0
+TRIAL_DELAY_RATIO = 6.0
+
 MAX_REPORTS = 64
 MAX_SUSPECTS_PER_REPORT = 128
 
@@ -173,14 +181,25 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sentence:
+    """The quarantine of a suspect; times are in Unix seconds.
+
+    :ivar until: when its crashes have expired
+    :ivar trial_at: when a single request may be tried, if that is earlier
+    """
+
+    until: float
+    trial_at: float
+
+
 def quarantined(
     evidence: Evidence,
     is_settled: abc.Callable[[CrashReport, str], bool] = lambda *_: True,
-) -> dict[str, float]:
-    """Return the suspects to which targets are not exposed, and until when.
+) -> dict[str, Sentence]:
+    """Return the suspects to which targets are not exposed.
 
-    A crash counts for a suspect once `is_settled` returns true. The times
-    are Unix seconds.
+    A crash counts for a suspect once `is_settled` returns true.
 
     >>> reports = [
     ...     CrashReport('t1', 1, 5.0, frozenset({'p', 'q'})),
@@ -189,15 +208,15 @@
     ... ]
     >>> by_key = {report.key: report for report in reports}
     >>> quarantined(Evidence(by_key, {'q': 6.5, ANY_REQUEST: 6.5}))
-    {'p': 605.0}
+    {'p': Sentence(until=605.0, trial_at=17.0)}
     """
     outputs = evidence.output_at_by_suspect
     any_output_at = outputs.get(ANY_REQUEST, float('-inf'))
     reports = evidence.report_by_key.values()
-    found: dict[str, float] = {}
+    found: dict[str, Sentence] = {}
     for suspect in evidence.suspects:
         output_at = outputs.get(suspect, float('-inf'))
-        times = sorted(
+        times = _separate(
             report.at
             for report in reports
             if suspect in report.suspects
@@ -206,8 +225,27 @@
         )
         if len(times) < CRASHES_TO_QUARANTINE or any_output_at < times[0]:
             continue
-        crashes = sum(report.at >= times[0] for report in reports)
-        if len(times) >= MIN_CRASH_SHARE * crashes:
-            oldest_needed = times[-CRASHES_TO_QUARANTINE]
-            found[suspect] = oldest_needed + REPORT_TTL_SECONDS
+        crashes = _separate(
+            report.at for report in reports if report.at >= times[0]
+        )
+        if len(times) >= MIN_CRASH_SHARE * len(crashes):
+            retries = len(times) - CRASHES_TO_QUARANTINE
+            delay = FIRST_TRIAL_SECONDS * TRIAL_DELAY_RATIO**retries
+            found[suspect] = Sentence(
+                times[-CRASHES_TO_QUARANTINE] + REPORT_TTL_SECONDS,
+                times[-1] + min(delay, REPORT_TTL_SECONDS),
+            )
     return found
+
+
+def _separate(times: abc.Iterable[float]) -> list[float]:
+    """Return the times of crashes that do not coincide, in order.
+
+    >>> _separate([7.0, 5.0, 5.1])
+    [5.0, 7.0]
+    """
+    separate: list[float] = []
+    for at in sorted(times):
+        if not separate or at >= separate[-1] + COINCIDENCE_SECONDS:
+            separate.append(at)
+    return separate
--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -125,6 +125,8 @@
 
     def _check_quarantine(self, job: _jobs.Job) -> None:
         """Raise the final error of a call that is quarantined by now."""
+        if job.is_trial and not job.sent_attempts:
+            return
         wait = self._quarantine_wait(job.call)
         if wait > 0 and job.may_have_run:
             raise self._final_error(job, 'targets have ended on such requests')
--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -38,13 +38,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _AdmittedCall:
-    """A call with its route, service, account and charge."""
+    """A call with its route, service, account and charge.
+
+    :ivar is_trial: whether the call is sent although it is in quarantine
+    """
 
     call: domain.Call
     route: domain.Route
     service: domain.Service
     account: domain.Account | None
     charge: _charging.Decision | None
+    is_trial: bool
 
     @property
     def cost(self) -> float:
@@ -79,6 +83,7 @@
         count_request: abc.Callable[[str], None],
         publish_counts: abc.Callable[[], None],
         quarantine_wait: abc.Callable[[domain.Call], float],
+        permit_trial: abc.Callable[[domain.Call], abc.Awaitable[bool]],
         clock: abc.Callable[[], float],
     ) -> None:
         self._translation = translation
@@ -90,6 +95,7 @@
         self._count_request = count_request
         self._publish_counts = publish_counts
         self._quarantine_wait = quarantine_wait
+        self._permit_trial = permit_trial
         self._clock = clock
         self._in_flight = 0
         self._stop_schedule: StopSchedule | None = None
@@ -154,7 +160,7 @@
                     errors.Code.UNAUTHENTICATED, 'unknown API key', step
                 )
         self._check_time_left(call, route)
-        _outcomes.reject_quarantined(self._quarantine_wait(call), step)
+        is_trial = await self._check_quarantine(call)
         if self._in_flight > MAX_IN_FLIGHT_REQUESTS:
             raise _outcomes.rejection(
                 errors.Code.OVERLOADED,
@@ -167,7 +173,16 @@
         if service is None:
             service = domain.Service(name, 0)
         charge = await self._charge(account, call)
-        return _AdmittedCall(call, route, service, account, charge)
+        return _AdmittedCall(call, route, service, account, charge, is_trial)
+
+    async def _check_quarantine(self, call: domain.Call) -> bool:
+        """Return whether a call is a trial; raise a rejection if it waits."""
+        wait = self._quarantine_wait(call)
+        if wait <= 0:
+            return False
+        if not await self._permit_trial(call):
+            _outcomes.reject_quarantined(wait, steps.Step.ADMISSION)
+        return True
 
     def schedule_stop(self, schedule: StopSchedule) -> None:
         """Reject calls that may not be finished before the node stops."""
@@ -231,6 +246,7 @@
             arrived,
             arrived + min(client_timeout, route.timeout),
             reply,
+            is_trial=admitted.is_trial,
         )
         self._count_request(admitted.service.name)
         outcome = 'client_gone'
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -22,6 +22,7 @@
     :ivar controllers_asked: controllers that decided on a reservation
     :ivar reserved_queue: queue of the engine that accepted the reservation,
         seconds; None without a reservation
+    :ivar is_trial: whether it is sent once although it is in quarantine
     :ivar permitted_until: until when the call may be sent to a target with a
         limit
     """
@@ -40,6 +41,7 @@
     waited: float = 0.0
     controllers_asked: int = 0
     reserved_queue: float | None = None
+    is_trial: bool = False
     permitted_until: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -89,6 +89,10 @@
             }
         case _messages.Permitted():
             return 'permitted', body.wait
+        case _messages.Trial():
+            return 'trial', body.suspect
+        case _messages.Tried():
+            return 'tried', body.is_granted
         case _messages.Subscription():
             return 'subscription', body.is_wanted
         case _messages.Update():
@@ -318,6 +322,10 @@
             return _messages.Permit(_decode_notice(permit.notice), permit.rank)
         case 'permitted':
             return _messages.Permitted(decoded.permitted)
+        case 'trial':
+            return _messages.Trial(decoded.trial)
+        case 'tried':
+            return _messages.Tried(decoded.tried)
         case 'subscription':
             return _messages.Subscription(decoded.subscription)
         case 'update':
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -188,6 +188,20 @@
     wait: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Trial:
+    """A request to try a quarantined suspect, sent to its owner."""
+
+    suspect: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tried:
+    """The response to `Trial`."""
+
+    is_granted: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Subscription:
     """Starts updates on this connection with a full one, or ends them."""
@@ -229,6 +243,8 @@
     | Refund
     | Permit
     | Permitted
+    | Trial
+    | Tried
     | Subscription
     | Update
 )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_quarantine.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_quarantine.py
@@ -37,6 +37,8 @@
 
 MAX_LOGGED_SUSPECTS = 16
 
+MIN_WAIT_SECONDS = 0.5
+
 _CONTENT_PREFIX = 'content:'
 
 
@@ -92,7 +94,7 @@
         )
         self._learned_at: dict[tuple[_crashes.CrashKey, str], float] = {}
         self._has_content_suspects = False
-        self._until_by_suspect: dict[str, float] = {}
+        self._sentence_by_suspect: dict[str, _crashes.Sentence] = {}
         self._valid_until = float('inf')
         self._convicted: frozenset[str] = frozenset()
         self._is_unsaved = False
@@ -100,24 +102,39 @@
     @property
     def size(self) -> int:
         """Return the number of quarantined suspects."""
-        return len(self._until_by_suspect)
+        return len(self._sentence_by_suspect)
 
-    def wait(self, call: domain.Call) -> float:
-        """Return the seconds for which a call is not sent to targets."""
+    def sentences(self, call: domain.Call) -> dict[str, _crashes.Sentence]:
+        """Return the suspects of a call that are quarantined."""
         if self._clock() >= self._valid_until:
             self.refresh()
-        if not self._until_by_suspect:
-            return 0.0
+        if not self._sentence_by_suspect:
+            return {}
         if not call.prompt_parts and not self._has_content_suspects:
+            return {}
+        return {
+            suspect: self._sentence_by_suspect[suspect]
+            for suspect in suspects_of(call)
+            if suspect in self._sentence_by_suspect
+        }
+
+    def wait(self, call: domain.Call) -> float:
+        """Return the seconds until a call may be tried, 0 if it may be sent.
+
+        At least MIN_WAIT_SECONDS for a call in quarantine.
+        """
+        sentences = self.sentences(call).values()
+        if not sentences:
             return 0.0
-        until = max(
-            (
-                self._until_by_suspect.get(suspect, 0.0)
-                for suspect in suspects_of(call)
-            ),
-            default=0.0,
-        )
-        return max(0.0, until - self._wall_clock())
+        latest = max(min(each.until, each.trial_at) for each in sentences)
+        return max(MIN_WAIT_SECONDS, latest - self._wall_clock())
+
+    def is_trial_due(self, suspect: str) -> bool:
+        """Return whether a request with a quarantined suspect may be tried."""
+        if self._clock() >= self._valid_until:
+            self.refresh()
+        sentence = self._sentence_by_suspect.get(suspect)
+        return sentence is None or sentence.trial_at <= self._wall_clock()
 
     def record_failure(self, target: domain.Target, call: domain.Call) -> None:
         """Record a request that failed without lasting output.
@@ -265,13 +282,13 @@
                 self._valid_until, now + REFRESH_INTERVAL_SECONDS
             )
 
-    def _replace(self, until_by_suspect: dict[str, float]) -> None:
+    def _replace(self, sentences: dict[str, _crashes.Sentence]) -> None:
         """Replace the quarantined suspects and log what has changed."""
-        before, self._until_by_suspect = (
-            self._until_by_suspect,
-            until_by_suspect,
+        before, self._sentence_by_suspect = (
+            self._sentence_by_suspect,
+            sentences,
         )
-        for suspect in until_by_suspect.keys() - before.keys():
+        for suspect in sentences.keys() - before.keys():
             log.warning(
                 'MLB-6206',
                 suspect=suspect,
@@ -281,18 +298,18 @@
                     if suspect in report.suspects
                 ],
                 seconds=round(
-                    until_by_suspect[suspect] - self._wall_clock(), 1
+                    sentences[suspect].trial_at - self._wall_clock(), 1
                 ),
             )
-        for suspect in before.keys() - until_by_suspect.keys():
+        for suspect in before.keys() - sentences.keys():
             log.info(
                 'MLB-6207',
                 suspect=suspect,
                 had_output=suspect in self.evidence.output_at_by_suspect,
             )
-        if until_by_suspect == before:
+        if sentences == before:
             return
-        self._convicted |= until_by_suspect.keys()
+        self._convicted |= sentences.keys()
         self._is_unsaved |= any(
             report.suspects & self._convicted
             for report in self.own_evidence.report_by_key.values()
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -34,6 +34,7 @@
 from mustardlb_gateway import _target_permits
 from mustardlb_gateway import _targets
 from mustardlb_gateway import _timers
+from mustardlb_gateway import _trials
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_client
 from mustardlb_gateway import http_server
@@ -155,6 +156,13 @@
             self.state.account,
             clock,
         )
+        self._trials = _trials.Trials(
+            settings.vm,
+            self.quarantine,
+            self.peers.request,
+            self.peers.alive,
+            clock,
+        )
         self._permits = _target_permits.TargetPermits(
             settings.vm,
             self.target_limits,
@@ -211,6 +219,7 @@
             lambda service: self._get_retry_budget(service).add_request(),
             lambda: self._counts_changed.set(),
             self.quarantine.wait,
+            self._trials.permit,
             clock,
         )
         self._client_server = self._make_client_server()
@@ -379,6 +388,10 @@
                 return self.engine_manager.handle_reserve(message.body)
             case _messages.Charge():
                 return self._charging.handle_charge(message.body)
+            case _messages.Trial():
+                return _messages.Tried(
+                    self._trials.grant(message.body.suspect)
+                )
             case _messages.Permit():
                 return self._permits.handle_permit(message.body)
             case _messages.Refund():
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -22,6 +22,8 @@
     reserved @14 :Reserved; # response to `reserve`
     permit @15 :Permit;
     permitted @16 :Float64; # response to `permit`: 0, or seconds to wait
+    trial @17 :Text;        # quarantined suspect
+    tried @18 :Bool;        # response to `trial`: whether it is granted
   }
 }
 
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -100,6 +100,7 @@
     :ivar load_age: age of the loads that nodes tell, seconds
     :ivar failures: target, and whether its connection broke, of each failure
         without lasting output
+    :ivar permits_trials: whether calls in quarantine are tried
     :ivar reservations: responses to reservations, None if nobody decides
     """
 
@@ -131,6 +132,7 @@
             'vm1', self.target_limits, None, frozenset, clock
         )
         self.failures = []
+        self.permits_trials = False
         self.dispatcher = _dispatch.Dispatcher(
             _exchange.Exchange(
                 translation,
@@ -172,6 +174,7 @@
             lambda service: None,
             lambda: None,
             self.quarantine.wait,
+            self._permit_trial,
             clock,
         )
         self.server = http_server.Server(
@@ -191,6 +194,10 @@
     def _record_failure(self, target, call, is_broken):
         self.failures.append((target.target_id, is_broken))
 
+    async def _permit_trial(self, call):
+        await trio.lowlevel.checkpoint()
+        return self.permits_trials
+
     def _acquire_retry(self, service):
         self.retries_left -= 1
         return self.retries_left >= 0
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -293,6 +293,17 @@
         assert not harness.quota.admitted_costs().get('acme')
 
 
+async def test_call_in_quarantine_is_sent_once_as_a_trial():
+    async with gateway_harness.Harness(STREAM).running(
+        break_without_output, break_without_output
+    ) as harness:
+        quarantine_calls(harness)
+        harness.permits_trials = True
+        response = await harness.send_request()
+        assert response.status == 502
+        assert harness.request_count == 1
+
+
 async def test_call_that_waits_is_rejected_once_it_is_quarantined():
     async with (
         gateway_harness.Harness(STREAM).running() as harness,
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -82,6 +82,8 @@
         ),
         _messages.Permit(LIMITS['t1', 99], 2),
         _messages.Permitted(0.25),
+        _messages.Trial('p1'),
+        _messages.Tried(True),
     ],
 )
 def test_message_round_trip(body):
