Give up on targets that send bytes without end

A response to another request and informational responses were read for as long as a target sent them, up to the call's deadline, so that no other target was tried. Both are bounded now; an event without an end breaks the stream as other malformed responses do.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -306,7 +306,10 @@
                 is_recorded = True
                 self._record_output(job.call, now - attempt.output_at)
             self._targets.record_response(attempt.target_id)
-            complete = job.splitter.feed(data)
+            try:
+                complete = job.splitter.feed(data)
+            except ValueError as error:
+                raise http_client.ExchangeFailed(str(error)) from error
             if complete:
                 if job.first_byte is None:
                     job.first_byte = now
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -44,6 +44,11 @@
 # the whole body.
 SMALL_BODY_BYTES = 8192
 
+# Larger responses to other requests, or more informational ones, come from a
+# peer that may go on sending until its caller closes the connection.
+MAX_SKIPPED_BYTES = 1_048_576
+MAX_INFORMATIONAL_RESPONSES = 16
+
 _TIMEOUT = re.compile(rb'timeout=(\d+)')
 
 
@@ -154,9 +159,13 @@
 
         Raises ExchangeFailed.
         """
+        informational = 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
+                informational += 1
+                if informational > MAX_INFORMATIONAL_RESPONSES:
+                    raise ExchangeFailed('too many informational responses')
                 continue
             if not isinstance(event, h11.Response):
                 raise ExchangeFailed('no response was received')
@@ -173,8 +182,13 @@
 
     async def _skip_response(self) -> None:
         """Read and discard the response to another request."""
-        while await self.receive_data() is not None:
-            pass
+        skipped = 0
+        while (data := await self.receive_data()) is not None:
+            skipped += len(data)
+            if skipped > MAX_SKIPPED_BYTES:
+                raise ExchangeFailed(
+                    'the response to another request is too large'
+                )
         rest, _ = self._h11.trailing_data
         if self._h11.their_state is not h11.DONE or self._request is None:
             raise ExchangeFailed(
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -772,3 +772,65 @@
     ) as harness:
         await harness.send_request()
         assert harness.target_limits.limit(builders.make_target('t0')) == 1.7
+
+
+def make_endless(start, block):
+    """Return a script that sends `block` until the connection is closed."""
+
+    async def script(connection, head, body):
+        request_id = scripted.request_id(head)
+        await connection.send(start.replace(b'ID', request_id))
+        while True:
+            await connection.send(block)
+
+    return script
+
+
+SIGNED_HEAD = b'HTTP/1.1 200 OK\r\nx-signed: 1\r\nx-id: ID\r\n'
+CHUNKED = b'transfer-encoding: chunked\r\n\r\n'
+NOISE = b'y' * 16_384
+
+
+# A target in trouble may send bytes that are no answer until its caller
+# closes the connection.
+@pytest.mark.parametrize(
+    ('route', 'start', 'block'),
+    [
+        (IDEMPOTENT, b'', NOISE),
+        (IDEMPOTENT, b'HTTP/1.1 200 OK\r\nx-a: ', NOISE),
+        (IDEMPOTENT, b'HTTP/1.1 200 OK\r\n', b'x-a: b\r\n' * 1000),
+        (IDEMPOTENT, b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 100),
+        (IDEMPOTENT, SIGNED_HEAD + b'\r\n', NOISE),
+        (IDEMPOTENT, SIGNED_HEAD + CHUNKED, scripted.chunk(NOISE)),
+        (STREAM, SIGNED_HEAD + b'\r\n', NOISE),
+        (STREAM, SIGNED_HEAD + CHUNKED, scripted.chunk(NOISE)),
+        (
+            IDEMPOTENT,
+            b'HTTP/1.1 200 OK\r\nx-signed: 1\r\nx-id: other\r\n\r\n',
+            NOISE,
+        ),
+        (
+            IDEMPOTENT,
+            b'HTTP/1.1 503 X\r\nx-not-run: 1\r\nx-id: ID\r\n\r\n',
+            NOISE,
+        ),
+    ],
+)
+async def test_endless_bytes_are_given_up_before_the_deadline(
+    route, start, block
+):
+    route = builders.make_route(
+        kind=route.kind,
+        is_resumable=route.is_resumable,
+        timeout=8.0,
+        latency_objective=3.0,
+    )
+    async with gateway_harness.Harness(route).running(
+        make_endless(start, block)
+    ) as harness:
+        started_at = trio.current_time()
+        response = await harness.send_request(b'x-wait: 8\r\n')
+        assert trio.current_time() - started_at < 3.0
+        assert response.status in (200, 502, 503)
+        assert response.status != 200 or not response.is_complete
+        assert not harness.server.requests_in_flight
