Ignore evidence from the future; wait for the call's own targets only

Found by reading: a node whose clock is hours ahead would have cleared a suspect, or lifted a limit, for as long; a call whose targets were all at their limits took the wait of another service's target for its own; a crash was dated by the first of several failures at its target. Terms of the quarantine are plainer. Each has a test that failed before, but for the dates.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_crash_records.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_crash_records.py
@@ -88,7 +88,7 @@
 ) -> bool:
     stored = await store.get(KIND, NAME)
     saved = decode(stored.spec) if stored else _crashes.Evidence()
-    merged = _crashes.without_expired(_crashes.merge(saved, evidence), now)
+    merged = _crashes.valid_at(_crashes.merge(saved, evidence), now)
     merged = _crashes.only_outputs_of(merged, merged.suspects)
     if merged == saved:
         return True
--- a/packages/mustardlb-gateway/mustardlb_gateway/_crash_watch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_crash_watch.py
@@ -60,7 +60,12 @@
         """
         self._quarantine.record_failure(target, call)
         key = target.target_id, target.incarnation
-        if is_broken and self._nursery and key not in self._checked:
+        if (
+            is_broken
+            and target.state == domain.TargetState.READY
+            and self._nursery
+            and key not in self._checked
+        ):
             self._checked.add(key)
             self._nursery.start_soon(self._check, target)
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_crashes.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_crashes.py
@@ -33,6 +33,9 @@
 FIRST_TRIAL_SECONDS = 10.0
 TRIAL_DELAY_RATIO = 6.0
 
+# Evidence from a node whose clock is further ahead is not used.
+MAX_CLOCK_DIFFERENCE_SECONDS = 60.0
+
 MAX_REPORTS = 64
 MAX_SUSPECTS_PER_REPORT = 128
 
@@ -121,19 +124,27 @@
     )
 
 
-def without_expired(evidence: Evidence, now: float) -> Evidence:
-    """Return the newest reports that have not expired, and all outputs."""
+def valid_at(evidence: Evidence, now: float) -> Evidence:
+    """Return the evidence without what has expired or lies in the future.
+
+    Of the reports, the newest MAX_REPORTS are kept.
+    """
+    latest = now + MAX_CLOCK_DIFFERENCE_SECONDS
     newest = sorted(
         (
             report
             for report in evidence.report_by_key.values()
-            if report.at > now - REPORT_TTL_SECONDS
+            if now - REPORT_TTL_SECONDS < report.at < latest
         ),
         key=lambda report: (report.at, report.key),
     )[-MAX_REPORTS:]
     return Evidence(
         {report.key: report for report in newest},
-        evidence.output_at_by_suspect,
+        {
+            suspect: at
+            for suspect, at in evidence.output_at_by_suspect.items()
+            if at < latest
+        },
     )
 
 
@@ -182,7 +193,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Sentence:
+class QuarantinePeriod:
     """The quarantine of a suspect; times are in Unix seconds.
 
     :ivar until: when its crashes have expired
@@ -196,7 +207,7 @@
 def quarantined(
     evidence: Evidence,
     is_settled: abc.Callable[[CrashReport, str], bool] = lambda *_: True,
-) -> dict[str, Sentence]:
+) -> dict[str, QuarantinePeriod]:
     """Return the suspects to which targets are not exposed.
 
     A crash counts for a suspect once `is_settled` returns true.
@@ -208,12 +219,12 @@
     ... ]
     >>> by_key = {report.key: report for report in reports}
     >>> quarantined(Evidence(by_key, {'q': 6.5, ANY_REQUEST: 6.5}))
-    {'p': Sentence(until=605.0, trial_at=17.0)}
+    {'p': QuarantinePeriod(until=605.0, trial_at=17.0)}
     """
     outputs = evidence.output_at_by_suspect
     any_output_at = outputs.get(ANY_REQUEST, float('-inf'))
     reports = evidence.report_by_key.values()
-    found: dict[str, Sentence] = {}
+    found: dict[str, QuarantinePeriod] = {}
     for suspect in evidence.suspects:
         output_at = outputs.get(suspect, float('-inf'))
         times = _separate(
@@ -231,7 +242,7 @@
         if len(times) >= MIN_CRASH_SHARE * len(crashes):
             retries = len(times) - CRASHES_TO_QUARANTINE
             delay = FIRST_TRIAL_SECONDS * TRIAL_DELAY_RATIO**retries
-            found[suspect] = Sentence(
+            found[suspect] = QuarantinePeriod(
                 times[-CRASHES_TO_QUARANTINE] + REPORT_TTL_SECONDS,
                 times[-1] + min(delay, REPORT_TTL_SECONDS),
             )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -345,7 +345,15 @@
         without_limits = dataclasses.replace(request, denied=frozenset())
         if self._choose(job, without_limits) is None:
             return
-        wait = min(self._permits.denied().values(), default=0.0)
+        denied = self._permits.denied()
+        wait = min(
+            (
+                denied[target.target_id]
+                for target in self._targets.ready(job.service.name)
+                if target.target_id in denied
+            ),
+            default=0.0,
+        )
         now = trio.current_time()
         latest = job.arrived + MAX_PERMIT_WAIT_RATIO * (
             job.route.latency_objective
--- a/packages/mustardlb-gateway/mustardlb_gateway/_quarantine.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_quarantine.py
@@ -61,12 +61,12 @@
 class _Failures:
     """Requests of this node that failed without output at one target.
 
-    :ivar first_at: time of the first failure, Unix seconds
-    :ivar last_at: time of the last failure, clock seconds
+    :ivar failed_at: time of the last failure, Unix seconds
+    :ivar last_at: the same in clock seconds
     """
 
-    first_at: float
-    last_at: float
+    failed_at: float = 0.0
+    last_at: float = 0.0
     suspects: set[str] = dataclasses.field(default_factory=set)
 
 
@@ -94,28 +94,29 @@
         )
         self._learned_at: dict[tuple[_crashes.CrashKey, str], float] = {}
         self._has_content_suspects = False
-        self._sentence_by_suspect: dict[str, _crashes.Sentence] = {}
+        self._period_by_suspect: dict[str, _crashes.QuarantinePeriod] = {}
         self._valid_until = float('inf')
-        self._convicted: frozenset[str] = frozenset()
+        self._ever_quarantined: frozenset[str] = frozenset()
         self._is_unsaved = False
 
     @property
     def size(self) -> int:
         """Return the number of quarantined suspects."""
-        return len(self._sentence_by_suspect)
+        return len(self._period_by_suspect)
 
-    def sentences(self, call: domain.Call) -> dict[str, _crashes.Sentence]:
+    def periods(
+        self, call: domain.Call
+    ) -> dict[str, _crashes.QuarantinePeriod]:
         """Return the suspects of a call that are quarantined."""
-        if self._clock() >= self._valid_until:
-            self.refresh()
-        if not self._sentence_by_suspect:
+        self.refresh_if_due()
+        if not self._period_by_suspect:
             return {}
         if not call.prompt_parts and not self._has_content_suspects:
             return {}
         return {
-            suspect: self._sentence_by_suspect[suspect]
+            suspect: self._period_by_suspect[suspect]
             for suspect in suspects_of(call)
-            if suspect in self._sentence_by_suspect
+            if suspect in self._period_by_suspect
         }
 
     def wait(self, call: domain.Call) -> float:
@@ -123,18 +124,17 @@
 
         At least MIN_WAIT_SECONDS for a call in quarantine.
         """
-        sentences = self.sentences(call).values()
-        if not sentences:
+        periods = self.periods(call).values()
+        if not periods:
             return 0.0
-        latest = max(min(each.until, each.trial_at) for each in sentences)
+        latest = max(min(each.until, each.trial_at) for each in periods)
         return max(MIN_WAIT_SECONDS, latest - self._wall_clock())
 
     def is_trial_due(self, suspect: str) -> bool:
         """Return whether a request with a quarantined suspect may be tried."""
-        if self._clock() >= self._valid_until:
-            self.refresh()
-        sentence = self._sentence_by_suspect.get(suspect)
-        return sentence is None or sentence.trial_at <= self._wall_clock()
+        self.refresh_if_due()
+        period = self._period_by_suspect.get(suspect)
+        return period is None or period.trial_at <= self._wall_clock()
 
     def record_failure(self, target: domain.Target, call: domain.Call) -> None:
         """Record a request that failed without lasting output.
@@ -149,9 +149,9 @@
         }
         failures = self._failures_by_key.setdefault(
             (target.target_id, target.incarnation),
-            _Failures(self._wall_clock(), now),
+            _Failures(),
         )
-        failures.last_at = now
+        failures.failed_at, failures.last_at = self._wall_clock(), now
         failures.suspects.update(suspects_of(call))
 
     def confirm_crash(self, target: domain.Target, reason: str) -> None:
@@ -169,7 +169,7 @@
         ):
             return
         report = _crashes.CrashReport(
-            *key, failures.first_at, frozenset(failures.suspects)
+            *key, failures.failed_at, frozenset(failures.suspects)
         )
         log.warning(
             'MLB-6205',
@@ -208,7 +208,8 @@
             if output_at > known_at and any(
                 known_at < report.at < output_at
                 for report in self.evidence.report_by_key.values()
-                if suspect in (*report.suspects, _crashes.ANY_REQUEST)
+                if suspect == _crashes.ANY_REQUEST
+                or suspect in report.suspects
             ):
                 needed[suspect] = output_at
         if needed:
@@ -225,7 +226,9 @@
 
         :param is_settled: the crashes count at once
         """
-        merged = _crashes.merge(self.evidence, evidence)
+        merged = _crashes.merge(
+            self.evidence, _crashes.valid_at(evidence, self._wall_clock())
+        )
         if merged == self.evidence:
             return
         learned_at = float('-inf') if is_settled else self._clock()
@@ -239,14 +242,19 @@
                 (*self.evidence.suspects, _crashes.ANY_REQUEST)
             )
 
+    def refresh_if_due(self) -> None:
+        """Decide again if crashes have settled or may have expired."""
+        if self._clock() >= self._valid_until:
+            self.refresh()
+
     def refresh(self) -> None:
         """Discard expired evidence and decide on the suspects again."""
         now, wall_now = self._clock(), self._wall_clock()
-        self.evidence = _crashes.without_expired(self.evidence, wall_now)
+        self.evidence = _crashes.valid_at(self.evidence, wall_now)
         suspects = self.evidence.suspects
         self.evidence = _crashes.only_outputs_of(self.evidence, suspects)
         self.own_evidence = _crashes.only_outputs_of(
-            _crashes.without_expired(self.own_evidence, wall_now), suspects
+            _crashes.valid_at(self.own_evidence, wall_now), suspects
         )
         self._has_content_suspects = any(
             suspect.startswith(_CONTENT_PREFIX) for suspect in suspects
@@ -282,13 +290,13 @@
                 self._valid_until, now + REFRESH_INTERVAL_SECONDS
             )
 
-    def _replace(self, sentences: dict[str, _crashes.Sentence]) -> None:
+    def _replace(self, periods: dict[str, _crashes.QuarantinePeriod]) -> None:
         """Replace the quarantined suspects and log what has changed."""
-        before, self._sentence_by_suspect = (
-            self._sentence_by_suspect,
-            sentences,
+        before, self._period_by_suspect = (
+            self._period_by_suspect,
+            periods,
         )
-        for suspect in sentences.keys() - before.keys():
+        for suspect in periods.keys() - before.keys():
             log.warning(
                 'MLB-6206',
                 suspect=suspect,
@@ -298,20 +306,20 @@
                     if suspect in report.suspects
                 ],
                 seconds=round(
-                    sentences[suspect].trial_at - self._wall_clock(), 1
+                    periods[suspect].trial_at - self._wall_clock(), 1
                 ),
             )
-        for suspect in before.keys() - sentences.keys():
+        for suspect in before.keys() - periods.keys():
             log.info(
                 'MLB-6207',
                 suspect=suspect,
                 had_output=suspect in self.evidence.output_at_by_suspect,
             )
-        if sentences == before:
+        if periods == before:
             return
-        self._convicted |= sentences.keys()
+        self._ever_quarantined |= periods.keys()
         self._is_unsaved |= any(
-            report.suspects & self._convicted
+            report.suspects & self._ever_quarantined
             for report in self.own_evidence.report_by_key.values()
         )
 
@@ -324,4 +332,4 @@
         if not self._is_unsaved:
             return None
         self._is_unsaved = False
-        return _crashes.about(self.evidence, self._convicted)
+        return _crashes.about(self.evidence, self._ever_quarantined)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_limits.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_limits.py
@@ -20,6 +20,9 @@
 
 UNREGISTERED_TTL_SECONDS = 60.0
 
+# A notice from a node whose clock is further ahead is not used.
+MAX_CLOCK_DIFFERENCE_SECONDS = 60.0
+
 # Target and its incarnation.
 TargetKey = tuple[str, int]
 
@@ -129,6 +132,12 @@
 
     def add(self, notices: NoticesByKey) -> None:
         """Add the notices of another node."""
+        latest = self._wall_clock() + MAX_CLOCK_DIFFERENCE_SECONDS
+        notices = {
+            key: notice
+            for key, notice in notices.items()
+            if notice.at < latest
+        }
         before = self.notice_by_key
         self.notice_by_key = merge(before, notices)
         for key in notices:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_permits.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_permits.py
@@ -148,8 +148,8 @@
     def handle_permit(self, permit: _messages.Permit) -> _messages.Permitted:
         """Decide on the request of another node."""
         self._limits.add({permit.notice.key: permit.notice})
-        notice = self._limits.notice_by_key[permit.notice.key]
-        if notice.limit is None:
+        notice = self._limits.notice_by_key.get(permit.notice.key)
+        if notice is None or notice.limit is None:
             return _messages.Permitted(0.0)
         return _messages.Permitted(self._take(notice, permit.rank))
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_trials.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_trials.py
@@ -47,7 +47,7 @@
 
     async def permit(self, call: domain.Call) -> bool:
         """Return whether a call may be sent, as a trial if in quarantine."""
-        suspects = self._quarantine.sentences(call)
+        suspects = self._quarantine.periods(call)
         if not suspects:
             return True
         if not all(map(self._quarantine.is_trial_due, suspects)):
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -510,7 +510,7 @@
                 self._quota.add_accounts(accounts, now)
             self._quota.charge_assumed_shares(now)
             self._pool.close_expired()
-            self.quarantine.refresh()
+            self.quarantine.refresh_if_due()
             self.target_limits.remove_gone()
             self._permits.remove_gone()
             self._quarantined.set(self.quarantine.size)
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -834,3 +834,15 @@
         assert response.status in (200, 502, 503)
         assert response.status != 200 or not response.is_complete
         assert not harness.server.requests_in_flight
+
+
+# The limit of another service's target says nothing about this call.
+async def test_wait_is_that_of_the_call_s_own_targets():
+    async with gateway_harness.Harness(NON_IDEMPOTENT).running(
+        respond_ok
+    ) as harness:
+        limit_targets(harness, 't0', limit=0.5)
+        harness.permits._denied_until['elsewhere'] = trio.current_time() + 0.05
+        response = await harness.send_request()
+        assert response.status == 503
+        assert float(response.headers[b'retry-after']) > 0.5
--- a/tests/mustardlb_gateway/test_quarantine.py
+++ b/tests/mustardlb_gateway/test_quarantine.py
@@ -413,3 +413,14 @@
     run_storm(network, 1.5)
     assert network.nodes[vm.vm].quarantine.wait(make_call('first', 'bad'))
     assert sum(at > since for at in network.harmful) <= 3
+
+
+# A node whose clock is hours ahead would clear a suspect for as long.
+def test_evidence_from_the_future_is_not_used():
+    observer = make_observer()
+    future = observer.time.wall_clock() + 3600
+    observer.quarantine.add(_crashes.Evidence({}, {'bad': future}))
+    for _ in range(3):
+        observer.crash(make_call('bad'))
+    observer.settle()
+    assert observer.is_quarantined('bad')
--- a/tests/mustardlb_gateway/test_target_permits.py
+++ b/tests/mustardlb_gateway/test_target_permits.py
@@ -233,6 +233,13 @@
     assert one.limit(TARGET) == other.limit(TARGET) == 1.0
 
 
+def test_notice_from_the_future_is_not_used():
+    limits = _target_limits.TargetLimits(lambda target_id: 1, lambda: 1000.0)
+    notice = _target_limits.LimitNotice('t1', 1, 0.0, 4600.0)
+    limits.add({notice.key: notice})
+    assert limits.limit(TARGET) is None
+
+
 def test_restarted_target_has_no_limit():
     limits = _target_limits.TargetLimits(lambda target_id: 2, lambda: 1000.0)
     limits.record_response(TARGET, 1.0, 0.0)
