--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -7,9 +7,8 @@
 
 from mustardlb import schema
 from mustardlb_gateway import _centres
-from mustardlb_gateway import _crashes
 from mustardlb_gateway import _messages
-from mustardlb_gateway import _target_limits
+from mustardlb_gateway import _target_news_codec
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
 
@@ -84,7 +83,7 @@
             return 'refund', _charge_fields(body.charge)
         case _messages.Permit():
             return 'permit', {
-                'notice': _notice_fields(body.notice),
+                'notice': _target_news_codec.encode_notice(body.notice),
                 'rank': body.rank,
             }
         case _messages.Permitted():
@@ -101,8 +100,12 @@
                 'revisions': _encode_numbers(body.revisions),
                 'changes': _encode_changes(body.changes),
                 'levels': _encode_amounts(body.levels),
-                'crashEvidence': _evidence_fields(body.crash_evidence),
-                'targetLimits': _limit_fields(body.target_limits),
+                'crashEvidence': _target_news_codec.encode_evidence(
+                    body.crash_evidence
+                ),
+                'targetLimits': _target_news_codec.encode_limits(
+                    body.target_limits
+                ),
             }
 
 
@@ -143,39 +146,10 @@
         'capacity': digest.capacity,
         'isWatching': digest.is_watching,
         'canClaim': digest.can_claim,
-        'crashEvidence': _evidence_fields(digest.crash_evidence),
-        'targetLimits': _limit_fields(digest.target_limits),
-    }
-
-
-def _limit_fields(
-    notices: _target_limits.NoticesByKey,
-) -> list[dict[str, Any]]:
-    return [_notice_fields(notice) for notice in notices.values()]
-
-
-def _notice_fields(notice: _target_limits.LimitNotice) -> dict[str, Any]:
-    return {
-        'target': notice.target_id,
-        'incarnation': notice.incarnation,
-        'isLimited': notice.limit is not None,
-        'limit': notice.limit or 0.0,
-        'at': notice.at,
-    }
-
-
-def _evidence_fields(evidence: _crashes.Evidence) -> dict[str, Any]:
-    return {
-        'reports': [
-            {
-                'target': report.target_id,
-                'incarnation': report.incarnation,
-                'at': report.at,
-                'suspects': sorted(report.suspects),
-            }
-            for report in evidence.report_by_key.values()
-        ],
-        'outputs': _encode_amounts(evidence.output_at_by_suspect),
+        'crashEvidence': _target_news_codec.encode_evidence(
+            digest.crash_evidence
+        ),
+        'targetLimits': _target_news_codec.encode_limits(digest.target_limits),
     }
 
 
@@ -319,7 +293,9 @@
             return _messages.Refund(_decode_charge(decoded.refund))
         case 'permit':
             permit = decoded.permit
-            return _messages.Permit(_decode_notice(permit.notice), permit.rank)
+            return _messages.Permit(
+                _target_news_codec.decode_notice(permit.notice), permit.rank
+            )
         case 'permitted':
             return _messages.Permitted(decoded.permitted)
         case 'trial':
@@ -338,8 +314,8 @@
                     for each in _changes_decoder.decode(update.changes)
                 ),
                 {each.name: each.amount for each in update.levels},
-                _decode_evidence(update.crashEvidence),
-                _decode_limits(update.targetLimits),
+                _target_news_codec.decode_evidence(update.crashEvidence),
+                _target_news_codec.decode_limits(update.targetLimits),
             )
         case _:
             return _messages.Wanted(decoded.wanted)
@@ -374,35 +350,8 @@
         ),
         tuple(_decode_holding(each) for each in digest.holdings),
         digest.canClaim,
-        _decode_evidence(digest.crashEvidence),
-        _decode_limits(digest.targetLimits),
-    )
-
-
-def _decode_limits(notices: Any) -> _target_limits.NoticesByKey:
-    decoded = map(_decode_notice, notices)
-    return {notice.key: notice for notice in decoded}
-
-
-def _decode_notice(notice: Any) -> _target_limits.LimitNotice:
-    return _target_limits.LimitNotice(
-        notice.target,
-        notice.incarnation,
-        notice.limit if notice.isLimited else None,
-        notice.at,
-    )
-
-
-def _decode_evidence(evidence: Any) -> _crashes.Evidence:
-    reports = [
-        _crashes.CrashReport(
-            each.target, each.incarnation, each.at, frozenset(each.suspects)
-        )
-        for each in evidence.reports
-    ]
-    return _crashes.Evidence(
-        {report.key: report for report in reports},
-        {each.name: each.amount for each in evidence.outputs},
+        _target_news_codec.decode_evidence(digest.crashEvidence),
+        _target_news_codec.decode_limits(digest.targetLimits),
     )
 
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -29,6 +29,7 @@
 from mustardlb_gateway import _prefix_index
 from mustardlb_gateway import _quarantine
 from mustardlb_gateway import _quota
+from mustardlb_gateway import _registration
 from mustardlb_gateway import _retry_budget
 from mustardlb_gateway import _target_limits
 from mustardlb_gateway import _target_permits
@@ -43,8 +44,6 @@
 
 log = structlog.get_logger()
 
-VM_KIND = 'gateway-vms'
-
 # Allows a few round trips to a target, and is shorter than the retransmission
 # timeout after a lost packet.
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -66,8 +65,6 @@
 # other nodes are notified.
 COUNTS_BATCH_SECONDS = 0.015
 
-REGISTER_RETRY_SECONDS = 0.5
-
 
 class Node:
     """A gateway node with all its components.
@@ -428,7 +425,9 @@
                     self._clock,
                     self.fleet.must_watch,
                 )
-            nursery.start_soon(self._register)
+            nursery.start_soon(
+                _registration.register, self._store, self.membership
+            )
             nursery.start_soon(self.engine_manager.run, nursery)
             nursery.start_soon(self._run_maintenance)
             nursery.start_soon(self._publish_counts)
@@ -448,58 +447,6 @@
         )
         await nursery.start(metrics.serve, host, self.settings.metrics_port)
 
-    async def _register(self) -> None:
-        """Register this node's address at the store; add the other nodes."""
-        settings = self.settings
-        spec: dict[str, object] = {
-            'host': settings.host,
-            'port': settings.peer_port,
-            'data_centre': settings.data_centre,
-            'capacity': settings.link_capacity,
-        }
-        while True:
-            try:
-                await self._write_vm(spec)
-                others, _ = await self._store.list_objects(VM_KIND)
-            except ports.StoreUnavailable as error:
-                log.info('MLB-6012', problem=str(error))
-                await trio.sleep(REGISTER_RETRY_SECONDS)
-                continue
-            for other in others:
-                self._add_member(other)
-            return
-
-    async def _write_vm(self, spec: dict[str, object]) -> None:
-        try:
-            await self._store.create(VM_KIND, self.settings.vm, spec)
-        except ports.Conflict as conflict:
-            current = conflict.current
-            if current is None or current.spec == spec:
-                return
-            try:
-                await self._store.replace(
-                    VM_KIND, self.settings.vm, spec, current.revision
-                )
-            except ports.Conflict as later:
-                # A delayed earlier write of this node was applied meanwhile.
-                raise ports.StoreUnavailable(str(later)) from later
-
-    def _add_member(self, stored: ports.StoredObject) -> None:
-        spec = stored.spec
-        if not isinstance(spec, dict):
-            return
-        host, port = spec.get('host'), spec.get('port')
-        if isinstance(host, str) and isinstance(port, int):
-            self.membership.add(
-                _centres.Vm(
-                    stored.name,
-                    host,
-                    port,
-                    str(spec.get('data_centre', '')),
-                    float(spec.get('capacity', 0.0)),
-                )
-            )
-
     async def _run_maintenance(self) -> None:
         while True:
             await _timers.sleep(MAINTENANCE_INTERVAL_SECONDS)
