--- a/tests/mustardlb_gateway/test_target_permits.py
+++ b/tests/mustardlb_gateway/test_target_permits.py
@@ -209,6 +209,7 @@
     limits = fleet.limits['vm0']
     await trio.sleep(5)
     limits.record_response(TARGET, 1.0, 0.1)
+    await trio.sleep(0.05)
     limits.record_response(TARGET, None, 0.2)
     assert limits.limit(TARGET) == 1.0
     await trio.sleep(1)
