--- a/tests/mustardlb_gateway/test_quarantine.py
+++ b/tests/mustardlb_gateway/test_quarantine.py
@@ -380,6 +380,7 @@
     ('shape', 'stable_seconds', 'lost_share'),
     [
         (('a', 1), 3.0, 0.0),
+        (('a', 7), 3.0, 0.2),
         (('abcd', 2), 3.0, 0.0),
         (('abcd', 2), 3.0, 0.2),
         (('abcde', 40), 5.0, 0.0),
