--- a/packages/mustardlb-gateway/mustardlb_gateway/_crashes.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_crashes.py
@@ -176,7 +176,7 @@
     )
 
 
-def news(sent: Evidence, current: Evidence) -> Evidence:
+def unsent(sent: Evidence, current: Evidence) -> Evidence:
     """Return the part of the evidence that has not been sent yet."""
     return Evidence(
         {
--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -8,7 +8,7 @@
 from mustardlb import schema
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _messages
-from mustardlb_gateway import _target_news_codec
+from mustardlb_gateway import _target_observation_codec
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
 
@@ -83,7 +83,7 @@
             return 'refund', _charge_fields(body.charge)
         case _messages.Permit():
             return 'permit', {
-                'notice': _target_news_codec.encode_notice(body.notice),
+                'notice': _target_observation_codec.encode_notice(body.notice),
                 'rank': body.rank,
             }
         case _messages.Permitted():
@@ -100,10 +100,10 @@
                 'revisions': _encode_numbers(body.revisions),
                 'changes': _encode_changes(body.changes),
                 'levels': _encode_amounts(body.levels),
-                'crashEvidence': _target_news_codec.encode_evidence(
+                'crashEvidence': _target_observation_codec.encode_evidence(
                     body.crash_evidence
                 ),
-                'targetLimits': _target_news_codec.encode_limits(
+                'targetLimits': _target_observation_codec.encode_limits(
                     body.target_limits
                 ),
             }
@@ -146,10 +146,12 @@
         'capacity': digest.capacity,
         'isWatching': digest.is_watching,
         'canClaim': digest.can_claim,
-        'crashEvidence': _target_news_codec.encode_evidence(
+        'crashEvidence': _target_observation_codec.encode_evidence(
             digest.crash_evidence
         ),
-        'targetLimits': _target_news_codec.encode_limits(digest.target_limits),
+        'targetLimits': _target_observation_codec.encode_limits(
+            digest.target_limits
+        ),
     }
 
 
@@ -294,7 +296,8 @@
         case 'permit':
             permit = decoded.permit
             return _messages.Permit(
-                _target_news_codec.decode_notice(permit.notice), permit.rank
+                _target_observation_codec.decode_notice(permit.notice),
+                permit.rank,
             )
         case 'permitted':
             return _messages.Permitted(decoded.permitted)
@@ -314,8 +317,10 @@
                     for each in _changes_decoder.decode(update.changes)
                 ),
                 {each.name: each.amount for each in update.levels},
-                _target_news_codec.decode_evidence(update.crashEvidence),
-                _target_news_codec.decode_limits(update.targetLimits),
+                _target_observation_codec.decode_evidence(
+                    update.crashEvidence
+                ),
+                _target_observation_codec.decode_limits(update.targetLimits),
             )
         case _:
             return _messages.Wanted(decoded.wanted)
@@ -350,8 +355,8 @@
         ),
         tuple(_decode_holding(each) for each in digest.holdings),
         digest.canClaim,
-        _target_news_codec.decode_evidence(digest.crashEvidence),
-        _target_news_codec.decode_limits(digest.targetLimits),
+        _target_observation_codec.decode_evidence(digest.crashEvidence),
+        _target_observation_codec.decode_limits(digest.targetLimits),
     )
 
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
@@ -33,7 +33,7 @@
     `get_levels` returns the levels of the accounts' buckets, and
     `on_levels` is called with those of another node. `get_evidence` and
     `get_limits` return what is known about crashes and limits of targets;
-    `on_target_news` is called with what another node knows.
+    `on_target_observations` is called with what another node knows.
     """
 
     def __init__(
@@ -49,7 +49,7 @@
         on_levels: abc.Callable[[dict[str, float]], None],
         get_evidence: abc.Callable[[], _crashes.Evidence],
         get_limits: abc.Callable[[], _target_limits.NoticesByKey],
-        on_target_news: abc.Callable[
+        on_target_observations: abc.Callable[
             [_crashes.Evidence, _target_limits.NoticesByKey], None
         ],
     ) -> None:
@@ -65,7 +65,7 @@
         self._on_levels = on_levels
         self._get_evidence = get_evidence
         self._get_limits = get_limits
-        self._on_target_news = on_target_news
+        self._on_target_observations = on_target_observations
         self._sequence = itertools.count(1)
         self._changed = trio.Event()
         self._send_requested = trio.Event()
@@ -199,7 +199,7 @@
                 channel.vm = message.vm
                 self.fleet.receive_digest(message, message.body)
                 self._on_revisions(message.vm, message.body.revisions)
-                self._on_target_news(
+                self._on_target_observations(
                     message.body.crash_evidence, message.body.target_limits
                 )
             case _messages.Subscription():
@@ -222,7 +222,9 @@
         message: _messages.Message,
         update: _messages.Update,
     ) -> None:
-        self._on_target_news(update.crash_evidence, update.target_limits)
+        self._on_target_observations(
+            update.crash_evidence, update.target_limits
+        )
         if not self.fleet.receive_update(message, update):
             # The next connection check then renews the subscription, which
             # starts with a full update.
@@ -294,8 +296,8 @@
                 self._make_digest().revisions,
                 self._diff_states(sent, current),
                 self._get_levels() if is_full else {},
-                _crashes.news(sent_evidence, evidence),
-                _target_limits.news(sent_limits, limits),
+                _crashes.unsent(sent_evidence, evidence),
+                _target_limits.unsent(sent_limits, limits),
             )
             now = trio.current_time()
             heartbeat_seconds = (
--- a/packages/mustardlb-gateway/mustardlb_gateway/_quarantine.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_quarantine.py
@@ -37,6 +37,7 @@
 
 MAX_LOGGED_SUSPECTS = 16
 
+# Retry-After while another request is being tried.
 MIN_WAIT_SECONDS = 0.5
 
 _CONTENT_PREFIX = 'content:'
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_limits.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_limits.py
@@ -71,7 +71,7 @@
     return merged
 
 
-def news(sent: NoticesByKey, current: NoticesByKey) -> NoticesByKey:
+def unsent(sent: NoticesByKey, current: NoticesByKey) -> NoticesByKey:
     """Return the notices that have not been sent yet."""
     return {
         key: notice
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -141,7 +141,7 @@
             self._quota.adopt_levels,
             lambda: self.quarantine.evidence,
             lambda: self.target_limits.notice_by_key,
-            self._handle_target_news,
+            self._handle_target_observations,
         )
         self._charging = _charging.Charging(
             settings.vm,
@@ -321,7 +321,7 @@
             self.target_limits.own_notice_by_key,
         )
 
-    def _handle_target_news(
+    def _handle_target_observations(
         self,
         evidence: _crashes.Evidence,
         limits: _target_limits.NoticesByKey,
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -124,10 +124,10 @@
             self.received_levels.update,
             lambda: self.evidence,
             lambda: self.limits,
-            self.add_target_news,
+            self.add_target_observations,
         )
 
-    def add_target_news(self, evidence, limits):
+    def add_target_observations(self, evidence, limits):
         self.evidence = _crashes.merge(self.evidence, evidence)
         self.limits = _target_limits.merge(self.limits, limits)
 
--- a/tests/mustardlb_gateway/test_quarantine.py
+++ b/tests/mustardlb_gateway/test_quarantine.py
@@ -322,7 +322,7 @@
             sent = _crashes.Evidence()
         current = self.nodes[connection[1]].quarantine.evidence
         self.sent_evidence[connection] = current
-        return _crashes.news(sent, current)
+        return _crashes.unsent(sent, current)
 
     def send_requests(self, per_second, harmful_per_second):
         """Send requests at random nodes during one step."""
