Ask the owner of a limited target again once it may respond

A node whose owner was silent took the wait of a node of a low rank, which hands out little: 64 s without that target for a limit of 2 a second, though owners are asked again after 2 s. test_target_is_considered_again_... failed before.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_permits.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_permits.py
@@ -7,6 +7,7 @@
 """
 
 from collections import abc
+import math
 
 import structlog
 
@@ -127,20 +128,24 @@
     async def _ask(
         self, notice: _target_limits.LimitNotice, request_id: str
     ) -> float:
-        """Return the seconds to wait for a permit, 0 if it was granted."""
+        """Return the seconds to wait for a permit, 0 if it was granted.
+
+        After the word of a lower rank, the owner is soon asked again.
+        """
         name = notice.target_id
         ranking = self._owners.ranking(name)
         for owner in self._owners.to_ask(name):
             rank = ranking.index(owner)
+            longest = _owners.BACKOFF_SECONDS if rank else math.inf
             if owner == self._vm:
-                return self._take(notice, rank)
+                return min(longest, self._take(notice, rank))
             response = await self._request(
                 owner,
                 _messages.Permit(notice, rank),
                 _owners.RESPONSE_TIMEOUT_SECONDS,
             )
             if isinstance(response, _messages.Permitted):
-                return response.wait
+                return min(longest, response.wait)
             self._owners.mark_unresponsive(owner)
             log.info('MLB-6608', request=request_id, target=name, peer=owner)
         return UNDECIDED_SECONDS
--- a/tests/mustardlb_gateway/test_target_permits.py
+++ b/tests/mustardlb_gateway/test_target_permits.py
@@ -248,6 +248,22 @@
     assert limits.limit(restarted) is None
 
 
+# A node of a low rank hands out so little that its wait would be minutes.
+async def test_target_is_considered_again_once_its_owner_may_respond(
+    autojump_clock,
+):
+    fleet = Fleet(9, 2.0)
+    ranking = fleet.permits['vm0']._owners.ranking('t1')
+    name = ranking[-1]
+    fleet.limits[name].record_response(TARGET, 2.0, 0.0)
+    fleet.silent.update(ranking[:6])
+    for _ in range(4):
+        await fleet.permits[name].acquire(TARGET, 'r')
+        await trio.sleep(_target_permits.UNDECIDED_SECONDS)
+    waits = fleet.permits[name].denied()
+    assert 0 < waits['t1'] <= _owners.BACKOFF_SECONDS
+
+
 async def test_unresponsive_owner_is_not_asked_again_soon(autojump_clock):
     fleet = Fleet(3, 5.0)
     permits = fleet.permits['vm0']
