--- a/tests/mustardlb_gateway/test_quarantine.py
+++ b/tests/mustardlb_gateway/test_quarantine.py
@@ -322,7 +322,7 @@
             sent = _crashes.Evidence()
         current = self.nodes[connection[1]].quarantine.evidence
         self.sent_evidence[connection] = current
-        return _crashes.news(sent, current)
+        return _crashes.unsent(sent, current)
 
     def send_requests(self, per_second, harmful_per_second):
         """Send requests at random nodes during one step."""
@@ -380,6 +380,7 @@
     ('shape', 'stable_seconds', 'lost_share'),
     [
         (('a', 1), 3.0, 0.0),
+        (('a', 7), 3.0, 0.2),
         (('abcd', 2), 3.0, 0.0),
         (('abcd', 2), 3.0, 0.2),
         (('abcde', 40), 5.0, 0.0),
