Log when the requests were sent on which a target ended; gauges come first

The logs could not tell whether crashes followed from one request sent again or from a common cause, and the collected metrics were cut off before the gauges.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_crash_watch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_crash_watch.py
@@ -52,13 +52,17 @@
                     )
 
     def record_failure(
-        self, target: domain.Target, call: domain.Call, is_broken: bool
+        self,
+        target: domain.Target,
+        call: domain.Call,
+        is_broken: bool,
+        sent_seconds_ago: float,
     ) -> None:
         """Record a call that failed without lasting output.
 
         :param is_broken: the target closed or reset the connection
         """
-        self._quarantine.record_failure(target, call)
+        self._quarantine.record_failure(target, call, sent_seconds_ago)
         key = target.target_id, target.incarnation
         if (
             is_broken
--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -57,7 +57,7 @@
     `permits` decides on requests to targets that have named a limit.
     `quarantine_wait` returns the seconds for which a call is not sent, and
     `record_failure` is called with each attempt that a target may have failed
-    on, and whether its connection broke.
+    on, whether its connection broke, and how long ago it was sent.
     """
 
     def __init__(
@@ -75,7 +75,9 @@
         ],
         acquire_retry: abc.Callable[[str], bool],
         quarantine_wait: abc.Callable[[domain.Call], float],
-        record_failure: abc.Callable[[domain.Target, domain.Call, bool], None],
+        record_failure: abc.Callable[
+            [domain.Target, domain.Call, bool, float], None
+        ],
         permits: _target_permits.TargetPermits,
     ) -> None:
         self._exchange = exchange
@@ -106,12 +108,16 @@
             self._log_choice(job, choice)
             await self._exchange.run(job, attempt, choice)
             self._record_attempt(job, attempt)
+            now = trio.current_time()
             if (
                 attempt.outcome == _outcomes.Outcome.UNKNOWN
-                and not attempt.has_lasting_output(trio.current_time())
+                and not attempt.has_lasting_output(now)
             ):
                 self._record_failure(
-                    choice.target, job.call, attempt.is_broken
+                    choice.target,
+                    job.call,
+                    attempt.is_broken,
+                    now - attempt.started_at,
                 )
             if attempt.outcome == _outcomes.Outcome.ANSWERED:
                 if attempt.response is None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_metrics.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_metrics.py
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
+        self._gauge_registry = prometheus_client.CollectorRegistry()
         self._requests = prometheus_client.Counter(
             'mustardlb_requests',
             'Requests by account, route and outcome.',
@@ -77,12 +78,17 @@
 
     def add_gauge(self, name: str, text: str) -> prometheus_client.Gauge:
         """Register and return a gauge; `text` is its help text."""
-        return prometheus_client.Gauge(name, text, registry=self.registry)
+        return prometheus_client.Gauge(
+            name, text, registry=self._gauge_registry
+        )
 
     async def serve(
         self, request: http_server.Request, reply: http_server.Reply
     ) -> None:
         """Respond with the current metrics."""
         await trio.lowlevel.checkpoint()
-        body = prometheus_client.generate_latest(self.registry)
+        # The gauges come first, as a collector may truncate long responses.
+        body = prometheus_client.generate_latest(
+            self._gauge_registry
+        ) + prometheus_client.generate_latest(self.registry)
         await reply.send_response(200, [(b'content-type', CONTENT_TYPE)], body)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_quarantine.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_quarantine.py
@@ -4,6 +4,7 @@
 from collections import abc
 import dataclasses
 import hashlib
+import itertools
 import time
 
 import structlog
@@ -64,11 +65,15 @@
 
     :ivar failed_at: time of the last failure, Unix seconds
     :ivar last_at: the same in clock seconds
+    :ivar sent_at_by_request: when each request was sent, Unix seconds
     """
 
     failed_at: float = 0.0
     last_at: float = 0.0
     suspects: set[str] = dataclasses.field(default_factory=set)
+    sent_at_by_request: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class Quarantine:
@@ -137,7 +142,12 @@
         period = self._period_by_suspect.get(suspect)
         return period is None or period.trial_at <= self._wall_clock()
 
-    def record_failure(self, target: domain.Target, call: domain.Call) -> None:
+    def record_failure(
+        self,
+        target: domain.Target,
+        call: domain.Call,
+        sent_seconds_ago: float,
+    ) -> None:
         """Record a request that failed without lasting output.
 
         Its suspects are reported if the target turns out to have ended.
@@ -154,6 +164,9 @@
         )
         failures.failed_at, failures.last_at = self._wall_clock(), now
         failures.suspects.update(suspects_of(call))
+        failures.sent_at_by_request[call.request_id] = (
+            failures.failed_at - sent_seconds_ago
+        )
 
     def confirm_crash(self, target: domain.Target, reason: str) -> None:
         """Report the requests that failed at a target that has ended.
@@ -178,6 +191,12 @@
             incarnation=target.incarnation,
             reason=reason,
             suspects=sorted(report.suspects)[:MAX_LOGGED_SUSPECTS],
+            sent_seconds_before={
+                request_id: round(failures.failed_at - sent_at, 3)
+                for request_id, sent_at in itertools.islice(
+                    failures.sent_at_by_request.items(), MAX_LOGGED_SUSPECTS
+                )
+            },
         )
         self._report(_crashes.Evidence({key: report}))
 
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -191,7 +191,7 @@
         self.reserve_requests.append(request)
         return self.reservations.pop(0) if self.reservations else None
 
-    def _record_failure(self, target, call, is_broken):
+    def _record_failure(self, target, call, is_broken, sent_seconds_ago):
         self.failures.append((target.target_id, is_broken))
 
     async def _permit_trial(self, call):
--- a/tests/mustardlb_gateway/test_crash_watch.py
+++ b/tests/mustardlb_gateway/test_crash_watch.py
@@ -57,7 +57,7 @@
         port = listeners[0].socket.getsockname()[1]
         await listeners[0].aclose()
         target = builders.make_target('ended', port=port)
-        watch.watch.record_failure(target, CALL, True)
+        watch.watch.record_failure(target, CALL, True, 0.1)
         await trio.sleep(1)
         assert watch.reported == {('ended', 1)}
         nursery.cancel_scope.cancel()
@@ -73,7 +73,7 @@
         nursery.start_soon(watch.watch.run)
         await trio.sleep(0.05)
         target = builders.make_target(port=server.port)
-        watch.watch.record_failure(target, CALL, True)
+        watch.watch.record_failure(target, CALL, True, 0.1)
         await trio.sleep(0.5)
         assert server.opened == len(_crash_watch.CHECK_DELAYS_SECONDS)
         assert not watch.reported
@@ -84,7 +84,7 @@
 async def test_target_that_is_removed_is_reported(autojump_clock):
     watch = Watch()
     target = builders.make_target()
-    watch.watch.record_failure(target, CALL, False)
+    watch.watch.record_failure(target, CALL, False, 0.1)
     await trio.sleep(4)
     watch.watch.handle_removal(target)
     assert watch.reported == {('t1', 1)}
@@ -95,7 +95,7 @@
     watch.watch = _crash_watch.CrashWatch(
         watch.quarantine, watch.store, lambda target: True
     )
-    watch.watch.record_failure(builders.make_target(), CALL, False)
+    watch.watch.record_failure(builders.make_target(), CALL, False, 0.1)
     watch.watch.handle_removal(builders.make_target())
     assert not watch.reported
 
@@ -110,7 +110,7 @@
         first.quarantine.record_output(builders.make_call(), 0.0)
         for number in range(3):
             target = builders.make_target(f't{number}')
-            first.quarantine.record_failure(target, CALL)
+            first.quarantine.record_failure(target, CALL, 0.1)
             first.quarantine.confirm_crash(target, 'test')
             await trio.sleep(0.3)
             first.quarantine.record_output(builders.make_call(), 0.0)
--- a/tests/mustardlb_gateway/test_quarantine.py
+++ b/tests/mustardlb_gateway/test_quarantine.py
@@ -11,7 +11,8 @@
 from mustardlb_gateway import _quarantine
 from mustardlb_gateway import domain
 
-SECOND = 10.0
+# Time from sending a request to the end of its target.
+SENT_SECONDS = 0.1
 
 
 def make_call(*parts, **changes):
@@ -47,7 +48,7 @@
         self.crash_count += 1
         target = builders.make_target(f't{self.crash_count}', **changes)
         for call in calls:
-            self.quarantine.record_failure(target, call)
+            self.quarantine.record_failure(target, call, SENT_SECONDS)
         self.quarantine.confirm_crash(target, 'test')
         self.time.now += gap
 
@@ -165,7 +166,9 @@
     observer = make_observer()
     for number in range(5):
         target = builders.make_target(f'other{number}')
-        observer.quarantine.record_failure(target, make_call('slow'))
+        observer.quarantine.record_failure(
+            target, make_call('slow'), SENT_SECONDS
+        )
     observer.settle()
     assert not observer.is_quarantined('slow')
     observer.time.now += _quarantine.CONFIRMATION_SECONDS
@@ -352,8 +355,11 @@
         self.numbers[index] = len(self.crashes) + 1000
         broken = [each for each in self.waiting if each[3] == target]
         self.waiting = [each for each in self.waiting if each[3] != target]
-        for _, other, waiting_call, _ in [*broken, (0.0, node, call, target)]:
-            other.quarantine.record_failure(target, waiting_call)
+        broken.append((self.now, node, call, target))
+        for sent_at, other, waiting_call, _ in broken:
+            other.quarantine.record_failure(
+                target, waiting_call, self.now - sent_at
+            )
             other.quarantine.confirm_crash(target, 'refused')
 
     def finish_requests(self):
