--- a/tests/mustardlb_gateway/test_crashing_requests.py
+++ b/tests/mustardlb_gateway/test_crashing_requests.py
@@ -1,7 +1,8 @@
-"""Nodes before targets that crash on requests with one part in their prompt.
+"""Nodes before targets that crash on some requests.
 
 The platform permits three more such requests later than STABLE_SECONDS after
-the fifth crash, over all nodes.
+the fifth crash on one part of prompts, and after the third on one request
+that is repeated, over all nodes.
 """
 
 import contextlib
@@ -17,6 +18,7 @@
 STABLE_SECONDS = 3.0
 RESTART_SECONDS = 0.7
 HARMFUL = b'bad'
+HARMFUL_PATH = '/x/bad'
 
 
 class TranslationStub(test_app.TranslationStub):
@@ -28,6 +30,8 @@
         return builders.make_call(
             None,
             request_id=call.request_id,
+            method=method,
+            path=path,
             key=call.key,
             client_timeout=call.client_timeout,
             tokens=None,
@@ -76,7 +80,10 @@
             await trio.sleep(RESTART_SECONDS)
 
     async def _serve(self, connection, head, process):
-        if HARMFUL not in dict(head.headers)[b'x-parts'].split(b','):
+        if (
+            HARMFUL not in dict(head.headers)[b'x-parts'].split(b',')
+            and head.target != HARMFUL_PATH.encode()
+        ):
             await trio.sleep(0.02)
             await connection.send(
                 scripted.stream_head(scripted.request_id(head))
@@ -91,13 +98,13 @@
         await trio.sleep_forever()
 
 
-async def send(port, number, parts):
-    """Send a request and return the status of the response."""
+async def send(port, number, parts='', path='/x/'):
+    """Send a request and return the response."""
     response = gateway_harness.Response(0, {}, b'', False)
     with contextlib.suppress(OSError):
         stream = await trio.open_tcp_stream('127.0.0.1', port)
         await stream.send_all(
-            f'POST /x/ HTTP/1.1\r\nhost: h\r\nx-id: r{number}\r\n'
+            f'POST {path} HTTP/1.1\r\nhost: h\r\nx-id: r{number}\r\n'
             f'x-parts: {parts}\r\nconnection: close\r\n\r\n'.encode()
         )
         data = b''
@@ -147,3 +154,46 @@
         since = targets.crashes[4] + STABLE_SECONDS
         assert sum(at > since for at in targets.harmful) <= 3
     assert sum(status == 200 for status in sound) > 0.8 * len(sound)
+
+
+# One call crashed three targets within 0.2 s, which counted as one crash, and
+# the request came again at other nodes.
+async def test_repeated_request_that_crashes_targets_reaches_few_of_them():
+    cluster = test_app.Cluster(test_app.respond_ok)
+    cluster.translation = TranslationStub()
+    cluster.put_configuration(
+        kind=domain.RouteKind.STREAM,
+        is_resumable=True,
+        timeout=2.0,
+        max_attempts=3,
+    )
+    targets = CrashingTargets(cluster, 4)
+    sound = []
+    async with cluster.running(nodes=3), trio.open_nursery() as nursery:
+        await targets.run(nursery)
+        for node in cluster.nodes:
+            await test_app.wait_until(
+                lambda node=node: test_app.is_ready(node)
+            )
+        await test_app.wait_until(lambda: test_app.are_all_connected(cluster))
+        fronts = [node.settings.front_port for node in cluster.nodes]
+
+        async def send_sound(number):
+            response = await send(fronts[number % 3], f's{number}')
+            sound.append(response.status)
+
+        async def send_harmful(number):
+            for retry in range(2):
+                front = fronts[(number + retry) % 3]
+                await send(front, f'h{number}-{retry}', path=HARMFUL_PATH)
+
+        for number in range(45):
+            nursery.start_soon(send_sound, number)
+            if number % 9 == 0:
+                nursery.start_soon(send_harmful, number // 9)
+            await trio.sleep(0.25)
+        nursery.cancel_scope.cancel()
+    assert len(targets.crashes) >= 3
+    since = targets.crashes[2] + STABLE_SECONDS
+    assert sum(at > since for at in targets.harmful) <= 3
+    assert sum(status == 200 for status in sound) > 0.8 * len(sound)
