Count each end of a target on a repeated request, at any pace

Callers saw the targets of a service end again and again: a call that was sent again after each failure ended three or four of them within 0.25 s, which counted as one crash of three, since a failing rack looks alike.

Cause: crashes were told apart by the time between them. Now each end counts, and the order of events tells whether they may have had a common cause: a request that was sent after the target before had ended met an end of its own. A suspect with three ends is sent one request at a time from then on; with three separate ends the next one waits ten seconds, otherwise it is tried at once, so that what waited in a failing rack is cleared by its first output.

Whole requests are suspects whether they have a prompt or not, by path, caller and body, and with the complete prompt. Crashes that a stronger suspect explains do not count, instead of a minimum share of all crashes, which much other trouble dilutes. Only parts of prompts, which many requests share, need a request with output, in the minute before or since; a repeated request does not, so that it is quarantined with hardly any traffic.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_crash_records.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_crash_records.py
@@ -30,6 +30,11 @@
                 'incarnation': report.incarnation,
                 'at': report.at,
                 'suspects': sorted(report.suspects),
+                'sent_at': {
+                    suspect: at
+                    for suspect, at in report.sent_at_by_suspect.items()
+                    if at != _crashes.UNKNOWN
+                },
             }
             for report in evidence.report_by_key.values()
         ],
@@ -45,7 +50,12 @@
                 str(each['target']),
                 int(each['incarnation']),
                 float(each['at']),
-                frozenset(map(str, each['suspects'])),
+                {
+                    str(suspect): float(
+                        each.get('sent_at', {}).get(suspect, _crashes.UNKNOWN)
+                    )
+                    for suspect in each['suspects']
+                },
             )
             for each in spec['reports']
         ]
--- a/packages/mustardlb-gateway/mustardlb_gateway/_crashes.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_crashes.py
@@ -3,8 +3,8 @@
 A target that ends while it begins to answer a request may have crashed on
 it. Each node reports the requests of its own that had no output when their
 target ended, and when requests like them last had output elsewhere. A
-request is described by its suspects: the parts of its prompt that other
-requests may share, or else its content.
+request is described by its suspects: the request as a whole, which a client
+may repeat, and the parts of its prompt, which other requests may share.
 
 Reports and outputs are only ever added, so that nodes may merge them in any
 order and any number of times, and end with the same result.
@@ -17,32 +17,47 @@
 # One or two may have other causes, such as a failing host.
 CRASHES_TO_QUARANTINE = 3
 
-# Part of all crashes in that time that the suspect must have had a part in.
-# Requests that only waited at the targets are suspects of a few of them.
-MIN_CRASH_SHARE = 1 / 3
-
 # Afterwards a crash is forgotten.
 REPORT_TTL_SECONDS = 600.0
 
-# Targets that end within this time have a common cause, such as a failing
-# rack, and count as one crash.
+# Targets that end within this time of each other may have a common cause,
+# such as a failing rack.
 COINCIDENCE_SECONDS = 0.25
 
+# A suspect explains ends that coincide if it had a part in so many of them.
+MIN_EXPLAINED_SHARE = 1 / 2
+
 # Delay from the last crash until one request is tried. It grows with each
 # further crash.
 FIRST_TRIAL_SECONDS = 10.0
 TRIAL_DELAY_RATIO = 6.0
 
+# A part of prompts, which many requests may share, is quarantined only if
+# some request had output since this time before its first crash. Otherwise,
+# the targets may be ending for another reason.
+WITNESS_SECONDS = 60.0
+
 # Evidence from a node whose clock is further ahead is not used.
 MAX_CLOCK_DIFFERENCE_SECONDS = 60.0
 
 MAX_REPORTS = 64
-MAX_SUSPECTS_PER_REPORT = 128
+MAX_SUSPECTS_PER_REPORT = 256
 
-# Stands for all requests. Unless some request has had output since a
-# suspect's first crash, the targets may be ending for another reason.
+# When a request was sent, if that is not known. It counts as sent before any
+# other crash.
+UNKNOWN = float('-inf')
+
+# Stands for all requests.
 ANY_REQUEST = ''
 
+# Prefixes of suspects that describe whole requests: what a client repeats,
+# and the same with its complete prompt. Other suspects are parts of prompts.
+CONTENT_PREFIX = 'content:'
+PROMPT_PREFIX = 'prompt:'
+
+# Suspects that describe fewer requests rank higher among equals.
+_PART_RANK, _CONTENT_RANK, _PROMPT_RANK = range(3)
+
 # Target and its incarnation.
 CrashKey = tuple[str, int]
 
@@ -52,12 +67,19 @@
     """The end of a target with requests that had no output yet.
 
     :ivar at: when it ended, Unix seconds
+    :ivar sent_at_by_suspect: when the last request with each suspect was
+        sent to it, Unix seconds
     """
 
     target_id: str
     incarnation: int
     at: float
-    suspects: frozenset[str]
+    sent_at_by_suspect: abc.Mapping[str, float]
+
+    @property
+    def suspects(self) -> abc.Set[str]:
+        """Return the suspects of the requests."""
+        return self.sent_at_by_suspect.keys()
 
     @property
     def key(self) -> CrashKey:
@@ -95,8 +117,8 @@
 def merge(one: Evidence, other: Evidence) -> Evidence:
     """Return the union of the evidence of two nodes.
 
-    >>> early = CrashReport('t1', 1, 5.0, frozenset({'p'}))
-    >>> late = CrashReport('t1', 1, 6.0, frozenset({'q'}))
+    >>> early = CrashReport('t1', 1, 5.0, {'p': 4.5})
+    >>> late = CrashReport('t1', 1, 6.0, {'q': 4.9})
     >>> one, other = Evidence({early.key: early}), Evidence({late.key: late})
     >>> merged = merge(one, other)
     >>> report = merged.report_by_key['t1', 1]
@@ -116,14 +138,26 @@
 
 
 def _merge_reports(one: CrashReport, other: CrashReport) -> CrashReport:
-    suspects = one.suspects | other.suspects
-    if len(suspects) > MAX_SUSPECTS_PER_REPORT:
-        suspects = frozenset(sorted(suspects)[:MAX_SUSPECTS_PER_REPORT])
+    sent_at = dict(one.sent_at_by_suspect)
+    for suspect, at in other.sent_at_by_suspect.items():
+        sent_at[suspect] = max(at, sent_at.get(suspect, at))
+    if len(sent_at) > MAX_SUSPECTS_PER_REPORT:
+        kept = sorted(sent_at)[:MAX_SUSPECTS_PER_REPORT]
+        sent_at = {suspect: sent_at[suspect] for suspect in kept}
     return dataclasses.replace(
-        one, at=min(one.at, other.at), suspects=suspects
+        one, at=min(one.at, other.at), sent_at_by_suspect=sent_at
     )
 
 
+def _rank(suspect: str) -> int:
+    """Return a rank that is higher the fewer requests a suspect describes."""
+    if suspect.startswith(PROMPT_PREFIX):
+        return _PROMPT_RANK
+    if suspect.startswith(CONTENT_PREFIX):
+        return _CONTENT_RANK
+    return _PART_RANK
+
+
 def valid_at(evidence: Evidence, now: float) -> Evidence:
     """Return the evidence without what has expired or lies in the future.
 
@@ -163,7 +197,14 @@
 def about(evidence: Evidence, suspects: abc.Set[str]) -> Evidence:
     """Return the evidence on some suspects only."""
     reports = (
-        dataclasses.replace(report, suspects=report.suspects & suspects)
+        dataclasses.replace(
+            report,
+            sent_at_by_suspect={
+                suspect: at
+                for suspect, at in report.sent_at_by_suspect.items()
+                if suspect in suspects
+            },
+        )
         for report in evidence.report_by_key.values()
         if report.suspects & suspects
     )
@@ -198,65 +239,161 @@
 
     :ivar until: when its crashes have expired
     :ivar trial_at: when a single request may be tried, if that is earlier
+    :ivar is_certain: False if the crashes may have had a common cause; a
+        request is then tried at once
     """
 
     until: float
     trial_at: float
+    is_certain: bool
 
 
 def quarantined(
     evidence: Evidence,
     is_settled: abc.Callable[[CrashReport, str], bool] = lambda *_: True,
 ) -> dict[str, QuarantinePeriod]:
-    """Return the suspects to which targets are not exposed.
+    """Return the suspects of which one request is tried at a time.
 
-    A crash counts for a suspect once `is_settled` returns true.
+    A crash counts for a suspect once `is_settled` returns true, unless a
+    stronger suspect explains it: one of more crashes, or of as many that
+    describes fewer requests.
 
     >>> reports = [
-    ...     CrashReport('t1', 1, 5.0, frozenset({'p', 'q'})),
-    ...     CrashReport('t2', 1, 6.0, frozenset({'p', 'q'})),
-    ...     CrashReport('t3', 1, 7.0, frozenset({'p', 'q'})),
+    ...     CrashReport('t1', 1, 5.0, {'p': 4.9, 'q': 4.9}),
+    ...     CrashReport('t2', 1, 6.0, {'p': 5.9, 'q': 5.9}),
+    ...     CrashReport('t3', 1, 7.0, {'p': 6.9, 'q': 6.9}),
     ... ]
     >>> by_key = {report.key: report for report in reports}
     >>> quarantined(Evidence(by_key, {'q': 6.5, ANY_REQUEST: 6.5}))
-    {'p': QuarantinePeriod(until=605.0, trial_at=17.0)}
+    {'p': QuarantinePeriod(until=605.0, trial_at=17.0, is_certain=True)}
     """
-    outputs = evidence.output_at_by_suspect
-    any_output_at = outputs.get(ANY_REQUEST, float('-inf'))
-    reports = evidence.report_by_key.values()
+    crashes_by_suspect = _repeated_crashes(evidence, is_settled)
+    strength_by_suspect = {
+        suspect: (len(crashes), _rank(suspect))
+        for suspect, crashes in crashes_by_suspect.items()
+    }
+    bursts = _bursts(evidence.report_by_key.values())
     found: dict[str, QuarantinePeriod] = {}
-    for suspect in evidence.suspects:
-        output_at = outputs.get(suspect, float('-inf'))
-        times = _separate(
-            report.at
-            for report in reports
-            if suspect in report.suspects
-            and report.at > output_at
-            and is_settled(report, suspect)
-        )
-        if len(times) < CRASHES_TO_QUARANTINE or any_output_at < times[0]:
-            continue
-        crashes = _separate(
-            report.at for report in reports if report.at >= times[0]
-        )
-        if len(times) >= MIN_CRASH_SHARE * len(crashes):
-            retries = len(times) - CRASHES_TO_QUARANTINE
-            delay = FIRST_TRIAL_SECONDS * TRIAL_DELAY_RATIO**retries
+    for suspect, strength in sorted(
+        strength_by_suspect.items(), key=lambda each: each[1], reverse=True
+    ):
+        explained = {
+            crash.key
+            for other in found
+            if strength_by_suspect[other] > strength
+            for crash in crashes_by_suspect[other]
+        }
+        crashes = [
+            crash
+            for crash in crashes_by_suspect[suspect]
+            if crash.key not in explained
+        ]
+        if len(crashes) >= CRASHES_TO_QUARANTINE:
+            trial_delay = _trial_delay(suspect, crashes, bursts)
             found[suspect] = QuarantinePeriod(
-                times[-CRASHES_TO_QUARANTINE] + REPORT_TTL_SECONDS,
-                times[-1] + min(delay, REPORT_TTL_SECONDS),
+                crashes[-CRASHES_TO_QUARANTINE].at + REPORT_TTL_SECONDS,
+                crashes[-1].at + trial_delay,
+                trial_delay > 0,
             )
     return found
 
 
-def _separate(times: abc.Iterable[float]) -> list[float]:
-    """Return the times of crashes that do not coincide, in order.
-
-    >>> _separate([7.0, 5.0, 5.1])
-    [5.0, 7.0]
+def _repeated_crashes(
+    evidence: Evidence,
+    is_settled: abc.Callable[[CrashReport, str], bool],
+) -> dict[str, list[CrashReport]]:
+    """Return the crashes of suspects that have enough of them, in order."""
+    outputs = evidence.output_at_by_suspect
+    never = float('-inf')
+    crashes_by_suspect: dict[str, list[CrashReport]] = {}
+    for report in sorted(
+        evidence.report_by_key.values(), key=lambda each: (each.at, each.key)
+    ):
+        for suspect in report.suspects:
+            if report.at > outputs.get(suspect, never) and is_settled(
+                report, suspect
+            ):
+                crashes_by_suspect.setdefault(suspect, []).append(report)
+    any_output_at = outputs.get(ANY_REQUEST, never)
+    return {
+        suspect: crashes
+        for suspect, crashes in crashes_by_suspect.items()
+        if len(crashes) >= CRASHES_TO_QUARANTINE
+        and (
+            _rank(suspect) != _PART_RANK
+            or any_output_at >= crashes[0].at - WITNESS_SECONDS
+        )
+    }
+
+
+def _bursts(
+    reports: abc.Iterable[CrashReport],
+) -> dict[CrashKey, frozenset[CrashKey]]:
+    """Return, for each crash, those that coincide with it and each other."""
+    bursts: list[list[CrashReport]] = []
+    for report in sorted(reports, key=lambda each: each.at):
+        if bursts and report.at < bursts[-1][-1].at + COINCIDENCE_SECONDS:
+            bursts[-1].append(report)
+        else:
+            bursts.append([report])
+    return {
+        report.key: frozenset(each.key for each in burst)
+        for burst in bursts
+        for report in burst
+    }
+
+
+def _trial_delay(
+    suspect: str,
+    crashes: list[CrashReport],
+    bursts: dict[CrashKey, frozenset[CrashKey]],
+) -> float:
+    """Return the seconds from the last crash until a request is tried.
+
+    Without enough separate crashes, a common cause is as likely. A request is
+    then tried at once, and the next one later than usual if it crashes too.
+    """
+    separate = _count_separate(suspect, crashes, bursts)
+    if separate < CRASHES_TO_QUARANTINE:
+        return 0.0
+    failed_trials = separate - CRASHES_TO_QUARANTINE
+    first = crashes[:CRASHES_TO_QUARANTINE]
+    if _count_separate(suspect, first, bursts) < CRASHES_TO_QUARANTINE:
+        failed_trials += 1
+    delay = FIRST_TRIAL_SECONDS * TRIAL_DELAY_RATIO**failed_trials
+    return min(delay, REPORT_TTL_SECONDS)
+
+
+def _count_separate(
+    suspect: str,
+    crashes: list[CrashReport],
+    bursts: dict[CrashKey, frozenset[CrashKey]],
+) -> int:
+    """Return how many crashes cannot have had a common cause.
+
+    A request that was sent after the target before had ended met an end of
+    its own, unless others of the same moment are not explained by it.
+
+    >>> crashes = [
+    ...     CrashReport('t1', 1, 5.0, {'p': 4.9}),
+    ...     CrashReport('t2', 1, 5.1, {'p': 4.95}),
+    ...     CrashReport('t3', 1, 5.2, {'p': 5.1}),
+    ... ]
+    >>> _count_separate('p', crashes, _bursts(crashes))
+    2
     """
-    separate: list[float] = []
-    for at in sorted(times):
-        if not separate or at >= separate[-1] + COINCIDENCE_SECONDS:
-            separate.append(at)
-    return separate
+    own = {crash.key for crash in crashes}
+    count = 0
+    last: CrashReport | None = None
+    for crash in crashes:
+        if last is not None:
+            if crash.sent_at_by_suspect[suspect] < last.at:
+                continue
+            burst = bursts[crash.key]
+            if last.key in burst and (
+                len(burst & own) < MIN_EXPLAINED_SHARE * len(burst)
+            ):
+                continue
+        count += 1
+        last = crash
+    return count
--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -16,6 +16,7 @@
 from mustardlb_gateway import _outcomes
 from mustardlb_gateway import _placement
 from mustardlb_gateway import _prefill_queue
+from mustardlb_gateway import _quarantine
 from mustardlb_gateway import _target_permits
 from mustardlb_gateway import _targets
 from mustardlb_gateway import domain
@@ -55,7 +56,6 @@
     """Sends calls to targets and retries them.
 
     `permits` decides on requests to targets that have named a limit.
-    `quarantine_wait` returns the seconds for which a call is not sent, and
     `record_failure` is called with each attempt that a target may have failed
     on, whether its connection broke, and how long ago it was sent.
     """
@@ -74,7 +74,7 @@
             [_messages.Reserve], abc.Awaitable[_messages.Reserved | None]
         ],
         acquire_retry: abc.Callable[[str], bool],
-        quarantine_wait: abc.Callable[[domain.Call], float],
+        quarantine: _quarantine.Quarantine,
         record_failure: abc.Callable[
             [domain.Target, domain.Call, bool, float], None
         ],
@@ -87,7 +87,7 @@
         self._load = load
         self._reserve = reserve
         self._acquire_retry = acquire_retry
-        self._quarantine_wait = quarantine_wait
+        self._quarantine = quarantine
         self._record_failure = record_failure
         self._permits = permits
 
@@ -133,10 +133,13 @@
         """Raise the final error of a call that is quarantined by now."""
         if job.is_trial and not job.sent_attempts:
             return
-        wait = self._quarantine_wait(job.call)
-        if wait > 0 and job.may_have_run:
+        if not self._quarantine.holds(job.call):
+            return
+        if job.may_have_run:
             raise self._final_error(job, 'targets have ended on such requests')
-        _outcomes.reject_quarantined(wait, steps.Step.DISPATCH)
+        raise _outcomes.quarantined(
+            self._quarantine.wait(job.call), steps.Step.DISPATCH
+        )
 
     async def _is_permitted(
         self, job: _jobs.Job, target: domain.Target
--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -14,6 +14,7 @@
 from mustardlb_gateway import _jobs
 from mustardlb_gateway import _metrics
 from mustardlb_gateway import _outcomes
+from mustardlb_gateway import _quarantine
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_server
 from mustardlb_gateway import ports
@@ -82,7 +83,7 @@
         configuration_age: abc.Callable[[], float],
         count_request: abc.Callable[[str], None],
         publish_counts: abc.Callable[[], None],
-        quarantine_wait: abc.Callable[[domain.Call], float],
+        quarantine: _quarantine.Quarantine,
         permit_trial: abc.Callable[[domain.Call], abc.Awaitable[bool]],
         clock: abc.Callable[[], float],
     ) -> None:
@@ -94,7 +95,7 @@
         self._configuration_age = configuration_age
         self._count_request = count_request
         self._publish_counts = publish_counts
-        self._quarantine_wait = quarantine_wait
+        self._quarantine = quarantine
         self._permit_trial = permit_trial
         self._clock = clock
         self._in_flight = 0
@@ -177,11 +178,12 @@
 
     async def _check_quarantine(self, call: domain.Call) -> bool:
         """Return whether a call is a trial; raise a rejection if it waits."""
-        wait = self._quarantine_wait(call)
-        if wait <= 0:
+        if not self._quarantine.holds(call):
             return False
         if not await self._permit_trial(call):
-            _outcomes.reject_quarantined(wait, steps.Step.ADMISSION)
+            raise _outcomes.quarantined(
+                self._quarantine.wait(call), steps.Step.ADMISSION
+            )
         return True
 
     def schedule_stop(self, schedule: StopSchedule) -> None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
@@ -91,12 +91,11 @@
     )
 
 
-def reject_quarantined(wait: float, step: steps.Step) -> None:
-    """Raise a rejection if a call is quarantined for some seconds."""
-    if wait > 0:
-        raise rejection(
-            errors.Code.QUARANTINED,
-            'targets have ended on requests like this one',
-            step,
-            wait,
-        )
+def quarantined(wait: float, step: steps.Step) -> errors.Error:
+    """Return the error of a call that may be tried after some seconds."""
+    return rejection(
+        errors.Code.QUARANTINED,
+        'targets have ended on requests like this one',
+        step,
+        max(_quarantine.MIN_WAIT_SECONDS, wait),
+    )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_quarantine.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_quarantine.py
@@ -41,22 +41,41 @@
 # Retry-After while another request is being tried.
 MIN_WAIT_SECONDS = 0.5
 
-_CONTENT_PREFIX = 'content:'
+# Parts of a prompt that are suspects, of the first ones.
+MAX_SUSPECT_PARTS = 64
 
 
 def suspects_of(call: domain.Call) -> tuple[str, ...]:
     """Return what a crash on a call may be due to.
 
-    The last part of a prompt belongs to this request alone. A call without
-    prompt parts is described by its content, which retries repeat.
+    A client that repeats a request may send it with another prompt. The last
+    part of a prompt belongs to this request alone and is no suspect by
+    itself.
     """
+    content = (
+        call.method,
+        call.host.encode('latin-1'),
+        call.path,
+        (call.key or '').encode('latin-1'),
+        call.body,
+    )
+    whole = [_crashes.CONTENT_PREFIX + _hash(content)]
     if call.prompt_parts:
-        parts = call.shared_parts[: _crashes.MAX_SUSPECTS_PER_REPORT]
-        return tuple(part for part in parts if part)
+        prompt = (
+            *content,
+            str(call.adapter or '').encode('latin-1'),
+            *(part.part_id.encode('latin-1') for part in call.prompt_parts),
+        )
+        whole.append(_crashes.PROMPT_PREFIX + _hash(prompt))
+    parts = call.shared_parts[:MAX_SUSPECT_PARTS]
+    return (*(part for part in parts if part), *whole)
+
+
+def _hash(fields: abc.Iterable[bytes]) -> str:
     digest = hashlib.blake2b(digest_size=8)
-    for field in (call.method, call.path, call.body):
+    for field in fields:
         digest.update(b'%d:' % len(field) + field)
-    return (_CONTENT_PREFIX + digest.hexdigest(),)
+    return digest.hexdigest()
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,12 +84,15 @@
 
     :ivar failed_at: time of the last failure, Unix seconds
     :ivar last_at: the same in clock seconds
-    :ivar sent_at_by_request: when each request was sent, Unix seconds
+    :ivar sent_at_by_suspect: when the last one was sent, Unix seconds
+    :ivar sent_at_by_request: the same by request
     """
 
     failed_at: float = 0.0
     last_at: float = 0.0
-    suspects: set[str] = dataclasses.field(default_factory=set)
+    sent_at_by_suspect: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
     sent_at_by_request: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
@@ -99,7 +121,7 @@
             collections.OrderedDict()
         )
         self._learned_at: dict[tuple[_crashes.CrashKey, str], float] = {}
-        self._has_content_suspects = False
+        self._has_suspects = False
         self._period_by_suspect: dict[str, _crashes.QuarantinePeriod] = {}
         self._valid_until = float('inf')
         self._ever_quarantined: frozenset[str] = frozenset()
@@ -117,24 +139,30 @@
         self.refresh_if_due()
         if not self._period_by_suspect:
             return {}
-        if not call.prompt_parts and not self._has_content_suspects:
-            return {}
         return {
             suspect: self._period_by_suspect[suspect]
             for suspect in suspects_of(call)
             if suspect in self._period_by_suspect
         }
 
+    def holds(self, call: domain.Call) -> bool:
+        """Return whether a call is sent only as a trial."""
+        return bool(self.periods(call))
+
     def wait(self, call: domain.Call) -> float:
-        """Return the seconds until a call may be tried, 0 if it may be sent.
+        """Return the seconds until a call is sent, at least as a trial.
 
-        At least MIN_WAIT_SECONDS for a call in quarantine.
+        0 if it may be sent, or if one request is tried at once because the
+        targets may have ended for another reason. Otherwise at least
+        MIN_WAIT_SECONDS.
         """
-        periods = self.periods(call).values()
-        if not periods:
-            return 0.0
-        latest = max(min(each.until, each.trial_at) for each in periods)
-        return max(MIN_WAIT_SECONDS, latest - self._wall_clock())
+        now = self._wall_clock()
+        waits = [
+            min(each.until, each.trial_at) - now
+            for each in self.periods(call).values()
+            if each.is_certain
+        ]
+        return max(MIN_WAIT_SECONDS, *waits) if waits else 0.0
 
     def is_trial_due(self, suspect: str) -> bool:
         """Return whether a request with a quarantined suspect may be tried."""
@@ -163,10 +191,12 @@
             _Failures(),
         )
         failures.failed_at, failures.last_at = self._wall_clock(), now
-        failures.suspects.update(suspects_of(call))
-        failures.sent_at_by_request[call.request_id] = (
-            failures.failed_at - sent_seconds_ago
-        )
+        sent_at = failures.failed_at - sent_seconds_ago
+        failures.sent_at_by_request[call.request_id] = sent_at
+        for suspect in suspects_of(call):
+            failures.sent_at_by_suspect[suspect] = max(
+                sent_at, failures.sent_at_by_suspect.get(suspect, sent_at)
+            )
 
     def confirm_crash(self, target: domain.Target, reason: str) -> None:
         """Report the requests that failed at a target that has ended.
@@ -177,13 +207,12 @@
         failures = self._failures_by_key.pop(key, None)
         if (
             failures is None
-            or not failures.suspects
             or failures.last_at < self._clock() - CONFIRMATION_SECONDS
             or target.state != domain.TargetState.READY
         ):
             return
         report = _crashes.CrashReport(
-            *key, failures.failed_at, frozenset(failures.suspects)
+            *key, failures.failed_at, failures.sent_at_by_suspect
         )
         log.warning(
             'MLB-6205',
@@ -204,7 +233,7 @@
         """Record that a call had its first lasting output some time ago."""
         at = self._wall_clock() - seconds_ago
         suspects: tuple[str, ...] = (_crashes.ANY_REQUEST,)
-        if call.prompt_parts or self._has_content_suspects:
+        if call.prompt_parts or self._has_suspects or self._failures_by_key:
             suspects += suspects_of(call)
         for suspect in suspects:
             self._output_at[suspect] = max(
@@ -218,18 +247,20 @@
     def _report_outputs(self, suspects: abc.Iterable[str]) -> None:
         """Report outputs that are later than a known crash.
 
-        Nothing is reported that is known from another node already.
+        Of all requests, also those not long before one. Nothing is reported
+        that is known from another node already.
         """
         needed = {}
         known = self.evidence.output_at_by_suspect
         for suspect in suspects:
             output_at = self._output_at.get(suspect, float('-inf'))
             known_at = known.get(suspect, float('-inf'))
+            is_any = suspect == _crashes.ANY_REQUEST
+            before = _crashes.WITNESS_SECONDS if is_any else 0.0
             if output_at > known_at and any(
-                known_at < report.at < output_at
+                known_at < report.at - before < output_at
                 for report in self.evidence.report_by_key.values()
-                if suspect == _crashes.ANY_REQUEST
-                or suspect in report.suspects
+                if is_any or suspect in report.suspects
             ):
                 needed[suspect] = output_at
         if needed:
@@ -276,9 +307,7 @@
         self.own_evidence = _crashes.only_outputs_of(
             _crashes.valid_at(self.own_evidence, wall_now), suspects
         )
-        self._has_content_suspects = any(
-            suspect.startswith(_CONTENT_PREFIX) for suspect in suspects
-        )
+        self._has_suspects = bool(suspects)
         reports = self.evidence.report_by_key
         self._learned_at = {
             (key, suspect): self._learned_at.get((key, suspect), now)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_observation_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_observation_codec.py
@@ -32,7 +32,8 @@
                 'target': report.target_id,
                 'incarnation': report.incarnation,
                 'at': report.at,
-                'suspects': sorted(report.suspects),
+                'suspects': list(report.sent_at_by_suspect),
+                'sentAt': list(report.sent_at_by_suspect.values()),
             }
             for report in evidence.report_by_key.values()
         ],
@@ -63,7 +64,10 @@
     """Return the evidence, from a `CrashEvidence`."""
     reports = [
         _crashes.CrashReport(
-            each.target, each.incarnation, each.at, frozenset(each.suspects)
+            each.target,
+            each.incarnation,
+            each.at,
+            dict(zip(each.suspects, _sent_at(each), strict=True)),
         )
         for each in evidence.reports
     ]
@@ -71,3 +75,11 @@
         {report.key: report for report in reports},
         {each.name: each.amount for each in evidence.outputs},
     )
+
+
+def _sent_at(report: Any) -> list[float]:
+    """Return a time for each suspect of a `CrashReport`.
+
+    Nodes of an earlier release do not tell them.
+    """
+    return list(report.sentAt) or [_crashes.UNKNOWN] * len(report.suspects)
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -215,7 +215,7 @@
             lambda: clock() - configurations.confirmed_at,
             lambda service: self._get_retry_budget(service).add_request(),
             lambda: self._counts_changed.set(),
-            self.quarantine.wait,
+            self.quarantine,
             self._trials.permit,
             clock,
         )
@@ -256,7 +256,7 @@
             lambda service: self._get_retry_budget(service).try_acquire(
                 self._clock()
             ),
-            self.quarantine.wait,
+            self.quarantine,
             self._crash_watch.record_failure,
             self._permits,
         )
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -62,6 +62,8 @@
   incarnation @1 :UInt64;   # of the target
   at @2 :Float64;           # when it ended, Unix seconds
   suspects @3 :List(Text);  # of requests that had no output
+  sentAt @4 :List(Float64); # when the last one of each suspect was sent,
+                            # Unix seconds
 }
 
 struct LimitNotice {
