Respond to permits and trials of other nodes

The owner of a suspect or of a limited target was asked and never responded: connections handed requests to their handler by a list of types, which lacked Permit and Trial, so both were granted only by a node that was the owner itself, and limited targets were left out until the owner's silence had passed. The tests of permits and trials passed messages by function calls. The types now stand beside the messages, and a test checks that each has one kind.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -249,6 +249,14 @@
     | Update
 )
 
+# What the receiver handles in a task of its own, and may respond to.
+REQUESTS = (SnapshotRequest, Want, Reserve, Charge, Refund, Permit, Trial)
+
+RESPONSES = (Snapshot, Wanted, Reserved, Charged, Permitted, Tried)
+
+# What the receiver handles in order.
+NEWS = (Digest, Subscription, Update)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Message:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peer_channel.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peer_channel.py
@@ -110,26 +110,14 @@
             async with trio.open_nursery() as nursery:
                 while (data := await frames.receive(self._stream)) is not None:
                     message = _message_codec.decode(data)
-                    match message.body:
-                        case (
-                            _messages.Wanted()
-                            | _messages.Snapshot()
-                            | _messages.Charged()
-                            | _messages.Reserved()
-                        ):
-                            self._deliver_response(message)
-                        case (
-                            _messages.Want()
-                            | _messages.SnapshotRequest()
-                            | _messages.Charge()
-                            | _messages.Reserve()
-                            | _messages.Refund()
-                        ):
-                            nursery.start_soon(
-                                self._respond, handle_request, message
-                            )
-                        case _:
-                            handle_message(self, message)
+                    if isinstance(message.body, _messages.RESPONSES):
+                        self._deliver_response(message)
+                    elif isinstance(message.body, _messages.REQUESTS):
+                        nursery.start_soon(
+                            self._respond, handle_request, message
+                        )
+                    else:
+                        handle_message(self, message)
                 nursery.cancel_scope.cancel()
         finally:
             self.is_open = False
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -1,4 +1,5 @@
 import contextlib
+import typing
 
 import builders
 import free_ports
@@ -194,6 +195,40 @@
         assert await one.peers.request('vm9', want) is None
 
 
+# Permits and trials got no response, as only a fixed list of messages did.
+@pytest.mark.parametrize(
+    ('request_body', 'response_body'),
+    [
+        (_messages.Permit(LIMITS['t1', 99], 0), _messages.Permitted(0.5)),
+        (_messages.Trial('p1'), _messages.Tried(True)),
+        (
+            _messages.Charge('acme', 1.0, 'a'),
+            _messages.Charged(True, 0.0, 1.0),
+        ),
+    ],
+)
+async def test_each_kind_of_request_gets_its_response(
+    request_body, response_body
+):
+    async def handle_request(message):
+        await trio.lowlevel.checkpoint()
+        assert message.body == request_body
+        return response_body
+
+    one, two = Node('vm1'), Node('vm2', handle_request=handle_request)
+    async with running(one, two):
+        one.membership.add(two.vm)
+        await wait_until(lambda: one.peers.alive())
+        response = await one.peers.request('vm2', request_body)
+        assert response == response_body
+
+
+def test_each_message_is_a_request_a_response_or_news():
+    kinds = [*_messages.REQUESTS, *_messages.RESPONSES, *_messages.NEWS]
+    assert len(kinds) == len(set(kinds))
+    assert set(kinds) == set(typing.get_args(_messages.Body))
+
+
 async def test_request_timeout_does_not_affect_next_request():
     is_unresponsive = True
 
