--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -171,6 +171,13 @@
             'MLB-6604',
             request=job.call.request_id,
             target=choice.target.target_id,
+            software=choice.target.software,
+            resumed=job.call.resumed_id,
+            last_event=(
+                job.splitter.last_id
+                if job.splitter
+                else job.call.last_event_id
+            ),
             attempt=len(job.attempts),
             was_loaded=choice.must_load,
             unread_tokens=choice.prefill_tokens,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -126,6 +126,7 @@
                 'MLB-6201',
                 target=target_id,
                 service=current[target_id].service,
+                software=current[target_id].software,
                 state=str(current[target_id].state),
                 revision=self._mirror.revision,
             )
--- a/packages/mustardlb-gateway/mustardlb_gateway/domain.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/domain.py
@@ -194,6 +194,8 @@
     :ivar incarnation: differs after each start, also with the same ID
     :ivar resident: version of each resident model and adapter
     :ivar expires_in: seconds until the platform removes the target, or None
+    :ivar software: version of its software; the streams of two versions do
+        not fit together
     """
 
     target_id: str
@@ -206,6 +208,7 @@
     incarnation: int
     resident: dict[AdapterName, int]
     expires_in: float | None = None
+    software: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -239,6 +242,8 @@
     :ivar tokens: prompt tokens and maximum output tokens, or None
     :ivar prompt_parts: in order; the last is unique to this request
     :ivar last_event_id: last event received before a stream is resumed
+    :ivar resumed_id: id of the request that brought the first event of the
+        stream that is resumed, or None
     """
 
     request_id: str
@@ -253,6 +258,7 @@
     tokens: tuple[int, int] | None = None
     prompt_parts: tuple[PromptPart, ...] = ()
     last_event_id: str | None = None
+    resumed_id: str | None = None
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -30,11 +30,16 @@
 _EVENT_PATTERN = re.compile(rb'(id: (\d+)\ndata: e\2\n\n)')
 
 
+def _text(value):
+    return value and value.decode()
+
+
 class TranslationStub:
     """Reads and writes the headers that the tests use.
 
-    Requests have `x-id`, `x-key`, `x-wait` (client timeout in seconds) and
-    `x-adapter`; responses have `x-id`, `x-signed`, `x-not-run` and `x-limit`.
+    Requests have `x-id`, `x-key`, `x-wait` (client timeout in seconds),
+    `x-adapter`, `last-event-id` and `x-resumed` (the request that is
+    resumed); responses have `x-id`, `x-signed`, `x-not-run` and `x-limit`.
     """
 
     def read_target(self, name, spec):
@@ -55,6 +60,8 @@
             client_timeout=float(values.get(b'x-wait', b'2')),
             adapter=adapter and builders.adapter(adapter.decode()),
             tokens=None,
+            last_event_id=_text(values.get(b'last-event-id')),
+            resumed_id=_text(values.get(b'x-resumed')),
         )
 
     def forward_headers(
@@ -218,10 +225,16 @@
             yield self
             nursery.cancel_scope.cancel()
 
-    def set_targets(self, excluded='', **changes):
+    def set_targets(self, excluded='', softwares=(), **changes):
+        """Register the scripted targets, with their software in order."""
+        softwares = softwares or [''] * len(self.scripted)
         listed = [
-            builders.make_target(f't{number}', port=server.port, **changes)
-            for number, server in enumerate(self.scripted)
+            builders.make_target(
+                f't{number}', port=server.port, software=software, **changes
+            )
+            for number, (server, software) in enumerate(
+                zip(self.scripted, softwares, strict=True)
+            )
             if f't{number}' != excluded
         ]
         self.mirror.replace_all(
--- a/tests/mustardlb_platform/test_translation.py
+++ b/tests/mustardlb_platform/test_translation.py
@@ -246,6 +246,22 @@
         )
 
 
+def test_resumed_stream_names_the_request_that_began_it():
+    headers = [*HEADERS, (b'resumes', b'7a10')]
+    assert translation.read_call(b'GET', b'/', headers, b'').resumed_id == (
+        '7a10'
+    )
+    assert translation.read_call(b'GET', b'/', HEADERS, b'').resumed_id is None
+
+
+@pytest.mark.parametrize(
+    ('version', 'software'), [('v1.1', 'v1.1'), (3, ''), (None, '')]
+)
+def test_software_of_a_target(version, software):
+    spec = REGISTRATION | {'version': version}
+    assert translation.read_target('i-1', spec).software == software
+
+
 def test_request_without_an_id_is_rejected():
     with pytest.raises(ValueError, match='no id'):
         translation.read_call(b'GET', b'/', [(b'host', b'h')], b'')
