--- a/packages/mustardlb-gateway/mustardlb_gateway/_crash_records.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_crash_records.py
@@ -4,21 +4,17 @@
 against quarantined suspects for the case that all nodes start again.
 """
 
-import random
 from typing import Any
 
 import structlog
-import trio
 
 from mustardlb_gateway import _crashes
+from mustardlb_gateway import _saved_object
 from mustardlb_gateway import ports
 
 log = structlog.get_logger()
 
 KIND = 'gateway-crashes'
-NAME = 'current'
-
-RETRY_SECONDS = 0.5
 
 
 def encode(evidence: _crashes.Evidence) -> dict[str, Any]:
@@ -70,48 +66,19 @@
 
 async def load(store: ports.Store) -> _crashes.Evidence:
     """Return the saved evidence, as soon as the store answers."""
-    while True:
-        try:
-            stored = await store.get(KIND, NAME)
-        except ports.StoreUnavailable as error:
-            log.info('MLB-6209', call='get', problem=str(error))
-            await _sleep_before_retry()
-            continue
-        return decode(stored.spec) if stored else _crashes.Evidence()
+    spec = await _saved_object.load(store, KIND)
+    return _crashes.Evidence() if spec is None else decode(spec)
 
 
 async def save(
     store: ports.Store, evidence: _crashes.Evidence, now: float
 ) -> None:
     """Add evidence to the saved one; `now` is in Unix seconds."""
-    while True:
-        try:
-            if await _try_save(store, evidence, now):
-                return
-        except ports.StoreUnavailable as error:
-            log.info('MLB-6209', call='replace', problem=str(error))
-        await _sleep_before_retry()
 
+    def add_evidence(spec: Any) -> dict[str, Any] | None:
+        saved = _crashes.Evidence() if spec is None else decode(spec)
+        merged = _crashes.valid_at(_crashes.merge(saved, evidence), now)
+        merged = _crashes.only_outputs_of(merged, merged.suspects)
+        return None if merged == saved else encode(merged)
 
-async def _try_save(
-    store: ports.Store, evidence: _crashes.Evidence, now: float
-) -> bool:
-    stored = await store.get(KIND, NAME)
-    saved = decode(stored.spec) if stored else _crashes.Evidence()
-    merged = _crashes.valid_at(_crashes.merge(saved, evidence), now)
-    merged = _crashes.only_outputs_of(merged, merged.suspects)
-    if merged == saved:
-        return True
-    try:
-        if stored is None:
-            await store.create(KIND, NAME, encode(merged))
-        else:
-            await store.replace(KIND, NAME, encode(merged), stored.revision)
-    except ports.Conflict:
-        # Another node has saved its evidence at the same time.
-        return False
-    return True
-
-
-async def _sleep_before_retry() -> None:
-    await trio.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
+    await _saved_object.change(store, KIND, add_evidence)
--- a/tests/mustardlb_gateway/test_crash_watch.py
+++ b/tests/mustardlb_gateway/test_crash_watch.py
@@ -9,6 +9,7 @@
 from mustardlb_gateway import _crash_watch
 from mustardlb_gateway import _crashes
 from mustardlb_gateway import _quarantine
+from mustardlb_gateway import _saved_object
 
 CALL = builders.make_call(parts=[('bad', 10), ('last', 10)])
 
@@ -139,7 +140,7 @@
 
 async def test_malformed_record_is_replaced():
     store = simulated_store.SimulatedStore()
-    store.put(_crash_records.KIND, _crash_records.NAME, {'reports': [3]})
+    store.put(_crash_records.KIND, _saved_object.NAME, {'reports': [3]})
     assert not await _crash_records.load(store)
     await _crash_records.save(store, make_evidence(), 110.0)
     assert await _crash_records.load(store) == make_evidence()
