Tests of quarantine use requests that differ; clients at the same moment

Each call of these tests now differs from all others, so that test_nothing_is_quarantined_while_no_request_has_output stands again as it was.

--- a/tests/mustardlb_gateway/test_quarantine.py
+++ b/tests/mustardlb_gateway/test_quarantine.py
@@ -1,5 +1,6 @@
 """Which requests nodes keep from targets, in virtual time."""
 
+import itertools
 import random
 
 import builders
@@ -15,8 +16,13 @@
 SENT_SECONDS = 0.1
 
 
+_numbers = itertools.count()
+
+
 def make_call(*parts, **changes):
+    """Return a call that differs from all others, with some parts."""
     parts = [*parts, 'last']
+    changes = {'body': b'%d' % next(_numbers)} | changes
     return builders.make_call(parts=[(part, 10) for part in parts], **changes)
 
 
@@ -109,12 +115,11 @@
     assert not observer.is_quarantined('bad')
 
 
-# Engines that all end again and again, on different requests, have another
-# fault than one part of a prompt.
-def test_no_part_is_quarantined_while_no_request_has_output():
+# Engines that all end again and again have another fault than one request.
+def test_nothing_is_quarantined_while_no_request_has_output():
     observer = Observer()
-    for number in range(6):
-        observer.crash(make_call('first', 'own', body=b'%d' % number))
+    for _ in range(6):
+        observer.crash(make_call('first', 'own'))
     observer.settle()
     assert not observer.is_quarantined('first', 'own')
 
@@ -122,12 +127,12 @@
 # With hardly any traffic, nothing but the request itself is tried.
 def test_repeated_request_is_quarantined_while_no_request_has_output():
     observer = Observer()
+    call = make_call('first', 'own')
     for _ in range(3):
-        observer.crash(make_call('first', 'own'))
+        observer.crash(call)
     observer.settle()
-    assert observer.quarantine.wait(make_call('first', 'own')) > 0
-    other = make_call('first', 'own', body=b'other')
-    assert not observer.quarantine.holds(other)
+    assert observer.quarantine.wait(call) > 0
+    assert not observer.quarantine.holds(make_call('first', 'own'))
 
 
 # A request that waited at some of many targets that crashed is no cause.
--- a/tests/mustardlb_gateway/test_repeated_crashes.py
+++ b/tests/mustardlb_gateway/test_repeated_crashes.py
@@ -235,6 +235,7 @@
 CHAIN = Hazard((3.0,) * 8)
 SINGLE = Hazard((5.0,) * 6, tries=1, max_attempts=1)
 PARALLEL = Hazard((0.03, 0.03, 0.03, 4.0) * 4, max_attempts=2)
+BURST = Hazard((0.005, 0.005, 0.005, 4.0) * 4, tries=1, max_attempts=1)
 SLOW = Hazard((60.0,) * 4, tries=1, max_attempts=1)
 
 SEVEN_NODES = ('abcdefg', 1)
@@ -247,12 +248,12 @@
     [
         *(
             (('a', 1), 3.0, hazard, rate, 0.0)
-            for hazard in (CHAIN, SINGLE, PARALLEL, SLOW)
+            for hazard in (CHAIN, SINGLE, PARALLEL, BURST, SLOW)
             for rate in (0.0, 0.05, 40.0)
         ),
         *(
             (SEVEN_NODES, 3.0, hazard, rate, 0.2)
-            for hazard in (CHAIN, SINGLE, PARALLEL)
+            for hazard in (CHAIN, SINGLE, PARALLEL, BURST)
             for rate in (0.0, 40.0)
         ),
         (SEVEN_NODES, 3.0, SLOW, 0.05, 0.2),
