Remember outputs of whole requests only while targets have ended on some

Each output hashed its request and took two of the 2,048 outputs that a node remembers, which pushed out those of parts.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_quarantine.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_quarantine.py
@@ -46,11 +46,24 @@
 
 
 def suspects_of(call: domain.Call) -> tuple[str, ...]:
-    """Return what a crash on a call may be due to.
+    """Return what a crash on a call may be due to."""
+    return *_parts_of(call), *_whole_request(call)
 
-    A client that repeats a request may send it with another prompt. The last
-    part of a prompt belongs to this request alone and is no suspect by
-    itself.
+
+def _parts_of(call: domain.Call) -> tuple[str, ...]:
+    """Return the parts of a prompt that are suspects.
+
+    The last one belongs to this request alone.
+    """
+    parts = call.shared_parts[:MAX_SUSPECT_PARTS]
+    return tuple(part for part in parts if part)
+
+
+def _whole_request(call: domain.Call) -> tuple[str, ...]:
+    """Return the suspects that stand for a request as a whole.
+
+    A client that repeats a request may send it with another prompt, while
+    clients with an empty body differ only in their prompts.
     """
     content = (
         call.method,
@@ -59,16 +72,15 @@
         (call.key or '').encode('latin-1'),
         call.body,
     )
-    whole = [_crashes.CONTENT_PREFIX + _hash(content)]
-    if call.prompt_parts:
-        prompt = (
-            *content,
-            str(call.adapter or '').encode('latin-1'),
-            *(part.part_id.encode('latin-1') for part in call.prompt_parts),
-        )
-        whole.append(_crashes.PROMPT_PREFIX + _hash(prompt))
-    parts = call.shared_parts[:MAX_SUSPECT_PARTS]
-    return (*(part for part in parts if part), *whole)
+    suspect = _crashes.CONTENT_PREFIX + _hash(content)
+    if not call.prompt_parts:
+        return (suspect,)
+    prompt = (
+        *content,
+        str(call.adapter or '').encode('latin-1'),
+        *(part.part_id.encode('latin-1') for part in call.prompt_parts),
+    )
+    return suspect, _crashes.PROMPT_PREFIX + _hash(prompt)
 
 
 def _hash(fields: abc.Iterable[bytes]) -> str:
@@ -232,9 +244,9 @@
     def record_output(self, call: domain.Call, seconds_ago: float) -> None:
         """Record that a call had its first lasting output some time ago."""
         at = self._wall_clock() - seconds_ago
-        suspects: tuple[str, ...] = (_crashes.ANY_REQUEST,)
-        if call.prompt_parts or self._has_suspects or self._failures_by_key:
-            suspects += suspects_of(call)
+        suspects = _crashes.ANY_REQUEST, *_parts_of(call)
+        if self._has_suspects or self._failures_by_key:
+            suspects += _whole_request(call)
         for suspect in suspects:
             self._output_at[suspect] = max(
                 at, self._output_at.get(suspect, at)
@@ -354,8 +366,10 @@
                     for report in self.evidence.report_by_key.values()
                     if suspect in report.suspects
                 ],
+                is_certain=periods[suspect].is_certain,
                 seconds=round(
-                    periods[suspect].trial_at - self._wall_clock(), 1
+                    max(0.0, periods[suspect].trial_at - self._wall_clock()),
+                    1,
                 ),
             )
         for suspect in before.keys() - periods.keys():
