--- a/packages/mustardlb-gateway/mustardlb_gateway/_quarantine.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_quarantine.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from mustardlb_gateway import _crash_decision
 from mustardlb_gateway import _crashes
 from mustardlb_gateway import domain
 
@@ -134,7 +135,9 @@
         )
         self._learned_at: dict[tuple[_crashes.CrashKey, str], float] = {}
         self._has_suspects = False
-        self._period_by_suspect: dict[str, _crashes.QuarantinePeriod] = {}
+        self._period_by_suspect: dict[
+            str, _crash_decision.QuarantinePeriod
+        ] = {}
         self._valid_until = float('inf')
         self._ever_quarantined: frozenset[str] = frozenset()
         self._is_unsaved = False
@@ -146,7 +149,7 @@
 
     def periods(
         self, call: domain.Call
-    ) -> dict[str, _crashes.QuarantinePeriod]:
+    ) -> dict[str, _crash_decision.QuarantinePeriod]:
         """Return the suspects of a call that are quarantined."""
         self.refresh_if_due()
         if not self._period_by_suspect:
@@ -268,7 +271,7 @@
             output_at = self._output_at.get(suspect, float('-inf'))
             known_at = known.get(suspect, float('-inf'))
             is_any = suspect == _crashes.ANY_REQUEST
-            before = _crashes.WITNESS_SECONDS if is_any else 0.0
+            before = _crash_decision.WITNESS_SECONDS if is_any else 0.0
             if output_at > known_at and any(
                 known_at < report.at - before < output_at
                 for report in self.evidence.report_by_key.values()
@@ -331,7 +334,7 @@
         )
         settled_since = now - settle_seconds
         self._replace(
-            _crashes.quarantined(
+            _crash_decision.quarantined(
                 self.evidence,
                 lambda report, suspect: (
                     self._learned_at[report.key, suspect] <= settled_since
@@ -351,7 +354,9 @@
                 self._valid_until, now + REFRESH_INTERVAL_SECONDS
             )
 
-    def _replace(self, periods: dict[str, _crashes.QuarantinePeriod]) -> None:
+    def _replace(
+        self, periods: dict[str, _crash_decision.QuarantinePeriod]
+    ) -> None:
         """Replace the quarantined suspects and log what has changed."""
         before, self._period_by_suspect = (
             self._period_by_suspect,
--- a/tests/mustardlb_gateway/test_crash_watch.py
+++ b/tests/mustardlb_gateway/test_crash_watch.py
@@ -5,6 +5,7 @@
 import simulated_store
 import trio
 
+from mustardlb_gateway import _crash_decision
 from mustardlb_gateway import _crash_records
 from mustardlb_gateway import _crash_watch
 from mustardlb_gateway import _crashes
@@ -17,7 +18,7 @@
 def make_evidence(suspect='bad', at=100.0):
     reports = [
         _crashes.CrashReport(f't{n}', 1, at + n, {suspect: at + n - 0.1})
-        for n in range(_crashes.CRASHES_TO_QUARANTINE)
+        for n in range(_crash_decision.CRASHES_TO_QUARANTINE)
     ]
     return _crashes.Evidence(
         {report.key: report for report in reports},
--- a/tests/mustardlb_gateway/test_quarantine.py
+++ b/tests/mustardlb_gateway/test_quarantine.py
@@ -7,6 +7,7 @@
 import pytest
 import test_fleet
 
+from mustardlb_gateway import _crash_decision
 from mustardlb_gateway import _crashes
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _quarantine
@@ -227,8 +228,8 @@
         observer.settle()
         waits.append(observer.quarantine.wait(make_call('bad')))
     assert waits[:1] == [0.0]
-    first = _crashes.FIRST_TRIAL_SECONDS
-    ratio = _crashes.TRIAL_DELAY_RATIO
+    first = _crash_decision.FIRST_TRIAL_SECONDS
+    ratio = _crash_decision.TRIAL_DELAY_RATIO
     expected = [first, first * ratio, first * ratio**2]
     assert waits[1:4] == pytest.approx(expected, abs=1)
 
--- a/tests/mustardlb_gateway/test_trials.py
+++ b/tests/mustardlb_gateway/test_trials.py
@@ -4,6 +4,7 @@
 import pytest
 import trio
 
+from mustardlb_gateway import _crash_decision
 from mustardlb_gateway import _crashes
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _quarantine
@@ -58,7 +59,7 @@
 
     async def quarantine(self):
         """Quarantine the call at all nodes."""
-        for number in range(_crashes.CRASHES_TO_QUARANTINE):
+        for number in range(_crash_decision.CRASHES_TO_QUARANTINE):
             self.add_crash(number)
             await trio.sleep(0.5)
         await trio.sleep(0.5)
@@ -89,9 +90,9 @@
     await fleet.ask_everywhere(85, lambda: fleet.add_crash(next(numbers)))
     assert len(fleet.tried) == 2
     first, second = fleet.tried
-    assert first - began < _crashes.FIRST_TRIAL_SECONDS
+    assert first - began < _crash_decision.FIRST_TRIAL_SECONDS
     assert second - first >= (
-        _crashes.FIRST_TRIAL_SECONDS * _crashes.TRIAL_DELAY_RATIO
+        _crash_decision.FIRST_TRIAL_SECONDS * _crash_decision.TRIAL_DELAY_RATIO
     )
 
 
@@ -119,7 +120,7 @@
     owner = fleet.trials['vm0']._owners.ranking('bad')[0]
     fleet.silent.add(owner)
     names = [name for name in fleet.trials if name != owner]
-    await trio.sleep(_crashes.FIRST_TRIAL_SECONDS)
+    await trio.sleep(_crash_decision.FIRST_TRIAL_SECONDS)
     for name in names:
         assert not await fleet.trials[name].permit(CALL)
 
