--- a/tests/mustardlb_gateway/test_app.py
+++ b/tests/mustardlb_gateway/test_app.py
@@ -34,6 +34,7 @@
             port=spec['port'],
             state=domain.TargetState(spec['state']),
             resident=(),
+            software=spec.get('software', ''),
         )
 
     def read_version(self, spec):
@@ -83,11 +84,12 @@
             nursery.cancel_scope.cancel()
 
 
-async def send_request(port, path='/x/', timeout=5.0):
+async def send_request(port, path='/x/', timeout=5.0, request_id='r1'):
     """Send one request; the response has status 0 if none is received."""
     stream = await trio.open_tcp_stream('127.0.0.1', port)
     await stream.send_all(
-        f'GET {path} HTTP/1.1\r\nhost: h\r\nx-id: r1\r\nx-wait: 3\r\n'
+        f'GET {path} HTTP/1.1\r\nhost: h\r\nx-id: {request_id}\r\n'
+        'x-wait: 3\r\n'
         'connection: close\r\n\r\n'.encode()
     )
     data = b''
--- a/tests/mustardlb_gateway/test_stream_software.py
+++ b/tests/mustardlb_gateway/test_stream_software.py
@@ -3,7 +3,9 @@
 import builders
 import gateway_harness
 import scripted
+import test_app
 import test_dispatch
+import trio
 
 from mustardlb_gateway import domain
 
@@ -64,3 +66,62 @@
         assert response.status == 503
         assert response.headers[b'retry-after']
         assert harness.request_count == 0
+
+
+async def resume(node, number, resumed):
+    """Resume a stream at a node and return its response."""
+    stream = await trio.open_tcp_stream('127.0.0.1', node.settings.front_port)
+    await stream.send_all(
+        f'POST /x/ HTTP/1.1\r\nhost: h\r\nx-id: s{number}\r\n'
+        f'last-event-id: 2\r\nx-resumed: {resumed}\r\n'
+        'connection: close\r\n\r\n'.encode()
+    )
+    data = b''
+    with trio.move_on_after(3):
+        while more := await stream.receive_some():
+            data += more
+    await trio.aclose_forcefully(stream)
+    return gateway_harness.Response.parse(data)
+
+
+# The node that served the stream tells the others over their connections.
+async def test_stream_is_resumed_at_another_node():
+    cluster = test_app.Cluster(test_dispatch.make_stream(range(6)))
+    cluster.put_configuration(
+        kind=domain.RouteKind.STREAM, is_resumable=True, timeout=5.0
+    )
+    other = scripted.ScriptedServer(test_dispatch.make_stream(range(6)))
+    async with cluster.running(nodes=3), other.running():
+        servers = {'v1': cluster.target, 'v2': other}
+        for software, server in servers.items():
+            spec = {
+                'port': server.port,
+                'state': 'ready',
+                'software': software,
+            }
+            cluster.store.put('servers', software, spec)
+        first, *others = cluster.nodes
+        for node in cluster.nodes:
+            await test_app.wait_until(
+                lambda node=node: test_app.is_ready(node)
+            )
+        await test_app.wait_until(lambda: test_app.are_all_connected(cluster))
+        for number in range(8):
+            request_id = b'r%d' % number
+            response = await test_app.send_request(
+                first.settings.front_port, request_id=request_id.decode()
+            )
+            assert response.events == [0, 1, 2, 3, 4, 5]
+        await trio.sleep(0.3)
+        for number in range(8):
+            response = await resume(others[number % 2], number, f'r{number}')
+            assert response.events == [3, 4, 5]
+        received = {
+            scripted.request_id(head): software
+            for software, server in servers.items()
+            for head, _ in server.requests
+        }
+        for number in range(8):
+            assert received[b'r%d' % number] == received[b's%d' % number]
+        response = await resume(others[0], 9, 'unknown')
+        assert response.status == 503
