A call that only names the stream it resumes is bound to its software too

Without the id of a last event it was taken for a new stream and sent to any target; the new case of test_stream_of_unknown_software_is_rejected failed before. The rejection has a Retry-After of its own instead of that of starting nodes.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -25,6 +25,10 @@
 # Retry-After until the node has a configuration, and when it is overloaded.
 START_RETRY_AFTER_SECONDS = 0.5
 
+# Retry-After of a resumed stream of which no node knows; nodes that did not
+# answer may by then.
+UNKNOWN_STREAM_RETRY_AFTER_SECONDS = 0.5
+
 # Retry-After of a stopping node; the load balancer sends the retry to another
 # node.
 STOP_RETRY_AFTER_SECONDS = 0.02
@@ -203,7 +207,8 @@
 
         Raises a rejection if that is not known.
         """
-        if call.last_event_id is None or route.kind != domain.RouteKind.STREAM:
+        is_resumed = call.last_event_id is not None or call.resumed_id
+        if not is_resumed or route.kind != domain.RouteKind.STREAM:
             return None
         origin = await self._find_origin(call.resumed_id, route.service_names)
         if origin is None:
@@ -211,7 +216,7 @@
                 errors.Code.STREAM_UNKNOWN,
                 'no node knows at which software the stream began',
                 steps.Step.ADMISSION,
-                START_RETRY_AFTER_SECONDS,
+                UNKNOWN_STREAM_RETRY_AFTER_SECONDS,
             )
         return origin
 
--- a/tests/mustardlb_gateway/test_stream_software.py
+++ b/tests/mustardlb_gateway/test_stream_software.py
@@ -2,6 +2,7 @@
 
 import builders
 import gateway_harness
+import pytest
 import scripted
 import test_app
 import test_dispatch
@@ -56,13 +57,19 @@
 
 
 # The node that began a stream has ended, and no other node knows of it.
-async def test_stream_of_unknown_software_is_rejected():
+@pytest.mark.parametrize(
+    'headers',
+    [
+        b'last-event-id: 2\r\nx-resumed: r0\r\n',
+        b'last-event-id: 2\r\n',
+        b'x-resumed: r0\r\n',
+    ],
+)
+async def test_stream_of_unknown_software_is_rejected(headers):
     harness = gateway_harness.Harness(STREAM)
     whole = test_dispatch.make_stream(range(6))
     async with harness.running(whole, whole, softwares=['v1', 'v2']):
-        response = await harness.send_request(
-            b'last-event-id: 2\r\nx-resumed: r0\r\n', b'r1'
-        )
+        response = await harness.send_request(headers, b'r1')
         assert response.status == 503
         assert response.headers[b'retry-after']
         assert harness.request_count == 0
