A node that becomes a writer saves the versions of software that it knows

It had counted them as saved while others were to do so, so that they were lost if both writers stopped at once. Found while reading; no test shows it.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_software_records.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_software_records.py
@@ -34,8 +34,11 @@
     history.add_saved(await _saved_object.load(store, KIND))
     while True:
         await trio.sleep(SAVE_INTERVAL_SECONDS)
+        # A node that becomes a writer then saves what it knows.
+        if vm not in owners.ranking(KIND)[:WRITERS]:
+            continue
         fields = history.take_unsaved()
-        if fields is not None and vm in owners.ranking(KIND)[:WRITERS]:
+        if fields is not None:
             await _save(store, fields)
 
 
