--- a/packages/mustardlb-gateway/mustardlb_gateway/_crashes.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_crashes.py
@@ -1,4 +1,4 @@
-"""Evidence on which requests crash targets, and what follows from it.
+"""Evidence on which requests crash targets.
 
 A target that ends while it begins to answer a request may have crashed on
 it. Each node reports the requests of its own that had no output when their
