--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -224,6 +224,11 @@
         health = self._health_by_id.get(target_id)
         return health is not None and health.suspended_until > self._clock()
 
+    @property
+    def suspended_count(self) -> int:
+        """Return the number of targets that are suspended."""
+        return sum(map(self.is_suspended, self.by_id))
+
     def record_response(self, target_id: str) -> None:
         """Record that a target has sent data."""
         self.health(target_id).last_response_at = self._clock()
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -230,6 +230,11 @@
             'Targets that ended in the last minutes on requests without '
             'output, at any node.',
         )
+        self._suspended = self.metrics.add_gauge(
+            'mustardlb_suspended_targets',
+            'Targets that this node leaves alone for some time after '
+            'failures.',
+        )
         self._streams = self.metrics.add_gauge(
             'mustardlb_stream_origins',
             'Streams of the last minute whose beginning this node knows.',
@@ -506,6 +511,7 @@
             self._permits.remove_gone()
             self._quarantined.set(self.quarantine.size)
             self._streams.set(self._stream_origins.size)
+            self._suspended.set(self.targets.suspended_count)
             self._crashes.set(len(self.quarantine.evidence.report_by_key))
 
     def reload(self, settings: gateway_settings.Settings) -> None:
