--- a/tests/mustardlb_gateway/test_app.py
+++ b/tests/mustardlb_gateway/test_app.py
@@ -48,6 +48,7 @@
         self.store = simulated_store.SimulatedStore()
         self.target = scripted.ScriptedServer(script)
         self.translation = TranslationStub()
+        self.translations = []
         self.nodes = []
         self.store_views = []
 
@@ -77,7 +78,12 @@
                 store = (
                     self.store_views.pop(0) if self.store_views else self.store
                 )
-                node = app.Node(settings, store, self.translation)
+                translation = (
+                    self.translations.pop(0)
+                    if self.translations
+                    else self.translation
+                )
+                node = app.Node(settings, store, translation)
                 self.nodes.append(node)
                 nursery.start_soon(node.run)
             yield self
