Reach targets by way of other nodes while this node cannot

Each node took its own links for the state of the targets: it tried one after the other, at up to 150 refused attempts a second, suspended sound targets, and held on to leases of engines that it could not command.

Links of calls without data are checked after 0.3 s by a further connection. A crash is believed only if a node with sound links cannot connect either. Leases of engines out of reach are given up.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_crash_watch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_crash_watch.py
@@ -3,6 +3,7 @@
 from collections import abc
 import time
 
+import structlog
 import trio
 
 from mustardlb_gateway import _crash_records
@@ -11,6 +12,8 @@
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
 
+log = structlog.get_logger()
+
 # A process that ends closes its connections before its listening socket is
 # gone. One that has ended refuses connections until it is started again.
 CHECK_DELAYS_SECONDS = (0.05, 0.25)
@@ -20,8 +23,25 @@
 SAVE_INTERVAL_SECONDS = 0.25
 
 
+async def _refuses_connections(target: domain.Target) -> bool:
+    """Return whether a target does not accept a connection of this node."""
+    try:
+        stream = await _sockets.connect(
+            target.host, target.port, CONNECT_TIMEOUT_SECONDS
+        )
+    except OSError as error:
+        log.info('MLB-6217', target=target.target_id, problem=str(error))
+        return True
+    await trio.aclose_forcefully(stream)
+    return False
+
+
 class CrashWatch:
-    """Checks targets whose connections broke while they began to answer."""
+    """Checks targets whose connections broke while they began to answer.
+
+    `is_down` returns whether a target has ended, which a broken link of this
+    node does not show.
+    """
 
     def __init__(
         self,
@@ -29,11 +49,15 @@
         store: ports.Store,
         has_lapsed: abc.Callable[[domain.Target], bool],
         wall_clock: abc.Callable[[], float] = time.time,
+        is_down: abc.Callable[
+            [domain.Target], abc.Awaitable[bool]
+        ] = _refuses_connections,
     ) -> None:
         self._quarantine = quarantine
         self._store = store
         self._has_lapsed = has_lapsed
         self._wall_clock = wall_clock
+        self._is_down = is_down
         self._checked: set[tuple[str, int]] = set()
         self._nursery: trio.Nursery | None = None
 
@@ -79,15 +103,10 @@
             self._quarantine.confirm_crash(target, 'removed')
 
     async def _check(self, target: domain.Target) -> None:
-        """Report a crash if a target refuses connections."""
+        """Report a crash if a target has ended."""
         for delay in CHECK_DELAYS_SECONDS:
             await trio.sleep(delay)
-            try:
-                stream = await _sockets.connect(
-                    target.host, target.port, CONNECT_TIMEOUT_SECONDS
-                )
-            except OSError as error:
-                self._quarantine.confirm_crash(target, str(error))
+            if await self._is_down(target):
+                self._quarantine.confirm_crash(target, 'refuses connections')
                 break
-            await trio.aclose_forcefully(stream)
         self._checked.discard((target.target_id, target.incarnation))
--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -112,9 +112,13 @@
             self._log_choice(job, choice)
             await self._exchange.run(job, attempt, choice)
             self._record_attempt(job, attempt)
+            if not attempt.was_sent:
+                await self._handle_unreached(job, attempt)
+                continue
             now = trio.current_time()
             if (
                 attempt.outcome == _outcomes.Outcome.UNKNOWN
+                and not attempt.is_link_failure
                 and not attempt.has_lasting_output(now)
             ):
                 self._record_failure(
@@ -133,6 +137,20 @@
             if not self._may_retry(job):
                 raise self._final_error(job, attempt.problem)
 
+    async def _handle_unreached(
+        self, job: _jobs.Job, attempt: _outcomes.Attempt
+    ) -> None:
+        """Wait for a moment if the target was not reached before either.
+
+        Raises the final error if this node reaches no target at all and no
+        other node helps.
+        """
+        if not self._may_retry(job) or attempt.is_link_failure:
+            raise self._final_error(job, attempt.problem)
+        tried = [each.target_id for each in job.attempts]
+        if tried.count(attempt.target_id) > 1:
+            await trio.sleep(CHOICE_RETRY_SECONDS)
+
     def _check_quarantine(self, job: _jobs.Job) -> None:
         """Raise the final error of a call that is quarantined by now."""
         if job.is_trial and not job.sent_attempts:
@@ -235,6 +253,8 @@
             # The call exceeded the timeout of its route, which does not mean
             # that the target is failing.
             return
+        if attempt.is_link_failure:
+            return
         if (
             attempt.outcome != _outcomes.Outcome.NOT_RUN
             or not attempt.was_sent
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_manager.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_manager.py
@@ -50,6 +50,7 @@
     """Controls the engines leased by this node.
 
     It also tracks the state of the engines controlled by other nodes.
+    `is_lost` returns whether a target is out of reach of this node.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         service: abc.Callable[[str], domain.Service | None],
         newest_version: abc.Callable[[domain.AdapterName], int],
         load_age: abc.Callable[[], float],
+        is_lost: abc.Callable[[str], bool] = lambda target_id: False,
     ) -> None:
         self._vm = vm
         self._leases = leases
@@ -73,6 +75,7 @@
         self._service = service
         self._newest_version = newest_version
         self._load_age = load_age
+        self._is_lost = is_lost
         self._unresponsive_until: dict[str, float] = {}
         self._claims_from = float('-inf')
         self._by_target: dict[str, _engine_controller.EngineController] = {}
@@ -104,6 +107,9 @@
             return
         if target.state != domain.TargetState.READY:
             return
+        if self._is_lost(target.target_id):
+            self._give_up_lost(target.target_id)
+            return
         controller = self._by_target.get(target.target_id)
         lease = self._leases.by_target.get(target.target_id)
         if controller is not None and controller.lease is lease:
@@ -217,6 +223,12 @@
         """Return whether this node claims engines that have no controller."""
         return self._clock() >= self._claims_from
 
+    def _give_up_lost(self, target_id: str) -> None:
+        """Leave an engine to nodes that can send it commands."""
+        self._claims_from = self._clock() + CLAIM_BACKOFF_SECONDS
+        self._by_target.pop(target_id, None)
+        self._leases.drop(target_id, 'the engine is out of reach')
+
     def _give_up_unconfirmed(
         self, target_id: str, lease: _leases.Lease | None
     ) -> None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -11,6 +11,7 @@
 from mustardlb_gateway import _outcomes
 from mustardlb_gateway import _placement
 from mustardlb_gateway import _prefix_index
+from mustardlb_gateway import _target_links
 from mustardlb_gateway import _targets
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_client
@@ -29,6 +30,12 @@
 MIN_STREAM_TIMEOUT_SECONDS = 2.5
 
 
+# The link to a target without data for this time is checked, and again after
+# each interval.
+SILENCE_SECONDS = 0.3
+CHECK_INTERVAL_SECONDS = 0.7
+
+
 class Exchange:
     """Forwards calls to targets and their responses to clients."""
 
@@ -36,6 +43,7 @@
         self,
         translation: ports.Translation,
         pool: http_client.Pool,
+        links: _target_links.TargetLinks,
         targets: _targets.TargetTable,
         prefix_index: _prefix_index.PrefixIndex,
         versions: abc.Callable[[domain.AdapterName], _jobs.AdapterVersions],
@@ -47,6 +55,7 @@
     ) -> None:
         self._translation = translation
         self._pool = pool
+        self._links = links
         self._targets = targets
         self._prefix_index = prefix_index
         self._versions = versions
@@ -101,16 +110,17 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.cancel_scope.deadline = job.deadline
-                connection = await self._pool.acquire(
-                    target.target_id,
-                    target.host,
-                    target.port,
-                    target.service,
+                connection = await self._links.acquire(
+                    target, job.call.request_id
                 )
                 attempt.was_sent = True
+                attempt.helper = connection.helper
                 nursery.start_soon(
                     self._report_unresponsive, job, target.target_id
                 )
+                nursery.start_soon(
+                    self._watch_link, job, attempt, target, connection
+                )
                 await connection.send(
                     job.call.method,
                     job.call.path,
@@ -123,8 +133,9 @@
                 )
                 nursery.cancel_scope.cancel()
         except* http_client.ExchangeFailed as group:
-            failure = group.exceptions[0]
+            failure = _first_failure(group)
             attempt.problem = attempt.problem or str(failure)
+            attempt.is_link_failure = failure.is_link_failure
             if not attempt.was_sent:
                 attempt.outcome = _outcomes.Outcome.NOT_RUN
             elif connection is not None:
@@ -140,6 +151,11 @@
                     self._pool.release(target.target_id, connection)
         if client_disconnected:
             raise http_server.ClientDisconnected
+        if attempt.is_broken and not attempt.is_link_failure:
+            with trio.move_on_at(job.deadline):
+                attempt.is_link_failure = await self._links.is_link_broken(
+                    target, attempt.helper
+                )
         if (
             attempt.outcome == _outcomes.Outcome.UNKNOWN
             and not attempt.problem
@@ -184,6 +200,8 @@
             )
         info = self._translation.read_response(head.headers)
         self._targets.record_response(attempt.target_id)
+        if not connection.helper:
+            self._links.reachability.record_contact(attempt.target_id)
         self._record_limit(
             target,
             info.request_limit,
@@ -246,13 +264,43 @@
         deadline = _response_deadline(job, self._response_timeout_seconds(job))
         return trio.CancelScope(deadline=deadline)
 
+    async def _watch_link(
+        self,
+        job: _jobs.Job,
+        attempt: _outcomes.Attempt,
+        target: domain.Target,
+        connection: http_client.Connection,
+    ) -> None:
+        """End an attempt whose link is broken, if it may be repeated.
+
+        The link is checked whenever the target is silent for some time.
+        """
+        silent_since = trio.current_time()
+        while True:
+            silent_since = max(silent_since, connection.data_at)
+            await trio.sleep_until(silent_since + SILENCE_SECONDS)
+            if connection.data_at > silent_since:
+                continue
+            if await self._links.is_link_broken(target, connection.helper):
+                attempt.is_link_failure = True
+                if (
+                    job.route.may_repeat
+                    and job.sent_attempts < job.route.max_attempts
+                ):
+                    raise http_client.ExchangeFailed(
+                        'the link to the target is broken',
+                        is_link_failure=True,
+                    )
+            silent_since = trio.current_time() + CHECK_INTERVAL_SECONDS
+
     async def _report_unresponsive(
         self, job: _jobs.Job, target_id: str
     ) -> None:
         """Record a failure if the target sent nothing within the timeout."""
         timeout = _unresponsive_after_seconds(job.route)
         await trio.sleep(timeout)
-        self._targets.record_timeout(target_id, timeout)
+        if not self._links.reachability.is_lost(target_id):
+            self._targets.record_timeout(target_id, timeout)
 
     async def forward(
         self, job: _jobs.Job, response: _outcomes.BufferedResponse
@@ -308,6 +356,8 @@
                 is_recorded = True
                 self._record_output(job.call, now - attempt.output_at)
             self._targets.record_response(attempt.target_id)
+            if not connection.helper:
+                self._links.reachability.record_contact(attempt.target_id)
             try:
                 complete = job.splitter.feed(data)
             except ValueError as error:
@@ -346,6 +396,18 @@
         )
 
 
+def _first_failure(
+    group: BaseExceptionGroup[http_client.ExchangeFailed],
+) -> http_client.ExchangeFailed:
+    """Return a failure of the link if there is one, else the first."""
+    failures = [
+        each
+        for each in group.exceptions
+        if isinstance(each, http_client.ExchangeFailed)
+    ]
+    return max(failures, key=lambda each: each.is_link_failure)
+
+
 async def _receive_data(
     connection: http_client.Connection, job: _jobs.Job, timeout: float
 ) -> bytes | None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -9,6 +9,7 @@
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _origin_codec
+from mustardlb_gateway import _reachability
 from mustardlb_gateway import _target_observation_codec
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
@@ -104,6 +105,13 @@
             }
         case _messages.FoundOrigin():
             return 'foundOrigin', _origin_codec.encode_found(body)
+        case _messages.Relay():
+            return 'relay', {
+                'target': body.target_id,
+                'incarnation': body.incarnation,
+            }
+        case _messages.RelayResult():
+            return 'relayResult', int(body.outcome)
         case _messages.Subscription():
             return 'subscription', body.is_wanted
         case _messages.Update():
@@ -326,6 +334,14 @@
             return _messages.FindOrigin(find.stream, tuple(find.services))
         case 'foundOrigin':
             return _origin_codec.decode_found(decoded.foundOrigin)
+        case 'relay':
+            return _messages.Relay(
+                decoded.relay.target, decoded.relay.incarnation
+            )
+        case 'relayResult':
+            return _messages.RelayResult(
+                _reachability.RelayOutcome(decoded.relayResult)
+            )
         case 'subscription':
             return _messages.Subscription(decoded.subscription)
         case 'update':
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -4,6 +4,7 @@
 
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _crashes
+from mustardlb_gateway import _reachability
 from mustardlb_gateway import _software_history
 from mustardlb_gateway import _target_limits
 from mustardlb_gateway import domain
@@ -254,6 +255,21 @@
     knowledge: _software_history.Knowledge
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Relay:
+    """Asks a node to relay this connection to a target."""
+
+    target_id: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayResult:
+    """The response to `Relay`; bytes of the target follow if connected."""
+
+    outcome: _reachability.RelayOutcome
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Subscription:
     """Starts updates on this connection with a full one, or ends them."""
@@ -301,6 +317,8 @@
     | ToldOrigins
     | FindOrigin
     | FoundOrigin
+    | Relay
+    | RelayResult
     | Subscription
     | Update
 )
@@ -327,10 +345,11 @@
     Tried,
     ToldOrigins,
     FoundOrigin,
+    RelayResult,
 )
 
 # What the receiver handles in order.
-NEWS = (Digest, Subscription, Update)
+NEWS = (Digest, Relay, Subscription, Update)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
@@ -42,6 +42,9 @@
     :ivar was_sent: whether a part of the request may have been sent
     :ivar is_broken: whether the target closed or reset the connection before
         the response was complete
+    :ivar helper: node that relayed the connection, '' for none
+    :ivar is_link_failure: whether only a link to the target failed, which
+        says nothing of the target
     :ivar output_at: trio time of the first part of the response body, None
         if none was received
     :ivar response: error response that is forwarded to the client if no
@@ -56,6 +59,8 @@
     status: int = 0
     response: BufferedResponse | None = None
     is_broken: bool = False
+    helper: str = ''
+    is_link_failure: bool = False
     output_at: float | None = None
 
     def describe(self, now: float) -> dict[str, object]:
@@ -66,6 +71,8 @@
             'status': self.status,
             'problem': self.problem,
             'is_broken': self.is_broken,
+            'helper': self.helper,
+            'is_link_failure': self.is_link_failure,
             'output_seconds': self.output_at
             and round(now - self.output_at, 3),
             'seconds': round(now - self.started_at, 3),
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peer_channel.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peer_channel.py
@@ -104,12 +104,19 @@
 
     async def run(
         self, handle_message: MessageHandler, handle_request: RequestHandler
-    ) -> None:
-        """Receive messages until the connection is closed or fails."""
+    ) -> _messages.Message | None:
+        """Receive messages until the connection is closed or fails.
+
+        Returns a request to relay the connection, which then stays open.
+        """
+        relay: _messages.Message | None = None
         try:
             async with trio.open_nursery() as nursery:
                 while (data := await frames.receive(self._stream)) is not None:
                     message = _message_codec.decode(data)
+                    if isinstance(message.body, _messages.Relay):
+                        relay = message
+                        break
                     if isinstance(message.body, _messages.RESPONSES):
                         self._deliver_response(message)
                     elif isinstance(message.body, _messages.REQUESTS):
@@ -121,7 +128,9 @@
                 nursery.cancel_scope.cancel()
         finally:
             self.is_open = False
-            await trio.aclose_forcefully(self._stream)
+            if relay is None:
+                await trio.aclose_forcefully(self._stream)
+        return relay
 
     def _deliver_response(self, message: _messages.Message) -> None:
         pending = self._pending_by_id.pop(message.request, None)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
@@ -13,9 +13,13 @@
 from mustardlb_gateway import _message_codec
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _peer_channel
+from mustardlb_gateway import _reachability
+from mustardlb_gateway import _relay
 from mustardlb_gateway import _sockets
 from mustardlb_gateway import _target_limits
+from mustardlb_gateway import _target_links
 from mustardlb_gateway import _timers
+from mustardlb_gateway import domain
 
 log = structlog.get_logger()
 
@@ -33,7 +37,8 @@
     `get_levels` returns the levels of the accounts' buckets, and
     `on_levels` is called with those of another node. `get_evidence` and
     `get_limits` return what is known about crashes and limits of targets;
-    `on_target_observations` is called with what another node knows.
+    `on_target_observations` is called with what another node knows, and
+    `serve_relay` with a connection that another node asks to relay.
     """
 
     def __init__(
@@ -52,6 +57,9 @@
         on_target_observations: abc.Callable[
             [_crashes.Evidence, _target_limits.NoticesByKey], None
         ],
+        serve_relay: abc.Callable[
+            [trio.SocketStream, str, _messages.Relay], abc.Awaitable[None]
+        ],
     ) -> None:
         self.membership = membership
         self.fleet = fleet
@@ -66,6 +74,7 @@
         self._get_evidence = get_evidence
         self._get_limits = get_limits
         self._on_target_observations = on_target_observations
+        self._serve_relay = serve_relay
         self._sequence = itertools.count(1)
         self._changed = trio.Event()
         self._send_requested = trio.Event()
@@ -187,10 +196,15 @@
     async def _serve(self, stream: trio.SocketStream) -> None:
         _sockets.set_tcp_options(stream)
         channel = _peer_channel.Channel(stream, self.encode)
+        relay: _messages.Message | None = None
         try:
-            await channel.run(self._handle_message, self._handle_request)
+            relay = await channel.run(
+                self._handle_message, self._handle_request
+            )
         except* _peer_channel.CONNECTION_ERRORS as errors:
             log.info('MLB-6304', problem=repr(errors.exceptions[0]))
+        if relay is not None and isinstance(relay.body, _messages.Relay):
+            await self._serve_relay(stream, relay.vm, relay.body)
 
     async def _send(self, channel: _peer_channel.Channel, data: bytes) -> None:
         try:
@@ -385,6 +399,17 @@
             self._nursery.start_soon(self._run_until_idle, channel)
         return channel
 
+    async def relay(
+        self, vm: str, target: domain.Target
+    ) -> _target_links.Relayed:
+        """Ask a node to connect to a target."""
+        found = self.membership.vms_by_name.get(vm)
+        if found is None:
+            return _target_links.Relayed(
+                _reachability.RelayOutcome.NO_RESPONSE
+            )
+        return await _relay.open_relay(found, target, self.encode)
+
     async def _run_until_idle(self, channel: _peer_channel.Channel) -> None:
         """Keep a connection that was opened for requests until idle."""
         with channel.idle_scope:
--- /dev/null
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
@@ -0,0 +1,204 @@
+"""Connections to targets that one node relays for another.
+
+The node that asks sends a frame with the target on a connection of its own
+and gets one with the outcome. From then on the relaying node copies bytes to
+the target as they are. Bytes from the target are sent in frames, of which an
+empty one marks the end, so that the end of the relaying node does not look
+like the end of a response.
+"""
+
+from collections import abc
+
+import structlog
+import trio
+
+from mustardlb import frames
+from mustardlb_gateway import _centres
+from mustardlb_gateway import _message_codec
+from mustardlb_gateway import _messages
+from mustardlb_gateway import _peer_channel
+from mustardlb_gateway import _reachability
+from mustardlb_gateway import _sockets
+from mustardlb_gateway import _target_links
+from mustardlb_gateway import domain
+from mustardlb_gateway import http_client
+
+log = structlog.get_logger()
+
+# Time to connect to a target for another node.
+CONNECT_TIMEOUT_SECONDS = 0.2
+
+# Time to wait for the outcome. The relaying node may have to try others of
+# its targets to tell whether its own links work.
+RESPONSE_TIMEOUT_SECONDS = 0.6
+
+# Each takes two file descriptors, out of those that are not available for
+# connections of clients.
+MAX_CONNECTIONS = 400
+
+MAX_READ_BYTES = 65_536
+
+_LOST = (trio.BrokenResourceError, trio.ClosedResourceError)
+
+
+class RelayedStream:
+    """The stream to a target that another node relays."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._unread = b''
+        self._is_ended = False
+
+    @property
+    def socket(self) -> trio.socket.SocketType:
+        """Return the socket to the relaying node."""
+        return self._stream.socket
+
+    async def send_all(self, data: bytes) -> None:
+        """Send bytes to the target."""
+        await self._stream.send_all(data)
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        """Return the next bytes of the target, b'' at its end.
+
+        Raises BrokenResourceError if the relay ends before.
+        """
+        if not self._unread and not self._is_ended:
+            try:
+                frame = await frames.receive(self._stream)
+            except frames.BadFrame as error:
+                raise trio.BrokenResourceError from error
+            if frame is None:
+                raise trio.BrokenResourceError('the relay has ended')
+            self._is_ended = not frame
+            self._unread = frame
+        data, self._unread = (
+            self._unread[:max_bytes],
+            self._unread[max_bytes:],
+        )
+        return data
+
+
+async def open_relay(
+    vm: _centres.Vm, target: domain.Target, encode: _peer_channel.Encoder
+) -> _target_links.Relayed:
+    """Ask a node to connect to a target."""
+    outcomes = _reachability.RelayOutcome
+    request = _messages.Relay(target.target_id, target.incarnation)
+    try:
+        with trio.fail_after(RESPONSE_TIMEOUT_SECONDS):
+            stream = await _sockets.connect(
+                vm.host, vm.port, CONNECT_TIMEOUT_SECONDS
+            )
+            try:
+                outcome = await _request_relay(stream, encode(request, 0))
+            except BaseException:
+                stream.socket.close()
+                raise
+    except _peer_channel.CONNECTION_ERRORS as error:
+        log.info('MLB-6305', peer=vm.vm, problem=repr(error))
+        return _target_links.Relayed(outcomes.NO_RESPONSE)
+    if outcome == outcomes.CONNECTED:
+        return _target_links.Relayed(outcome, RelayedStream(stream))
+    stream.socket.close()
+    return _target_links.Relayed(outcome)
+
+
+async def _request_relay(
+    stream: trio.SocketStream, request: bytes
+) -> _reachability.RelayOutcome:
+    """Return the outcome; raises one of CONNECTION_ERRORS."""
+    await frames.send(stream, request)
+    data = await frames.receive(stream)
+    if not data:
+        raise frames.BadFrame('the relay ended without a response')
+    body = _message_codec.decode(data).body
+    if not isinstance(body, _messages.RelayResult):
+        raise ValueError('the response is not about a relay')
+    return body.outcome
+
+
+class RelayServer:
+    """Relays connections for other nodes.
+
+    :ivar count: number of connections that are relayed now
+    """
+
+    def __init__(
+        self,
+        links: _target_links.TargetLinks,
+        targets: abc.Callable[[], abc.Mapping[str, domain.Target]],
+        encode: _peer_channel.Encoder,
+    ) -> None:
+        self._links = links
+        self._targets = targets
+        self._encode = encode
+        self.count = 0
+
+    async def serve(
+        self, client: trio.SocketStream, vm: str, relay: _messages.Relay
+    ) -> None:
+        """Connect to a target and copy bytes until either side ends."""
+        self.count += 1
+        server: http_client.Stream | None = None
+        try:
+            outcome, server = await self._connect(relay)
+            log.info(
+                'MLB-6306',
+                peer=vm,
+                target=relay.target_id,
+                outcome=outcome.name.lower(),
+            )
+            await frames.send(
+                client, self._encode(_messages.RelayResult(outcome), 0)
+            )
+            if server is not None:
+                await _copy_both(client, server)
+        except _peer_channel.CONNECTION_ERRORS as error:
+            log.info('MLB-6305', peer=vm, problem=repr(error))
+        finally:
+            self.count -= 1
+            client.socket.close()
+            if server is not None:
+                server.socket.close()
+
+    async def _connect(
+        self, relay: _messages.Relay
+    ) -> tuple[_reachability.RelayOutcome, http_client.Stream | None]:
+        target = self._targets().get(relay.target_id)
+        if target is None or target.incarnation != relay.incarnation:
+            return _reachability.RelayOutcome.UNKNOWN, None
+        if self.count > MAX_CONNECTIONS:
+            return _reachability.RelayOutcome.BUSY, None
+        return await self._links.connect_for_other(
+            target, CONNECT_TIMEOUT_SECONDS
+        )
+
+
+async def _copy_both(
+    client: trio.SocketStream, server: http_client.Stream
+) -> None:
+    """Copy bytes both ways until either side ends."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_copy, client, server, nursery.cancel_scope)
+        try:
+            while data := await server.receive_some(MAX_READ_BYTES):
+                await frames.send(client, bytes(data))
+            await frames.send(client, b'')
+            await client.send_eof()
+        except _LOST as error:
+            log.info('MLB-6307', problem=repr(error))
+        nursery.cancel_scope.cancel()
+
+
+async def _copy(
+    source: trio.SocketStream,
+    sink: http_client.Stream,
+    scope: trio.CancelScope,
+) -> None:
+    try:
+        while data := await source.receive_some(MAX_READ_BYTES):
+            await sink.send_all(data)
+    except _LOST as error:
+        log.info('MLB-6307', problem=repr(error))
+    scope.cancel()
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -29,12 +29,16 @@
 from mustardlb_gateway import _prefix_index
 from mustardlb_gateway import _quarantine
 from mustardlb_gateway import _quota
+from mustardlb_gateway import _reachability
 from mustardlb_gateway import _registration
+from mustardlb_gateway import _relay
 from mustardlb_gateway import _retry_budget
 from mustardlb_gateway import _software_history
 from mustardlb_gateway import _software_records
 from mustardlb_gateway import _stream_origins
 from mustardlb_gateway import _target_limits
+from mustardlb_gateway import _target_links
+from mustardlb_gateway import _target_network
 from mustardlb_gateway import _target_permits
 from mustardlb_gateway import _targets
 from mustardlb_gateway import _timers
@@ -47,10 +51,6 @@
 
 log = structlog.get_logger()
 
-# Allows a few round trips to a target, and is shorter than the retransmission
-# timeout after a lost packet.
-CONNECT_TIMEOUT_SECONDS = 0.4
-
 # Interval at which the quota is updated and idle connections are closed.
 MAINTENANCE_INTERVAL_SECONDS = 0.25
 
@@ -137,8 +137,31 @@
         targets_mirror.on_change(
             lambda: self._software_history.observe(self.targets.by_id.values())
         )
+        self._pool = http_client.Pool(_target_links.CONNECT_TIMEOUT_SECONDS)
+        self.reachability = _reachability.Reachability(clock)
+        self._links = _target_links.TargetLinks(
+            self.reachability,
+            self._pool,
+            _target_network.TargetNetwork(
+                lambda vm, target: self.peers.relay(vm, target)
+            ),
+            lambda: self.targets.by_id,
+            lambda: {
+                vm: self.membership.data_centre_of(vm)
+                for vm in self.membership.live
+            },
+            settings.data_centre,
+        )
+        self._relay_server = _relay.RelayServer(
+            self._links,
+            lambda: self.targets.by_id,
+            lambda body, request: self.peers.encode(body, request),
+        )
         self._crash_watch = _crash_watch.CrashWatch(
-            self.quarantine, store, self.targets.takes_requests
+            self.quarantine,
+            store,
+            self.targets.takes_requests,
+            is_down=self._links.is_down,
         )
         self.peers = _peers.Peers(
             self.membership,
@@ -153,6 +176,7 @@
             lambda: self.quarantine.evidence,
             lambda: self.target_limits.notice_by_key,
             self._handle_target_observations,
+            self._relay_server.serve,
         )
         self._charging = _charging.Charging(
             settings.vm,
@@ -191,7 +215,6 @@
             ),
             clock,
         )
-        self._pool = http_client.Pool(CONNECT_TIMEOUT_SECONDS)
         self.leases = _leases.Leases(
             settings.vm,
             incarnation,
@@ -212,6 +235,7 @@
             self.state.service,
             self.state.newest,
             lambda: self.membership.load_age,
+            self.reachability.is_lost,
         )
         self._prefix_index = _prefix_index.PrefixIndex(clock)
         self._retry_budgets_by_service: dict[
@@ -235,6 +259,15 @@
             'Targets that this node leaves alone for some time after '
             'failures.',
         )
+        self._lost = self.metrics.add_gauge(
+            'mustardlb_targets_out_of_reach',
+            'Targets to which this node cannot connect itself, while others '
+            'can or nobody can tell.',
+        )
+        self._relayed = self.metrics.add_gauge(
+            'mustardlb_relayed_connections',
+            'Connections to targets that this node relays for others.',
+        )
         self._streams = self.metrics.add_gauge(
             'mustardlb_stream_origins',
             'Streams of the last minute whose beginning this node knows.',
@@ -277,6 +310,7 @@
             _exchange.Exchange(
                 translation,
                 self._pool,
+                self._links,
                 self.targets,
                 self._prefix_index,
                 self.state.versions,
@@ -327,6 +361,7 @@
 
     def _on_target_removed(self, target: domain.Target) -> None:
         self._pool.remove_peer(target.target_id)
+        self.reachability.forget(target.target_id)
         self._prefix_index.discard(target.target_id)
         self._crash_watch.handle_removal(target)
 
@@ -472,6 +507,7 @@
             nursery.start_soon(self._run_maintenance)
             nursery.start_soon(self._publish_counts)
             nursery.start_soon(self._crash_watch.run)
+            nursery.start_soon(self._links.run)
             nursery.start_soon(self._stream_origins.run)
             nursery.start_soon(
                 _software_records.sync,
@@ -511,6 +547,8 @@
             self._permits.remove_gone()
             self._quarantined.set(self.quarantine.size)
             self._streams.set(self._stream_origins.size)
+            self._lost.set(self.reachability.lost_count)
+            self._relayed.set(self._relay_server.count)
             self._suspended.set(self.targets.suspended_count)
             self._crashes.set(len(self.quarantine.evidence.report_by_key))
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -10,6 +10,7 @@
 import re
 import select
 from typing import Any
+from typing import Protocol
 
 import h11
 import structlog
@@ -29,6 +30,10 @@
 # Used if the response has no Keep-Alive header with a timeout.
 DEFAULT_KEEPALIVE_SECONDS = 4.0
 
+# A new connection without a request is used for this time. Some peers close
+# it early, since it may occupy one of their slots.
+NEW_CONNECTION_SECONDS = 1.0
+
 # Some peers drop an idle connection without closing it. The idle limit of
 # the group then becomes this ratio of the idle time of that connection, with
 # a minimum, and doubles at each interval without another drop.
@@ -52,15 +57,36 @@
 _TIMEOUT = re.compile(rb'timeout=(\d+)')
 
 
+class Stream(Protocol):
+    """A connection's stream of bytes, over one socket or a relay."""
+
+    @property
+    def socket(self) -> trio.socket.SocketType:
+        """Return the socket, which is readable if data may be received."""
+
+    async def send_all(self, data: bytes) -> None:
+        """Send bytes; raises a resource error of trio."""
+
+    async def receive_some(self, max_bytes: int) -> bytes | bytearray:
+        """Return the next bytes, b'' at the end of the stream."""
+
+
 class ExchangeFailed(Exception):
     """No complete response was received.
 
     :ivar was_sent: whether the request may have reached the peer
+    :ivar is_link_failure: whether only this node's link to the peer failed
     """
 
-    def __init__(self, problem: str, was_sent: bool = True) -> None:
+    def __init__(
+        self,
+        problem: str,
+        was_sent: bool = True,
+        is_link_failure: bool = False,
+    ) -> None:
         super().__init__(problem)
         self.was_sent = was_sent
+        self.is_link_failure = is_link_failure
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,10 +113,14 @@
     :ivar has_response_data: whether any byte was received since the current
         request was sent
     :ivar is_ended_by_peer: whether the peer closed or reset the connection
+    :ivar helper: node that relays the connection, '' for none
+    :ivar data_at: when data was last received, trio time
     """
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(self, stream: Stream, helper: str = '') -> None:
         self._stream = stream
+        self.helper = helper
+        self.data_at = float('-inf')
         self._h11 = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
         self._unsent = b''
@@ -253,6 +283,7 @@
                 self.is_ended_by_peer = not self.is_closed
                 raise ExchangeFailed('the connection was reset') from e
             self.has_response_data |= bool(data)
+            self.data_at = trio.current_time()
             self.is_ended_by_peer = not data
             try:
                 self._h11.receive_data(bytes(data))
@@ -279,6 +310,12 @@
         self.has_response_data = False
         return True
 
+    def mark_unused(self) -> None:
+        """Let a new connection rest until its first request."""
+        now = trio.current_time()
+        self._idle_since = now
+        self._reusable_until = now + NEW_CONNECTION_SECONDS
+
     @property
     def was_dropped_while_idle(self) -> bool:
         """Whether the peer probably dropped this connection while idle."""
@@ -331,15 +368,9 @@
         Peers of a group share one idle limit. Raises ExchangeFailed, with
         `was_sent` false, if no connection can be opened.
         """
-        idle = self._idle_by_peer.get(peer, [])
-        now = trio.current_time()
-        idle_limit = self._idle_limit_by_group.get(group)
-        limit = idle_limit.limit(now) if idle_limit else float('inf')
-        while idle:
-            found = idle.pop()
-            if found.is_usable(now) and found.idle_seconds <= limit:
-                return found
-            found.close()
+        idle = self.take_idle(peer, group)
+        if idle is not None:
+            return idle
         try:
             stream = await _sockets.connect(host, port, self._connect_timeout)
         except OSError as error:
@@ -348,6 +379,28 @@
             ) from error
         return Connection(stream)
 
+    def take_idle(
+        self, peer: str, group: str = '', helper: str = ''
+    ) -> Connection | None:
+        """Return an idle connection to a peer over one link, if any."""
+        idle = self._idle_by_peer.get(peer, [])
+        now = trio.current_time()
+        idle_limit = self._idle_limit_by_group.get(group)
+        limit = idle_limit.limit(now) if idle_limit else float('inf')
+        for found in reversed(idle):
+            if found.helper != helper:
+                continue
+            idle.remove(found)
+            if found.is_usable(now) and found.idle_seconds <= limit:
+                return found
+            found.close()
+        return None
+
+    def add_idle(self, peer: str, connection: Connection) -> None:
+        """Add a connection on which nothing was sent yet."""
+        connection.mark_unused()
+        self._idle_by_peer.setdefault(peer, []).append(connection)
+
     def record_broken(self, connection: Connection, group: str) -> None:
         """Update the idle limit after a connection without a response."""
         if not connection.was_dropped_while_idle:
@@ -375,6 +428,16 @@
         for connection in self._idle_by_peer.pop(peer, ()):
             connection.close()
 
+    def close_direct(self, peer: str) -> None:
+        """Close the idle connections to a peer that are not relayed."""
+        idle = self._idle_by_peer.pop(peer, [])
+        for connection in idle:
+            if not connection.helper:
+                connection.close()
+        relayed = [each for each in idle if each.helper]
+        if relayed:
+            self._idle_by_peer[peer] = relayed
+
     def close_expired(self) -> None:
         """Close idle connections that have expired.
 
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -29,9 +29,16 @@
     toldOrigins @20 :Void;  # response to `tellOrigins`
     findOrigin @21 :FindOrigin;
     foundOrigin @22 :FoundOrigin;   # response to `findOrigin`
+    relay @23 :Relay;       # this connection to a target
+    relayResult @24 :UInt8; # response to `relay`: RelayOutcome
   }
 }
 
+struct Relay {
+  target @0 :Text;
+  incarnation @1 :UInt64;   # of the target
+}
+
 struct Origin {
   service @0 :Text;         # empty if only the software is known
   software @1 :Text;        # version of the software of the target
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -19,9 +19,12 @@
 from mustardlb_gateway import _prefix_index
 from mustardlb_gateway import _quarantine
 from mustardlb_gateway import _quota
+from mustardlb_gateway import _reachability
 from mustardlb_gateway import _software_history
 from mustardlb_gateway import _stream_origins
 from mustardlb_gateway import _target_limits
+from mustardlb_gateway import _target_links
+from mustardlb_gateway import _target_network
 from mustardlb_gateway import _target_permits
 from mustardlb_gateway import _targets
 from mustardlb_gateway import domain
@@ -157,10 +160,21 @@
         )
         self.failures = []
         self.permits_trials = False
+        pool = http_client.Pool(0.5)
+        self.reachability = _reachability.Reachability(clock)
+        links = _target_links.TargetLinks(
+            self.reachability,
+            pool,
+            _target_network.TargetNetwork(None),
+            lambda: self.targets.by_id,
+            dict,
+            'a',
+        )
         self.dispatcher = _dispatch.Dispatcher(
             _exchange.Exchange(
                 translation,
-                http_client.Pool(0.5),
+                pool,
+                links,
                 self.targets,
                 prefix_index,
                 lambda adapter: self.versions,
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -138,6 +138,7 @@
             lambda: self.evidence,
             lambda: self.limits,
             self.add_target_observations,
+            None,
         )
 
     def add_target_observations(self, evidence, limits):
