--- a/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
@@ -144,7 +144,7 @@
         try:
             outcome, server = await self._connect(relay)
             log.info(
-                'MLB-6306',
+                'MLB-6308',
                 peer=vm,
                 target=relay.target_id,
                 outcome=outcome.name.lower(),
@@ -187,7 +187,7 @@
             await frames.send(client, b'')
             await client.send_eof()
         except _LOST as error:
-            log.info('MLB-6307', problem=repr(error))
+            log.info('MLB-6309', problem=repr(error))
         nursery.cancel_scope.cancel()
 
 
@@ -200,5 +200,5 @@
         while data := await source.receive_some(MAX_READ_BYTES):
             await sink.send_all(data)
     except _LOST as error:
-        log.info('MLB-6307', problem=repr(error))
+        log.info('MLB-6309', problem=repr(error))
     scope.cancel()
