--- a/packages/mustardlb-gateway/mustardlb_gateway/_reachability.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_reachability.py
@@ -24,9 +24,10 @@
 # for this time.
 DOWN_TTL_SECONDS = 0.5
 
-# A node that could not help is not asked for this time.
-HELPER_BACKOFF_SECONDS = 2.0
-BUSY_BACKOFF_SECONDS = 0.5
+# A node that did not respond is not asked for this time, which doubles with
+# each failure in succession, and one that is cut off for the longest.
+FIRST_BACKOFF_SECONDS = 0.25
+MAX_BACKOFF_SECONDS = 2.0
 
 # Interval between connection attempts to a target out of reach. It doubles.
 FIRST_CHECK_SECONDS = 0.5
@@ -61,6 +62,19 @@
     NO_RESPONSE = 6
 
 
+_UNABLE = frozenset(
+    {RelayOutcome.CUT_OFF, RelayOutcome.BUSY, RelayOutcome.NO_RESPONSE}
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Backoff:
+    """When a node may be asked again, clock seconds, and for how long not."""
+
+    until: float
+    seconds: float
+
+
 @dataclasses.dataclass(slots=True)
 class _LostTarget:
     """A target out of reach; times are clock seconds.
@@ -88,8 +102,10 @@
         self._last_contact_at = float('-inf')
         self._last_contact_id = ''
         self._other_contact_at = float('-inf')
-        self._helper_backoff_until: dict[str, float] = {}
-        self._helper_by_target: dict[str, str] = {}
+        # Nodes that have failed to help, and have not helped since.
+        self._backoff_by_helper: dict[str, _Backoff] = {}
+        # Nodes that have helped and have not failed to since, in that order.
+        self._proven: dict[str, None] = {}
         self._batch = FIRST_CHECKED_TARGETS
 
     @property
@@ -140,7 +156,6 @@
     def record_lost(self, target_id: str, problem: str, helper: str) -> None:
         """Record a target that only another node reaches."""
         self._down_until.pop(target_id, None)
-        self._helper_by_target[target_id] = helper
         self._add_lost(target_id, problem, helper)
 
     def record_unreached(self, target_id: str, problem: str) -> None:
@@ -180,7 +195,6 @@
         """Forget a target that is gone or has restarted."""
         self._lost_by_id.pop(target_id, None)
         self._down_until.pop(target_id, None)
-        self._helper_by_target.pop(target_id, None)
 
     def due_checks(self) -> list[str]:
         """Return the targets out of reach to connect to now."""
@@ -206,10 +220,9 @@
             for lost in self._lost_by_id.values():
                 lost.check_at = min(lost.check_at, self._clock())
 
-    def last_helper(self, target_id: str) -> str:
-        """Return the node that last reached a target for this one, or ''."""
-        helper = self._helper_by_target.get(target_id, '')
-        return '' if self._is_backed_off(helper) else helper
+    def has_helper(self, vms: abc.Iterable[str]) -> bool:
+        """Return whether any of the nodes may help."""
+        return any(not self._is_backed_off(vm) for vm in vms)
 
     def helpers(
         self,
@@ -219,10 +232,13 @@
         """Return the nodes that may help, in the order to ask.
 
         Nodes of the same data centre come first, unless most of them cannot
-        help, since the few that can would then serve all the others.
+        help, since the few that can would then serve all the others. If most
+        nodes cannot help, those come first that have.
         """
         able = [vm for vm in centre_by_vm if not self._is_backed_off(vm)]
         self._rng.shuffle(able)
+        if 2 * len(self._backoff_by_helper) > len(centre_by_vm):
+            return sorted(able, key=lambda vm: vm not in self._proven)
         local = [vm for vm in able if centre_by_vm[vm] == data_centre]
         all_local = list(centre_by_vm.values()).count(data_centre)
         if 2 * len(local) < all_local:
@@ -236,20 +252,24 @@
         return self._rng.sample(targets, min(count, len(targets)))
 
     def _is_backed_off(self, vm: str) -> bool:
-        return self._helper_backoff_until.get(vm, 0.0) > self._clock()
+        backoff = self._backoff_by_helper.get(vm)
+        return backoff is not None and backoff.until > self._clock()
 
     def record_helper(self, vm: str, outcome: RelayOutcome) -> None:
         """Record what a node responded that was asked to help."""
-        if outcome in (RelayOutcome.CUT_OFF, RelayOutcome.NO_RESPONSE):
-            self._back_off(vm, HELPER_BACKOFF_SECONDS)
-        elif outcome == RelayOutcome.BUSY:
-            self._back_off(vm, BUSY_BACKOFF_SECONDS)
-
-    def _back_off(self, vm: str, seconds: float) -> None:
+        if outcome == RelayOutcome.CONNECTED:
+            self._backoff_by_helper.pop(vm, None)
+            self._proven.pop(vm, None)
+            self._proven[vm] = None
+            return
+        self._proven.pop(vm, None)
+        if outcome not in _UNABLE:
+            return
         now = self._clock()
-        self._helper_backoff_until = {
-            name: until
-            for name, until in self._helper_backoff_until.items()
-            if until > now
-        }
-        self._helper_backoff_until[vm] = now + seconds
+        known = self._backoff_by_helper.get(vm)
+        seconds = FIRST_BACKOFF_SECONDS
+        if known is not None:
+            seconds = min(2 * known.seconds, MAX_BACKOFF_SECONDS)
+        if outcome == RelayOutcome.CUT_OFF:
+            seconds = MAX_BACKOFF_SECONDS
+        self._backoff_by_helper[vm] = _Backoff(now + seconds, seconds)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_links.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_links.py
@@ -23,6 +23,12 @@
 # Nodes that are asked, one after the other, to relay a connection.
 MAX_HELPERS_ASKED = 3
 
+# No further nodes are asked once so many with sound links do not reach a
+# target either. More are asked before a crash is believed, since some may have
+# lost just their links to this target.
+MIN_UNREACHABLE = 2
+MIN_CRASH_WITNESSES = 5
+
 # Other targets to which a connection is tried to tell whether the links of
 # this node work.
 MAX_WITNESS_TARGETS = 2
@@ -68,14 +74,16 @@
         pool: http_client.Pool,
         network: Network,
         targets: abc.Callable[[], abc.Mapping[str, domain.Target]],
-        centre_by_live_vm: abc.Callable[[], abc.Mapping[str, str]],
+        live_vms: abc.Callable[[], abc.Collection[str]],
+        data_centre_of: abc.Callable[[str], str],
         data_centre: str,
     ) -> None:
         self.reachability = reachability
         self._pool = pool
         self._network = network
         self._targets = targets
-        self._centre_by_live_vm = centre_by_live_vm
+        self._live_vms = live_vms
+        self._data_centre_of = data_centre_of
         self._data_centre = data_centre
         self._checks: dict[tuple[str, str], _LinkCheck] = {}
 
@@ -120,40 +128,57 @@
     async def _connect(self, target: domain.Target) -> http_client.Connection:
         """Open a connection of this node's own; raises OSError."""
         timeout = CONNECT_TIMEOUT_SECONDS
-        if self._helpers():
+        if self.reachability.has_helper(self._live_vms()):
             timeout = RELAY_AFTER_SECONDS
         stream = await self._network.connect(target, timeout)
         self.reachability.record_reached(target.target_id)
         return http_client.Connection(stream)
 
     def _helpers(self) -> list[str]:
-        return self.reachability.helpers(
-            self._centre_by_live_vm(), self._data_centre
-        )
+        centre_by_vm = {
+            vm: self._data_centre_of(vm) for vm in self._live_vms()
+        }
+        return self.reachability.helpers(centre_by_vm, self._data_centre)
 
     async def _acquire_relayed(
         self, target: domain.Target, problem: str
     ) -> http_client.Connection | None:
         """Return a relayed connection, None if no node reaches the target."""
-        last = self.reachability.last_helper(target.target_id)
-        if last and self.reachability.is_lost(target.target_id):
-            idle = self._pool.take_idle(target.target_id, target.service, last)
+        if self.reachability.is_lost(target.target_id):
+            idle = self._pool.take_idle(
+                target.target_id, target.service, is_relayed=True
+            )
             if idle is not None:
                 return idle
         if self.reachability.is_down(target.target_id):
             return None
-        helpers = self._helpers()
-        if last in helpers:
-            helpers.remove(last)
-            helpers.insert(0, last)
-        for vm in helpers[:MAX_HELPERS_ASKED]:
+        return await self._ask_helpers(
+            target, problem, MAX_HELPERS_ASKED, MIN_UNREACHABLE
+        )
+
+    async def _ask_helpers(
+        self,
+        target: domain.Target,
+        problem: str,
+        max_asked: int,
+        min_unreachable: int,
+    ) -> http_client.Connection | None:
+        """Ask nodes to relay a connection, one after the other.
+
+        The target is down if sound nodes do not reach it, and none does.
+        """
+        unreachable = 0
+        for vm in self._helpers()[:max_asked]:
             relayed = await self._ask(vm, target)
             if relayed.stream is not None:
                 self._record_lost(target, problem, vm)
                 return http_client.Connection(relayed.stream, vm)
             if relayed.outcome == _reachability.RelayOutcome.UNREACHABLE:
-                self.reachability.record_down(target.target_id)
-                return None
+                unreachable += 1
+            if unreachable >= min_unreachable:
+                break
+        if unreachable:
+            self.reachability.record_down(target.target_id)
         return None
 
     async def _ask(self, vm: str, target: domain.Target) -> Relayed:
@@ -231,7 +256,12 @@
         try:
             self._keep(target, await self._connect(target))
         except OSError as error:
-            relayed = await self._acquire_relayed(target, str(error))
+            relayed = await self._ask_helpers(
+                target,
+                str(error),
+                2 * MIN_CRASH_WITNESSES,
+                MIN_CRASH_WITNESSES,
+            )
             if relayed is not None:
                 self._keep(target, relayed)
                 return False
@@ -251,15 +281,17 @@
             for each in self._targets().values()
             if each.target_id != target.target_id
         ]
-        for other in self.reachability.sample(others, MAX_WITNESS_TARGETS):
-            try:
-                self._keep(other, await self._connect(other))
-            except OSError as error:
-                log.info(
-                    'MLB-6217', target=other.target_id, problem=str(error)
-                )
-                continue
+        others = self.reachability.sample(others, MAX_WITNESS_TARGETS)
+        reached: list[str] = []
+        async with trio.open_nursery() as nursery:
+            for other in others:
+                nursery.start_soon(self._check, other, reached)
+        if reached:
             return True
+        for other in others:
+            self.reachability.record_unreached(
+                other.target_id, 'no target is reached'
+            )
         return False
 
     async def connect_for_other(
@@ -297,13 +329,17 @@
         if target is None:
             self.reachability.forget(target_id)
             return
+        await self._check(target, reached)
+
+    async def _check(self, target: domain.Target, reached: list[str]) -> None:
+        """Connect to a target; add it to `reached` if that succeeds."""
         try:
             connection = await self._connect(target)
         except OSError as error:
-            log.info('MLB-6217', target=target_id, problem=str(error))
+            log.info('MLB-6217', target=target.target_id, problem=str(error))
             return
         self._keep(target, connection)
-        reached.append(target_id)
+        reached.append(target.target_id)
 
 
 class _LinkCheck:
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -146,10 +146,8 @@
                 lambda vm, target: self.peers.relay(vm, target)
             ),
             lambda: self.targets.by_id,
-            lambda: {
-                vm: self.membership.data_centre_of(vm)
-                for vm in self.membership.live
-            },
+            lambda: self.membership.live,
+            self.membership.data_centre_of,
             settings.data_centre,
         )
         self._relay_server = _relay.RelayServer(
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -380,15 +380,15 @@
         return Connection(stream)
 
     def take_idle(
-        self, peer: str, group: str = '', helper: str = ''
+        self, peer: str, group: str = '', is_relayed: bool = False
     ) -> Connection | None:
-        """Return an idle connection to a peer over one link, if any."""
+        """Return an idle connection to a peer, if any."""
         idle = self._idle_by_peer.get(peer, [])
         now = trio.current_time()
         idle_limit = self._idle_limit_by_group.get(group)
         limit = idle_limit.limit(now) if idle_limit else float('inf')
         for found in reversed(idle):
-            if found.helper != helper:
+            if bool(found.helper) != is_relayed:
                 continue
             idle.remove(found)
             if found.is_usable(now) and found.idle_seconds <= limit:
