Follow what targets say of themselves: rest, leaving, brittle

Targets that had asked for three seconds of rest got four to seven requests in that time: Retry-After of a target's 503 was decoded nowhere. The class of fault: an answer is read for its call, and what it says of the target is dropped.

If all targets of a service rest, calls are rejected at once. A leaving target counts as draining for its incarnation. A brittle target is not filled beyond 0.8 of its slots, and after a rejection a node leaves it for its share of what the target bears.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -18,6 +18,7 @@
 from mustardlb_gateway import _prefill_queue
 from mustardlb_gateway import _quarantine
 from mustardlb_gateway import _target_permits
+from mustardlb_gateway import _target_states
 from mustardlb_gateway import _targets
 from mustardlb_gateway import domain
 
@@ -59,7 +60,8 @@
 class Dispatcher:
     """Sends calls to targets and retries them.
 
-    `permits` decides on requests to targets that have named a limit.
+    `permits` decides on requests to targets that have named a limit, and
+    `states` on those to targets that ask for rest or are brittle.
     `record_failure` is called with each attempt that a target may have failed
     on, whether its connection broke, and how long ago it was sent.
     """
@@ -83,6 +85,7 @@
             [domain.Target, domain.Call, bool, float], None
         ],
         permits: _target_permits.TargetPermits,
+        states: _target_states.TargetStates,
     ) -> None:
         self._exchange = exchange
         self._targets = targets
@@ -94,6 +97,7 @@
         self._quarantine = quarantine
         self._record_failure = record_failure
         self._permits = permits
+        self._states = states
 
     async def run(self, job: _jobs.Job) -> None:
         """Send the response to a call, or raise the error to respond with."""
@@ -111,6 +115,9 @@
             job.permitted_until.pop(choice.target.target_id, None)
             self._log_choice(job, choice)
             await self._exchange.run(job, attempt, choice)
+            if attempt.is_withheld:
+                job.attempts.remove(attempt)
+                continue
             self._record_attempt(job, attempt)
             if not attempt.was_sent:
                 await self._handle_unreached(job, attempt)
@@ -183,10 +190,12 @@
     async def _is_permitted(
         self, job: _jobs.Job, target: domain.Target
     ) -> bool:
-        """Return whether a call may be sent to a target with a limit.
+        """Return whether a call may be sent to a target now.
 
         A permit is kept while the adapter is loaded.
         """
+        if not self._states.takes_requests(target):
+            return False
         target_id = target.target_id
         if job.permitted_until.get(target_id, 0.0) > trio.current_time():
             return True
@@ -378,6 +387,7 @@
                 queue_seconds, absent = {}, frozenset()
                 continue
             if not await self._is_permitted(job, choice.target):
+                await trio.lowlevel.checkpoint()
                 continue
             max_queue = choice.max_queue
             if rejections >= MAX_REJECTED_RESERVATIONS:
@@ -392,6 +402,11 @@
             if not reserved.is_resident:
                 absent |= {target_id}
 
+    def _denied(self, job: _jobs.Job) -> dict[str, float]:
+        """Return the seconds until targets take a request, by their ids."""
+        ready = self._targets.ready(job.service.name)
+        return self._permits.denied() | self._states.denied(ready)
+
     async def _wait_for_permit(
         self, job: _jobs.Job, request: _placement.PlacementRequest
     ) -> None:
@@ -403,7 +418,7 @@
         without_limits = dataclasses.replace(request, denied=frozenset())
         if self._choose(job, without_limits) is None:
             return
-        denied = self._permits.denied()
+        denied = self._denied(job)
         wait = min(
             (
                 denied[target.target_id]
@@ -416,10 +431,14 @@
         latest = job.arrived + MAX_PERMIT_WAIT_RATIO * (
             job.route.latency_objective
         )
-        if now + wait <= latest:
-            await trio.sleep(wait)
+        is_resting = any(
+            self._states.rest(target)
+            for target in self._targets.ready(job.service.name)
+        )
+        if now + wait <= latest and not is_resting:
+            await trio.sleep(max(wait, CHOICE_RETRY_SECONDS))
             return
-        problem = 'all targets have reached the limits that they named'
+        problem = 'no target takes requests for now, as targets have said'
         if job.may_have_run:
             raise self._final_error(job, problem)
         # Those who return are spread over as long again.
@@ -489,7 +508,7 @@
             job.arrived + job.route.latency_objective - trio.current_time(),
             queue_seconds,
             absent,
-            frozenset(self._permits.denied()),
+            frozenset(self._denied(job)),
             job.software,
             job.route.kind == domain.RouteKind.STREAM,
         )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
@@ -6,6 +6,7 @@
 import structlog
 import trio
 
+from mustardlb_gateway import _target_states
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_client
 from mustardlb_gateway import ports
@@ -55,10 +56,12 @@
         pool: http_client.Pool,
         translation: ports.Translation,
         record_limit: abc.Callable[[domain.Target, float | None, float], None],
+        states: _target_states.TargetStates,
     ) -> None:
         self._pool = pool
         self._translation = translation
         self._record_limit = record_limit
+        self._states = states
 
     async def send_command(
         self, target: domain.Target, command: domain.Command
@@ -108,6 +111,10 @@
         target: domain.Target,
         request: tuple[bytes, bytes, domain.Headers, bytes],
     ) -> tuple[int, bytes]:
+        if self._states.rest(target):
+            raise http_client.ExchangeFailed(
+                'the target has asked for rest', was_sent=False
+            )
         connection = await self._pool.acquire(
             target.target_id, target.host, target.port
         )
@@ -126,6 +133,7 @@
             raise
         self._pool.release(target.target_id, connection)
         info = self._translation.read_response(head.headers)
+        self._states.record_response(target, head.status, info)
         if info.request_limit is not None:
             # Only responses to calls show that there is none any more.
             self._record_limit(target, info.request_limit, 0.0)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -12,6 +12,7 @@
 from mustardlb_gateway import _placement
 from mustardlb_gateway import _prefix_index
 from mustardlb_gateway import _target_links
+from mustardlb_gateway import _target_states
 from mustardlb_gateway import _targets
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_client
@@ -49,6 +50,8 @@
         versions: abc.Callable[[domain.AdapterName], _jobs.AdapterVersions],
         record_output: abc.Callable[[domain.Call, float], None],
         record_limit: abc.Callable[[domain.Target, float | None, float], None],
+        states: _target_states.TargetStates,
+        tell_rest: abc.Callable[[str, domain.Target, float], None],
         record_origin: abc.Callable[
             [str, _messages.Origin, tuple[str, ...]], None
         ],
@@ -61,6 +64,8 @@
         self._versions = versions
         self._record_output = record_output
         self._record_limit = record_limit
+        self._states = states
+        self._tell_rest = tell_rest
         self._record_origin = record_origin
 
     async def run(
@@ -113,6 +118,12 @@
                 connection = await self._links.acquire(
                     target, job.call.request_id
                 )
+                if not self._states.takes_requests(target):
+                    # It has asked for rest while the connection was opened.
+                    attempt.is_withheld = True
+                    raise http_client.ExchangeFailed(
+                        'the target takes no requests for now', was_sent=False
+                    )
                 attempt.was_sent = True
                 attempt.helper = connection.helper
                 nursery.start_soon(
@@ -190,6 +201,7 @@
     ) -> None:
         def is_for_call(head: http_client.Head) -> bool:
             info = self._translation.read_response(head.headers)
+            self._record_state(target, connection, head, info)
             return info.request_id in (None, job.call.request_id)
 
         with self._response_timeout(job) as scope:
@@ -245,6 +257,21 @@
             return
         await self.forward(job, response)
 
+    def _record_state(
+        self,
+        target: domain.Target,
+        connection: http_client.Connection,
+        head: http_client.Head,
+        info: domain.ResponseInfo,
+    ) -> None:
+        """Record what a target says of itself.
+
+        It takes a request for one of the node that relayed it.
+        """
+        rest = self._states.record_response(target, head.status, info)
+        if rest and connection.helper:
+            self._tell_rest(connection.helper, target, rest)
+
     @staticmethod
     def _response_timeout_seconds(job: _jobs.Job) -> float:
         """Return the response timeout of a call, infinite if it has none.
--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -112,6 +112,12 @@
             }
         case _messages.RelayResult():
             return 'relayResult', int(body.outcome)
+        case _messages.Rest():
+            return 'rest', {
+                'target': body.target_id,
+                'incarnation': body.incarnation,
+                'seconds': body.seconds,
+            }
         case _messages.Subscription():
             return 'subscription', body.is_wanted
         case _messages.Update():
@@ -342,6 +348,9 @@
             return _messages.RelayResult(
                 _reachability.RelayOutcome(decoded.relayResult)
             )
+        case 'rest':
+            rest = decoded.rest
+            return _messages.Rest(rest.target, rest.incarnation, rest.seconds)
         case 'subscription':
             return _messages.Subscription(decoded.subscription)
         case 'update':
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -270,6 +270,18 @@
     outcome: _reachability.RelayOutcome
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rest:
+    """Tells a node that a target wants no requests from it.
+
+    Sent by the node for which it relayed the request. Has no response.
+    """
+
+    target_id: str
+    incarnation: int
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Subscription:
     """Starts updates on this connection with a full one, or ends them."""
@@ -319,6 +331,7 @@
     | FoundOrigin
     | Relay
     | RelayResult
+    | Rest
     | Subscription
     | Update
 )
@@ -334,6 +347,7 @@
     Trial,
     TellOrigins,
     FindOrigin,
+    Rest,
 )
 
 RESPONSES = (
--- a/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
@@ -45,6 +45,7 @@
     :ivar helper: node that relayed the connection, '' for none
     :ivar is_link_failure: whether only a link to the target failed, which
         says nothing of the target
+    :ivar is_withheld: not sent, since the target takes no requests for now
     :ivar output_at: trio time of the first part of the response body, None
         if none was received
     :ivar response: error response that is forwarded to the client if no
@@ -61,6 +62,7 @@
     is_broken: bool = False
     helper: str = ''
     is_link_failure: bool = False
+    is_withheld: bool = False
     output_at: float | None = None
 
     def describe(self, now: float) -> dict[str, object]:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_links.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_links.py
@@ -65,6 +65,8 @@
 class TargetLinks:
     """Connections to targets, with their links' state.
 
+    `is_resting` returns whether a target wants no requests from this node.
+
     :ivar reachability: which targets this node reaches itself
     """
 
@@ -77,6 +79,7 @@
         live_vms: abc.Callable[[], abc.Collection[str]],
         data_centre_of: abc.Callable[[str], str],
         data_centre: str,
+        is_resting: abc.Callable[[domain.Target], bool] = lambda target: False,
     ) -> None:
         self.reachability = reachability
         self._pool = pool
@@ -85,6 +88,7 @@
         self._live_vms = live_vms
         self._data_centre_of = data_centre_of
         self._data_centre = data_centre
+        self._is_resting = is_resting
         self._checks: dict[tuple[str, str], _LinkCheck] = {}
 
     async def acquire(
@@ -301,6 +305,8 @@
         outcomes = _reachability.RelayOutcome
         if self.reachability.is_cut_off:
             return outcomes.CUT_OFF, None
+        if self._is_resting(target):
+            return outcomes.RESTING, None
         try:
             stream = await self._network.connect(target, timeout)
         except OSError as error:
--- /dev/null
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_states.py
@@ -0,0 +1,181 @@
+"""What targets say of themselves in their responses.
+
+A target that rejects a request may ask this node for rest. One that is
+brittle falls over when it has to reject too many requests in a second, of all
+nodes together. Both hold for one incarnation of a target and end by
+themselves. That a target leaves is recorded in the table of targets.
+"""
+
+from collections import abc
+import dataclasses
+import random
+
+import structlog
+
+from mustardlb_gateway import domain
+
+log = structlog.get_logger()
+
+# A target gets a request again after this time, whatever it asked for.
+MAX_REST_SECONDS = 60.0
+
+# A target that has not said for this time that it is brittle no longer is.
+BRITTLE_TTL_SECONDS = 5.0
+
+# Part of the rejections that a brittle target bears which all nodes together
+# may cause. The rest covers requests that are on their way.
+USED_REJECTIONS_RATIO = 0.5
+
+# Longest time for which a node leaves a brittle target after a rejection.
+MAX_BRITTLE_REST_SECONDS = 3.0
+
+# Part of its slots to which a brittle target is filled. The loads that other
+# nodes tell are late.
+BRITTLE_FILL_RATIO = 0.8
+
+# Target and its incarnation.
+TargetKey = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Brittle:
+    """A brittle target.
+
+    :ivar max_rejections: requests a second that it can reject
+    :ivar until: when it counts as sound again, clock seconds
+    """
+
+    max_rejections: float
+    until: float
+
+
+class TargetStates:
+    """Rest that targets have asked this node for, and brittle targets.
+
+    `in_flight` returns the requests of all nodes at a target, and
+    `record_leaving` is called with each target that leaves.
+    """
+
+    def __init__(
+        self,
+        clock: abc.Callable[[], float],
+        count_nodes: abc.Callable[[], int],
+        in_flight: abc.Callable[[str], int],
+        record_leaving: abc.Callable[[domain.Target], None],
+        rng: random.Random | None = None,
+    ) -> None:
+        self._clock = clock
+        self._count_nodes = count_nodes
+        self._in_flight = in_flight
+        self._record_leaving = record_leaving
+        self._rng = rng or random.Random()
+        self._rest_until_by_key: dict[TargetKey, float] = {}
+        self._brittle_by_key: dict[TargetKey, _Brittle] = {}
+
+    def record_response(
+        self, target: domain.Target, status: int, info: domain.ResponseInfo
+    ) -> float:
+        """Record a response; return the seconds of rest that it asks for."""
+        if info.is_leaving:
+            self._record_leaving(target)
+        self._record_brittle(target, status, info.max_rejections)
+        if status != 503 or info.rest is None:
+            return 0.0
+        return self.record_rest(
+            target.target_id, target.incarnation, info.rest
+        )
+
+    def record_rest(
+        self, target_id: str, incarnation: int, seconds: float
+    ) -> float:
+        """Record that a target wants no requests for some seconds."""
+        seconds = min(seconds, MAX_REST_SECONDS)
+        if seconds > 0:
+            self._extend_rest((target_id, incarnation), seconds, 'asked')
+        return seconds
+
+    def _extend_rest(
+        self, key: TargetKey, seconds: float, reason: str
+    ) -> None:
+        now = self._clock()
+        until = max(now + seconds, self._rest_until_by_key.get(key, now))
+        if until > self._rest_until_by_key.get(key, now):
+            log.info(
+                'MLB-6218',
+                target=key[0],
+                seconds=round(seconds, 3),
+                reason=reason,
+            )
+        self._rest_until_by_key[key] = until
+
+    def _record_brittle(
+        self,
+        target: domain.Target,
+        status: int,
+        max_rejections: float | None,
+    ) -> None:
+        """Leave a brittle target for a while if it rejected a request.
+
+        Each node causes an equal share of the rejections that it bears.
+        """
+        if max_rejections is None:
+            return
+        key = target.target_id, target.incarnation
+        now = self._clock()
+        if key not in self._brittle_by_key:
+            log.info(
+                'MLB-6219', target=target.target_id, rejections=max_rejections
+            )
+        self._brittle_by_key[key] = _Brittle(
+            max_rejections, now + BRITTLE_TTL_SECONDS
+        )
+        if status not in (429, 503):
+            return
+        per_second = max_rejections * USED_REJECTIONS_RATIO
+        seconds = MAX_BRITTLE_REST_SECONDS
+        if per_second > 0:
+            seconds = min(seconds, self._count_nodes() / per_second)
+        self._extend_rest(key, seconds * self._rng.uniform(1, 1.5), 'brittle')
+
+    def rest(self, target: domain.Target) -> float:
+        """Return the seconds for which a target gets no requests, or 0."""
+        key = target.target_id, target.incarnation
+        return max(0.0, self._rest_until_by_key.get(key, 0.0) - self._clock())
+
+    def is_full(self, target: domain.Target) -> bool:
+        """Return whether a brittle target has no room for a request."""
+        key = target.target_id, target.incarnation
+        brittle = self._brittle_by_key.get(key)
+        if brittle is None or brittle.until <= self._clock():
+            return False
+        room = max(1.0, target.slots * BRITTLE_FILL_RATIO)
+        return self._in_flight(target.target_id) >= room
+
+    def takes_requests(self, target: domain.Target) -> bool:
+        """Return whether a request may be sent to a target now."""
+        return not self.rest(target) and not self.is_full(target)
+
+    def denied(self, targets: abc.Iterable[domain.Target]) -> dict[str, float]:
+        """Return the seconds until targets take requests, by their ids.
+
+        0 for a brittle target that is full, whose room nobody can tell.
+        """
+        return {
+            target.target_id: self.rest(target)
+            for target in targets
+            if not self.takes_requests(target)
+        }
+
+    def remove_expired(self) -> None:
+        """Forget what has ended."""
+        now = self._clock()
+        self._rest_until_by_key = {
+            key: until
+            for key, until in self._rest_until_by_key.items()
+            if until > now
+        }
+        self._brittle_by_key = {
+            key: brittle
+            for key, brittle in self._brittle_by_key.items()
+            if brittle.until > now
+        }
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -85,6 +85,7 @@
         self._health_by_id: dict[str, Health] = {}
         self.usage_by_id: dict[str, Usage] = {}
         self.centres_by_name: dict[str, _centres.CentreState] = {}
+        self._leaving: set[tuple[str, int]] = set()
         self._removal_callbacks: list[abc.Callable[[domain.Target], None]] = []
         mirror.on_change(self._refresh)
 
@@ -149,11 +150,28 @@
             decoded[name] = (stored, target)
         self._decoded_by_id = decoded
         return {
-            name: target
+            name: self._with_leaving(target)
             for name, (_, target) in decoded.items()
             if target is not None
         }
 
+    def _with_leaving(self, target: domain.Target) -> domain.Target:
+        """Return a target as draining if it has said that it leaves."""
+        if (target.target_id, target.incarnation) not in self._leaving:
+            return target
+        return dataclasses.replace(target, state=domain.TargetState.DRAINING)
+
+    def record_leaving(self, target: domain.Target) -> None:
+        """Record that a target leaves, before the store says so."""
+        key = target.target_id, target.incarnation
+        if key in self._leaving:
+            return
+        self._leaving.add(key)
+        log.info('MLB-6220', target=target.target_id)
+        current = self.by_id.get(target.target_id)
+        if current is not None:
+            self.by_id[target.target_id] = self._with_leaving(current)
+
     def _handle_removal(self, target: domain.Target, now: float) -> None:
         until = self._mirror.connected_at + REREGISTRATION_SECONDS
         if not self._mirror.is_connected:
@@ -171,6 +189,7 @@
             revision=self._mirror.revision,
         )
         self._health_by_id.pop(target.target_id, None)
+        self._leaving.discard((target.target_id, target.incarnation))
         for callback in self._removal_callbacks:
             callback(target)
 
@@ -198,6 +217,7 @@
             target
             for target, _ in self._expired_by_id.values()
             if target.service == service
+            and (target.target_id, target.incarnation) not in self._leaving
         ]
 
     def takes_requests(self, target: domain.Target) -> bool:
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -40,6 +40,7 @@
 from mustardlb_gateway import _target_links
 from mustardlb_gateway import _target_network
 from mustardlb_gateway import _target_permits
+from mustardlb_gateway import _target_states
 from mustardlb_gateway import _targets
 from mustardlb_gateway import _timers
 from mustardlb_gateway import _trials
@@ -137,6 +138,12 @@
         targets_mirror.on_change(
             lambda: self._software_history.observe(self.targets.by_id.values())
         )
+        self._target_states = _target_states.TargetStates(
+            clock,
+            lambda: len(self.membership.live) + 1,
+            self.targets.in_flight,
+            self.targets.record_leaving,
+        )
         self._pool = http_client.Pool(_target_links.CONNECT_TIMEOUT_SECONDS)
         self.reachability = _reachability.Reachability(clock)
         self._links = _target_links.TargetLinks(
@@ -149,6 +156,7 @@
             lambda: self.membership.live,
             self.membership.data_centre_of,
             settings.data_centre,
+            lambda target: self._target_states.rest(target) > 0,
         )
         self._relay_server = _relay.RelayServer(
             self._links,
@@ -225,7 +233,10 @@
             settings.vm,
             self.leases,
             _engine_client.EngineClient(
-                self._pool, translation, self.target_limits.record_response
+                self._pool,
+                translation,
+                self.target_limits.record_response,
+                self._target_states,
             ),
             self.targets,
             self.peers,
@@ -314,6 +325,8 @@
                 self.state.versions,
                 self.quarantine.record_output,
                 self.target_limits.record_response,
+                self._target_states,
+                self._tell_rest,
                 self._stream_origins.record,
             ),
             self.targets,
@@ -327,6 +340,16 @@
             self.quarantine,
             self._crash_watch.record_failure,
             self._permits,
+            self._target_states,
+        )
+
+    def _tell_rest(
+        self, helper: str, target: domain.Target, seconds: float
+    ) -> None:
+        """Tell a node that a target has asked it for rest."""
+        self.peers.notify(
+            helper,
+            _messages.Rest(target.target_id, target.incarnation, seconds),
         )
 
     def _make_client_server(self) -> http_server.Server:
@@ -464,6 +487,12 @@
                 return self._stream_origins.handle_told(message.body)
             case _messages.FindOrigin():
                 return self._stream_origins.handle_find(message.body)
+            case _messages.Rest():
+                self._target_states.record_rest(
+                    message.body.target_id,
+                    message.body.incarnation,
+                    message.body.seconds,
+                )
             case _messages.Refund():
                 self._charging.handle_refund(message.body)
         return None
@@ -543,6 +572,7 @@
             self.quarantine.refresh_if_due()
             self.target_limits.remove_gone()
             self._permits.remove_gone()
+            self._target_states.remove_expired()
             self._quarantined.set(self.quarantine.size)
             self._streams.set(self._stream_origins.size)
             self._lost.set(self.reachability.lost_count)
--- a/packages/mustardlb-gateway/mustardlb_gateway/domain.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/domain.py
@@ -286,6 +286,11 @@
     :ivar load: running requests, queued requests and slots, or None
     :ivar request_limit: requests a second that the target accepts from all
         nodes together, None for no limit
+    :ivar rest: seconds for which a target that rejects the request wants no
+        further one from this node, or None
+    :ivar is_leaving: the target will end soon
+    :ivar max_rejections: requests a second that a brittle target can reject
+        without failing, None if it is not brittle
     """
 
     request_id: str | None
@@ -293,6 +298,9 @@
     not_executed: bool
     load: tuple[int, int, int] | None = None
     request_limit: float | None = None
+    rest: float | None = None
+    is_leaving: bool = False
+    max_rejections: float | None = None
 
 
 class CommandKind(enum.StrEnum):
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -31,9 +31,16 @@
     foundOrigin @22 :FoundOrigin;   # response to `findOrigin`
     relay @23 :Relay;       # this connection to a target
     relayResult @24 :UInt8; # response to `relay`: RelayOutcome
+    rest @25 :Rest;         # for the receiver, at a target that it relayed to
   }
 }
 
+struct Rest {
+  target @0 :Text;
+  incarnation @1 :UInt64;   # of the target
+  seconds @2 :Float64;
+}
+
 struct Relay {
   target @0 :Text;
   incarnation @1 :UInt64;   # of the target
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -26,6 +26,7 @@
 from mustardlb_gateway import _target_links
 from mustardlb_gateway import _target_network
 from mustardlb_gateway import _target_permits
+from mustardlb_gateway import _target_states
 from mustardlb_gateway import _targets
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_client
@@ -39,12 +40,17 @@
     return value and value.decode()
 
 
+def _number(value):
+    return None if value is None else float(value)
+
+
 class TranslationStub:
     """Reads and writes the headers that the tests use.
 
     Requests have `x-id`, `x-key`, `x-wait` (client timeout in seconds),
     `x-adapter`, `last-event-id` and `x-resumed` (the request that is
-    resumed); responses have `x-id`, `x-signed`, `x-not-run` and `x-limit`.
+    resumed); responses have `x-id`, `x-signed`, `x-not-run`, `x-limit`,
+    `x-rest`, `x-leaving` and `x-brittle`.
     """
 
     def read_target(self, name, spec):
@@ -92,6 +98,9 @@
             request_limit=float(values[b'x-limit'])
             if b'x-limit' in values
             else None,
+            rest=_number(values.get(b'x-rest')),
+            is_leaving=b'x-leaving' in values,
+            max_rejections=_number(values.get(b'x-brittle')),
         )
 
     def response_headers(self, headers):
@@ -160,6 +169,12 @@
         )
         self.failures = []
         self.permits_trials = False
+        self.states = _target_states.TargetStates(
+            clock,
+            lambda: 1,
+            self.targets.in_flight,
+            self.targets.record_leaving,
+        )
         pool = http_client.Pool(0.5)
         self.reachability = _reachability.Reachability(clock)
         links = _target_links.TargetLinks(
@@ -181,6 +196,8 @@
                 lambda adapter: self.versions,
                 self.quarantine.record_output,
                 self.target_limits.record_response,
+                self.states,
+                None,
                 self.stream_origins.record,
             ),
             self.targets,
@@ -201,6 +218,7 @@
             self.quarantine,
             self._record_failure,
             self.permits,
+            self.states,
         )
         charging = _charging.Charging(
             'vm1', 'a', self.quota, None, None, frozenset, None, clock
--- a/tests/mustardlb_gateway/test_engine_client.py
+++ b/tests/mustardlb_gateway/test_engine_client.py
@@ -2,8 +2,10 @@
 import gateway_harness
 import pytest
 import scripted
+import trio
 
 from mustardlb_gateway import _engine_client
+from mustardlb_gateway import _target_states
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_client
 
@@ -17,10 +19,19 @@
         return b'POST', b'/order', [(b'host', b'h')], b'{}'
 
 
+def make_states():
+    return _target_states.TargetStates(
+        trio.current_time, lambda: 1, lambda target_id: 0, lambda target: None
+    )
+
+
 async def send_command(script):
     async with scripted.ScriptedServer(script).running() as server:
         client = _engine_client.EngineClient(
-            http_client.Pool(0.5), TranslationStub(), lambda *_: None
+            http_client.Pool(0.5),
+            TranslationStub(),
+            lambda *_: None,
+            make_states(),
         )
         target = builders.make_target(port=server.port)
         return await client.send_command(target, COMMAND)
@@ -67,7 +78,10 @@
 
 async def test_command_that_was_never_sent_is_refused():
     client = _engine_client.EngineClient(
-        http_client.Pool(0.5), TranslationStub(), lambda *_: None
+        http_client.Pool(0.5),
+        TranslationStub(),
+        lambda *_: None,
+        make_states(),
     )
     target = builders.make_target(port=1)
     assert await client.send_command(target, COMMAND) == 'refused'
