All nodes know of brittle targets and divide their slots; gauges in a module of their own

The statement now travels with notices of limits, and the nodes divide 0.8 of a target's slots by rank, without a message for each request.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
@@ -55,7 +55,9 @@
         self,
         pool: http_client.Pool,
         translation: ports.Translation,
-        record_limit: abc.Callable[[domain.Target, float | None, float], None],
+        record_limit: abc.Callable[
+            [domain.Target, float | None, float, float | None], None
+        ],
         states: _target_states.TargetStates,
     ) -> None:
         self._pool = pool
@@ -134,9 +136,11 @@
         self._pool.release(target.target_id, connection)
         info = self._translation.read_response(head.headers)
         self._states.record_response(target, head.status, info)
-        if info.request_limit is not None:
+        if info.request_limit is not None or info.max_rejections is not None:
             # Only responses to calls show that there is none any more.
-            self._record_limit(target, info.request_limit, 0.0)
+            self._record_limit(
+                target, info.request_limit, 0.0, info.max_rejections
+            )
         return head.status, body
 
     def _is_command_response(self, head: http_client.Head) -> bool:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -49,7 +49,9 @@
         prefix_index: _prefix_index.PrefixIndex,
         versions: abc.Callable[[domain.AdapterName], _jobs.AdapterVersions],
         record_output: abc.Callable[[domain.Call, float], None],
-        record_limit: abc.Callable[[domain.Target, float | None, float], None],
+        record_limit: abc.Callable[
+            [domain.Target, float | None, float, float | None], None
+        ],
         states: _target_states.TargetStates,
         tell_rest: abc.Callable[[str, domain.Target, float], None],
         record_origin: abc.Callable[
@@ -218,6 +220,7 @@
             target,
             info.request_limit,
             trio.current_time() - attempt.started_at,
+            info.max_rejections,
         )
         attempt.status = head.status
         is_success = 200 <= head.status < 300
--- /dev/null
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
@@ -0,0 +1,39 @@
+"""The gauges of a node's state."""
+
+from mustardlb_gateway import _metrics
+
+
+class NodeGauges:
+    """Gauges that the node sets at intervals."""
+
+    def __init__(self, metrics: _metrics.Metrics) -> None:
+        self.live_nodes = metrics.add_gauge(
+            'mustardlb_live_nodes', 'Other nodes that this one hears of.'
+        )
+        self.quarantined = metrics.add_gauge(
+            'mustardlb_quarantined',
+            'Parts of prompts, or contents, that are kept from targets.',
+        )
+        self.crash_reports = metrics.add_gauge(
+            'mustardlb_crash_reports',
+            'Targets that ended in the last minutes on requests without '
+            'output, at any node.',
+        )
+        self.suspended_targets = metrics.add_gauge(
+            'mustardlb_suspended_targets',
+            'Targets that this node leaves alone for some time after '
+            'failures.',
+        )
+        self.lost_targets = metrics.add_gauge(
+            'mustardlb_targets_out_of_reach',
+            'Targets to which this node cannot connect itself, while others '
+            'can or nobody can tell.',
+        )
+        self.relayed_connections = metrics.add_gauge(
+            'mustardlb_relayed_connections',
+            'Connections to targets that this node relays for others.',
+        )
+        self.stream_origins = metrics.add_gauge(
+            'mustardlb_stream_origins',
+            'Streams of the last minute whose beginning this node knows.',
+        )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_limits.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_limits.py
@@ -1,8 +1,8 @@
 """Limits that targets name in their responses, as known to all nodes.
 
 A target in need names the requests a second that it accepts from all nodes
-together, for as long as its responses say so. The latest notice of any node
-applies.
+together, or that it can reject without falling over, for as long as its
+responses say so. The latest notice of any node applies.
 """
 
 from collections import abc
@@ -29,16 +29,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LimitNotice:
-    """What a target said about its limit.
+    """What a target said about its limits.
 
-    :ivar limit: requests a second, None for no limit
+    :ivar limit: requests a second that it accepts, None for no limit
     :ivar at: Unix seconds
+    :ivar max_rejections: requests a second that it can reject without falling
+        over, None if it is not brittle
     """
 
     target_id: str
     incarnation: int
     limit: float | None
     at: float
+    max_rejections: float | None = None
 
     @property
     def key(self) -> TargetKey:
@@ -46,11 +49,18 @@
         return self.target_id, self.incarnation
 
     def is_same_limit(self, other: 'LimitNotice | None') -> bool:
-        """Return whether another notice names about the same limit."""
+        """Return whether another notice names about the same limits."""
         limit = other.limit if other is not None else None
-        if self.limit is None or limit is None:
-            return self.limit is limit
-        return abs(self.limit - limit) <= MIN_CHANGE_RATIO * limit
+        rejections = other.max_rejections if other is not None else None
+        return _is_about(self.limit, limit) and _is_about(
+            self.max_rejections, rejections
+        )
+
+
+def _is_about(one: float | None, other: float | None) -> bool:
+    if one is None or other is None:
+        return one is other
+    return abs(one - other) <= MIN_CHANGE_RATIO * other
 
 
 NoticesByKey = dict[TargetKey, LimitNotice]
@@ -109,20 +119,33 @@
         notice = self.notice_by_key.get((target.target_id, target.incarnation))
         return notice.limit if notice is not None else None
 
+    def max_rejections(self, target: domain.Target) -> float | None:
+        """Return the rejections a second that a brittle target bears.
+
+        None if the target is not brittle.
+        """
+        notice = self.notice_by_key.get((target.target_id, target.incarnation))
+        return notice.max_rejections if notice is not None else None
+
     def record_response(
-        self, target: domain.Target, limit: float | None, sent_ago: float
+        self,
+        target: domain.Target,
+        limit: float | None,
+        sent_ago: float,
+        max_rejections: float | None = None,
     ) -> None:
-        """Record the limit that a response names, None if it names none.
+        """Record the limits that a response names, None if it names none.
 
         :param sent_ago: seconds since the request was sent. A limit applies
             from now on; that there is none is only certain as of then.
         """
         key = target.target_id, target.incarnation
-        if limit is None and key not in self.notice_by_key:
+        is_named = limit is not None or max_rejections is not None
+        if not is_named and key not in self.notice_by_key:
             return
         now = self._wall_clock()
-        notice = LimitNotice(*key, limit, now)
-        if limit is None:
+        notice = LimitNotice(*key, limit, now, max_rejections)
+        if not is_named:
             notice = dataclasses.replace(notice, at=now - sent_ago)
         else:
             self._named_by_key[key] = notice
@@ -147,6 +170,7 @@
                     'MLB-6210',
                     target=notice.target_id,
                     limit=notice.limit,
+                    max_rejections=notice.max_rejections,
                     age=round(self._wall_clock() - notice.at, 3),
                 )
         # This node may have been told a limit after the other one was told
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_observation_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_observation_codec.py
@@ -20,6 +20,8 @@
         'incarnation': notice.incarnation,
         'isLimited': notice.limit is not None,
         'limit': notice.limit or 0.0,
+        'isBrittle': notice.max_rejections is not None,
+        'maxRejections': notice.max_rejections or 0.0,
         'at': notice.at,
     }
 
@@ -57,6 +59,7 @@
         notice.incarnation,
         notice.limit if notice.isLimited else None,
         notice.at,
+        notice.maxRejections if notice.isBrittle else None,
     )
 
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_states.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_states.py
@@ -7,11 +7,11 @@
 """
 
 from collections import abc
-import dataclasses
 import random
 
 import structlog
 
+from mustardlb_gateway import _owners
 from mustardlb_gateway import domain
 
 log = structlog.get_logger()
@@ -19,9 +19,6 @@
 # A target gets a request again after this time, whatever it asked for.
 MAX_REST_SECONDS = 60.0
 
-# A target that has not said for this time that it is brittle no longer is.
-BRITTLE_TTL_SECONDS = 5.0
-
 # Part of the rejections that a brittle target bears which all nodes together
 # may cause. The rest covers requests that are on their way.
 USED_REJECTIONS_RATIO = 0.5
@@ -29,48 +26,40 @@
 # Longest time for which a node leaves a brittle target after a rejection.
 MAX_BRITTLE_REST_SECONDS = 3.0
 
-# Part of its slots to which a brittle target is filled. The loads that other
-# nodes tell are late.
+# Part of its slots that the nodes divide among themselves while a target is
+# brittle. They may differ for a moment on which nodes there are.
 BRITTLE_FILL_RATIO = 0.8
 
 # Target and its incarnation.
 TargetKey = tuple[str, int]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Brittle:
-    """A brittle target.
-
-    :ivar max_rejections: requests a second that it can reject
-    :ivar until: when it counts as sound again, clock seconds
-    """
-
-    max_rejections: float
-    until: float
-
-
 class TargetStates:
     """Rest that targets have asked this node for, and brittle targets.
 
-    `in_flight` returns the requests of all nodes at a target, and
-    `record_leaving` is called with each target that leaves.
+    `max_rejections` returns what is known of a brittle target, `owners` ranks
+    the nodes, `in_flight` returns the requests of this node at
+    a target, and `record_leaving` is called with each target that leaves.
     """
 
     def __init__(
         self,
         clock: abc.Callable[[], float],
-        count_nodes: abc.Callable[[], int],
+        max_rejections: abc.Callable[[domain.Target], float | None],
+        vm: str,
+        owners: _owners.Owners,
         in_flight: abc.Callable[[str], int],
         record_leaving: abc.Callable[[domain.Target], None],
         rng: random.Random | None = None,
     ) -> None:
         self._clock = clock
-        self._count_nodes = count_nodes
+        self._max_rejections = max_rejections
+        self._vm = vm
+        self._owners = owners
         self._in_flight = in_flight
         self._record_leaving = record_leaving
         self._rng = rng or random.Random()
         self._rest_until_by_key: dict[TargetKey, float] = {}
-        self._brittle_by_key: dict[TargetKey, _Brittle] = {}
 
     def record_response(
         self, target: domain.Target, status: int, info: domain.ResponseInfo
@@ -118,23 +107,14 @@
 
         Each node causes an equal share of the rejections that it bears.
         """
-        if max_rejections is None:
+        if max_rejections is None or status not in (429, 503):
             return
         key = target.target_id, target.incarnation
-        now = self._clock()
-        if key not in self._brittle_by_key:
-            log.info(
-                'MLB-6219', target=target.target_id, rejections=max_rejections
-            )
-        self._brittle_by_key[key] = _Brittle(
-            max_rejections, now + BRITTLE_TTL_SECONDS
-        )
-        if status not in (429, 503):
-            return
         per_second = max_rejections * USED_REJECTIONS_RATIO
         seconds = MAX_BRITTLE_REST_SECONDS
         if per_second > 0:
-            seconds = min(seconds, self._count_nodes() / per_second)
+            nodes = len(self._owners.ranking(target.target_id))
+            seconds = min(seconds, nodes / per_second)
         self._extend_rest(key, seconds * self._rng.uniform(1, 1.5), 'brittle')
 
     def rest(self, target: domain.Target) -> float:
@@ -143,13 +123,18 @@
         return max(0.0, self._rest_until_by_key.get(key, 0.0) - self._clock())
 
     def is_full(self, target: domain.Target) -> bool:
-        """Return whether a brittle target has no room for a request."""
-        key = target.target_id, target.incarnation
-        brittle = self._brittle_by_key.get(key)
-        if brittle is None or brittle.until <= self._clock():
+        """Return whether this node uses its share of a brittle target.
+
+        The shares of all nodes together leave some slots free, so that the
+        target has no reason to reject a request.
+        """
+        if self._max_rejections(target) is None:
             return False
-        room = max(1.0, target.slots * BRITTLE_FILL_RATIO)
-        return self._in_flight(target.target_id) >= room
+        ranking = self._owners.ranking(target.target_id)
+        room = max(1, int(target.slots * BRITTLE_FILL_RATIO))
+        share, rest = divmod(room, len(ranking))
+        share += ranking.index(self._vm) < rest
+        return self._in_flight(target.target_id) >= share
 
     def takes_requests(self, target: domain.Target) -> bool:
         """Return whether a request may be sent to a target now."""
@@ -174,8 +159,3 @@
             for key, until in self._rest_until_by_key.items()
             if until > now
         }
-        self._brittle_by_key = {
-            key: brittle
-            for key, brittle in self._brittle_by_key.items()
-            if brittle.until > now
-        }
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -332,6 +332,11 @@
         if not usage.in_flight:
             del self.usage_by_id[target_id]
 
+    def own_in_flight(self, target_id: str) -> int:
+        """Return the requests of this node in flight at a target."""
+        own = self.usage_by_id.get(target_id)
+        return own.in_flight if own is not None else 0
+
     def in_flight(self, target_id: str) -> int:
         """Return the requests of all nodes in flight at a target."""
         own = self.usage_by_id.get(target_id)
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -23,6 +23,8 @@
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _metrics
 from mustardlb_gateway import _mirror
+from mustardlb_gateway import _node_gauges
+from mustardlb_gateway import _owners
 from mustardlb_gateway import _peer_sync
 from mustardlb_gateway import _peers
 from mustardlb_gateway import _placement
@@ -140,8 +142,10 @@
         )
         self._target_states = _target_states.TargetStates(
             clock,
-            lambda: len(self.membership.live) + 1,
-            self.targets.in_flight,
+            self.target_limits.max_rejections,
+            settings.vm,
+            _owners.Owners(settings.vm, lambda: self.membership.live, clock),
+            self.targets.own_in_flight,
             self.targets.record_leaving,
         )
         self._pool = http_client.Pool(_target_links.CONNECT_TIMEOUT_SECONDS)
@@ -251,36 +255,7 @@
             str, _retry_budget.RetryBudget
         ] = {}
         self.metrics = _metrics.Metrics()
-        self._live_nodes = self.metrics.add_gauge(
-            'mustardlb_live_nodes', 'Other nodes that this one hears of.'
-        )
-        self._quarantined = self.metrics.add_gauge(
-            'mustardlb_quarantined',
-            'Parts of prompts, or contents, that are kept from targets.',
-        )
-        self._crashes = self.metrics.add_gauge(
-            'mustardlb_crash_reports',
-            'Targets that ended in the last minutes on requests without '
-            'output, at any node.',
-        )
-        self._suspended = self.metrics.add_gauge(
-            'mustardlb_suspended_targets',
-            'Targets that this node leaves alone for some time after '
-            'failures.',
-        )
-        self._lost = self.metrics.add_gauge(
-            'mustardlb_targets_out_of_reach',
-            'Targets to which this node cannot connect itself, while others '
-            'can or nobody can tell.',
-        )
-        self._relayed = self.metrics.add_gauge(
-            'mustardlb_relayed_connections',
-            'Connections to targets that this node relays for others.',
-        )
-        self._streams = self.metrics.add_gauge(
-            'mustardlb_stream_origins',
-            'Streams of the last minute whose beginning this node knows.',
-        )
+        self._gauges = _node_gauges.NodeGauges(self.metrics)
         self._gateway = _gateway.Gateway(
             translation,
             self._make_dispatcher(translation),
@@ -427,7 +402,7 @@
     def _apply_fleet_view(self) -> None:
         """Update targets, engines and quota from the fleet's view."""
         view = self.fleet.view
-        self._live_nodes.set(len(self.membership.live))
+        self._gauges.live_nodes.set(len(self.membership.live))
         self.targets.centres_by_name = view
         self.engine_manager.apply_fleet_view(view)
         now = self._clock()
@@ -573,12 +548,16 @@
             self.target_limits.remove_gone()
             self._permits.remove_gone()
             self._target_states.remove_expired()
-            self._quarantined.set(self.quarantine.size)
-            self._streams.set(self._stream_origins.size)
-            self._lost.set(self.reachability.lost_count)
-            self._relayed.set(self._relay_server.count)
-            self._suspended.set(self.targets.suspended_count)
-            self._crashes.set(len(self.quarantine.evidence.report_by_key))
+            self._update_gauges()
+
+    def _update_gauges(self) -> None:
+        gauges, quarantine = self._gauges, self.quarantine
+        gauges.quarantined.set(quarantine.size)
+        gauges.crash_reports.set(len(quarantine.evidence.report_by_key))
+        gauges.stream_origins.set(self._stream_origins.size)
+        gauges.suspended_targets.set(self.targets.suspended_count)
+        gauges.lost_targets.set(self.reachability.lost_count)
+        gauges.relayed_connections.set(self._relay_server.count)
 
     def reload(self, settings: gateway_settings.Settings) -> None:
         """Apply changed settings while the node runs."""
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -110,6 +110,8 @@
   isLimited @2 :Bool;
   limit @3 :Float64;        # requests a second
   at @4 :Float64;           # when the target said so, Unix seconds
+  isBrittle @5 :Bool;
+  maxRejections @6 :Float64;  # requests a second that it can reject
 }
 
 struct Permit {
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -15,6 +15,7 @@
 from mustardlb_gateway import _jobs
 from mustardlb_gateway import _metrics
 from mustardlb_gateway import _mirror
+from mustardlb_gateway import _owners
 from mustardlb_gateway import _placement
 from mustardlb_gateway import _prefix_index
 from mustardlb_gateway import _quarantine
@@ -171,8 +172,10 @@
         self.permits_trials = False
         self.states = _target_states.TargetStates(
             clock,
-            lambda: 1,
-            self.targets.in_flight,
+            self.target_limits.max_rejections,
+            'vm1',
+            _owners.Owners('vm1', frozenset, clock),
+            self.targets.own_in_flight,
             self.targets.record_leaving,
         )
         pool = http_client.Pool(0.5)
--- a/tests/mustardlb_gateway/test_engine_client.py
+++ b/tests/mustardlb_gateway/test_engine_client.py
@@ -5,6 +5,7 @@
 import trio
 
 from mustardlb_gateway import _engine_client
+from mustardlb_gateway import _owners
 from mustardlb_gateway import _target_states
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_client
@@ -21,7 +22,12 @@
 
 def make_states():
     return _target_states.TargetStates(
-        trio.current_time, lambda: 1, lambda target_id: 0, lambda target: None
+        trio.current_time,
+        lambda target: None,
+        'vm1',
+        _owners.Owners('vm1', frozenset, trio.current_time),
+        lambda target_id: 0,
+        lambda target: None,
     )
 
 
--- a/tests/mustardlb_platform/test_translation.py
+++ b/tests/mustardlb_platform/test_translation.py
@@ -311,6 +311,20 @@
     info = translation.read_response([(b'server-limit', value)])
     assert info.request_limit == limit
     assert translation.read_response([]).request_limit is None
+    info = translation.read_response(
+        [(b'retry-after', value), (b'server-brittle', value)]
+    )
+    assert (info.rest, info.max_rejections) == (limit, limit)
+
+
+@pytest.mark.parametrize(
+    ('value', 'is_leaving'),
+    [(b'1', True), (b' 1 ', True), (b'0', False), (b'yes', False)],
+)
+def test_target_that_leaves_is_recognized(value, is_leaving):
+    info = translation.read_response([(b'server-leaving', value)])
+    assert info.is_leaving == is_leaving
+    assert not translation.read_response([]).is_leaving
 
 
 def test_only_hop_by_hop_response_headers_are_dropped():
