A request that is about to be sent does not fill a brittle target's share; stopping nodes relay no more

Read in the diff: the node counts a request before it opens the connection and then asked whether its share was used, so that a share of one was never used and the call chose the same target for ever. A test with one slot shows it. A node that stops takes no new relays and waits for those that it has, as for its own requests.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -120,7 +120,7 @@
                 connection = await self._links.acquire(
                     target, job.call.request_id
                 )
-                if not self._states.takes_requests(target):
+                if self._states.rest(target):
                     # It has asked for rest while the connection was opened.
                     attempt.is_withheld = True
                     raise http_client.ExchangeFailed(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
@@ -119,7 +119,7 @@
 
 
 class RelayServer:
-    """Relays connections for other nodes.
+    """Relays connections for other nodes, unless this one is stopping.
 
     :ivar count: number of connections that are relayed now
     """
@@ -129,10 +129,12 @@
         links: _target_links.TargetLinks,
         targets: abc.Callable[[], abc.Mapping[str, domain.Target]],
         encode: _peer_channel.Encoder,
+        is_stopping: abc.Callable[[], bool],
     ) -> None:
         self._links = links
         self._targets = targets
         self._encode = encode
+        self._is_stopping = is_stopping
         self.count = 0
 
     async def serve(
@@ -168,7 +170,7 @@
         target = self._targets().get(relay.target_id)
         if target is None or target.incarnation != relay.incarnation:
             return _reachability.RelayOutcome.UNKNOWN, None
-        if self.count > MAX_CONNECTIONS:
+        if self.count > MAX_CONNECTIONS or self._is_stopping():
             return _reachability.RelayOutcome.BUSY, None
         return await self._links.connect_for_other(
             target, CONNECT_TIMEOUT_SECONDS
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -166,6 +166,7 @@
             self._links,
             lambda: self.targets.by_id,
             lambda body, request: self.peers.encode(body, request),
+            lambda: self.is_stopping,
         )
         self._crash_watch = _crash_watch.CrashWatch(
             self.quarantine,
@@ -584,7 +585,10 @@
         await trio.sleep_until(drain_delay_ends)
         while trio.current_time() < deadline:
             self._client_server.close_idle()
-            if not self._client_server.requests_in_flight:
+            if not (
+                self._client_server.requests_in_flight
+                or self._relay_server.count
+            ):
                 break
             await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
         log.info(
--- a/tests/mustardlb_gateway/test_target_states.py
+++ b/tests/mustardlb_gateway/test_target_states.py
@@ -226,3 +226,17 @@
         harness.set_targets()
         await harness.send_request(request_id=b'last')
         assert len(harness.scripted[0].requests) <= 1
+
+
+# A node counts a request before it is sent, which must not fill its share.
+async def test_brittle_target_with_one_slot_is_served():
+    async def serve(connection, head, body):
+        await connection.send(
+            scripted.response(scripted.request_id(head), extra=b'x-brittle: 2')
+        )
+
+    harness = gateway_harness.Harness(builders.make_route())
+    async with harness.running(serve, slots=1):
+        for number in range(5):
+            response = await harness.send_request(request_id=b'r%d' % number)
+            assert response.status == 200
