Bounded state of link checks; no work for targets that say nothing

Read in the diff: finished checks of links were kept for ever, nodes that are gone counted among those that cannot help, and each choice looked at the rest of all targets, also while none had asked for any.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_reachability.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_reachability.py
@@ -237,7 +237,8 @@
         """
         able = [vm for vm in centre_by_vm if not self._is_backed_off(vm)]
         self._rng.shuffle(able)
-        if 2 * len(self._backoff_by_helper) > len(centre_by_vm):
+        unable = sum(vm in self._backoff_by_helper for vm in centre_by_vm)
+        if 2 * unable > len(centre_by_vm):
             return sorted(able, key=lambda vm: vm not in self._proven)
         local = [vm for vm in able if centre_by_vm[vm] == data_centre]
         all_local = list(centre_by_vm.values()).count(data_centre)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_limits.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_limits.py
@@ -119,6 +119,13 @@
         notice = self.notice_by_key.get((target.target_id, target.incarnation))
         return notice.limit if notice is not None else None
 
+    def has_brittle(self) -> bool:
+        """Return whether any target is brittle."""
+        return any(
+            notice.max_rejections is not None
+            for notice in self.notice_by_key.values()
+        )
+
     def max_rejections(self, target: domain.Target) -> float | None:
         """Return the rejections a second that a brittle target bears.
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_links.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_links.py
@@ -51,7 +51,7 @@
 
 
 class Network(Protocol):
-    """Opens streams; raises OSError or returns why there is none."""
+    """Opens streams to targets."""
 
     async def connect(
         self, target: domain.Target, timeout: float
@@ -218,6 +218,11 @@
         if check is not None and now < check.ended_at + LINK_CHECK_TTL_SECONDS:
             await check.done.wait()
             return check.is_broken
+        self._checks = {
+            each: check
+            for each, check in self._checks.items()
+            if now < check.ended_at + LINK_CHECK_TTL_SECONDS
+        }
         check = self._checks[key] = _LinkCheck()
         try:
             check.is_broken = await self._check_link(target, helper)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_states.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_states.py
@@ -12,6 +12,7 @@
 import structlog
 
 from mustardlb_gateway import _owners
+from mustardlb_gateway import _target_limits
 from mustardlb_gateway import domain
 
 log = structlog.get_logger()
@@ -37,15 +38,15 @@
 class TargetStates:
     """Rest that targets have asked this node for, and brittle targets.
 
-    `max_rejections` returns what is known of a brittle target, `owners` ranks
-    the nodes, `in_flight` returns the requests of this node at
-    a target, and `record_leaving` is called with each target that leaves.
+    `limits` tells which targets are brittle, `owners` ranks the nodes,
+    `in_flight` returns the requests of this node at a target, and
+    `record_leaving` is called with each target that leaves.
     """
 
     def __init__(
         self,
         clock: abc.Callable[[], float],
-        max_rejections: abc.Callable[[domain.Target], float | None],
+        limits: _target_limits.TargetLimits,
         vm: str,
         owners: _owners.Owners,
         in_flight: abc.Callable[[str], int],
@@ -53,7 +54,7 @@
         rng: random.Random | None = None,
     ) -> None:
         self._clock = clock
-        self._max_rejections = max_rejections
+        self._limits = limits
         self._vm = vm
         self._owners = owners
         self._in_flight = in_flight
@@ -128,7 +129,7 @@
         The shares of all nodes together leave some slots free, so that the
         target has no reason to reject a request.
         """
-        if self._max_rejections(target) is None:
+        if self._limits.max_rejections(target) is None:
             return False
         ranking = self._owners.ranking(target.target_id)
         room = max(1, int(target.slots * BRITTLE_FILL_RATIO))
@@ -145,6 +146,8 @@
 
         0 for a brittle target that is full, whose room nobody can tell.
         """
+        if not self._rest_until_by_key and not self._limits.has_brittle():
+            return {}
         return {
             target.target_id: self.rest(target)
             for target in targets
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -247,7 +247,11 @@
     @property
     def suspended_count(self) -> int:
         """Return the number of targets that are suspended."""
-        return sum(map(self.is_suspended, self.by_id))
+        now = self._clock()
+        return sum(
+            health.suspended_until > now
+            for health in self._health_by_id.values()
+        )
 
     def record_response(self, target_id: str) -> None:
         """Record that a target has sent data."""
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -142,7 +142,7 @@
         )
         self._target_states = _target_states.TargetStates(
             clock,
-            self.target_limits.max_rejections,
+            self.target_limits,
             settings.vm,
             _owners.Owners(settings.vm, lambda: self.membership.live, clock),
             self.targets.own_in_flight,
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -172,7 +172,7 @@
         self.permits_trials = False
         self.states = _target_states.TargetStates(
             clock,
-            self.target_limits.max_rejections,
+            self.target_limits,
             'vm1',
             _owners.Owners('vm1', frozenset, clock),
             self.targets.own_in_flight,
--- a/tests/mustardlb_gateway/test_engine_client.py
+++ b/tests/mustardlb_gateway/test_engine_client.py
@@ -6,6 +6,7 @@
 
 from mustardlb_gateway import _engine_client
 from mustardlb_gateway import _owners
+from mustardlb_gateway import _target_limits
 from mustardlb_gateway import _target_states
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_client
@@ -23,7 +24,7 @@
 def make_states():
     return _target_states.TargetStates(
         trio.current_time,
-        lambda target: None,
+        _target_limits.TargetLimits(lambda target_id: None),
         'vm1',
         _owners.Owners('vm1', frozenset, trio.current_time),
         lambda target_id: 0,
--- a/tests/mustardlb_gateway/test_target_states.py
+++ b/tests/mustardlb_gateway/test_target_states.py
@@ -31,13 +31,13 @@
     number=0,
     nodes=1,
     in_flight=lambda target_id: 0,
-    max_rejections=lambda target: None,
+    limits=None,
 ):
     vm = f'vm{number}'
     others = frozenset(f'vm{each}' for each in range(nodes)) - {vm}
     return _target_states.TargetStates(
         clock,
-        max_rejections,
+        limits or _target_limits.TargetLimits(lambda target_id: None),
         vm,
         _owners.Owners(vm, lambda: others, clock),
         in_flight,
@@ -136,7 +136,7 @@
             n,
             nodes,
             own[n].__getitem__,
-            limits[n].max_rejections,
+            limits[n],
         )
         for n in range(nodes)
     ]
