--- a/tests/mustardlb_gateway/test_stale_loads.py
+++ b/tests/mustardlb_gateway/test_stale_loads.py
@@ -16,12 +16,14 @@
 from mustardlb_gateway import _jobs
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _mirror
+from mustardlb_gateway import _owners
 from mustardlb_gateway import _placement
 from mustardlb_gateway import _prefill_queue
 from mustardlb_gateway import _prefix_index
 from mustardlb_gateway import _quarantine
 from mustardlb_gateway import _target_limits
 from mustardlb_gateway import _target_permits
+from mustardlb_gateway import _target_states
 from mustardlb_gateway import _targets
 from mustardlb_gateway import ports
 
@@ -72,6 +74,7 @@
             lambda target_id: 0,
             lambda: LOAD_AGE_SECONDS if is_reserving else 0.0,
         )
+        limits = _target_limits.TargetLimits(lambda target_id: 1)
         self.dispatcher = _dispatch.Dispatcher(
             None,
             self.targets,
@@ -84,11 +87,19 @@
             lambda target, call, is_broken, sent_seconds_ago: None,
             _target_permits.TargetPermits(
                 'vm1',
-                _target_limits.TargetLimits(lambda target_id: 1),
+                limits,
                 None,
                 frozenset,
                 clock,
             ),
+            _target_states.TargetStates(
+                clock,
+                limits,
+                'vm1',
+                _owners.Owners('vm1', frozenset, clock),
+                lambda target_id: 0,
+                lambda target: None,
+            ),
         )
         self.waits = []
 
