--- a/tests/mustardlb_gateway/test_target_links.py
+++ b/tests/mustardlb_gateway/test_target_links.py
@@ -316,5 +316,5 @@
                     for vm in fleet.node_by_vm
                     if (vm, target_id) not in fleet.cuts
                 ]
-                if 4 * len(reaching) > 3 * nodes:
+                if 2 * len(reaching) > nodes:
                     assert not await fleet.believed_down(target)
--- a/tests/mustardlb_gateway/test_target_states.py
+++ b/tests/mustardlb_gateway/test_target_states.py
@@ -181,7 +181,7 @@
     falls = sum(each.falls for each in brittle.values())
     assert falls <= MAX_FALLS + MAX_FALLS_RATIO * len(brittle)
     # Not by refusing nearly everything: they have room for about 3,000.
-    assert served > 300
+    assert served > 1000
 
 
 async def test_calls_are_rejected_at_once_if_all_targets_rest():
