Decode reported slowdown, cold targets, evacuations and memory limit

Cause: a load report with a fourth figure made the decoder return None without a log line, and cold_remaining_ms, cold_start_s, cold_per_s, cold_over, cold_slack, evacuation_ms, gap_aim_ms and memory_mb were not read at all. Fields of Target, Service, Route, ResponseInfo and Settings for the parts that will use them; nothing acts on them yet.

--- a/packages/mustardlb-gateway/mustardlb_gateway/domain.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/domain.py
@@ -38,6 +38,8 @@
     :ivar max_attempts: maximum number of targets tried for one request
     :ivar is_public: no API key is required
     :ivar is_resumable: a stream may be resumed at another target
+    :ivar gap_objective: longest pause between the events of a stream that is
+        on time, seconds, None if the route does not say
     """
 
     name: str
@@ -51,6 +53,7 @@
     max_attempts: int = 1
     is_public: bool = False
     is_resumable: bool = False
+    gap_objective: float | None = None
 
     @property
     def service_names(self) -> tuple[str, ...]:
@@ -97,11 +100,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """A set of interchangeable targets; `engine` is None for plain targets."""
+    """A set of interchangeable targets.
+
+    :ivar engine: None for plain targets
+    :ivar cold_start: seconds for which a target is cold after its start
+    :ivar cold_per_second: requests a second that a cold target tolerates from
+        all nodes together, 0 for no such limit
+    """
 
     name: str
     max_connections: int
     engine: EngineSpec | None = None
+    cold_start: float = 0.0
+    cold_per_second: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -201,6 +212,8 @@
     :ivar expires_in: seconds until the platform removes the target, or None
     :ivar software: version of its software; the streams of two versions do
         not fit together
+    :ivar cold_remaining: seconds for which the target is still cold, as of
+        its registration
     """
 
     target_id: str
@@ -214,6 +227,7 @@
     resident: dict[AdapterName, int]
     expires_in: float | None = None
     software: str = ''
+    cold_remaining: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -276,6 +290,22 @@
         return self.tokens[0] if self.tokens else 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetLoad:
+    """Load that a target reports in a response.
+
+    :ivar running: requests in progress
+    :ivar waiting: requests in its queue
+    :ivar slowdown: time that work takes on its machine at this moment, as a
+        ratio of the usual time, None if the target does not report it
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseInfo:
     """Headers of a target's response, decoded.
@@ -283,7 +313,7 @@
     :ivar request_id: request that the response belongs to, or None
     :ivar is_signed: the response has the target's signature
     :ivar not_executed: the target did not execute the request
-    :ivar load: running requests, queued requests and slots, or None
+    :ivar load: load of the target, None without a valid report
     :ivar request_limit: requests a second that the target accepts from all
         nodes together, None for no limit
     :ivar rest: seconds for which a target that rejects the request wants no
@@ -291,16 +321,19 @@
     :ivar is_leaving: the target will end soon
     :ivar max_rejections: requests a second that a brittle target can reject
         without failing, None if it is not brittle
+    :ivar cold_remaining: seconds for which the target is still cold, None if
+        it does not say so
     """
 
     request_id: str | None
     is_signed: bool
     not_executed: bool
-    load: tuple[int, int, int] | None = None
+    load: TargetLoad | None = None
     request_limit: float | None = None
     rest: float | None = None
     is_leaving: bool = False
     max_rejections: float | None = None
+    cold_remaining: float | None = None
 
 
 class CommandKind(enum.StrEnum):
--- a/packages/mustardlb-gateway/mustardlb_gateway/ports.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/ports.py
@@ -96,6 +96,7 @@
     configuration_kind: str
     targets_kind: str
     versions_kind: str
+    evacuations_kind: str
 
     def read_configuration(self, spec: Any) -> domain.Configuration | None:
         """Decode a configuration; None if it is malformed."""
--- a/packages/mustardlb-gateway/mustardlb_gateway/settings.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/settings.py
@@ -25,6 +25,12 @@
     :ivar link_capacity: bandwidth of the VM's network link, Mbit/s
     :ivar limit_tolerance: how far accounts may exceed their limits
     :ivar max_descriptors: open files and sockets of the process
+    :ivar memory_mb: memory of the process, 0 for no limit
+    :ivar cold_limit_ratio: ratio by which all nodes together may exceed the
+        rate that a cold target tolerates
+    :ivar cold_limit_slack: requests in a second beyond that
+    :ivar evacuation_time: time after which no request reaches the targets of
+        an evacuated data centre, None if the platform has no evacuations
     """
 
     vm: str
@@ -44,6 +50,10 @@
     link_capacity: float = 0.0
     limit_tolerance: Tolerance = Tolerance()
     max_descriptors: int = 4096
+    memory_mb: float = 0.0
+    cold_limit_ratio: float = 1.0
+    cold_limit_slack: float = 0.0
+    evacuation_time: float | None = None
 
     def __post_init__(self) -> None:
         """Raise ValueError if the settings are invalid."""
--- a/tests/mustardlb_platform/test_settings.py
+++ b/tests/mustardlb_platform/test_settings.py
@@ -42,6 +42,19 @@
     assert settings.retry_slack == 54
 
 
+def test_limits_of_cold_targets_and_evacuations_are_read(tmp_path):
+    """Guards against parts that a deployment asks for and never get it."""
+    settings, _ = read(tmp_path, FIELDS)
+    assert settings.evacuation_time is None
+    assert (settings.cold_limit_ratio, settings.cold_limit_slack) == (1, 0)
+    bounds = {'cold_over': 1.5, 'cold_slack': 5, 'evacuation_ms': 5000}
+    limits = {'memory_mb': 200}
+    settings, _ = read(tmp_path, FIELDS | {'bounds': bounds, 'limits': limits})
+    assert settings.evacuation_time == 5.0
+    assert (settings.cold_limit_ratio, settings.cold_limit_slack) == (1.5, 5)
+    assert settings.memory_mb == 200
+
+
 def test_bounds_and_limits_are_optional(tmp_path):
     without_bounds = {
         k: v for k, v in FIELDS.items() if k not in ('bounds', 'limits')
--- a/tests/mustardlb_platform/test_translation.py
+++ b/tests/mustardlb_platform/test_translation.py
@@ -3,6 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies
 import pytest
+import structlog
 
 from mustardlb_gateway import domain
 from mustardlb_platform import _calls
@@ -288,7 +289,8 @@
             (b'x-mustardlb-server-load', b'3,0,8'),
         ]
     )
-    assert info == domain.ResponseInfo('9c41', True, False, (3, 0, 8))
+    load = domain.TargetLoad(3, 0, 8)
+    assert info == domain.ResponseInfo('9c41', True, False, load)
     not_executed = translation.read_response(
         [(b'x-mustardlb-not-executed', b'1')]
     )
@@ -317,6 +319,64 @@
     assert (info.rest, info.max_rejections) == (limit, limit)
 
 
+@pytest.mark.parametrize(
+    ('value', 'load'),
+    [
+        (b'3,0,8', domain.TargetLoad(3, 0, 8)),
+        (b'3,0,8,100', domain.TargetLoad(3, 0, 8, 1.0)),
+        (b'3, 7, 8, 412.5', domain.TargetLoad(3, 7, 8, 4.125)),
+        (b'', None),
+        (b'3,0', None),
+        (b'3,0,8,0', None),
+        (b'3,0,8,nan', None),
+        (b'3,0,8,inf', None),
+        (b'3,0,8,100,1', None),
+        (b'-3,0,8', None),
+        (b'many,0,8', None),
+    ],
+)
+def test_load_of_a_target_is_decoded(value, load):
+    """Guards against a report with four figures that is taken for none."""
+    info = translation.read_response([(b'x-mustardlb-server-load', value)])
+    assert info.load == load
+
+
+def test_malformed_load_of_a_target_is_logged():
+    """Guards against reports that are dropped without a trace."""
+    with structlog.testing.capture_logs() as logs:
+        translation.read_response([(b'x-mustardlb-server-load', b'1,2')])
+    assert [(each['event'], each['value']) for each in logs] == [
+        ('MLB-7005', '1,2')
+    ]
+
+
+def test_cold_target_is_recognized():
+    """Guards against cold targets that look like any other."""
+    registration = REGISTRATION | {'cold_remaining_ms': 2500}
+    target = translation.read_target('t1', registration)
+    assert target.cold_remaining == 2.5
+    assert translation.read_target('t1', REGISTRATION).cold_remaining == 0
+    info = translation.read_response([(b'x-mustardlb-cold-ms', b'1500')])
+    assert info.cold_remaining == 1.5
+    assert translation.read_response([]).cold_remaining is None
+
+
+def test_limit_of_cold_targets_is_decoded():
+    """Guards against a configured limit that no part ever sees."""
+    service = CONFIGURATION['services'][0] | {
+        'cold_start_s': 3.0,
+        'cold_per_s': 7.2,
+    }
+    plain = translation.read_configuration(CONFIGURATION)
+    cold = translation.read_configuration(
+        CONFIGURATION | {'services': [service]}
+    )
+    (decoded,) = cold.services_by_name.values()
+    assert (decoded.cold_start, decoded.cold_per_second) == (3.0, 7.2)
+    for each in plain.services_by_name.values():
+        assert (each.cold_start, each.cold_per_second) == (0.0, 0.0)
+
+
 @pytest.mark.parametrize(
     ('value', 'is_leaving'),
     [(b'1', True), (b' 1 ', True), (b'0', False), (b'yes', False)],
