Split the composition root by what it wires

Cause: the constructor of app.Node had 195 lines and 25 parts. Change: the copies of the store, the targets, the engines and the way of a request are wired by modules of their own (_wiring_*.py), which return frozen groups of parts. No behaviour changes.

--- /dev/null
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -0,0 +1,79 @@
+"""Wires the way of a client's request to a target."""
+
+from collections import abc
+
+from mustardlb_gateway import _dispatch
+from mustardlb_gateway import _exchange
+from mustardlb_gateway import _membership
+from mustardlb_gateway import _messages
+from mustardlb_gateway import _peers
+from mustardlb_gateway import _placement
+from mustardlb_gateway import _prefix_index
+from mustardlb_gateway import _target_permits
+from mustardlb_gateway import _wiring_engines
+from mustardlb_gateway import _wiring_state
+from mustardlb_gateway import _wiring_targets
+from mustardlb_gateway import domain
+from mustardlb_gateway import ports
+from mustardlb_gateway import settings as gateway_settings
+
+
+def make_dispatcher(
+    settings: gateway_settings.Settings,
+    translation: ports.Translation,
+    state: _wiring_state.StateParts,
+    target_parts: _wiring_targets.TargetParts,
+    engines: _wiring_engines.EngineParts,
+    permits: _target_permits.TargetPermits,
+    prefix_index: _prefix_index.PrefixIndex,
+    membership: _membership.Membership,
+    peers: _peers.Peers,
+    acquire_retry: abc.Callable[[str], bool],
+    record_origin: abc.Callable[
+        [str, _messages.Origin, tuple[str, ...]], None
+    ],
+) -> _dispatch.Dispatcher:
+    """Return the dispatcher with the choice of targets and the exchange."""
+    targets = state.targets
+    manager = engines.manager
+    placement = _placement.Placement(
+        targets,
+        prefix_index,
+        manager.resident,
+        manager.is_controlled,
+        manager.was_resident,
+        manager.free_slots,
+        lambda: membership.load_age,
+        settings.data_centre,
+        target_parts.software_history.is_adopted,
+    )
+
+    def tell_rest(helper: str, target: domain.Target, seconds: float) -> None:
+        _wiring_targets.tell_rest(peers, helper, target, seconds)
+
+    exchange = _exchange.Exchange(
+        translation,
+        target_parts.pool,
+        target_parts.links,
+        targets,
+        prefix_index,
+        state.config.versions,
+        target_parts.quarantine.record_output,
+        target_parts.limits.record_response,
+        target_parts.states,
+        tell_rest,
+        record_origin,
+    )
+    return _dispatch.Dispatcher(
+        exchange,
+        targets,
+        placement,
+        state.config.versions,
+        manager.request_load,
+        manager.reserve,
+        acquire_retry,
+        target_parts.quarantine,
+        target_parts.crash_watch.record_failure,
+        permits,
+        target_parts.states,
+    )
--- /dev/null
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -0,0 +1,146 @@
+"""Wires what a node knows of targets and how it reaches them."""
+
+from collections import abc
+import dataclasses
+
+from mustardlb_gateway import _crash_watch
+from mustardlb_gateway import _membership
+from mustardlb_gateway import _messages
+from mustardlb_gateway import _owners
+from mustardlb_gateway import _peers
+from mustardlb_gateway import _quarantine
+from mustardlb_gateway import _reachability
+from mustardlb_gateway import _relay
+from mustardlb_gateway import _software_history
+from mustardlb_gateway import _target_limits
+from mustardlb_gateway import _target_links
+from mustardlb_gateway import _target_network
+from mustardlb_gateway import _target_permits
+from mustardlb_gateway import _target_states
+from mustardlb_gateway import _trials
+from mustardlb_gateway import _wiring_state
+from mustardlb_gateway import domain
+from mustardlb_gateway import http_client
+from mustardlb_gateway import ports
+from mustardlb_gateway import settings as gateway_settings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetParts:
+    """What targets say and do, and the links to them."""
+
+    limits: _target_limits.TargetLimits
+    quarantine: _quarantine.Quarantine
+    software_history: _software_history.SoftwareHistory
+    states: _target_states.TargetStates
+    pool: http_client.Pool
+    reachability: _reachability.Reachability
+    links: _target_links.TargetLinks
+    relay_server: _relay.RelayServer
+    crash_watch: _crash_watch.CrashWatch
+
+
+def make(
+    settings: gateway_settings.Settings,
+    state: _wiring_state.StateParts,
+    store: ports.Store,
+    membership: _membership.Membership,
+    peers: abc.Callable[[], _peers.Peers],
+    is_stopping: abc.Callable[[], bool],
+    clock: abc.Callable[[], float],
+) -> TargetParts:
+    """Return the parts that know and reach the targets."""
+    targets = state.targets
+    limits = _target_limits.TargetLimits(targets.incarnation)
+    quarantine = _quarantine.Quarantine(clock, lambda: membership.load_age)
+    software_history = _software_history.SoftwareHistory(clock)
+    state.targets_mirror.on_change(
+        lambda: software_history.observe(targets.by_id.values())
+    )
+    states = _target_states.TargetStates(
+        clock,
+        limits,
+        settings.vm,
+        _owners.Owners(settings.vm, lambda: membership.live, clock),
+        targets.own_in_flight,
+        targets.record_leaving,
+    )
+    pool = http_client.Pool(_target_links.CONNECT_TIMEOUT_SECONDS)
+    reachability = _reachability.Reachability(clock)
+    links = _target_links.TargetLinks(
+        reachability,
+        pool,
+        _target_network.TargetNetwork(
+            lambda vm, target: peers().relay(vm, target)
+        ),
+        lambda: targets.by_id,
+        lambda: membership.live,
+        membership.data_centre_of,
+        settings.data_centre,
+        lambda target: states.rest(target) > 0,
+    )
+    relay_server = _relay.RelayServer(
+        links,
+        lambda: targets.by_id,
+        lambda body, request: peers().encode(body, request),
+        is_stopping,
+    )
+    crash_watch = _crash_watch.CrashWatch(
+        quarantine,
+        store,
+        targets.takes_requests,
+        is_down=links.is_down,
+    )
+    return TargetParts(
+        limits,
+        quarantine,
+        software_history,
+        states,
+        pool,
+        reachability,
+        links,
+        relay_server,
+        crash_watch,
+    )
+
+
+def make_trials(
+    settings: gateway_settings.Settings,
+    target_parts: TargetParts,
+    peers: _peers.Peers,
+    clock: abc.Callable[[], float],
+) -> _trials.Trials:
+    """Return the permits to send calls that are quarantined."""
+    return _trials.Trials(
+        settings.vm,
+        target_parts.quarantine,
+        peers.request,
+        peers.alive,
+        clock,
+    )
+
+
+def make_permits(
+    settings: gateway_settings.Settings,
+    target_parts: TargetParts,
+    peers: _peers.Peers,
+    clock: abc.Callable[[], float],
+) -> _target_permits.TargetPermits:
+    """Return the permits to send requests to targets with a limit."""
+    return _target_permits.TargetPermits(
+        settings.vm,
+        target_parts.limits,
+        peers.request,
+        peers.alive,
+        clock,
+    )
+
+
+def tell_rest(
+    peers: _peers.Peers, helper: str, target: domain.Target, seconds: float
+) -> None:
+    """Tell a node that a target has asked it for rest."""
+    peers.notify(
+        helper,
+        _messages.Rest(target.target_id, target.incarnation, seconds),
+    )
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -9,45 +9,29 @@
 from mustardlb import clock as clocks
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _charging
-from mustardlb_gateway import _crash_watch
 from mustardlb_gateway import _crashes
-from mustardlb_gateway import _current_config
-from mustardlb_gateway import _dispatch
-from mustardlb_gateway import _engine_client
-from mustardlb_gateway import _engine_manager
-from mustardlb_gateway import _exchange
 from mustardlb_gateway import _fleet
 from mustardlb_gateway import _gateway
-from mustardlb_gateway import _leases
 from mustardlb_gateway import _membership
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _metrics
 from mustardlb_gateway import _mirror
 from mustardlb_gateway import _node_gauges
-from mustardlb_gateway import _owners
-from mustardlb_gateway import _peer_sync
 from mustardlb_gateway import _peers
-from mustardlb_gateway import _placement
 from mustardlb_gateway import _prefix_index
-from mustardlb_gateway import _quarantine
 from mustardlb_gateway import _quota
-from mustardlb_gateway import _reachability
 from mustardlb_gateway import _registration
-from mustardlb_gateway import _relay
 from mustardlb_gateway import _retry_budget
 from mustardlb_gateway import _software_history
 from mustardlb_gateway import _software_records
 from mustardlb_gateway import _stream_origins
 from mustardlb_gateway import _target_limits
-from mustardlb_gateway import _target_links
-from mustardlb_gateway import _target_network
-from mustardlb_gateway import _target_permits
-from mustardlb_gateway import _target_states
-from mustardlb_gateway import _targets
 from mustardlb_gateway import _timers
-from mustardlb_gateway import _trials
+from mustardlb_gateway import _wiring_engines
+from mustardlb_gateway import _wiring_requests
+from mustardlb_gateway import _wiring_state
+from mustardlb_gateway import _wiring_targets
 from mustardlb_gateway import domain
-from mustardlb_gateway import http_client
 from mustardlb_gateway import http_server
 from mustardlb_gateway import ports
 from mustardlb_gateway import settings as gateway_settings
@@ -92,31 +76,22 @@
         self.settings = settings
         self._store = store
         self._clock = clock
+        self._nursery: trio.Nursery | None = None
+        self.is_stopping = False
+        self._counts_changed = trio.Event()
+        self._retry_budgets_by_service: dict[
+            str, _retry_budget.RetryBudget
+        ] = {}
         incarnation = int.from_bytes(os.urandom(6), 'big')
-        self._mirrors = [
-            _mirror.Mirror(kind)
-            for kind in (
-                translation.configuration_kind,
-                translation.targets_kind,
-                translation.versions_kind,
-            )
-        ]
-        configurations, targets_mirror, versions = self._mirrors
-        self._configurations = configurations
-        self._peer_sync = _peer_sync.PeerSync(self._mirrors, clock)
-        self.state = _current_config.CurrentConfig(
-            configurations,
-            versions,
-            translation,
-            clock,
-            lambda: self.settings.version_time,
-        )
-        self.targets = _targets.TargetTable(targets_mirror, translation, clock)
+        state = _wiring_state.make(translation, clock, lambda: self.settings)
+        self._mirrors = state.mirrors
+        self._peer_sync = state.peer_sync
+        self.state = state.config
+        self.targets = state.targets
         self._quota = _quota.Quota(
             lambda: self.settings.limit_tolerance,
             lambda: self.membership.counters_stale_after,
         )
-        self._counts_changed = trio.Event()
         self.membership = _membership.Membership(
             _centres.Vm(
                 settings.vm,
@@ -130,50 +105,16 @@
         self.fleet = _fleet.Fleet(
             self.membership, incarnation, self._make_digest, clock
         )
-        self.target_limits = _target_limits.TargetLimits(
-            self.targets.incarnation
-        )
-        self.quarantine = _quarantine.Quarantine(
-            clock, lambda: self.membership.load_age
-        )
-        self._software_history = _software_history.SoftwareHistory(clock)
-        targets_mirror.on_change(
-            lambda: self._software_history.observe(self.targets.by_id.values())
-        )
-        self._target_states = _target_states.TargetStates(
-            clock,
-            self.target_limits,
-            settings.vm,
-            _owners.Owners(settings.vm, lambda: self.membership.live, clock),
-            self.targets.own_in_flight,
-            self.targets.record_leaving,
-        )
-        self._pool = http_client.Pool(_target_links.CONNECT_TIMEOUT_SECONDS)
-        self.reachability = _reachability.Reachability(clock)
-        self._links = _target_links.TargetLinks(
-            self.reachability,
-            self._pool,
-            _target_network.TargetNetwork(
-                lambda vm, target: self.peers.relay(vm, target)
-            ),
-            lambda: self.targets.by_id,
-            lambda: self.membership.live,
-            self.membership.data_centre_of,
-            settings.data_centre,
-            lambda target: self._target_states.rest(target) > 0,
-        )
-        self._relay_server = _relay.RelayServer(
-            self._links,
-            lambda: self.targets.by_id,
-            lambda body, request: self.peers.encode(body, request),
-            lambda: self.is_stopping,
-        )
-        self._crash_watch = _crash_watch.CrashWatch(
-            self.quarantine,
+        self._target_parts = _wiring_targets.make(
+            settings,
+            state,
             store,
-            self.targets.takes_requests,
-            is_down=self._links.is_down,
+            self.membership,
+            lambda: self.peers,
+            lambda: self.is_stopping,
+            clock,
         )
+        self.quarantine = self._target_parts.quarantine
         self.peers = _peers.Peers(
             self.membership,
             self.fleet,
@@ -185,9 +126,9 @@
             lambda: self._quota.levels(clock()),
             self._quota.adopt_levels,
             lambda: self.quarantine.evidence,
-            lambda: self.target_limits.notice_by_key,
+            lambda: self._target_parts.limits.notice_by_key,
             self._handle_target_observations,
-            self._relay_server.serve,
+            self._target_parts.relay_server.serve,
         )
         self._charging = _charging.Charging(
             settings.vm,
@@ -199,71 +140,48 @@
             self.state.account,
             clock,
         )
-        self._trials = _trials.Trials(
-            settings.vm,
-            self.quarantine,
-            self.peers.request,
-            self.peers.alive,
-            clock,
+        self._trials = _wiring_targets.make_trials(
+            settings, self._target_parts, self.peers, clock
         )
-        self._permits = _target_permits.TargetPermits(
-            settings.vm,
-            self.target_limits,
-            self.peers.request,
-            self.peers.alive,
-            clock,
+        self._permits = _wiring_targets.make_permits(
+            settings, self._target_parts, self.peers, clock
         )
-        self._stream_origins = _stream_origins.StreamOrigins(
-            settings.vm,
-            self._software_history,
-            self.peers.request,
-            self.peers.alive,
-            self.membership.data_centre_of,
-            self.fleet.incarnations,
-            lambda: self.targets.age <= _software_history.ADOPTION_SECONDS,
-            lambda: _mirror.confirm(
-                targets_mirror, store, clock, CONFIRM_TIMEOUT_SECONDS
-            ),
-            clock,
-        )
-        self.leases = _leases.Leases(
-            settings.vm,
+        self._stream_origins = self._make_stream_origins(state.targets_mirror)
+        engines = _wiring_engines.make(
+            lambda: self.settings,
             incarnation,
+            state,
+            self._target_parts,
             store,
-            clock,
-            lambda: self.settings.handover_time,
-            lambda: self.settings.fences_checked,
-        )
-        self.engine_manager = _engine_manager.EngineManager(
-            settings.vm,
-            self.leases,
-            _engine_client.EngineClient(
-                self._pool,
-                translation,
-                self.target_limits.record_response,
-                self._target_states,
-            ),
-            self.targets,
+            translation,
+            self.membership,
             self.peers,
             clock,
-            self.state.service,
-            self.state.newest,
-            lambda: self.membership.load_age,
-            self.reachability.is_lost,
         )
+        self.engine_manager = engines.manager
         self._prefix_index = _prefix_index.PrefixIndex(clock)
-        self._retry_budgets_by_service: dict[
-            str, _retry_budget.RetryBudget
-        ] = {}
         self.metrics = _metrics.Metrics()
         self._gauges = _node_gauges.NodeGauges(self.metrics)
+        dispatcher = _wiring_requests.make_dispatcher(
+            settings,
+            translation,
+            state,
+            self._target_parts,
+            engines,
+            self._permits,
+            self._prefix_index,
+            self.membership,
+            self.peers,
+            self._acquire_retry,
+            self._stream_origins.record,
+        )
         self._gateway = _gateway.Gateway(
             translation,
-            self._make_dispatcher(translation),
+            dispatcher,
             self._charging,
             self.metrics,
             lambda: self.state.configuration,
-            lambda: clock() - configurations.confirmed_at,
+            lambda: clock() - state.configurations.confirmed_at,
             lambda service: self._get_retry_budget(service).add_request(),
             lambda: self._counts_changed.set(),
             self.quarantine,
@@ -272,61 +190,31 @@
             clock,
         )
         self._client_server = self._make_client_server()
-        self._nursery: trio.Nursery | None = None
-        self.is_stopping = False
         self.targets.on_removed(self._on_target_removed)
 
-    def _make_dispatcher(
-        self, translation: ports.Translation
-    ) -> _dispatch.Dispatcher:
-        placement = _placement.Placement(
-            self.targets,
-            self._prefix_index,
-            self.engine_manager.resident,
-            self.engine_manager.is_controlled,
-            self.engine_manager.was_resident,
-            self.engine_manager.free_slots,
-            lambda: self.membership.load_age,
-            self.settings.data_centre,
-            self._software_history.is_adopted,
-        )
-
-        return _dispatch.Dispatcher(
-            _exchange.Exchange(
-                translation,
-                self._pool,
-                self._links,
-                self.targets,
-                self._prefix_index,
-                self.state.versions,
-                self.quarantine.record_output,
-                self.target_limits.record_response,
-                self._target_states,
-                self._tell_rest,
-                self._stream_origins.record,
-            ),
-            self.targets,
-            placement,
-            self.state.versions,
-            self.engine_manager.request_load,
-            self.engine_manager.reserve,
-            lambda service: self._get_retry_budget(service).try_acquire(
-                self._clock()
+    def _make_stream_origins(
+        self, targets_mirror: _mirror.Mirror
+    ) -> _stream_origins.StreamOrigins:
+        return _stream_origins.StreamOrigins(
+            self.settings.vm,
+            self._target_parts.software_history,
+            self.peers.request,
+            self.peers.alive,
+            self.membership.data_centre_of,
+            self.fleet.incarnations,
+            lambda: self.targets.age <= _software_history.ADOPTION_SECONDS,
+            lambda: _mirror.confirm(
+                targets_mirror,
+                self._store,
+                self._clock,
+                CONFIRM_TIMEOUT_SECONDS,
             ),
-            self.quarantine,
-            self._crash_watch.record_failure,
-            self._permits,
-            self._target_states,
+            self._clock,
         )
 
-    def _tell_rest(
-        self, helper: str, target: domain.Target, seconds: float
-    ) -> None:
-        """Tell a node that a target has asked it for rest."""
-        self.peers.notify(
-            helper,
-            _messages.Rest(target.target_id, target.incarnation, seconds),
-        )
+    def _acquire_retry(self, service: str) -> bool:
+        """Return whether a call may be sent to another target."""
+        return self._get_retry_budget(service).try_acquire(self._clock())
 
     def _make_client_server(self) -> http_server.Server:
         def limits() -> domain.RequestLimits:
@@ -357,10 +245,10 @@
         return budget
 
     def _on_target_removed(self, target: domain.Target) -> None:
-        self._pool.remove_peer(target.target_id)
-        self.reachability.forget(target.target_id)
+        self._target_parts.pool.remove_peer(target.target_id)
+        self._target_parts.reachability.forget(target.target_id)
         self._prefix_index.discard(target.target_id)
-        self._crash_watch.handle_removal(target)
+        self._target_parts.crash_watch.handle_removal(target)
 
     def _make_digest(self) -> _messages.Digest:
         usages = tuple(
@@ -386,7 +274,7 @@
             self.engine_manager.own_holdings(),
             self.engine_manager.can_claim(),
             self.quarantine.own_evidence,
-            self.target_limits.own_notice_by_key,
+            self._target_parts.limits.own_notice_by_key,
         )
 
     def _handle_target_observations(
@@ -398,7 +286,7 @@
         if evidence:
             self.quarantine.add(evidence)
         if limits:
-            self.target_limits.add(limits)
+            self._target_parts.limits.add(limits)
 
     def _apply_fleet_view(self) -> None:
         """Update targets, engines and quota from the fleet's view."""
@@ -464,7 +352,7 @@
             case _messages.FindOrigin():
                 return self._stream_origins.handle_find(message.body)
             case _messages.Rest():
-                self._target_states.record_rest(
+                self._target_parts.states.record_rest(
                     message.body.target_id,
                     message.body.incarnation,
                     message.body.seconds,
@@ -509,13 +397,13 @@
             nursery.start_soon(self.engine_manager.run, nursery)
             nursery.start_soon(self._run_maintenance)
             nursery.start_soon(self._publish_counts)
-            nursery.start_soon(self._crash_watch.run)
-            nursery.start_soon(self._links.run)
+            nursery.start_soon(self._target_parts.crash_watch.run)
+            nursery.start_soon(self._target_parts.links.run)
             nursery.start_soon(self._stream_origins.run)
             nursery.start_soon(
                 _software_records.sync,
                 self._store,
-                self._software_history,
+                self._target_parts.software_history,
                 self.settings.vm,
                 self.peers.alive,
                 self._clock,
@@ -544,11 +432,11 @@
                 accounts = (configuration.accounts_by_name or {}).values()
                 self._quota.add_accounts(accounts, now)
             self._quota.charge_assumed_shares(now)
-            self._pool.close_expired()
+            self._target_parts.pool.close_expired()
             self.quarantine.refresh_if_due()
-            self.target_limits.remove_gone()
+            self._target_parts.limits.remove_gone()
             self._permits.remove_gone()
-            self._target_states.remove_expired()
+            self._target_parts.states.remove_expired()
             self._update_gauges()
 
     def _update_gauges(self) -> None:
@@ -557,8 +445,8 @@
         gauges.crash_reports.set(len(quarantine.evidence.report_by_key))
         gauges.stream_origins.set(self._stream_origins.size)
         gauges.suspended_targets.set(self.targets.suspended_count)
-        gauges.lost_targets.set(self.reachability.lost_count)
-        gauges.relayed_connections.set(self._relay_server.count)
+        gauges.lost_targets.set(self._target_parts.reachability.lost_count)
+        gauges.relayed_connections.set(self._target_parts.relay_server.count)
 
     def reload(self, settings: gateway_settings.Settings) -> None:
         """Apply changed settings while the node runs."""
@@ -587,7 +475,7 @@
             self._client_server.close_idle()
             if not (
                 self._client_server.requests_in_flight
-                or self._relay_server.count
+                or self._target_parts.relay_server.count
             ):
                 break
             await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
