Keep requests from evacuated data centres

Change: a mirror of that kind, only if the settings have an evacuation time. The table of targets leaves out the targets of these data centres. A node that starts sends nothing before it has read the evacuations, for the evacuation time at most.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -194,13 +194,17 @@
 
         A permit is kept while the adapter is loaded.
         """
-        if not self._states.takes_requests(target):
+        if not self._states.takes_requests(
+            target
+        ) or self._targets.is_evacuated(target):
             return False
         target_id = target.target_id
         if job.permitted_until.get(target_id, 0.0) > trio.current_time():
             return True
         if not await self._permits.acquire(target, job.call.request_id):
             return False
+        if self._targets.is_evacuated(target):
+            return False
         job.permitted_until[target_id] = (
             trio.current_time() + _target_permits.PERMIT_TTL_SECONDS
         )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -120,8 +120,11 @@
                 connection = await self._links.acquire(
                     target, job.call.request_id
                 )
-                if self._states.rest(target):
-                    # It has asked for rest while the connection was opened.
+                if self._states.rest(target) or self._targets.is_evacuated(
+                    target
+                ):
+                    # It has asked for rest, or its data centre was evacuated,
+                    # while the connection was opened.
                     attempt.is_withheld = True
                     raise http_client.ExchangeFailed(
                         'the target takes no requests for now', was_sent=False
--- a/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
@@ -33,6 +33,10 @@
             'mustardlb_relayed_connections',
             'Connections to targets that this node relays for others.',
         )
+        self.evacuated_centres = metrics.add_gauge(
+            'mustardlb_evacuated_data_centres',
+            'Data centres whose targets get no requests.',
+        )
         self.stream_origins = metrics.add_gauge(
             'mustardlb_stream_origins',
             'Streams of the last minute whose beginning this node knows.',
--- a/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
@@ -121,6 +121,9 @@
 class RelayServer:
     """Relays connections for other nodes, unless this one is stopping.
 
+    `is_evacuated` returns whether a target gets no new connections, and
+    `is_overdue` whether it gets no further bytes on those that it has.
+
     :ivar count: number of connections that are relayed now
     """
 
@@ -130,11 +133,15 @@
         targets: abc.Callable[[], abc.Mapping[str, domain.Target]],
         encode: _peer_channel.Encoder,
         is_stopping: abc.Callable[[], bool],
+        is_evacuated: abc.Callable[[domain.Target], bool] = lambda _: False,
+        is_overdue: abc.Callable[[domain.Target], bool] = lambda _: False,
     ) -> None:
         self._links = links
         self._targets = targets
         self._encode = encode
         self._is_stopping = is_stopping
+        self._is_evacuated = is_evacuated
+        self._is_overdue = is_overdue
         self.count = 0
 
     async def serve(
@@ -155,7 +162,7 @@
                 client, self._encode(_messages.RelayResult(outcome), 0)
             )
             if server is not None:
-                await _copy_both(client, server)
+                await _copy_both(client, server, lambda: self._may_send(relay))
         except _peer_channel.CONNECTION_ERRORS as error:
             log.info('MLB-6305', peer=vm, problem=repr(error))
         finally:
@@ -170,19 +177,30 @@
         target = self._targets().get(relay.target_id)
         if target is None or target.incarnation != relay.incarnation:
             return _reachability.RelayOutcome.UNKNOWN, None
+        if self._is_evacuated(target):
+            return _reachability.RelayOutcome.RESTING, None
         if self.count > MAX_CONNECTIONS or self._is_stopping():
             return _reachability.RelayOutcome.BUSY, None
         return await self._links.connect_for_other(
             target, CONNECT_TIMEOUT_SECONDS
         )
 
+    def _may_send(self, relay: _messages.Relay) -> bool:
+        """Return whether bytes of requests may still reach a target."""
+        target = self._targets().get(relay.target_id)
+        return target is None or not self._is_overdue(target)
+
 
 async def _copy_both(
-    client: trio.SocketStream, server: http_client.Stream
+    client: trio.SocketStream,
+    server: http_client.Stream,
+    may_send: abc.Callable[[], bool],
 ) -> None:
     """Copy bytes both ways until either side ends."""
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_copy, client, server, nursery.cancel_scope)
+        nursery.start_soon(
+            _copy, client, server, nursery.cancel_scope, may_send
+        )
         try:
             while data := await server.receive_some(MAX_READ_BYTES):
                 await frames.send(client, bytes(data))
@@ -197,9 +215,13 @@
     source: trio.SocketStream,
     sink: http_client.Stream,
     scope: trio.CancelScope,
+    may_send: abc.Callable[[], bool],
 ) -> None:
     try:
         while data := await source.receive_some(MAX_READ_BYTES):
+            if not may_send():
+                log.info('MLB-6309', problem='the target is evacuated')
+                break
             await sink.send_all(data)
     except _LOST as error:
         log.info('MLB-6309', problem=repr(error))
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -73,8 +73,10 @@
         mirror: _mirror.Mirror,
         translation: ports.Translation,
         clock: abc.Callable[[], float],
+        is_centre_evacuated: abc.Callable[[str], bool] = lambda name: False,
     ) -> None:
         self._mirror = mirror
+        self._is_centre_evacuated = is_centre_evacuated
         self._translation = translation
         self._clock = clock
         self.by_id: dict[str, domain.Target] = {}
@@ -204,6 +206,7 @@
             for target in self.by_id.values()
             if target.service == service
             and target.state == domain.TargetState.READY
+            and not self.is_evacuated(target)
         ]
         if found or not self._expired_by_id:
             return found
@@ -218,10 +221,19 @@
             for target, _ in self._expired_by_id.values()
             if target.service == service
             and (target.target_id, target.incarnation) not in self._leaving
+            and not self.is_evacuated(target)
         ]
 
+    def is_evacuated(self, target: domain.Target) -> bool:
+        """Return whether a target is in an evacuated data centre."""
+        return self._is_centre_evacuated(target.data_centre)
+
     def takes_requests(self, target: domain.Target) -> bool:
         """Return whether a target chosen earlier still accepts requests."""
+        return self.is_registered(target) and not self.is_evacuated(target)
+
+    def is_registered(self, target: domain.Target) -> bool:
+        """Return whether a target is ready, or may register again."""
         current = self.by_id.get(target.target_id)
         if current is None:
             return target.target_id in self._expired_by_id
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_state.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_state.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from mustardlb_gateway import _current_config
+from mustardlb_gateway import _evacuations
 from mustardlb_gateway import _mirror
 from mustardlb_gateway import _peer_sync
 from mustardlb_gateway import _targets
@@ -17,6 +18,7 @@
 
     :ivar mirrors: configurations and targets first, which a node needs in
         order to be ready
+    :ivar evacuations: with a mirror only if the platform has evacuations
     """
 
     mirrors: list[_mirror.Mirror]
@@ -25,6 +27,7 @@
     peer_sync: _peer_sync.PeerSync
     config: _current_config.CurrentConfig
     targets: _targets.TargetTable
+    evacuations: _evacuations.Evacuations
 
 
 def make(
@@ -37,6 +40,13 @@
     targets_mirror = _mirror.Mirror(translation.targets_kind)
     versions = _mirror.Mirror(translation.versions_kind)
     mirrors = [configurations, targets_mirror, versions]
+    evacuations_mirror = None
+    if settings().evacuation_time is not None:
+        evacuations_mirror = _mirror.Mirror(translation.evacuations_kind)
+        mirrors.append(evacuations_mirror)
+    evacuations = _evacuations.Evacuations(
+        evacuations_mirror, clock, lambda: settings().evacuation_time
+    )
     return StateParts(
         mirrors,
         configurations,
@@ -49,5 +59,8 @@
             clock,
             lambda: settings().version_time,
         ),
-        _targets.TargetTable(targets_mirror, translation, clock),
+        _targets.TargetTable(
+            targets_mirror, translation, clock, evacuations.is_evacuated
+        ),
+        evacuations,
     )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -84,11 +84,13 @@
         lambda: targets.by_id,
         lambda body, request: peers().encode(body, request),
         is_stopping,
+        targets.is_evacuated,
+        lambda target: state.evacuations.is_overdue(target.data_centre),
     )
     crash_watch = _crash_watch.CrashWatch(
         quarantine,
         store,
-        targets.takes_requests,
+        targets.is_registered,
         is_down=links.is_down,
     )
     return TargetParts(
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -87,6 +87,7 @@
         self._mirrors = state.mirrors
         self._peer_sync = state.peer_sync
         self.state = state.config
+        self._evacuations = state.evacuations
         self.targets = state.targets
         self._quota = _quota.Quota(
             lambda: self.settings.limit_tolerance,
@@ -366,6 +367,7 @@
         has_objects = all(mirror.revision for mirror in self._mirrors[:2])
         return (
             has_objects
+            and self._evacuations.is_known
             and self.state.configuration is not None
             and (not self.is_stopping)
         )
@@ -446,6 +448,7 @@
         gauges.stream_origins.set(self._stream_origins.size)
         gauges.suspended_targets.set(self.targets.suspended_count)
         gauges.lost_targets.set(self._target_parts.reachability.lost_count)
+        gauges.evacuated_centres.set(len(self._evacuations.since_by_centre))
         gauges.relayed_connections.set(self._target_parts.relay_server.count)
 
     def reload(self, settings: gateway_settings.Settings) -> None:
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -10,6 +10,7 @@
 
 from mustardlb_gateway import _charging
 from mustardlb_gateway import _dispatch
+from mustardlb_gateway import _evacuations
 from mustardlb_gateway import _exchange
 from mustardlb_gateway import _gateway
 from mustardlb_gateway import _jobs
@@ -143,7 +144,15 @@
         mirror.is_connected = True
         self.mirror = mirror
         clock = trio.current_time
-        self.targets = _targets.TargetTable(mirror, translation, clock)
+        self.evacuations = _mirror.Mirror('evacuations')
+        self.targets = _targets.TargetTable(
+            mirror,
+            translation,
+            clock,
+            _evacuations.Evacuations(
+                self.evacuations, clock, lambda: 0.0
+            ).is_evacuated,
+        )
         prefix_index = _prefix_index.PrefixIndex(clock)
         self.quota = _quota.Quota(lambda: _quota.Tolerance(0.0, 10.0))
         self.quarantine = _quarantine.Quarantine(clock, lambda: 0.0, clock)
@@ -302,6 +311,13 @@
             self.mirror.revision + 1,
         )
 
+    def set_evacuated(self, *data_centres):
+        revision = self.evacuations.revision + 1
+        self.evacuations.replace_all(
+            [ports.StoredObject(name, 1, {}) for name in data_centres],
+            revision,
+        )
+
     @property
     def request_count(self):
         """Return the number of requests that the targets received."""
--- a/tests/mustardlb_gateway/test_app.py
+++ b/tests/mustardlb_gateway/test_app.py
@@ -20,6 +20,7 @@
     configuration_kind = 'config'
     targets_kind = 'servers'
     versions_kind = 'versions'
+    evacuations_kind = 'evacuations'
 
     def read_configuration(self, spec):
         return builders.make_configuration(
@@ -35,6 +36,7 @@
             state=domain.TargetState(spec['state']),
             resident=(),
             software=spec.get('software', ''),
+            data_centre=spec.get('data_centre', 'a'),
         )
 
     def read_version(self, spec):
@@ -61,7 +63,7 @@
         self.store.put('servers', 't1', spec)
 
     @contextlib.asynccontextmanager
-    async def running(self, nodes=1):
+    async def running(self, nodes=1, **changes):
         async with self.target.running(), trio.open_nursery() as nursery:
             for number in range(nodes):
                 front, ready, peer, metrics = free_ports.find(4)
@@ -74,6 +76,7 @@
                     peer_port=peer,
                     metrics_port=metrics,
                     stop_timeout=4.0,
+                    **changes,
                 )
                 store = (
                     self.store_views.pop(0) if self.store_views else self.store
--- a/tests/mustardlb_gateway/test_unreachable_targets.py
+++ b/tests/mustardlb_gateway/test_unreachable_targets.py
@@ -42,7 +42,7 @@
         self.links_by_node = []
 
     @contextlib.asynccontextmanager
-    async def running(self, nodes=NODES, targets=TARGETS):
+    async def running(self, nodes=NODES, targets=TARGETS, **settings):
         async with contextlib.AsyncExitStack() as stack:
             for _ in range(targets):
                 target = scripted.ScriptedServer(self.respond)
@@ -60,7 +60,9 @@
             self.cluster.translations = [
                 LinkedTranslation(links) for links in self.links_by_node
             ]
-            await stack.enter_async_context(self.cluster.running(nodes))
+            await stack.enter_async_context(
+                self.cluster.running(nodes, **settings)
+            )
             for number, target in enumerate(self.targets):
                 spec = {'port': target.port, 'state': 'ready'}
                 self.cluster.store.put('servers', f'server{number}', spec)
