Tell in digests which nodes reach no target

Change: a digest says whether its sender is cut off; hubs pass it on with the member, in a field of its own that earlier releases skip. Nodes that say so are not asked. The simulated fleet of test_target_links.py exchanges that bit once a second, with the same losses as other messages; its bounds are unchanged.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_aggregate.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_aggregate.py
@@ -22,7 +22,12 @@
         self._load_by_target: dict[str, _centres.Load] = {}
         self._adapter_counts: dict[str, dict[domain.AdapterName, int]] = {}
         self._member_by_vm = {
-            vm: _centres.Member(digest.vm(vm), incarnation, digest.can_claim)
+            vm: _centres.Member(
+                digest.vm(vm),
+                incarnation,
+                digest.can_claim,
+                digest.is_cut_off,
+            )
             for vm, (incarnation, digest) in members.items()
         }
         self._holdings = {
--- a/packages/mustardlb-gateway/mustardlb_gateway/_centres.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_centres.py
@@ -30,11 +30,13 @@
     """A live node; the incarnation differs after a restart.
 
     :ivar can_claim: whether the store answers it, so that it can claim leases
+    :ivar is_cut_off: whether it reaches no target, so that it cannot relay
     """
 
     vm: Vm
     incarnation: int
     can_claim: bool = True
+    is_cut_off: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_fleet.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_fleet.py
@@ -260,6 +260,9 @@
         self._membership.claimants = frozenset(
             vm for vm, member in members.items() if member.can_claim
         )
+        self._membership.cut_off = frozenset(
+            vm for vm, member in members.items() if member.is_cut_off
+        )
 
     def _sum_other_centres(self) -> _centres.CentreState:
         """Return the loads and adapters in use of other data centres."""
--- a/packages/mustardlb-gateway/mustardlb_gateway/_membership.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_membership.py
@@ -68,6 +68,7 @@
 
     :ivar live: names of the live nodes, without the local one
     :ivar claimants: those of them that can claim leases in the store
+    :ivar cut_off: those of them that say that they reach no target
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         self.vms_by_name: dict[str, _centres.Vm] = {}
         self.live: frozenset[str] = frozenset()
         self.claimants: frozenset[str] = frozenset()
+        self.cut_off: frozenset[str] = frozenset()
         self._added_at: dict[str, float] = {}
         self._heartbeat_at: dict[str, float] = {}
         self._leaving: set[str] = set()
--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -125,6 +125,7 @@
                 'isFull': body.is_full,
                 'revisions': _encode_numbers(body.revisions),
                 'changes': _encode_changes(body.changes),
+                'cutOff': _cut_off_members(body.changes),
                 'levels': _encode_amounts(body.levels),
                 'crashEvidence': _target_observation_codec.encode_evidence(
                     body.crash_evidence
@@ -178,6 +179,7 @@
         'targetLimits': _target_observation_codec.encode_limits(
             digest.target_limits
         ),
+        'isCutOff': digest.is_cut_off,
     }
 
 
@@ -211,6 +213,20 @@
 _changes_decoder = msgspec.msgpack.Decoder(list[_WireChange])
 
 
+def _cut_off_members(changes: tuple[_centres.CentreDelta, ...]) -> list[str]:
+    """Return the names of those changed members that reach no target.
+
+    They are a field of their own, since gateways of earlier releases decode
+    the entries of changes only in their exact form.
+    """
+    return [
+        member.vm.vm
+        for change in changes
+        for member in change.members
+        if member.is_cut_off
+    ]
+
+
 def _encode_changes(changes: tuple[_centres.CentreDelta, ...]) -> bytes:
     return msgspec.msgpack.encode([_encode_change(each) for each in changes])
 
@@ -355,11 +371,12 @@
             return _messages.Subscription(decoded.subscription)
         case 'update':
             update = decoded.update
+            cut_off = frozenset(update.cutOff)
             return _messages.Update(
                 update.isFull,
                 {each.name: each.number for each in update.revisions},
                 tuple(
-                    _decode_change(each)
+                    _decode_change(each, cut_off)
                     for each in _changes_decoder.decode(update.changes)
                 ),
                 {each.name: each.amount for each in update.levels},
@@ -403,6 +420,7 @@
         digest.canClaim,
         _target_observation_codec.decode_evidence(digest.crashEvidence),
         _target_observation_codec.decode_limits(digest.targetLimits),
+        digest.isCutOff,
     )
 
 
@@ -418,7 +436,9 @@
     )
 
 
-def _decode_change(wire: _WireChange) -> _centres.CentreDelta:
+def _decode_change(
+    wire: _WireChange, cut_off: frozenset[str]
+) -> _centres.CentreDelta:
     parse = domain.AdapterName.parse
     (
         centre,
@@ -441,6 +461,7 @@
                 _centres.Vm(vm, host, port, centre, capacity),
                 incarnation,
                 can_claim,
+                vm in cut_off,
             )
             for vm, host, port, capacity, incarnation, can_claim in members
         ),
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -35,6 +35,7 @@
     :ivar can_claim: whether the sender can claim leases in the store
     :ivar crash_evidence: found by the sender
     :ivar target_limits: that targets have told the sender
+    :ivar is_cut_off: whether the sender reaches no target
     """
 
     host: str
@@ -52,6 +53,7 @@
     target_limits: _target_limits.NoticesByKey = dataclasses.field(
         default_factory=dict
     )
+    is_cut_off: bool = False
 
     def vm(self, name: str) -> _centres.Vm:
         """Return the sender, whose name is given in the message."""
--- a/packages/mustardlb-gateway/mustardlb_gateway/_reachability.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_reachability.py
@@ -220,14 +220,21 @@
             for lost in self._lost_by_id.values():
                 lost.check_at = min(lost.check_at, self._clock())
 
-    def has_helper(self, vms: abc.Iterable[str]) -> bool:
+    def has_helper(
+        self,
+        vms: abc.Iterable[str],
+        cut_off: frozenset[str] = frozenset(),
+    ) -> bool:
         """Return whether any of the nodes may help."""
-        return any(not self._is_backed_off(vm) for vm in vms)
+        return any(
+            vm not in cut_off and not self._is_backed_off(vm) for vm in vms
+        )
 
     def helpers(
         self,
         centre_by_vm: abc.Mapping[str, str],
         data_centre: str,
+        cut_off: frozenset[str] = frozenset(),
     ) -> list[str]:
         """Return the nodes that may help, in the order to ask.
 
@@ -235,9 +242,16 @@
         help, since the few that can would then serve all the others. If most
         nodes cannot help, those come first that have.
         """
-        able = [vm for vm in centre_by_vm if not self._is_backed_off(vm)]
+        able = [
+            vm
+            for vm in centre_by_vm
+            if vm not in cut_off and not self._is_backed_off(vm)
+        ]
         self._rng.shuffle(able)
-        unable = sum(vm in self._backoff_by_helper for vm in centre_by_vm)
+        unable = sum(
+            vm in cut_off or vm in self._backoff_by_helper
+            for vm in centre_by_vm
+        )
         if 2 * unable > len(centre_by_vm):
             return sorted(able, key=lambda vm: vm not in self._proven)
         local = [vm for vm in able if centre_by_vm[vm] == data_centre]
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_links.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_links.py
@@ -66,6 +66,7 @@
     """Connections to targets, with their links' state.
 
     `is_resting` returns whether a target wants no requests from this node.
+    `cut_off` returns the nodes that say that they reach no target.
 
     :ivar reachability: which targets this node reaches itself
     """
@@ -80,6 +81,7 @@
         data_centre_of: abc.Callable[[str], str],
         data_centre: str,
         is_resting: abc.Callable[[domain.Target], bool] = lambda target: False,
+        cut_off: abc.Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self.reachability = reachability
         self._pool = pool
@@ -89,6 +91,7 @@
         self._data_centre_of = data_centre_of
         self._data_centre = data_centre
         self._is_resting = is_resting
+        self._cut_off = cut_off
         self._checks: dict[tuple[str, str], _LinkCheck] = {}
 
     async def acquire(
@@ -132,7 +135,7 @@
     async def _connect(self, target: domain.Target) -> http_client.Connection:
         """Open a connection of this node's own; raises OSError."""
         timeout = CONNECT_TIMEOUT_SECONDS
-        if self.reachability.has_helper(self._live_vms()):
+        if self.reachability.has_helper(self._live_vms(), self._cut_off()):
             timeout = RELAY_AFTER_SECONDS
         stream = await self._network.connect(target, timeout)
         self.reachability.record_reached(target.target_id)
@@ -142,7 +145,9 @@
         centre_by_vm = {
             vm: self._data_centre_of(vm) for vm in self._live_vms()
         }
-        return self.reachability.helpers(centre_by_vm, self._data_centre)
+        return self.reachability.helpers(
+            centre_by_vm, self._data_centre, self._cut_off()
+        )
 
     async def _acquire_relayed(
         self, target: domain.Target, problem: str
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -78,6 +78,7 @@
         membership.data_centre_of,
         settings.data_centre,
         lambda target: states.rest(target) > 0,
+        lambda: membership.cut_off,
     )
     relay_server = _relay.RelayServer(
         links,
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -275,6 +275,7 @@
             self.engine_manager.can_claim(),
             self.quarantine.own_evidence,
             self._target_parts.limits.own_notice_by_key,
+            self._target_parts.reachability.is_cut_off,
         )
 
     def _handle_target_observations(
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -79,6 +79,7 @@
   canClaim @10 :Bool = true;  # false if the store does not answer the sender
   crashEvidence @11 :CrashEvidence; # found by the sender
   targetLimits @12 :List(LimitNotice);
+  isCutOff @13 :Bool;       # whether the sender reaches no target
 }
 
 struct Update {
@@ -88,6 +89,7 @@
   levels @3 :List(Counted); # levels of the accounts' token buckets
   crashEvidence @4 :CrashEvidence;  # known to the sender, not sent before
   targetLimits @5 :List(LimitNotice); # known to the sender, not sent before
+  cutOff @6 :List(Text);    # changed members that reach no target
 }
 
 struct CrashEvidence {
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -44,6 +44,7 @@
     ),
     crash_evidence=EVIDENCE,
     target_limits=LIMITS,
+    is_cut_off=True,
 )
 
 CHANGE = _centres.CentreDelta(
@@ -52,6 +53,9 @@
     is_watching=True,
     members=(
         _centres.Member(_centres.Vm('vm2', '10.0.0.2', 7600, 'a', 5.0), 9),
+        _centres.Member(
+            _centres.Vm('vm4', '10.0.0.4', 7600, 'a', 5.0), 8, True, True
+        ),
     ),
     removed_members=('vm3',),
     admitted={'acme': 12.5},
@@ -118,6 +122,7 @@
         self.received_levels = {}
         self.evidence = self.own_evidence = _crashes.Evidence()
         self.limits = self.own_limits = {}
+        self.is_cut_off = False
         self.vm = _centres.Vm(
             vm, '127.0.0.1', free_ports.find(1)[0], data_centre, capacity
         )
@@ -159,6 +164,7 @@
             (),
             crash_evidence=self.own_evidence,
             target_limits=self.own_limits,
+            is_cut_off=self.is_cut_off,
         )
 
     @property
@@ -417,3 +423,21 @@
                 for node in nodes
             ):
                 await trio.sleep(0.02)
+
+
+# Nodes that do not know who reaches no target look for a helper at random.
+async def test_nodes_learn_which_others_reach_no_target():
+    nodes = make_fleet('ab', 3)
+    names = [node.vm.vm for node in nodes]
+    async with running(*nodes):
+        for cut_off in (set(names[1:5]), {names[5]}, set()):
+            for node in nodes:
+                node.is_cut_off = node.vm.vm in cut_off
+
+            def all_know(cut_off=cut_off):
+                return all(
+                    node.membership.cut_off == cut_off - {node.vm.vm}
+                    for node in nodes
+                )
+
+            await wait_until(all_know)
--- a/tests/mustardlb_gateway/test_target_links.py
+++ b/tests/mustardlb_gateway/test_target_links.py
@@ -24,6 +24,9 @@
 REJECT_SECONDS = 1.5
 
 HOP_SECONDS = 0.001
+
+# Nodes learn this often what the others' digests say.
+DIGEST_SECONDS = 1.0
 CENTRES = 3
 
 
@@ -57,9 +60,13 @@
             lambda: self.live,
             lambda vm: fleet.centre_by_vm[vm],
             data_centre,
+            cut_off=lambda: self.cut_off,
         )
+        self.cut_off = frozenset()
         self.live = frozenset(fleet.centre_by_vm) - {name}
         self.relayed = 0
+        self.asked = 0
+        self.max_relayed = float('inf')
 
     async def connect(self, target, timeout):
         await trio.sleep(HOP_SECONDS)
@@ -80,6 +87,9 @@
                 _reachability.RelayOutcome.NO_RESPONSE
             )
         helper = self.fleet.node_by_vm[vm]
+        helper.asked += 1
+        if helper.relayed >= helper.max_relayed:
+            return _target_links.Relayed(_reachability.RelayOutcome.BUSY)
         outcome, stream = await helper.links.connect_for_other(target, 0.2)
         if stream is not None:
             helper.relayed += 1
@@ -140,6 +150,7 @@
     @contextlib.asynccontextmanager
     async def running(self, per_node_second=4):
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._exchange_digests)
             for node in self.node_by_vm.values():
                 nursery.start_soon(node.links.run)
                 nursery.start_soon(
@@ -148,6 +159,19 @@
             yield self
             nursery.cancel_scope.cancel()
 
+    async def _exchange_digests(self):
+        """Tell each node which others say that they reach no target."""
+        while True:
+            await trio.sleep(DIGEST_SECONDS)
+            cut_off = frozenset(
+                vm
+                for vm, node in self.node_by_vm.items()
+                if node.reachability.is_cut_off
+            )
+            for node in self.node_by_vm.values():
+                if self.rng.random() >= self.lost_share:
+                    node.cut_off = cut_off
+
     async def _send(self, nursery, vm, per_second):
         while True:
             await trio.sleep(self.rng.expovariate(per_second))
@@ -224,6 +248,22 @@
     assert max(helpers) <= 4 * 10
 
 
+# Guards against a fleet whose calls all ask the one helper again and again
+# although it relays as many connections as it may.
+async def test_busy_helper_is_not_overrun_by_many_cut_nodes(autojump_clock):
+    fleet = Fleet(200)
+    vms = list(fleet.node_by_vm)
+    helper = fleet.node_by_vm[vms[0]]
+    helper.max_relayed = 20
+    async with fleet.running():
+        fleet.cut(vms[1:], 'refuse')
+        await trio.sleep(STABLE_SECONDS)
+        asked_before = helper.asked
+        await trio.sleep(10)
+    # A node asks as often as its backoff allows, not with each of its calls.
+    assert helper.asked - asked_before <= len(vms) * 10 / 2 * 1.25
+
+
 async def test_helpers_of_other_data_centres_serve_one_that_is_cut_off(
     autojump_clock,
 ):
