--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -307,6 +307,11 @@
         """Return the number of requests that the targets received."""
         return sum(len(each.requests) for each in self.scripted)
 
+    @property
+    def targets_got(self):
+        """Return (head, body) of each request that the targets received."""
+        return [each for server in self.scripted for each in server.requests]
+
     async def send_request(
         self, headers=b'', request_id=b'r1', method=b'POST'
     ):
