--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -115,6 +115,7 @@
     :ivar is_ended_by_peer: whether the peer closed or reset the connection
     :ivar helper: node that relays the connection, '' for none
     :ivar data_at: when data was last received, trio time
+    :ivar is_reused: whether another request was sent on it before
     """
 
     def __init__(self, stream: Stream, helper: str = '') -> None:
@@ -130,6 +131,7 @@
         self.has_response_data = False
         self.is_ended_by_peer = False
         self.is_closed = False
+        self.is_reused = False
 
     def close(self) -> None:
         """Close immediately, also with a request in progress."""
@@ -306,6 +308,7 @@
             self.close()
             return False
         self._h11.start_next_cycle()
+        self.is_reused = True
         self._idle_since = trio.current_time()
         self.has_response_data = False
         return True
