Don't send two requests with one id on one connection

The response to a request is recognized by its id. Clients may use an id twice, and a call may be sent to a target again that rejected it; a late copy of the first response was then taken for the second. A connection now remembers hashes of its last 64 ids and is not used for them again.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -127,6 +127,7 @@
                         'the target takes no requests for now', was_sent=False
                     )
                 attempt.was_sent = True
+                connection.add_request_id(job.call.request_id)
                 attempt.helper = connection.helper
                 nursery.start_soon(
                     self._report_unresponsive, job, target.target_id
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_links.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_links.py
@@ -101,14 +101,16 @@
         """
         problem = 'the target is out of reach of this node'
         if not self.reachability.is_lost(target.target_id):
-            idle = self._pool.take_idle(target.target_id, target.service)
+            idle = self._pool.take_idle(
+                target.target_id, target.service, request_id=request_id
+            )
             if idle is not None:
                 return idle
             try:
                 return await self._connect(target)
             except OSError as error:
                 problem = f'connection failed: {error}'
-        relayed = await self._acquire_relayed(target, problem)
+        relayed = await self._acquire_relayed(target, problem, request_id)
         if relayed is not None:
             log.info(
                 'MLB-6610',
@@ -145,12 +147,15 @@
         return self.reachability.helpers(centre_by_vm, self._data_centre)
 
     async def _acquire_relayed(
-        self, target: domain.Target, problem: str
+        self, target: domain.Target, problem: str, request_id: str = ''
     ) -> http_client.Connection | None:
         """Return a relayed connection, None if no node reaches the target."""
         if self.reachability.is_lost(target.target_id):
             idle = self._pool.take_idle(
-                target.target_id, target.service, is_relayed=True
+                target.target_id,
+                target.service,
+                is_relayed=True,
+                request_id=request_id,
             )
             if idle is not None:
                 return idle
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -5,6 +5,7 @@
 request and whether any byte of the request was sent.
 """
 
+import collections
 from collections import abc
 import dataclasses
 import re
@@ -54,6 +55,9 @@
 MAX_SKIPPED_BYTES = 1_048_576
 MAX_INFORMATIONAL_RESPONSES = 16
 
+# Request ids that a connection remembers, the last ones.
+MAX_REMEMBERED_IDS = 64
+
 _TIMEOUT = re.compile(rb'timeout=(\d+)')
 
 
@@ -132,6 +136,17 @@
         self.is_ended_by_peer = False
         self.is_closed = False
         self.is_reused = False
+        self._id_hashes: collections.deque[int] = collections.deque(
+            maxlen=MAX_REMEMBERED_IDS
+        )
+
+    def add_request_id(self, request_id: str) -> None:
+        """Record the id of the request that is sent next."""
+        self._id_hashes.append(hash(request_id))
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a late response may have this request id."""
+        return hash(request_id) in self._id_hashes
 
     def close(self) -> None:
         """Close immediately, also with a request in progress."""
@@ -383,9 +398,17 @@
         return Connection(stream)
 
     def take_idle(
-        self, peer: str, group: str = '', is_relayed: bool = False
+        self,
+        peer: str,
+        group: str = '',
+        is_relayed: bool = False,
+        request_id: str = '',
     ) -> Connection | None:
-        """Return an idle connection to a peer, if any."""
+        """Return an idle connection to a peer, if any.
+
+        A connection that carried a request with the same id is not used, as
+        a late response to it could not be told from the next one.
+        """
         idle = self._idle_by_peer.get(peer, [])
         now = trio.current_time()
         idle_limit = self._idle_limit_by_group.get(group)
@@ -393,6 +416,8 @@
         for found in reversed(idle):
             if bool(found.helper) != is_relayed:
                 continue
+            if request_id and found.has_carried(request_id):
+                continue
             idle.remove(found)
             if found.is_usable(now) and found.idle_seconds <= limit:
                 return found
