Don't read the start of a late response and a response as one head

If only the first bytes of a late response arrived before the own one, its status or reason and its headers became those of the own response: a 503 that says not run for a request that had run. On a reused connection a head with a second status line is now malformed. The test cuts the late response after each byte; it failed before and passes.

--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -60,6 +60,8 @@
 
 _TIMEOUT = re.compile(rb'timeout=(\d+)')
 
+_STATUS_LINE = re.compile(rb'HTTP/1\.[01] \d{3}')
+
 
 class Stream(Protocol):
     """A connection's stream of bytes, over one socket or a relay."""
@@ -216,6 +218,8 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise ExchangeFailed('no response was received')
+            if self.is_reused and _has_second_status_line(event):
+                raise ExchangeFailed('a response began within a head')
             names = {name for name, _ in event.headers}
             head = Head(
                 event.status_code,
@@ -340,6 +344,18 @@
         return self.idle_seconds > 0 and not self.has_response_data
 
 
+def _has_second_status_line(head: h11.Response) -> bool:
+    """Return whether a head consists of parts of two heads.
+
+    The first bytes of a late response, of which the rest never arrived, come
+    before the status line of the next one.
+    """
+    return any(
+        _STATUS_LINE.search(each)
+        for each in (head.reason, *(value for _, value in head.headers))
+    )
+
+
 class IdleLimit:
     """Longest idle time after which a connection is still used.
 
