Keep responses to HEAD and to other methods apart

Next to a late response to another method, the response to HEAD could be one out of the late one's body: a response that another client chose. A response to another request now ends an exchange with HEAD, and a connection that carried HEAD is not reused.

--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -233,6 +233,9 @@
 
     async def _skip_response(self) -> None:
         """Read and discard the response to another request."""
+        if self._request is not None and self._request.method == b'HEAD':
+            # Whether the other response has a body is not known.
+            raise ExchangeFailed('a response to another request came first')
         skipped = 0
         while (data := await self.receive_data()) is not None:
             skipped += len(data)
@@ -319,6 +322,10 @@
         done = (
             not self.is_closed
             and not self._unsent
+            and self._request is not None
+            # A late response to HEAD has a length but no body, so that the
+            # next response would be read as its body.
+            and self._request.method != b'HEAD'
             and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
             and self._h11.trailing_data == (b'', False)
