Test of dropped idle connections gives each request its own id

A connection is not used twice for one id any more, so the test, which sent all requests with one id, saw no idle connection reused. Ids of clients differ; the bounds stay as they were.

--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -574,14 +574,16 @@
         drop_idle_connections
     ) as harness:
         statuses = []
-        for _ in range(5):
-            statuses.append((await harness.send_request()).status)
+        for number in range(5):
+            response = await harness.send_request(request_id=b'%d' % number)
+            statuses.append(response.status)
             await trio.sleep(0.3)
         assert statuses == [200, 502, 200, 200, 200]
         # Connections with a shorter idle time are still reused.
         opened = harness.scripted[0].opened
-        assert (await harness.send_request()).status == 200
-        assert (await harness.send_request()).status == 200
+        for request_id in (b'5', b'6'):
+            response = await harness.send_request(request_id=request_id)
+            assert response.status == 200
         assert harness.scripted[0].opened == opened + 1
 
 
