End a relay whose frame is larger than a relaying node sends

The pool looks for late bytes at the socket only. What RelayedStream kept of a frame above 65,536 bytes was not seen there, and was read as the response to the next request. No relaying node sends such frames; they now end the relay.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
@@ -70,6 +70,10 @@
                 raise trio.BrokenResourceError from error
             if frame is None:
                 raise trio.BrokenResourceError('the relay has ended')
+            if len(frame) > MAX_READ_BYTES:
+                # What is left of it would be no sign of late bytes to the
+                # pool, which looks at the socket only.
+                raise trio.BrokenResourceError('the frame is too large')
             self._is_ended = not frame
             self._unread = frame
         data, self._unread = (
--- a/tests/mustardlb_gateway/test_late_responses.py
+++ b/tests/mustardlb_gateway/test_late_responses.py
@@ -247,6 +247,10 @@
     return dict(head.headers).get(b'x-id') == b'mine'
 
 
+# Bytes of a response's head if its body has five digits of length.
+OWN_HEAD_BYTES = len(scripted.response(b'mine', b'a' * 10_000)) - 10_000
+
+
 # A relaying node sends the target's bytes in frames. What a frame holds
 # beyond a response, and what arrives while the connection is idle, belongs to
 # no request.
@@ -260,11 +264,12 @@
         ((b'x-padding',), ()),
     ],
 )
-@pytest.mark.parametrize('body_bytes', [4, 65_500, 70_000])
+@pytest.mark.parametrize('body_bytes', [4, 65_536 - OWN_HEAD_BYTES, 70_000])
 async def test_late_bytes_of_a_relayed_connection_are_dropped(
     together, idle, body_bytes
 ):
     own = scripted.response(b'mine', b'a' * body_bytes)
+    assert body_bytes == 4 or len(own) >= 65_536
 
     async def serve(stream):
         await stream.receive_some(1000)
