--- a/tests/mustardlb_gateway/test_engine_client.py
+++ b/tests/mustardlb_gateway/test_engine_client.py
@@ -20,6 +20,12 @@
     def write_command(self, command, target):
         return b'POST', b'/order', [(b'host', b'h')], b'{}'
 
+    def write_report_request(self, target):
+        return b'GET', b'/report', [(b'host', b'h')], b''
+
+    def read_report(self, body):
+        return None
+
 
 def make_states():
     return _target_states.TargetStates(
@@ -76,6 +82,33 @@
     assert await send_command(script) == 'accepted'
 
 
+# Responses to commands and reports have no id. A late copy of a report with
+# status 200, in transit when the connection was taken from the pool, said that
+# the engine had obeyed a command.
+async def test_late_report_is_no_response_to_a_command():
+    async def script(connection, head, body):
+        if head.target == b'/report':
+            await connection.send(response(200))
+            connection.had_report = True
+            return
+        if getattr(connection, 'had_report', False):
+            await connection.send(response(200))
+        await connection.send(response(409))
+
+    async with scripted.ScriptedServer(script).running() as server:
+        client = _engine_client.EngineClient(
+            http_client.Pool(0.5),
+            TranslationStub(),
+            lambda *_: None,
+            make_states(),
+        )
+        target = builders.make_target(port=server.port)
+        for _ in range(2):
+            await client.report(target)
+            assert await client.send_command(target, COMMAND) == 'busy'
+        assert server.opened <= 3
+
+
 async def test_outcome_of_a_command_without_response_is_unknown():
     async def script(connection, head, body):
         await connection.reset()
