Send commands on connections without earlier reports or commands

A late copy of a report's response, with status 200, was read as the response to the command that followed on the connection: the engine seemed to hold an adapter that it did not hold. Neither has an id, so a command now takes a connection that carried neither. The test failed before and passes.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
@@ -19,6 +19,11 @@
 
 MAX_REPORT_BYTES = 1_000_000
 
+# Stands for the missing id of commands and reports: a command is sent on a
+# connection that carried neither, since their late responses look like its
+# own.
+_NO_ID = '-'
+
 
 class CommandOutcome(enum.StrEnum):
     """The outcome of a command.
@@ -71,7 +76,9 @@
         """Send a command and return its outcome."""
         try:
             status, _ = await self._exchange(
-                target, self._translation.write_command(command, target)
+                target,
+                self._translation.write_command(command, target),
+                _NO_ID,
             )
         except http_client.ExchangeFailed as error:
             outcome, status = CommandOutcome.UNKNOWN, 0
@@ -112,14 +119,16 @@
         self,
         target: domain.Target,
         request: tuple[bytes, bytes, domain.Headers, bytes],
+        request_id: str = '',
     ) -> tuple[int, bytes]:
         if self._states.rest(target):
             raise http_client.ExchangeFailed(
                 'the target has asked for rest', was_sent=False
             )
         connection = await self._pool.acquire(
-            target.target_id, target.host, target.port
+            target.target_id, target.host, target.port, request_id=request_id
         )
+        connection.add_request_id(_NO_ID)
         try:
             with trio.fail_after(RESPONSE_TIMEOUT_SECONDS):
                 await connection.send(*request)
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -402,14 +402,19 @@
         self._idle_limit_by_group: dict[str, IdleLimit] = {}
 
     async def acquire(
-        self, peer: str, host: str, port: int, group: str = ''
+        self,
+        peer: str,
+        host: str,
+        port: int,
+        group: str = '',
+        request_id: str = '',
     ) -> Connection:
         """Return an idle or a new connection to a peer.
 
         Peers of a group share one idle limit. Raises ExchangeFailed, with
         `was_sent` false, if no connection can be opened.
         """
-        idle = self.take_idle(peer, group)
+        idle = self.take_idle(peer, group, request_id=request_id)
         if idle is not None:
             return idle
         try:
