--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -5,6 +5,7 @@
 request and whether any byte of the request was sent.
 """
 
+import collections
 from collections import abc
 import dataclasses
 import re
@@ -54,8 +55,13 @@
 MAX_SKIPPED_BYTES = 1_048_576
 MAX_INFORMATIONAL_RESPONSES = 16
 
+# Request ids that a connection remembers, the last ones.
+MAX_REMEMBERED_IDS = 64
+
 _TIMEOUT = re.compile(rb'timeout=(\d+)')
 
+_STATUS_LINE = re.compile(rb'HTTP/1\.[01] \d{3}')
+
 
 class Stream(Protocol):
     """A connection's stream of bytes, over one socket or a relay."""
@@ -115,6 +121,7 @@
     :ivar is_ended_by_peer: whether the peer closed or reset the connection
     :ivar helper: node that relays the connection, '' for none
     :ivar data_at: when data was last received, trio time
+    :ivar is_reused: whether another request was sent on it before
     """
 
     def __init__(self, stream: Stream, helper: str = '') -> None:
@@ -130,6 +137,18 @@
         self.has_response_data = False
         self.is_ended_by_peer = False
         self.is_closed = False
+        self.is_reused = False
+        self._id_hashes: collections.deque[int] = collections.deque(
+            maxlen=MAX_REMEMBERED_IDS
+        )
+
+    def add_request_id(self, request_id: str) -> None:
+        """Record the id of the request that is sent next."""
+        self._id_hashes.append(hash(request_id))
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a late response may have this request id."""
+        return hash(request_id) in self._id_hashes
 
     def close(self) -> None:
         """Close immediately, also with a request in progress."""
@@ -199,6 +218,8 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise ExchangeFailed('no response was received')
+            if self.is_reused and _has_second_status_line(event):
+                raise ExchangeFailed('a response began within a head')
             names = {name for name, _ in event.headers}
             head = Head(
                 event.status_code,
@@ -212,6 +233,9 @@
 
     async def _skip_response(self) -> None:
         """Read and discard the response to another request."""
+        if self._request is not None and self._request.method == b'HEAD':
+            # Whether the other response has a body is not known.
+            raise ExchangeFailed('a response to another request came first')
         skipped = 0
         while (data := await self.receive_data()) is not None:
             skipped += len(data)
@@ -298,6 +322,10 @@
         done = (
             not self.is_closed
             and not self._unsent
+            and self._request is not None
+            # A late response to HEAD has a length but no body, so that the
+            # next response would be read as its body.
+            and self._request.method != b'HEAD'
             and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
             and self._h11.trailing_data == (b'', False)
@@ -306,6 +334,7 @@
             self.close()
             return False
         self._h11.start_next_cycle()
+        self.is_reused = True
         self._idle_since = trio.current_time()
         self.has_response_data = False
         return True
@@ -322,6 +351,18 @@
         return self.idle_seconds > 0 and not self.has_response_data
 
 
+def _has_second_status_line(head: h11.Response) -> bool:
+    """Return whether a head consists of parts of two heads.
+
+    The first bytes of a late response, of which the rest never arrived, come
+    before the status line of the next one.
+    """
+    return any(
+        _STATUS_LINE.search(each)
+        for each in (head.reason, *(value for _, value in head.headers))
+    )
+
+
 class IdleLimit:
     """Longest idle time after which a connection is still used.
 
@@ -361,14 +402,19 @@
         self._idle_limit_by_group: dict[str, IdleLimit] = {}
 
     async def acquire(
-        self, peer: str, host: str, port: int, group: str = ''
+        self,
+        peer: str,
+        host: str,
+        port: int,
+        group: str = '',
+        request_id: str = '',
     ) -> Connection:
         """Return an idle or a new connection to a peer.
 
         Peers of a group share one idle limit. Raises ExchangeFailed, with
         `was_sent` false, if no connection can be opened.
         """
-        idle = self.take_idle(peer, group)
+        idle = self.take_idle(peer, group, request_id=request_id)
         if idle is not None:
             return idle
         try:
@@ -380,9 +426,17 @@
         return Connection(stream)
 
     def take_idle(
-        self, peer: str, group: str = '', is_relayed: bool = False
+        self,
+        peer: str,
+        group: str = '',
+        is_relayed: bool = False,
+        request_id: str = '',
     ) -> Connection | None:
-        """Return an idle connection to a peer, if any."""
+        """Return an idle connection to a peer, if any.
+
+        A connection that carried a request with the same id is not used, as
+        a late response to it could not be told from the next one.
+        """
         idle = self._idle_by_peer.get(peer, [])
         now = trio.current_time()
         idle_limit = self._idle_limit_by_group.get(group)
@@ -390,6 +444,8 @@
         for found in reversed(idle):
             if bool(found.helper) != is_relayed:
                 continue
+            if request_id and found.has_carried(request_id):
+                continue
             idle.remove(found)
             if found.is_usable(now) and found.idle_seconds <= limit:
                 return found
