Check links of silent targets later while they prefill a prompt

Cause: the link of each call without data for 0.3 s was checked with a new connection, also while the engine was known to prefill other prompts or this one. Change: the first check waits for the estimated queue and prefill too, up to 0.7 s, and the interval between checks doubles while there is no data.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -10,6 +10,7 @@
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _outcomes
 from mustardlb_gateway import _placement
+from mustardlb_gateway import _prefill_queue
 from mustardlb_gateway import _prefix_index
 from mustardlb_gateway import _target_links
 from mustardlb_gateway import _target_states
@@ -32,8 +33,10 @@
 
 
 # The link to a target without data for this time is checked, and again after
-# each interval.
+# an interval that doubles each time. A check opens a connection, which targets
+# limit, so the time that the target needs to prefill the prompt is added.
 SILENCE_SECONDS = 0.3
+MAX_EXPECTED_SILENCE_SECONDS = 0.7
 CHECK_INTERVAL_SECONDS = 0.7
 
 
@@ -99,7 +102,7 @@
                 self._prefix_index.record(target.target_id, job.call)
 
         try:
-            await self._send_and_receive(job, attempt, target, record_prefill)
+            await self._send_and_receive(job, attempt, choice, record_prefill)
         finally:
             if not is_prefilled:
                 self._targets.finish_prefill(target.target_id, prefill_tokens)
@@ -109,9 +112,10 @@
         self,
         job: _jobs.Job,
         attempt: _outcomes.Attempt,
-        target: domain.Target,
+        choice: _placement.Choice,
         record_prefill: abc.Callable[[], None],
     ) -> None:
+        target = choice.target
         connection: http_client.Connection | None = None
         client_disconnected = False
         try:
@@ -136,7 +140,7 @@
                     self._report_unresponsive, job, target.target_id
                 )
                 nursery.start_soon(
-                    self._watch_link, job, attempt, target, connection
+                    self._watch_link, job, attempt, choice, connection
                 )
                 await connection.send(
                     job.call.method,
@@ -306,18 +310,25 @@
         self,
         job: _jobs.Job,
         attempt: _outcomes.Attempt,
-        target: domain.Target,
+        choice: _placement.Choice,
         connection: http_client.Connection,
     ) -> None:
         """End an attempt whose link is broken, if it may be repeated.
 
         The link is checked whenever the target is silent for some time.
         """
-        silent_since = trio.current_time()
+        target = choice.target
+        sent_at = silent_since = trio.current_time()
+        expected = _expected_silence_seconds(job, choice)
+        interval = CHECK_INTERVAL_SECONDS
         while True:
             silent_since = max(silent_since, connection.data_at)
-            await trio.sleep_until(silent_since + SILENCE_SECONDS)
+            silence = SILENCE_SECONDS
+            if silent_since <= sent_at:
+                silence += expected
+            await trio.sleep_until(silent_since + silence)
             if connection.data_at > silent_since:
+                interval = CHECK_INTERVAL_SECONDS
                 continue
             if await self._links.is_link_broken(target, connection.helper):
                 attempt.is_link_failure = True
@@ -329,7 +340,8 @@
                         'the link to the target is broken',
                         is_link_failure=True,
                     )
-            silent_since = trio.current_time() + CHECK_INTERVAL_SECONDS
+            silent_since = trio.current_time() + interval
+            interval *= 2
 
     async def _report_unresponsive(
         self, job: _jobs.Job, target_id: str
@@ -471,6 +483,15 @@
     return math.inf
 
 
+def _expected_silence_seconds(
+    job: _jobs.Job, choice: _placement.Choice
+) -> float:
+    """Return the seconds that a target needs before its first output."""
+    prefill = choice.prefill_tokens / _prefill_queue.PREFILL_TOKENS_PER_SECOND
+    queue = job.reserved_queue or 0.0
+    return min(MAX_EXPECTED_SILENCE_SECONDS, queue + prefill)
+
+
 def _unresponsive_after_seconds(route: domain.Route) -> float:
     """Return the seconds after which a target counts as unresponsive."""
     timeout = max(
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -847,3 +847,25 @@
         response = await harness.send_request(b'x-wait: 6\r\n')
         assert response.status == 503
         assert float(response.headers[b'retry-after']) > 1.5
+
+
+@pytest.mark.parametrize(('queue', 'connections'), [(0.0, 2), (0.5, 1)])
+async def test_link_is_not_checked_while_a_prompt_is_prefilled(
+    queue, connections
+):
+    """Guards against a new connection for each call with a long prompt.
+
+    Targets limit their connections. An engine is silent while other prompts
+    are before this one, which says nothing about the link.
+    """
+
+    async def respond_late(connection, head, body):
+        await trio.sleep(0.55)
+        await make_stream(range(1))(connection, head, body)
+
+    harness = gateway_harness.Harness(STREAM, engine=True)
+    harness.reservations = [reserved(queue, is_accepted=True)]
+    async with harness.running(respond_late, resident=['a7']) as harness:
+        response = await harness.send_request(b'x-adapter: a7\r\n')
+    assert response.is_complete
+    assert harness.scripted[0].opened == connections
