--- a/tests/mustardlb_gateway/test_app.py
+++ b/tests/mustardlb_gateway/test_app.py
@@ -41,6 +41,21 @@
         return spec
 
 
+def make_settings(vm='vm0', **changes):
+    front, ready, peer, metrics = free_ports.find(4)
+    fields = {
+        'vm': vm,
+        'data_centre': 'a',
+        'host': '127.0.0.1',
+        'front_port': front,
+        'ready_port': ready,
+        'peer_port': peer,
+        'metrics_port': metrics,
+        'stop_timeout': 4.0,
+    }
+    return gateway_settings.Settings(**(fields | changes))
+
+
 class Cluster:
     """A store, one target and the nodes that serve it."""
 
@@ -64,17 +79,7 @@
     async def running(self, nodes=1):
         async with self.target.running(), trio.open_nursery() as nursery:
             for number in range(nodes):
-                front, ready, peer, metrics = free_ports.find(4)
-                settings = gateway_settings.Settings(
-                    vm=f'vm{number}',
-                    data_centre='a',
-                    host='127.0.0.1',
-                    front_port=front,
-                    ready_port=ready,
-                    peer_port=peer,
-                    metrics_port=metrics,
-                    stop_timeout=4.0,
-                )
+                settings = make_settings(f'vm{number}')
                 store = (
                     self.store_views.pop(0) if self.store_views else self.store
                 )
