Serve requests that wait unread on connections closed as idle

A stopping server closed idle connections although a request waited in the socket's buffer, and new ones before their first request could arrive. It now looks at the socket first, and leaves a connection open for 0.3 s after it was opened or had a response.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_sockets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_sockets.py
@@ -1,6 +1,7 @@
 """TCP connections that detect an unresponsive peer."""
 
 import os
+import select
 
 import trio
 
@@ -53,6 +54,13 @@
     return stream
 
 
+def is_readable(sock: trio.socket.SocketType) -> bool:
+    """Return whether data, the end or a new connection can be received."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def write_available(stream: trio.SocketStream, data: bytes) -> int:
     """Write what the socket's buffer takes and return the number of bytes.
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -9,7 +9,6 @@
 from collections import abc
 import dataclasses
 import re
-import select
 from typing import Any
 from typing import Protocol
 
@@ -167,9 +166,7 @@
         self.idle_seconds = now - self._idle_since
         # A readable idle connection was closed by the peer or holds bytes
         # that belong to no request.
-        poll = select.poll()
-        poll.register(self._stream.socket.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not _sockets.is_readable(self._stream.socket)
 
     async def send(
         self,
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
@@ -30,6 +30,9 @@
 # server closes.
 IDLE_TIMEOUT_MARGIN_SECONDS = 1.0
 
+# A stopping server gives a client this time to send its next request.
+IDLE_GRACE_SECONDS = 0.3
+
 _UNIQUE_HEADERS = (b'host', b'content-length')
 
 
@@ -151,7 +154,7 @@
             self._connections.discard(connection)
 
     def close_idle(self) -> None:
-        """Close the connections on which no request has begun."""
+        """Close the connections that have no request and had none lately."""
         for connection in list(self._connections):
             connection.close_if_idle()
 
@@ -177,10 +180,15 @@
         self._pipelined = bytearray()
         self._client_closed = False
         self._idle_scope: trio.CancelScope | None = None
+        self._idle_since = 0.0
 
     def close_if_idle(self) -> None:
-        """Close the connection if no byte of a next request was received."""
-        if self._idle_scope is not None and not self._pipelined:
+        """Close the connection if no byte of a next request has arrived."""
+        if self._idle_scope is None or self._pipelined:
+            return
+        if trio.current_time() < self._idle_since + IDLE_GRACE_SECONDS:
+            return
+        if not _sockets.is_readable(self._stream.socket):
             self._idle_scope.cancel()
 
     def abort(self) -> None:
@@ -261,15 +269,19 @@
         Returns None after the idle timeout or when the client has closed.
         Raises BadRequest.
         """
+        self._idle_since = trio.current_time()
         self._idle_scope = trio.CancelScope(
-            deadline=trio.current_time()
+            deadline=self._idle_since
             + self._limits.idle_timeout
             + IDLE_TIMEOUT_MARGIN_SECONDS
         )
         if not self._pipelined and not self._has_buffered_data():
             with self._idle_scope:
                 await self._receive()
-            if self._idle_scope.cancelled_caught:
+            if (
+                self._idle_scope.cancelled_caught
+                and not _sockets.is_readable(self._stream.socket)
+            ):
                 return None
         self._idle_scope = None
         with trio.move_on_after(self._limits.header_timeout) as scope:
