Stop only after all accepted clients were served

A stopping node ended as soon as no complete request was in flight: requests of which a part was read, and connections that the system had accepted and the process had not, were cut off. It now ends once no client is connected, and closes its listening sockets while no client waits there, at the latest 0.5 s before its deadline.

--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -48,6 +48,10 @@
 # Unfinished responses are cut off this long before the stop timeout.
 STOP_MARGIN_SECONDS = 0.5
 
+# A stopping node accepts no connections in this time before its deadline, so
+# that the clients whose connections it has accepted can send their requests.
+LAST_REQUEST_SECONDS = 0.5
+
 # File descriptors that are not available for client connections.
 RESERVED_DESCRIPTORS = 1500
 
@@ -470,14 +474,18 @@
         )
         self.engine_manager.stop()
         log.info('MLB-6014', in_flight=self._client_server.requests_in_flight)
+        accept_until = deadline - LAST_REQUEST_SECONDS
         await trio.sleep_until(drain_delay_ends)
         while trio.current_time() < deadline:
-            self._client_server.close_idle()
-            if not (
-                self._client_server.requests_in_flight
-                or self._target_parts.relay_server.count
-            ):
+            server = self._client_server
+            server.close_idle()
+            is_busy = server.has_clients or bool(
+                self._target_parts.relay_server.count
+            )
+            if not is_busy and not server.is_accepting:
                 break
+            if not is_busy or trio.current_time() >= accept_until:
+                server.stop_accepting()
             await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
         log.info(
             'MLB-6015',
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
@@ -121,6 +121,8 @@
         self.limits = limits
         self._max_connections = max_connections
         self._connections: set[_ClientConnection] = set()
+        self._listeners: list[trio.SocketListener] = []
+        self._accept_scope = trio.CancelScope()
         self.is_stopping = False
         self.requests_in_flight = 0
 
@@ -130,14 +132,20 @@
         port: int,
         task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Accept clients until cancelled.
+        """Accept clients until cancelled or `stop_accepting`.
 
         Reports the bound port through `task_status`.
         """
-        listeners = await trio.open_tcp_listeners(port, host=host)
-        bound_port = listeners[0].socket.getsockname()[1]
+        self._listeners = await trio.open_tcp_listeners(port, host=host)
+        bound_port = self._listeners[0].socket.getsockname()[1]
         task_status.started(bound_port)
-        await trio.serve_listeners(self._serve_client, listeners)
+        async with trio.open_nursery() as nursery:
+            with self._accept_scope:
+                await trio.serve_listeners(
+                    self._serve_client,
+                    self._listeners,
+                    handler_nursery=nursery,
+                )
 
     async def _serve_client(self, stream: trio.SocketStream) -> None:
         if len(self._connections) >= self._max_connections:
@@ -153,6 +161,29 @@
         finally:
             self._connections.discard(connection)
 
+    @property
+    def has_clients(self) -> bool:
+        """Return whether a client is connected."""
+        return bool(self._connections)
+
+    @property
+    def is_accepting(self) -> bool:
+        """Return whether new clients are accepted."""
+        return bool(self._listeners)
+
+    def stop_accepting(self) -> None:
+        """Close the listening sockets, unless a client waits there.
+
+        A client that the system has accepted and this process has not would
+        be disconnected.
+        """
+        if any(_sockets.is_readable(each.socket) for each in self._listeners):
+            return
+        self._accept_scope.cancel()
+        for listener in self._listeners:
+            listener.socket.close()
+        self._listeners = []
+
     def close_idle(self) -> None:
         """Close the connections that have no request and had none lately."""
         for connection in list(self._connections):
@@ -278,9 +309,8 @@
         if not self._pipelined and not self._has_buffered_data():
             with self._idle_scope:
                 await self._receive()
-            if (
-                self._idle_scope.cancelled_caught
-                and not _sockets.is_readable(self._stream.socket)
+            if self._idle_scope.cancelled_caught and not _sockets.is_readable(
+                self._stream.socket
             ):
                 return None
         self._idle_scope = None
