Answer the requests that a node cannot finish before it stops

At the end of a planned stop, requests that were incomplete, waited for a target or ran were cut off without a response. Those that have not run are now rejected as such, those that may have run get 504; only streams that have begun are cut off.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -78,6 +78,30 @@
     deadline: float
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _RunningCall:
+    """A call that is handled; `job` is set once it is admitted."""
+
+    scope: trio.CancelScope
+    job: _jobs.Job | None = None
+
+    def stopped_error(self) -> errors.Error:
+        """Return the error of a call that a stopping node has ended."""
+        if self.job is None or not self.job.may_have_run:
+            return _outcomes.rejection(
+                errors.Code.NODE_STOPPING,
+                'the node is stopping',
+                steps.Step.STOP,
+                STOP_RETRY_AFTER_SECONDS,
+            )
+        return errors.Error(
+            errors.Code.TARGET_TIMEOUT,
+            'no response before the node stopped',
+            steps.Step.STOP,
+            self.job.attempts[-1].target_id,
+        )
+
+
 class Gateway:
     """Handles the requests of clients."""
 
@@ -112,6 +136,7 @@
         self._find_origin = find_origin
         self._clock = clock
         self._in_flight = 0
+        self._running: set[_RunningCall] = set()
         self._stop_schedule: StopSchedule | None = None
 
     async def handle(
@@ -133,11 +158,16 @@
         client_timeout = call.client_timeout or DEFAULT_CLIENT_TIMEOUT_SECONDS
         client_deadline = request.arrived + client_timeout
         self._in_flight += 1
+        running = _RunningCall(trio.CancelScope())
+        self._running.add(running)
         try:
-            admitted = await self._admit(call)
-            await self._run_call(
-                admitted, request.arrived, client_timeout, reply
-            )
+            with running.scope:
+                admitted = await self._admit(call)
+                await self._run_call(
+                    admitted, request.arrived, client_timeout, reply, running
+                )
+            if running.scope.cancelled_caught and not reply.has_begun:
+                raise running.stopped_error()
         except errors.Error as error:
             time_left = client_deadline - trio.current_time()
             await self._send_error(
@@ -145,6 +175,7 @@
             )
         finally:
             self._in_flight -= 1
+            self._running.discard(running)
 
     async def _admit(self, call: domain.Call) -> _AdmittedCall:
         """Check a call and charge it to its account's limit.
@@ -234,6 +265,11 @@
         """Reject calls that may not be finished before the node stops."""
         self._stop_schedule = schedule
 
+    def end_calls(self) -> None:
+        """End all calls; those without a response get an error."""
+        for running in self._running:
+            running.scope.cancel()
+
     def _check_time_left(self, call: domain.Call, route: domain.Route) -> None:
         schedule, now = self._stop_schedule, trio.current_time()
         if schedule is None or now < schedule.admit_all_until:
@@ -278,6 +314,7 @@
         arrived: float,
         client_timeout: float,
         reply: http_server.Reply,
+        running: _RunningCall,
     ) -> None:
         route, account = admitted.route, admitted.account
         priority = route.priority
@@ -295,6 +332,7 @@
             is_trial=admitted.is_trial,
             software=admitted.software,
         )
+        running.job = job
         self._count_request(admitted.service.name)
         outcome = 'client_gone'
         try:
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -52,6 +52,9 @@
 # that the clients whose connections it has accepted can send their requests.
 LAST_REQUEST_SECONDS = 0.5
 
+# Time for the errors that end unfinished requests.
+LAST_RESPONSES_SECONDS = 0.2
+
 # File descriptors that are not available for client connections.
 RESERVED_DESCRIPTORS = 1500
 
@@ -460,7 +463,8 @@
     async def stop(self) -> None:
         """Finish the requests in flight, then stop `run`.
 
-        Requests that are unfinished at the stop timeout are cut off.
+        Requests that are unfinished shortly before the stop timeout get an
+        error, and streams are cut off.
         """
         started_at = trio.current_time()
         deadline = (
@@ -487,9 +491,15 @@
             if not is_busy or trio.current_time() >= accept_until:
                 server.stop_accepting()
             await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
+        unfinished = self._client_server.requests_in_flight
+        self._client_server.end_reading()
+        self._gateway.end_calls()
+        with trio.move_on_after(LAST_RESPONSES_SECONDS):
+            while self._client_server.has_clients:
+                await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
         log.info(
             'MLB-6015',
-            in_flight=self._client_server.requests_in_flight,
+            in_flight=unfinished,
             seconds=round(trio.current_time() - started_at, 3),
         )
         if self._nursery is not None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
@@ -189,6 +189,11 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def end_reading(self) -> None:
+        """Reject the requests that are incomplete, as not run."""
+        for connection in list(self._connections):
+            connection.end_reading()
+
 
 class _ClientConnection:
     """A client connection; serves one request at a time.
@@ -212,6 +217,7 @@
         self._client_closed = False
         self._idle_scope: trio.CancelScope | None = None
         self._idle_since = 0.0
+        self._reading_scope: trio.CancelScope | None = None
 
     def close_if_idle(self) -> None:
         """Close the connection if no byte of a next request has arrived."""
@@ -222,6 +228,11 @@
         if not _sockets.is_readable(self._stream.socket):
             self._idle_scope.cancel()
 
+    def end_reading(self) -> None:
+        """Reject the request if it is incomplete."""
+        if self._reading_scope is not None:
+            self._reading_scope.cancel()
+
     def abort(self) -> None:
         """Close the socket without ending the response.
 
@@ -314,6 +325,16 @@
             ):
                 return None
         self._idle_scope = None
+        request = None
+        with trio.CancelScope() as self._reading_scope:
+            request = await self._read_complete_request()
+        is_ended = self._reading_scope.cancelled_caught
+        self._reading_scope = None
+        if is_ended:
+            raise BadRequest(503, 'the node is stopping')
+        return request
+
+    async def _read_complete_request(self) -> Request | None:
         with trio.move_on_after(self._limits.header_timeout) as scope:
             head = await self._next_event()
         if scope.cancelled_caught:
