Read all stop signals while a node stops

A second SIGTERM stayed unread until the signal receiver was closed, which delivers it again: it killed the process before its end. Further stop signals are now read and ignored. The test failed before and passes.

--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -527,8 +527,13 @@
     stop_signals: frozenset[int],
     reload: abc.Callable[[], None],
 ) -> None:
-    async for number in signals:
-        if number in stop_signals:
-            await node.stop()
-            return
-        reload()
+    async with trio.open_nursery() as nursery:
+        async for number in signals:
+            if number not in stop_signals:
+                reload()
+            elif not node.is_stopping:
+                # Further stop signals are read and ignored: the signal
+                # receiver delivers unread ones again when it is closed, and
+                # they would kill the process.
+                node.is_stopping = True
+                nursery.start_soon(node.stop)
