--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -48,6 +48,13 @@
 # Unfinished responses are cut off this long before the stop timeout.
 STOP_MARGIN_SECONDS = 0.5
 
+# A stopping node accepts no connections in this time before its deadline, so
+# that the clients whose connections it has accepted can send their requests.
+LAST_REQUEST_SECONDS = 0.5
+
+# Time for the errors that end unfinished requests.
+LAST_RESPONSES_SECONDS = 0.2
+
 # File descriptors that are not available for client connections.
 RESERVED_DESCRIPTORS = 1500
 
@@ -460,7 +467,8 @@
     async def stop(self) -> None:
         """Finish the requests in flight, then stop `run`.
 
-        Requests that are unfinished at the stop timeout are cut off.
+        Requests that are unfinished shortly before the stop timeout get an
+        error, and streams are cut off.
         """
         started_at = trio.current_time()
         deadline = (
@@ -474,18 +482,28 @@
         )
         self.engine_manager.stop()
         log.info('MLB-6014', in_flight=self._client_server.requests_in_flight)
+        accept_until = deadline - LAST_REQUEST_SECONDS
         await trio.sleep_until(drain_delay_ends)
         while trio.current_time() < deadline:
-            self._client_server.close_idle()
-            if not (
-                self._client_server.requests_in_flight
-                or self._target_parts.relay_server.count
-            ):
+            server = self._client_server
+            server.close_idle()
+            is_busy = server.has_clients or bool(
+                self._target_parts.relay_server.count
+            )
+            if not is_busy and not server.is_accepting:
                 break
+            if not is_busy or trio.current_time() >= accept_until:
+                server.stop_accepting()
             await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
+        unfinished = self._client_server.requests_in_flight
+        self._client_server.end_reading()
+        self._gateway.end_calls()
+        with trio.move_on_after(LAST_RESPONSES_SECONDS):
+            while self._client_server.has_clients:
+                await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
         log.info(
             'MLB-6015',
-            in_flight=self._client_server.requests_in_flight,
+            in_flight=unfinished,
             seconds=round(trio.current_time() - started_at, 3),
         )
         if self._nursery is not None:
@@ -513,8 +531,13 @@
     stop_signals: frozenset[int],
     reload: abc.Callable[[], None],
 ) -> None:
-    async for number in signals:
-        if number in stop_signals:
-            await node.stop()
-            return
-        reload()
+    async with trio.open_nursery() as nursery:
+        async for number in signals:
+            if number not in stop_signals:
+                reload()
+            elif not node.is_stopping:
+                # Further stop signals are read and ignored: the signal
+                # receiver delivers unread ones again when it is closed, and
+                # they would kill the process.
+                node.is_stopping = True
+                nursery.start_soon(node.stop)
