--- a/tests/mustardlb_gateway/test_stream_origins.py
+++ b/tests/mustardlb_gateway/test_stream_origins.py
@@ -28,7 +28,10 @@
         self.fleet = fleet
         self.vm = vm
         self.incarnation = incarnation
-        self.history = _software_history.SoftwareHistory(trio.current_time)
+        offset = fleet.rng.uniform(-2, 2)
+        self.history = _software_history.SoftwareHistory(
+            trio.current_time, lambda: 1e9 + trio.current_time() + offset
+        )
         self.origins = _stream_origins.StreamOrigins(
             vm,
             self.history,
@@ -92,16 +95,20 @@
     def is_connected(self, one, other):
         return not {one, other} & self.cut
 
-    def start(self, vm, incarnation=1):
+    def start(self, vm, incarnation=1, observe_after=0.0):
         node = Node(self, vm, incarnation)
         self.nodes[vm] = node
         self.scopes[vm] = trio.CancelScope()
-        node.history.observe(self.targets())
-        self.nursery.start_soon(self._run, node, self.scopes[vm])
+        if not observe_after:
+            node.history.observe(self.targets())
+        self.nursery.start_soon(
+            self._run, node, self.scopes[vm], observe_after
+        )
 
-    async def _run(self, node, scope):
+    async def _run(self, node, scope, observe_after):
         with scope:
             async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._observe, node, observe_after)
                 nursery.start_soon(node.origins.run)
                 nursery.start_soon(
                     _software_records.sync,
@@ -112,6 +119,10 @@
                     trio.current_time,
                 )
 
+    async def _observe(self, node, after):
+        await trio.sleep(after)
+        node.history.observe(self.targets())
+
     def stop(self, vm):
         self.scopes[vm].cancel()
         del self.nodes[vm]
@@ -253,6 +264,8 @@
 
 async def test_single_node_knows_the_only_version(autojump_clock, nursery):
     fleet = Fleet(nursery, 1)
+    # Without a record of earlier processes, theirs would be unknown.
+    fleet.store.put(_software_records.KIND, 'current', {'llm': ['v1']})
     await trio.sleep(1)
     assert await fleet.find('a0', 'r1') == 'v1'
     fleet.set_softwares('v1', 'v2')
