Remember a resumed stream also by the request that resumed it

A client that resumed a second time and named its last request was rejected as stream_unknown beside several versions. Change: the node remembers and tells both ids. Result: test_resumed_stream_is_resumed_again[s] failed before, both cases pass now; test_stream_software.py passes (8 tests).

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -416,11 +416,13 @@
         if job.reply.has_begun:
             return
         job.software = target.software
-        self._record_origin(
-            job.call.resumed_id or job.call.request_id,
-            _messages.Origin(target.service, target.software),
-            job.route.service_names,
-        )
+        origin = _messages.Origin(target.service, target.software)
+        # Clients name the request that began the stream, or their last one.
+        for request_id in (job.call.request_id, job.call.resumed_id):
+            if request_id:
+                self._record_origin(
+                    request_id, origin, job.route.service_names
+                )
         await job.reply.begin(
             head.status, self._translation.response_headers(head.headers)
         )
--- a/tests/mustardlb_gateway/test_stream_software.py
+++ b/tests/mustardlb_gateway/test_stream_software.py
@@ -132,3 +132,56 @@
             assert received[b'r%d' % number] == received[b's%d' % number]
         response = await resume(others[0], 9, 'unknown')
         assert response.status == 503
+
+
+# A client that resumes a stream twice may name the request that began it or
+# its last one. The last one was unknown, so that the client was rejected.
+@pytest.mark.parametrize('named', ['r', 's'])
+async def test_resumed_stream_is_resumed_again(named):
+    cluster = test_app.Cluster(test_dispatch.make_stream(range(6)))
+    cluster.put_configuration(
+        kind=domain.RouteKind.STREAM, is_resumable=True, timeout=5.0
+    )
+    other = scripted.ScriptedServer(test_dispatch.make_stream(range(6)))
+    async with cluster.running(nodes=3), other.running():
+        servers = {'v1': cluster.target, 'v2': other}
+        for software, server in servers.items():
+            spec = {
+                'port': server.port,
+                'state': 'ready',
+                'software': software,
+            }
+            cluster.store.put('servers', software, spec)
+        first, second, third = cluster.nodes
+        for node in cluster.nodes:
+            await test_app.wait_until(
+                lambda node=node: test_app.is_ready(node)
+            )
+        await test_app.wait_until(lambda: test_app.are_all_connected(cluster))
+        for number in range(4):
+            await test_app.send_request(
+                first.settings.front_port, request_id=f'r{number}'
+            )
+        await trio.sleep(0.3)
+        for number in range(4):
+            response = await resume(second, number, f'r{number}')
+            assert response.events == [3, 4, 5]
+        await trio.sleep(0.3)
+        for number in range(4):
+            response = await resume(third, 10 + number, f'{named}{number}')
+            assert response.events == [3, 4, 5]
+        received = {
+            scripted.request_id(head): software
+            for software, server in servers.items()
+            for head, _ in server.requests
+        }
+        for number in range(4):
+            versions = {
+                received[b'%c%d' % (letter, digits)]
+                for letter, digits in [
+                    (ord('r'), number),
+                    (ord('s'), number),
+                    (ord('s'), 10 + number),
+                ]
+            }
+            assert len(versions) == 1
