Send nothing after a pause before the store was asked for changes

Between choice and request lie up to some seconds without a pause too (permit, reservation, relay). Change: _pauses notices gaps of a second and more on the clock that counts suspensions, at each decision rather than by a timer. Requests then wait for one question to the store (0.2 s at most; without an answer the last known state holds, as in an outage). A target is looked up again directly before the request is sent. Idle connections are closed, since trio's clock does not count how long they rested. A node that is not confirmed again infers no software of streams.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -57,8 +57,12 @@
         record_origin: abc.Callable[
             [str, _messages.Origin, tuple[str, ...]], None
         ],
+        ensure_current: abc.Callable[
+            [], abc.Awaitable[None]
+        ] = trio.lowlevel.cancel_shielded_checkpoint,
     ) -> None:
         self._translation = translation
+        self._ensure_current = ensure_current
         self._pool = pool
         self._links = links
         self._targets = targets
@@ -120,8 +124,12 @@
                 connection = await self._links.acquire(
                     target, job.call.request_id
                 )
-                if self._states.rest(target):
-                    # It has asked for rest while the connection was opened.
+                await self._ensure_current()
+                if self._states.rest(
+                    target
+                ) or not self._targets.takes_requests(target):
+                    # It has asked for rest, or has left or restarted, while
+                    # the connection was opened or this process was paused.
                     attempt.is_withheld = True
                     raise http_client.ExchangeFailed(
                         'the target takes no requests for now', was_sent=False
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -32,6 +32,7 @@
     record_origin: abc.Callable[
         [str, _messages.Origin, tuple[str, ...]], None
     ],
+    ensure_current: abc.Callable[[], abc.Awaitable[None]],
 ) -> _dispatch.Dispatcher:
     """Return the dispatcher with the choice of targets and the exchange."""
     targets = state.targets
@@ -63,6 +64,7 @@
         target_parts.states,
         tell_rest,
         record_origin,
+        ensure_current,
     )
     return _dispatch.Dispatcher(
         exchange,
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -17,6 +17,7 @@
 from mustardlb_gateway import _metrics
 from mustardlb_gateway import _mirror
 from mustardlb_gateway import _node_gauges
+from mustardlb_gateway import _pauses
 from mustardlb_gateway import _peers
 from mustardlb_gateway import _prefix_index
 from mustardlb_gateway import _quota
@@ -86,6 +87,7 @@
         state = _wiring_state.make(translation, clock, lambda: self.settings)
         self._mirrors = state.mirrors
         self._peer_sync = state.peer_sync
+        self._pauses = _pauses.Pauses(clock, self._refresh_mirrors)
         self.state = state.config
         self.targets = state.targets
         self._quota = _quota.Quota(
@@ -174,6 +176,7 @@
             self.peers,
             self._acquire_retry,
             self._stream_origins.record,
+            self._pauses.ensure_current,
         )
         self._gateway = _gateway.Gateway(
             translation,
@@ -191,6 +194,7 @@
         )
         self._client_server = self._make_client_server()
         self.targets.on_removed(self._on_target_removed)
+        self._pauses.on_pause(self._target_parts.pool.close_idle)
 
     def _make_stream_origins(
         self, targets_mirror: _mirror.Mirror
@@ -202,7 +206,10 @@
             self.peers.alive,
             self.membership.data_centre_of,
             self.fleet.incarnations,
-            lambda: self.targets.age <= _software_history.ADOPTION_SECONDS,
+            lambda: (
+                self.targets.age <= _software_history.ADOPTION_SECONDS
+                and self._pauses.is_confirmed()
+            ),
             lambda: _mirror.confirm(
                 targets_mirror,
                 self._store,
@@ -212,6 +219,22 @@
             self._clock,
         )
 
+    async def _refresh_mirrors(self) -> bool:
+        """Ask the store for what has changed; return whether it answered."""
+        confirmed: list[bool] = []
+
+        async def confirm(mirror: _mirror.Mirror) -> None:
+            confirmed.append(
+                await _mirror.confirm(
+                    mirror, self._store, self._clock, CONFIRM_TIMEOUT_SECONDS
+                )
+            )
+
+        async with trio.open_nursery() as nursery:
+            for mirror in self._mirrors:
+                nursery.start_soon(confirm, mirror)
+        return all(confirmed)
+
     def _acquire_retry(self, service: str) -> bool:
         """Return whether a call may be sent to another target."""
         return self._get_retry_budget(service).try_acquire(self._clock())
@@ -226,9 +249,14 @@
         max_connections = max(
             100, self.settings.max_descriptors - RESERVED_DESCRIPTORS
         )
-        return http_server.Server(
-            self._gateway.handle, limits, max_connections
-        )
+        return http_server.Server(self._handle, limits, max_connections)
+
+    async def _handle(
+        self, request: http_server.Request, reply: http_server.Reply
+    ) -> None:
+        """Respond to a client by the configuration in force."""
+        await self._pauses.ensure_current()
+        await self._gateway.handle(request, reply)
 
     def _get_retry_budget(self, service: str) -> _retry_budget.RetryBudget:
         budget = self._retry_budgets_by_service.get(service)
@@ -397,6 +425,7 @@
             )
             nursery.start_soon(self.engine_manager.run, nursery)
             nursery.start_soon(self._run_maintenance)
+            nursery.start_soon(self._pauses.run)
             nursery.start_soon(self._publish_counts)
             nursery.start_soon(self._target_parts.crash_watch.run)
             nursery.start_soon(self._target_parts.links.run)
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -428,6 +428,15 @@
         for connection in self._idle_by_peer.pop(peer, ()):
             connection.close()
 
+    def close_idle(self) -> None:
+        """Close all idle connections.
+
+        How long they have rested is not known after a suspension, which
+        trio's clock does not count.
+        """
+        for peer in list(self._idle_by_peer):
+            self.remove_peer(peer)
+
     def close_direct(self, peer: str) -> None:
         """Close the idle connections to a peer that are not relayed."""
         idle = self._idle_by_peer.pop(peer, [])
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -169,6 +169,7 @@
             'vm1', self.target_limits, None, frozenset, clock
         )
         self.failures = []
+        self.on_send = lambda: None
         self.permits_trials = False
         self.states = _target_states.TargetStates(
             clock,
@@ -202,6 +203,7 @@
                 self.states,
                 None,
                 self.stream_origins.record,
+                self._ensure_current,
             ),
             self.targets,
             _placement.Placement(
@@ -257,6 +259,10 @@
     def _record_failure(self, target, call, is_broken, sent_seconds_ago):
         self.failures.append((target.target_id, is_broken))
 
+    async def _ensure_current(self):
+        await trio.lowlevel.checkpoint()
+        self.on_send()
+
     async def _confirm(self):
         await trio.lowlevel.checkpoint()
         return False
