--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -60,8 +60,12 @@
         record_origin: abc.Callable[
             [str, _messages.Origin, tuple[str, ...]], None
         ],
+        ensure_current: abc.Callable[
+            [], abc.Awaitable[None]
+        ] = trio.lowlevel.cancel_shielded_checkpoint,
     ) -> None:
         self._translation = translation
+        self._ensure_current = ensure_current
         self._pool = pool
         self._links = links
         self._targets = targets
@@ -124,11 +128,13 @@
                 connection = await self._links.acquire(
                     target, job.call.request_id
                 )
-                if self._states.rest(target) or self._targets.is_evacuated(
+                await self._ensure_current()
+                if self._states.rest(
                     target
-                ):
-                    # It has asked for rest, or its data centre was evacuated,
-                    # while the connection was opened.
+                ) or not self._targets.takes_requests(target):
+                    # It has asked for rest, or has left or restarted, or
+                    # its data centre was evacuated, while the connection was
+                    # opened or this process was paused.
                     attempt.is_withheld = True
                     raise http_client.ExchangeFailed(
                         'the target takes no requests for now', was_sent=False
@@ -436,11 +442,13 @@
         if job.reply.has_begun:
             return
         job.software = target.software
-        self._record_origin(
-            job.call.resumed_id or job.call.request_id,
-            _messages.Origin(target.service, target.software),
-            job.route.service_names,
-        )
+        origin = _messages.Origin(target.service, target.software)
+        # Clients name the request that began the stream, or their last one.
+        for request_id in (job.call.request_id, job.call.resumed_id):
+            if request_id:
+                self._record_origin(
+                    request_id, origin, job.route.service_names
+                )
         await job.reply.begin(
             head.status, self._translation.response_headers(head.headers)
         )
