Send only unloads on connections without earlier commands

Change: a late report is told by its content type. A late response to another command can do harm only to an unload, whose slot is then given to the next load; loads and polls share a connection.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
@@ -19,9 +19,11 @@
 
 MAX_REPORT_BYTES = 1_000_000
 
-# Stands for the missing id of commands and reports: a command is sent on a
-# connection that carried neither, since their late responses look like its
-# own.
+# Stands for the missing id of commands. An unload is sent on a connection that
+# carried no command: a late response to an earlier one would look like its
+# own, and the next load would exceed the slots of the engine. For other
+# commands, a late response leads at worst to a rejected request or to a
+# command that the engine refuses, as its count of commands differs.
 _NO_ID = '-'
 
 
@@ -74,11 +76,14 @@
         self, target: domain.Target, command: domain.Command
     ) -> CommandOutcome:
         """Send a command and return its outcome."""
+        is_unload = command.kind == domain.CommandKind.UNLOAD
         try:
             status, _ = await self._exchange(
                 target,
                 self._translation.write_command(command, target),
-                _NO_ID,
+                self._is_command_response,
+                excluded_id=_NO_ID if is_unload else '',
+                added_id=_NO_ID,
             )
         except http_client.ExchangeFailed as error:
             outcome, status = CommandOutcome.UNKNOWN, 0
@@ -105,7 +110,9 @@
         """Return an engine's report, or None if it is unavailable."""
         try:
             status, body = await self._exchange(
-                target, self._translation.write_report_request(target)
+                target,
+                self._translation.write_report_request(target),
+                self._has_no_id,
             )
         except http_client.ExchangeFailed as error:
             log.info('MLB-6402', target=target.target_id, problem=str(error))
@@ -119,20 +126,29 @@
         self,
         target: domain.Target,
         request: tuple[bytes, bytes, domain.Headers, bytes],
-        request_id: str = '',
+        accept: abc.Callable[[http_client.Head], bool],
+        excluded_id: str = '',
+        added_id: str = '',
     ) -> tuple[int, bytes]:
+        """Send a request; return the status and body of its response.
+
+        :param accept: returns whether a response can belong to the request
+        :param excluded_id: what the connection has not carried yet
+        :param added_id: what it carries now
+        """
         if self._states.rest(target):
             raise http_client.ExchangeFailed(
                 'the target has asked for rest', was_sent=False
             )
         connection = await self._pool.acquire(
-            target.target_id, target.host, target.port, request_id=request_id
+            target.target_id, target.host, target.port, request_id=excluded_id
         )
-        connection.add_request_id(_NO_ID)
+        if added_id:
+            connection.add_request_id(added_id)
         try:
             with trio.fail_after(RESPONSE_TIMEOUT_SECONDS):
                 await connection.send(*request)
-                head = await connection.receive_head(self._is_command_response)
+                head = await connection.receive_head(accept)
                 body = await connection.receive_body(MAX_REPORT_BYTES)
         except trio.TooSlowError as error:
             connection.close()
@@ -153,6 +169,14 @@
         return head.status, body
 
     def _is_command_response(self, head: http_client.Head) -> bool:
+        """Return whether a response can belong to a command.
+
+        A report has a content type, which responses to commands lack.
+        """
+        names = {name for name, _ in head.headers}
+        return b'content-type' not in names and self._has_no_id(head)
+
+    def _has_no_id(self, head: http_client.Head) -> bool:
         """Return whether a response can belong to a command or report.
 
         Late responses to calls on the same connection have a request ID.
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -527,9 +527,11 @@
         unfinished = self._client_server.requests_in_flight
         self._client_server.end_reading()
         self._gateway.end_calls()
-        with trio.move_on_after(LAST_RESPONSES_SECONDS):
-            while self._client_server.has_clients:
-                await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
+        latest = trio.current_time() + LAST_RESPONSES_SECONDS
+        while trio.current_time() < latest:
+            if not self._client_server.has_clients:
+                break
+            await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
         log.info(
             'MLB-6015',
             in_flight=unfinished,
