A node that was paused does not take itself for the only one

For up to a second it ranked itself first for every account and target, took the shares of all nodes of a brittle target for its own, and as a hub told its subscribers that nobody lives. Its quorum was counted from the nodes of before the pause. Change: the view of before the pause is kept for a second, in which digests arrive. In that second the node has no quorum, so that it sends commands to engines only after the store has confirmed the lease. Result: test_other_nodes_are_not_lost_by_a_pause (2, 10 and 30 s; stopped and suspended) fails without the change and passes with it; test_fleet.py and test_peers.py pass.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_fleet.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_fleet.py
@@ -238,7 +238,14 @@
         )
 
     def refresh_view(self) -> None:
-        """Rebuild the view and the set of live nodes."""
+        """Rebuild the view and the set of live nodes.
+
+        The view of before a pause of this process is kept until the digests
+        of the other nodes have arrived. Else this node would take itself for
+        the only one, and the shares of all for its own.
+        """
+        if not self._membership.is_settled():
+            return
         now = self._clock()
         ttl = CENTRE_TTL_FEED_TIMEOUTS * self._feed_timeout()
         self.view = {
@@ -382,9 +389,9 @@
 
     def _current_aggregate(self) -> _aggregate.DigestAggregate:
         now = self._clock()
-        if (
-            self._aggregate is not None
-            and now - self._aggregated_at < self._membership.batch_delay / 10
+        if self._aggregate is not None and (
+            now - self._aggregated_at < self._membership.batch_delay / 10
+            or not self._membership.is_settled()
         ):
             return self._aggregate
         since = now - self._membership.stale_after
--- a/packages/mustardlb-gateway/mustardlb_gateway/_membership.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_membership.py
@@ -69,11 +69,17 @@
     :ivar live: names of the live nodes, without the local one
     :ivar claimants: those of them that can claim leases in the store
     :ivar cut_off: those of them that say that they reach no target
+    :ivar is_settled: returns whether this process was not paused just now, so
+        that the heartbeats of the other nodes have been received
     """
 
     def __init__(
-        self, local_vm: _centres.Vm, clock: abc.Callable[[], float]
+        self,
+        local_vm: _centres.Vm,
+        clock: abc.Callable[[], float],
+        is_settled: abc.Callable[[], bool] = lambda: True,
     ) -> None:
+        self.is_settled = is_settled
         self.local_vm = local_vm
         self._clock = clock
         self.vms_by_name: dict[str, _centres.Vm] = {}
@@ -176,8 +182,11 @@
     def has_quorum(self) -> bool:
         """Whether more nodes are live than were lost recently.
 
-        A recently added node that is not live counts as lost.
+        A recently added node that is not live counts as lost. After a pause
+        of this process, another node may have taken over meanwhile.
         """
+        if not self.is_settled():
+            return False
         since = self._clock() - RECENTLY_LOST_SECONDS
         lost = sum(
             self._heartbeat_at.get(vm, added_at) > since
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -103,6 +103,7 @@
                 settings.link_capacity,
             ),
             clock,
+            self._pauses.is_settled,
         )
         self.fleet = _fleet.Fleet(
             self.membership, incarnation, self._make_digest, clock
--- a/tests/mustardlb_gateway/test_pauses.py
+++ b/tests/mustardlb_gateway/test_pauses.py
@@ -14,6 +14,10 @@
 import test_app
 import trio
 
+from mustardlb_gateway import _centres
+from mustardlb_gateway import _fleet
+from mustardlb_gateway import _membership
+from mustardlb_gateway import _messages
 from mustardlb_gateway import _pauses
 from mustardlb_gateway import domain
 
@@ -159,3 +163,67 @@
         assert response.status == 503
         assert len(cluster.target.requests) == 1
         assert 'MLB-6250' in {each['event'] for each in logs}
+
+
+def make_digest(vm):
+    return _messages.Digest(
+        vm.host, vm.port, 'a', 1.0, True, False, {}, {}, (), ()
+    )
+
+
+# A node that woke up took itself for the only one until digests arrived, so
+# that it decided for all and took the shares of all; as a hub it told the
+# others that nobody lives.
+@pytest.mark.parametrize('kind', ['stopped', 'suspended'])
+@pytest.mark.parametrize('seconds', [2, 10, 30])
+async def test_other_nodes_are_not_lost_by_a_pause(
+    kind, seconds, autojump_clock, nursery
+):
+    clock = Clock()
+
+    async def refresh():
+        await trio.lowlevel.checkpoint()
+        return True
+
+    pauses = _pauses.Pauses(clock, refresh)
+    vms = [
+        _centres.Vm(f'vm{number}', 'h', 1, 'a', 9.0 - number)
+        for number in range(4)
+    ]
+    membership = _membership.Membership(vms[0], clock, pauses.is_settled)
+    fleet = _fleet.Fleet(membership, 1, lambda: make_digest(vms[0]), clock)
+    sequence = 0
+
+    def receive():
+        nonlocal sequence
+        sequence += 1
+        for vm in vms[1:]:
+            digest = make_digest(vm)
+            message = _messages.Message(vm.vm, 1, sequence, digest)
+            fleet.receive_digest(message, digest)
+
+    nursery.start_soon(pauses.run)
+    await trio.sleep(0.1)
+    receive()
+    fleet.refresh_view()
+    assert membership.live == {'vm1', 'vm2', 'vm3'}
+    assert membership.has_quorum()
+    told = fleet.state_for('vm3')['a'].members.keys()
+    await pause(kind, seconds, clock, autojump_clock)
+    fleet.refresh_view()
+    assert membership.live == {'vm1', 'vm2', 'vm3'}
+    assert fleet.state_for('vm3')['a'].members.keys() == told
+    # Others may have taken over its engines.
+    assert not membership.has_quorum()
+    await trio.sleep(_pauses.SETTLE_SECONDS / 2)
+    receive()
+    await trio.sleep(_pauses.SETTLE_SECONDS / 2 + 0.1)
+    fleet.refresh_view()
+    assert membership.live == {'vm1', 'vm2', 'vm3'}
+    assert membership.has_quorum()
+    # Those that do not answer after the pause are lost as usual.
+    await trio.sleep(0.25)
+    for _ in range(20):
+        await trio.sleep(0.5)
+    fleet.refresh_view()
+    assert not membership.live
