Wait the handover time also after a lost response or a restart

Both nodes were active for up to the handover time. Change: the lease says when it was taken from another node (takenAt, time of day of the taking machine, which also reads it); what is left of the handover time is waited for. After a write without a response the whole time is waited for. Leases of earlier releases count as taken long ago.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
@@ -12,6 +12,7 @@
 from collections import abc
 import dataclasses
 import hashlib
+import time
 
 import structlog
 
@@ -63,6 +64,7 @@
         clock: abc.Callable[[], float],
         handover_time: abc.Callable[[], float],
         fences_checked: abc.Callable[[], bool],
+        wall_clock: abc.Callable[[], float] = time.time,
     ) -> None:
         self._vm = vm
         self._incarnation = incarnation
@@ -70,6 +72,9 @@
         self._clock = clock
         self._handover_time = handover_time
         self._fences_checked = fences_checked
+        self._wall_clock = wall_clock
+        # Targets for which a write over another node's lease had no response.
+        self._unacknowledged: set[str] = set()
         self.by_target: dict[str, Lease] = {}
 
     async def claim(self, target_id: str) -> Lease | None:
@@ -99,10 +104,19 @@
     ) -> Lease:
         spec = stored.spec if stored and isinstance(stored.spec, dict) else {}
         fence = int(spec.get('fence', 0)) + 1
+        is_taken_over = stored is not None and spec.get('holder') != self._vm
+        taken_at = spec.get('takenAt')
+        if not isinstance(taken_at, int | float):
+            # Written by an earlier release.
+            taken_at = 0.0
+        if is_taken_over:
+            taken_at = self._wall_clock()
+            self._unacknowledged.add(target_id)
         new_spec = {
             'holder': self._vm,
             'incarnation': self._incarnation,
             'fence': fence,
+            'takenAt': taken_at,
         }
         if stored is None:
             written = await self._store.create(LEASE_KIND, target_id, new_spec)
@@ -111,9 +125,16 @@
                 LEASE_KIND, target_id, new_spec, stored.revision
             )
         now = self._clock()
-        handover_wait = 0.0
-        if stored is not None and spec.get('holder') != self._vm:
-            handover_wait = self._handover_time() + HANDOVER_MARGIN_SECONDS
+        handover_wait = self._handover_time() + HANDOVER_MARGIN_SECONDS
+        if not is_taken_over and target_id not in self._unacknowledged:
+            # The process that took the lease over may have ended since, and
+            # the holder before may not know yet.
+            handover_wait += taken_at - self._wall_clock()
+        self._unacknowledged.discard(target_id)
+        handover_wait = min(
+            max(0.0, handover_wait),
+            self._handover_time() + HANDOVER_MARGIN_SECONDS,
+        )
         return Lease(
             target_id,
             fence,
--- a/tests/mustardlb_gateway/test_leases.py
+++ b/tests/mustardlb_gateway/test_leases.py
@@ -1,3 +1,4 @@
+import pytest
 import simulated_store
 import trio
 
@@ -6,14 +7,15 @@
 HANDOVER_SECONDS = 3.0
 
 
-def make_leases(store, vm, fences_checked=True):
+def make_leases(store, vm, fences_checked=True, incarnation=1):
     return _leases.Leases(
         vm,
-        1,
+        incarnation,
         store,
         trio.current_time,
         lambda: HANDOVER_SECONDS,
         lambda: fences_checked,
+        lambda: 1e9 + trio.current_time(),
     )
 
 
@@ -111,3 +113,46 @@
     for target_id, vm in chosen.items():
         rest = vms - {'vm3'} if vm != 'vm3' else vms
         assert _leases.preferred_vm(rest, target_id) == vm
+
+
+# The lease that the node then read was its own, so that it did not wait for
+# the holder before, and both sent commands.
+@pytest.mark.parametrize('pause', [0.0, 1.0])
+async def test_handover_time_counts_if_the_response_was_lost(
+    pause, autojump_clock
+):
+    store = simulated_store.SimulatedStore()
+    await make_leases(store, 'vm1').claim('t1')
+    second = make_leases(store, 'vm2')
+    store.lose_responses = True
+    assert await second.claim('t1') is None
+    store.lose_responses = False
+    await trio.sleep(pause)
+    lease = await second.claim('t1')
+    assert lease.fence == 3
+    assert not await second.may_send_commands(lease, True)
+    await trio.sleep(HANDOVER_SECONDS - pause)
+    assert not await second.may_send_commands(lease, True)
+    await trio.sleep(pause + _leases.HANDOVER_MARGIN_SECONDS + 0.01)
+    assert await second.may_send_commands(lease, True)
+
+
+# A node that restarted within the handover time did not wait for the rest.
+async def test_handover_time_counts_if_the_new_holder_restarts(
+    autojump_clock,
+):
+    store = simulated_store.SimulatedStore()
+    await make_leases(store, 'vm1').claim('t1')
+    assert await make_leases(store, 'vm2').claim('t1')
+    await trio.sleep(1)
+    restarted = make_leases(store, 'vm2', incarnation=2)
+    lease = await restarted.claim('t1')
+    assert not await restarted.may_send_commands(lease, True)
+    await trio.sleep(HANDOVER_SECONDS - 1)
+    assert not await restarted.may_send_commands(lease, True)
+    await trio.sleep(_leases.HANDOVER_MARGIN_SECONDS + 0.01)
+    assert await restarted.may_send_commands(lease, True)
+    # Later, no node can be unaware of the handover any more.
+    again = make_leases(store, 'vm2', incarnation=3)
+    lease = await again.claim('t1')
+    assert await again.may_send_commands(lease, True)
