Send no command to an engine on a lease looked at long ago

Engines refuse a lower fencing token only once they have seen a higher one. Change: directly before a command is sent, the lease has to be held and to have been looked at within 0.2 s, which is part of the handover margin of 0.3 s. A response of the store that took longer than the second for which a verification holds does not confirm a lease. Result: test_paused_controller_sends_no_command and test_late_confirmation_of_a_lease_does_not_count (2, 10 and 30 s) fail without the checks and pass with them.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
@@ -66,12 +66,20 @@
         self._states = states
 
     async def send_command(
-        self, target: domain.Target, command: domain.Command
+        self,
+        target: domain.Target,
+        command: domain.Command,
+        is_permitted: abc.Callable[[], bool] = lambda: True,
     ) -> CommandOutcome:
-        """Send a command and return its outcome."""
+        """Send a command and return its outcome.
+
+        :param is_permitted: asked directly before the command is sent
+        """
         try:
             status, _ = await self._exchange(
-                target, self._translation.write_command(command, target)
+                target,
+                self._translation.write_command(command, target),
+                is_permitted,
             )
         except http_client.ExchangeFailed as error:
             outcome, status = CommandOutcome.UNKNOWN, 0
@@ -112,6 +120,7 @@
         self,
         target: domain.Target,
         request: tuple[bytes, bytes, domain.Headers, bytes],
+        is_permitted: abc.Callable[[], bool] = lambda: True,
     ) -> tuple[int, bytes]:
         if self._states.rest(target):
             raise http_client.ExchangeFailed(
@@ -120,6 +129,12 @@
         connection = await self._pool.acquire(
             target.target_id, target.host, target.port
         )
+        if not is_permitted():
+            self._pool.release(target.target_id, connection)
+            log.info('MLB-6252', target=target.target_id)
+            raise http_client.ExchangeFailed(
+                'the lease was looked at too long ago', was_sent=False
+            )
         try:
             with trio.fail_after(RESPONSE_TIMEOUT_SECONDS):
                 await connection.send(*request)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_controller.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_controller.py
@@ -416,6 +416,21 @@
                 return False
         return True
 
+    def _is_permitted_since(self, seen_at: float) -> abc.Callable[[], bool]:
+        """Return a check whether a lease seen at a time permits commands.
+
+        This process may be paused between the two.
+        """
+
+        def is_permitted() -> bool:
+            return (
+                self._clock() - seen_at <= _leases.MAX_COMMAND_DELAY_SECONDS
+                and self._leases.by_target.get(self.lease.target_id)
+                is self.lease
+            )
+
+        return is_permitted
+
     async def _send_command(
         self,
         kind: domain.CommandKind,
@@ -446,7 +461,9 @@
                 self.lease, self._has_quorum()
             ):
                 return _engine_client.CommandOutcome.REFUSED
-            outcome = await self._client.send_command(self.target, command)
+            outcome = await self._client.send_command(
+                self.target, command, self._is_permitted_since(self._clock())
+            )
             if outcome != _engine_client.CommandOutcome.UNKNOWN:
                 break
         match outcome:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
@@ -28,6 +28,10 @@
 
 VERIFICATION_TTL_SECONDS = 1.0
 
+# A command is not sent if the lease was looked at longer ago. It is part of
+# the handover margin, which also has to cover the transmission.
+MAX_COMMAND_DELAY_SECONDS = 0.2
+
 # A lease that the store has not confirmed for this time is given up if the
 # store answers other nodes.
 UNCONFIRMED_SECONDS = 2.0
@@ -155,6 +159,13 @@
             if lease.unconfirmed_since is None:
                 lease.unconfirmed_since = self._clock()
             return False
+        if self._clock() - requested_at > VERIFICATION_TTL_SECONDS:
+            # The response has waited, while this process was paused or the
+            # store was slow, and another node may hold the lease by now.
+            log.info('MLB-6252', target=lease.target_id)
+            if lease.unconfirmed_since is None:
+                lease.unconfirmed_since = requested_at
+            return False
         if stored is None or stored.revision != lease.revision:
             self.drop(lease.target_id, 'the store has a newer lease')
             return False
--- a/tests/mustardlb_gateway/test_engine_client.py
+++ b/tests/mustardlb_gateway/test_engine_client.py
@@ -92,3 +92,28 @@
     )
     target = builders.make_target(port=1)
     assert await client.send_command(target, COMMAND) == 'refused'
+
+
+# A process that was paused while it connected sent the command although
+# another node had taken over the engine.
+async def test_command_is_not_sent_without_permission_any_more():
+    received = []
+
+    async def script(connection, head, body):
+        received.append(head)
+        await connection.send(response(202))
+
+    async with scripted.ScriptedServer(script).running() as server:
+        client = _engine_client.EngineClient(
+            http_client.Pool(0.5),
+            TranslationStub(),
+            lambda *_: None,
+            make_states(),
+        )
+        target = builders.make_target(port=server.port)
+        outcome = await client.send_command(target, COMMAND, lambda: False)
+        assert outcome == 'refused'
+        assert not received
+        # The connection can be used for the next one.
+        outcome = await client.send_command(target, COMMAND, lambda: True)
+        assert outcome == 'accepted'
--- a/tests/mustardlb_gateway/test_engine_controller.py
+++ b/tests/mustardlb_gateway/test_engine_controller.py
@@ -40,6 +40,7 @@
         self.busy_until = 0.0
         self.unloading = None
         self.busy_count = 0
+        self.connect_seconds = 0.0
 
     def _advance(self):
         now = trio.current_time()
@@ -48,7 +49,10 @@
                 del self.loading[adapter]
                 self.resident[adapter] = version
 
-    async def send_command(self, target, command):
+    async def send_command(self, target, command, is_permitted):
+        await trio.sleep(self.connect_seconds)
+        if not is_permitted():
+            return Outcome.REFUSED
         await trio.sleep(0.003)
         if self.lost_responses:
             is_executed = self.lost_responses.pop(0)
@@ -471,3 +475,21 @@
     harness.controller.resident[unloading] = 1
     await trio.sleep(1.5)
     assert unloading not in harness.controller.resident
+
+
+# A controller that was paused between the look at its lease and the command
+# gave orders beside the node that had taken over meanwhile.
+@pytest.mark.parametrize('seconds', [2.0, 10.0, 30.0])
+async def test_paused_controller_sends_no_command(
+    seconds, harness, autojump_clock
+):
+    assert await harness.controller.request_load(adapter(1), 0, 5.0)
+    sent = len(harness.engine.commands)
+    harness.engine.connect_seconds = seconds
+    assert not await harness.controller.request_load(adapter(2), 0, 0.5)
+    await trio.sleep(seconds)
+    assert len(harness.engine.commands) == sent
+    # It goes on once commands are sent in time again.
+    harness.engine.connect_seconds = 0.0
+    await trio.sleep(seconds + 1)
+    assert await harness.controller.request_load(adapter(3), 0, 5.0)
--- a/tests/mustardlb_gateway/test_leases.py
+++ b/tests/mustardlb_gateway/test_leases.py
@@ -156,3 +156,26 @@
     again = make_leases(store, 'vm2', incarnation=3)
     lease = await again.claim('t1')
     assert await again.may_send_commands(lease, True)
+
+
+# A response that waited in the socket of a paused process confirmed a lease
+# that another node had taken meanwhile.
+@pytest.mark.parametrize('seconds', [2.0, 10.0, 30.0])
+async def test_late_confirmation_of_a_lease_does_not_count(
+    seconds, autojump_clock
+):
+    store = simulated_store.SimulatedStore()
+    leases = make_leases(store, 'vm1')
+    lease = await leases.claim('t1')
+    await trio.sleep(5)
+    get = store.get
+
+    async def get_late(kind, name):
+        stored = await get(kind, name)
+        await trio.sleep(seconds)
+        return stored
+
+    store.get = get_late
+    assert not await leases.may_send_commands(lease, False)
+    store.get = get
+    assert await leases.may_send_commands(lease, False)
