--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_client.py
@@ -73,15 +73,22 @@
         self._states = states
 
     async def send_command(
-        self, target: domain.Target, command: domain.Command
+        self,
+        target: domain.Target,
+        command: domain.Command,
+        is_permitted: abc.Callable[[], bool] = lambda: True,
     ) -> CommandOutcome:
-        """Send a command and return its outcome."""
+        """Send a command and return its outcome.
+
+        :param is_permitted: asked directly before the command is sent
+        """
         is_unload = command.kind == domain.CommandKind.UNLOAD
         try:
             status, _ = await self._exchange(
                 target,
                 self._translation.write_command(command, target),
                 self._is_command_response,
+                is_permitted,
                 excluded_id=_NO_ID if is_unload else '',
                 added_id=_NO_ID,
             )
@@ -127,12 +134,14 @@
         target: domain.Target,
         request: tuple[bytes, bytes, domain.Headers, bytes],
         accept: abc.Callable[[http_client.Head], bool],
+        is_permitted: abc.Callable[[], bool] = lambda: True,
         excluded_id: str = '',
         added_id: str = '',
     ) -> tuple[int, bytes]:
         """Send a request; return the status and body of its response.
 
         :param accept: returns whether a response can belong to the request
+        :param is_permitted: asked directly before the request is sent
         :param excluded_id: what the connection has not carried yet
         :param added_id: what it carries now
         """
@@ -143,6 +152,12 @@
         connection = await self._pool.acquire(
             target.target_id, target.host, target.port, request_id=excluded_id
         )
+        if not is_permitted():
+            self._pool.release(target.target_id, connection)
+            log.info('MLB-6252', target=target.target_id)
+            raise http_client.ExchangeFailed(
+                'the lease was looked at too long ago', was_sent=False
+            )
         if added_id:
             connection.add_request_id(added_id)
         try:
