Order adapter loads and evictions by priority and account

Requests for adapter loads were ordered by "in time" and by the number of waiting calls.

Want and Reserve carry the priority and the account of the call; without them, priority 5 and no account apply. Among the requests that can be in time the order is by priority, by the tokens served lately to the account (in steps of a factor of two), by the number of calls. Less urgent requests that are in time more often than more urgent ones, which happens because of their longer objective, come after the late ones of the latter. Accounts that were served more than 1.5 times their usual tokens come last. Every fourth load is for the leading request with the nearest objective. Adapters that urgent calls used lately are evicted after the others. Where all requests have one priority and no account, the order is as before.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -72,10 +72,7 @@
         targets: _targets.TargetTable,
         placement: _placement.Placement,
         versions: abc.Callable[[domain.AdapterName], _jobs.AdapterVersions],
-        load: abc.Callable[
-            [str, domain.AdapterName, int, float, float],
-            abc.Awaitable[bool],
-        ],
+        load: abc.Callable[[_messages.Want], abc.Awaitable[bool]],
         reserve: abc.Callable[
             [_messages.Reserve], abc.Awaitable[_messages.Reserved | None]
         ],
@@ -324,11 +321,16 @@
                 / _prefill_queue.PREFILL_TOKENS_PER_SECOND
             )
             if await self._load(
-                choice.target.target_id,
-                adapter,
-                request.min_version,
-                load_timeout,
-                objective_at - prefill_seconds - now,
+                _messages.Want(
+                    choice.target.target_id,
+                    adapter,
+                    request.min_version,
+                    load_timeout,
+                    objective_at - prefill_seconds - now,
+                    job.priority,
+                    job.account_name,
+                    choice.prefill_tokens,
+                )
             ) and self._targets.takes_requests(choice.target):
                 job.waited += trio.current_time() - started_at
                 return choice
@@ -481,6 +483,8 @@
                 choice.prefill_tokens,
                 max_queue,
                 choice.must_load,
+                job.priority,
+                job.account_name,
             )
         )
         if reserved is not None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_contents.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_contents.py
@@ -22,6 +22,10 @@
 
 USAGE_HALF_LIFE_SECONDS = 8.0
 
+# An adapter that an urgent call has used within this time is evicted only
+# after those that less urgent calls use.
+URGENT_USE_SECONDS = 8.0
+
 
 @dataclasses.dataclass(slots=True)
 class Loading:
@@ -60,11 +64,33 @@
         self._usage = _adapter_usage.AdapterUsage(USAGE_HALF_LIFE_SECONDS)
         self._reserved_at: dict[domain.AdapterName, float] = {}
         self._candidates_since: dict[domain.AdapterName, float] = {}
+        # Most urgent priority of the recent uses, and when it was last seen.
+        self._priority_and_time: dict[
+            domain.AdapterName, tuple[int, float]
+        ] = {}
+
+    def touch(
+        self, adapter: domain.AdapterName, priority: int | None = None
+    ) -> None:
+        """Record a use of an adapter and advertise it again.
 
-    def touch(self, adapter: domain.AdapterName) -> None:
-        """Record a use of an adapter and advertise it again."""
-        self._usage.record(adapter, self._clock())
+        :param priority: priority of the call, None if it is not known
+        """
+        now = self._clock()
+        self._usage.record(adapter, now)
         self._candidates_since.pop(adapter, None)
+        if priority is None:
+            return
+        known = self._recent_priority(adapter, now)
+        if known is None or priority <= known:
+            self._priority_and_time[adapter] = priority, now
+
+    def _recent_priority(
+        self, adapter: domain.AdapterName, now: float
+    ) -> int | None:
+        """Return the most urgent priority of an adapter's recent uses."""
+        priority, at = self._priority_and_time.get(adapter, (None, now))
+        return priority if now - at <= URGENT_USE_SECONDS else None
 
     def reserve(self, adapter: domain.AdapterName) -> None:
         """Protect an adapter from eviction for a request on its way."""
@@ -169,16 +195,40 @@
         )
 
     def choose_victim(
-        self, requested: abc.Collection[domain.AdapterName]
+        self,
+        requested: abc.Collection[domain.AdapterName],
+        priority: int,
     ) -> domain.AdapterName | None:
-        """Return the adapter to evict, preferably one not advertised."""
-        evictable = self.evictable(requested)
+        """Return the adapter to evict, preferably one not advertised.
+
+        An adapter that more urgent calls have used lately is chosen only if
+        there is no other.
+
+        :param priority: priority of the call that needs the slot
+        """
+        evictable, urgent = self._split_urgent(
+            self.evictable(requested), priority
+        )
+        evictable = evictable or urgent
         since = self._clock() - CANDIDATE_NOTICE_SECONDS
         for adapter in evictable:
             if self._candidates_since.get(adapter, since + 1) <= since:
                 return adapter
         return evictable[0] if evictable else None
 
+    def _split_urgent(
+        self, adapters: list[domain.AdapterName], priority: int
+    ) -> tuple[list[domain.AdapterName], list[domain.AdapterName]]:
+        """Split off the adapters lately used by more urgent calls."""
+        now = self._clock()
+        others: list[domain.AdapterName] = []
+        urgent: list[domain.AdapterName] = []
+        for adapter in adapters:
+            recent = self._recent_priority(adapter, now)
+            is_urgent = recent is not None and recent < priority
+            (urgent if is_urgent else others).append(adapter)
+        return others, urgent
+
     def choose_candidates(
         self, slots: int, requested: abc.Collection[domain.AdapterName]
     ) -> None:
@@ -194,13 +244,27 @@
             for adapter, at in self._reserved_at.items()
             if now - at <= self.min_residency
         }
+        self._priority_and_time = {
+            adapter: (priority, at)
+            for adapter, (priority, at) in self._priority_and_time.items()
+            if now - at <= URGENT_USE_SECONDS
+        }
         held = sum(1 for adapter in self.resident if adapter.adapter)
         missing = (
             EVICTION_CANDIDATES
             - max(0, slots - held)
             - len(self._candidates_since)
         )
-        for adapter in self.evictable(requested):
+        if missing <= 0:
+            return
+        least_urgent = max(
+            (priority for priority, _ in self._priority_and_time.values()),
+            default=0,
+        )
+        others, urgent = self._split_urgent(
+            self.evictable(requested), least_urgent
+        )
+        for adapter in others + urgent:
             if missing <= 0:
                 return
             if adapter not in self._candidates_since:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_controller.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_controller.py
@@ -104,21 +104,34 @@
         version: int,
         timeout: float,
         slack: float = 0.0,
+        priority: int = _messages.DEFAULT_PRIORITY,
+        account: str = '',
+        tokens: int = 0,
     ) -> bool:
         """Return whether an adapter is loaded within `timeout` seconds.
 
         Requests that can still meet their latency objective, which is due
-        in `slack` seconds, are served before the others.
+        in `slack` seconds, are served before the others, in the order of
+        their priority and of the tokens served lately to their account.
         """
         now = self._clock()
-        self._contents.touch(adapter)
+        self._contents.touch(adapter, priority)
         self._contents.reserve(adapter)
         if self._contents.has(adapter, version):
+            self._requests.record_served(account, tokens, now)
             return True
         self._wake_up.set()
         return await self._requests.wait(
             _load_requests.LoadRequest(
-                adapter, version, now + timeout, now + slack
+                adapter,
+                version,
+                now + timeout,
+                now + slack,
+                priority,
+                account,
+                tokens,
+                # A late call was counted where it became late.
+                is_counted=slack <= 0,
             ),
             timeout,
         )
@@ -145,8 +158,12 @@
         is_accepted = is_resident and queue <= request.max_queue
         if is_accepted:
             self._prefill_queue.add(request.tokens, now)
-            self._contents.touch(adapter)
+            self._contents.touch(adapter, request.priority)
             self._contents.reserve(adapter)
+            if not request.is_load:
+                self._requests.record_served(
+                    request.account, request.tokens, now
+                )
         return _messages.Reserved(True, is_accepted, is_resident, queue)
 
     @property
@@ -222,21 +239,24 @@
             self._adapter_slots(), self._requests.adapters()
         )
         has_room = True
-        for request in self._requests.by_priority(
+        for due in self._requests.by_priority(
             self._contents.loading, self._first_poll_seconds, self._clock()
         ):
             if len(self._contents.loading) >= MAX_CONCURRENT_LOADS:
                 return
-            if request.adapter not in self.resident:
+            if due.adapter not in self.resident:
                 # If there is no room for one adapter, there is none for the
                 # others, of which many may be waiting.
-                has_room = has_room and await self._make_room(request.adapter)
+                has_room = has_room and await self._make_room(
+                    due.adapter, due.priority
+                )
                 if not has_room:
                     continue
             if self._pending_unload is not None:
                 return
-            if not await self._start_load(request.adapter, request.version):
+            if not await self._start_load(due.adapter, due.version):
                 return
+            self._requests.record_start()
 
     async def _refresh_report(self) -> bool:
         """Request a report if one is due.
@@ -400,16 +420,22 @@
             return HOST_FIRST_POLL_SECONDS
         return STORE_FIRST_POLL_SECONDS
 
-    async def _make_room(self, adapter: domain.AdapterName) -> bool:
+    async def _make_room(
+        self, adapter: domain.AdapterName, priority: int
+    ) -> bool:
         """Evict the least used adapters until another one fits.
 
+        Those used lately by more urgent calls are evicted last.
+
         Return False if no adapter can be evicted now.
         """
         engine = self._engine()
         if engine is None:
             return False
         while self._contents.is_full(engine, adapter):
-            victim = self._contents.choose_victim(self._requests.adapters())
+            victim = self._contents.choose_victim(
+                self._requests.adapters(), priority
+            )
             if victim is None:
                 return False
             if not await self._unload(victim):
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_manager.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_manager.py
@@ -333,32 +333,17 @@
         holder = self._holders.holder(target_id)
         return holder[1].room if holder else 0
 
-    async def request_load(
-        self,
-        target_id: str,
-        adapter: domain.AdapterName,
-        version: int,
-        timeout: float,
-        slack: float,
-    ) -> bool:
-        """Load an adapter on an engine; return whether it is loaded.
-
-        :param version: minimum version, 0 for any
-        :param timeout: seconds until the load is of no use to the call
-        :param slack: seconds until the call misses its latency objective
-        """
-        controller = self._by_target.get(target_id)
-        if controller is not None:
-            return await controller.request_load(
-                adapter, version, timeout, slack
-            )
-        holder = self._holders.holder(target_id)
+    async def request_load(self, request: _messages.Want) -> bool:
+        """Load an adapter on an engine; return whether it is loaded."""
+        if request.target_id in self._by_target:
+            return (await self.handle_load_request(request)).is_there
+        holder = self._holders.holder(request.target_id)
         if holder is None:
             return False
         response = await self._peers.request(
             holder[0],
-            _messages.Want(target_id, adapter, version, timeout, slack),
-            timeout + ROUND_TRIP_MARGIN_SECONDS,
+            request,
+            request.patience + ROUND_TRIP_MARGIN_SECONDS,
         )
         return isinstance(response, _messages.Wanted) and response.is_there
 
@@ -409,5 +394,8 @@
                 request.version,
                 request.patience,
                 request.slack,
+                request.priority,
+                request.account,
+                request.tokens,
             )
         )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -47,6 +47,11 @@
     software: str | None = None
     permitted_until: dict[str, float] = dataclasses.field(default_factory=dict)
 
+    @property
+    def account_name(self) -> str:
+        """Return the name of the account, '' if the call has none."""
+        return self.account.name if self.account else ''
+
     @property
     def sent_attempts(self) -> int:
         """Return the number of attempts that may have reached a target."""
--- a/packages/mustardlb-gateway/mustardlb_gateway/_load_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_load_requests.py
@@ -5,8 +5,26 @@
 
 import trio
 
+from mustardlb_gateway import _messages
+from mustardlb_gateway import _served_tokens
 from mustardlb_gateway import domain
 
+# Half-life of the counts of calls that were in time. An engine of a large
+# fleet loads an adapter every one or two seconds.
+IN_TIME_HALF_LIFE_SECONDS = 20.0
+
+# By how much the share of less urgent calls that are in time must exceed that
+# of more urgent ones before these come first.
+IN_TIME_MARGIN = 0.02
+
+# A call whose request expires with less time to its objective is late.
+SHORTEST_LOAD_SECONDS = 0.1
+
+# Each load of this number goes to the adapter of the leading requests whose
+# objective is the nearest, else adapters for which few calls wait would never
+# be loaded while others have more.
+OLDEST_FIRST_INTERVAL = 4
+
 
 @dataclasses.dataclass(slots=True)
 class LoadRequest:
@@ -15,14 +33,78 @@
     :ivar version: minimum version, 0 for any
     :ivar deadline: when the request expires, clock seconds
     :ivar objective_at: when the call misses its latency objective
+    :ivar priority: priority of the call, 0 is the most urgent
+    :ivar account: account of the call, '' if it is not known
+    :ivar tokens: prompt tokens that the target has to process
+    :ivar is_counted: whether it was counted as in time or late
     """
 
     adapter: domain.AdapterName
     version: int
     deadline: float
     objective_at: float
+    priority: int = _messages.DEFAULT_PRIORITY
+    account: str = ''
+    tokens: int = 0
     done: trio.Event = dataclasses.field(default_factory=trio.Event)
     is_loaded: bool = False
+    is_counted: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DueLoad:
+    """An adapter to load; `priority` is that of its most urgent call."""
+
+    adapter: domain.AdapterName
+    version: int
+    priority: int
+
+
+class InTimeShares:
+    """Shares of the calls that are in time, by priority.
+
+    >>> shares = InTimeShares()
+    >>> shares.record(0, False, 0.0)
+    >>> shares.record(2, True, 0.0)
+    >>> shares.favoured(0.0)
+    {2}
+    """
+
+    def __init__(self) -> None:
+        self._in_time: dict[int, tuple[float, float]] = {}
+        self._late: dict[int, tuple[float, float]] = {}
+
+    def record(self, priority: int, is_in_time: bool, now: float) -> None:
+        """Count a call that was served in time or missed its objective."""
+        counts = self._in_time if is_in_time else self._late
+        counts[priority] = _decayed(counts, priority, now) + 1, now
+
+    def favoured(self, now: float) -> set[int]:
+        """Return the priorities served better than a more urgent one."""
+        favoured: set[int] = set()
+        lowest = 1.0
+        for priority in sorted(self._in_time.keys() | self._late.keys()):
+            in_time = _decayed(self._in_time, priority, now)
+            late = _decayed(self._late, priority, now)
+            # Without recent calls, a priority counts as in time.
+            share = (in_time + 1) / (in_time + late + 1)
+            if share > lowest + IN_TIME_MARGIN:
+                favoured.add(priority)
+            lowest = min(lowest, share)
+        return favoured
+
+
+def _decayed(
+    counts: dict[int, tuple[float, float]], priority: int, now: float
+) -> float:
+    count, since = counts.get(priority, (0.0, now))
+    return count * 0.5 ** ((now - since) / IN_TIME_HALF_LIFE_SECONDS)
+
+
+# Whether the account of a call was served far more than usual; whether others
+# come first since the call is late or its priority is served better than more
+# urgent ones; its priority; whether it is late; and the rank of its account.
+_Rank = tuple[bool, bool, int, bool, int]
 
 
 class LoadRequests:
@@ -30,6 +112,9 @@
 
     def __init__(self) -> None:
         self._requests: list[LoadRequest] = []
+        self._served = _served_tokens.ServedTokens()
+        self._shares = InTimeShares()
+        self._started = 0
 
     def __len__(self) -> int:
         return len(self._requests)
@@ -45,8 +130,17 @@
             await request.done.wait()
         if request in self._requests:
             self._requests.remove(request)
+            self._count_expired(request)
         return request.is_loaded
 
+    def _count_expired(self, request: LoadRequest) -> None:
+        """Count a request as late if a further load would be late."""
+        if request.is_counted:
+            return
+        if request.objective_at <= request.deadline + SHORTEST_LOAD_SECONDS:
+            request.is_counted = True
+            self._shares.record(request.priority, False, request.deadline)
+
     def finish(
         self,
         has: abc.Callable[[domain.AdapterName, int], bool],
@@ -56,8 +150,14 @@
         for request in list(self._requests):
             if has(request.adapter, request.version):
                 request.is_loaded = True
+                self.record_served(request.account, request.tokens, now)
+                if not request.is_counted:
+                    is_in_time = now < request.objective_at
+                    self._shares.record(request.priority, is_in_time, now)
             elif now < request.deadline:
                 continue
+            else:
+                self._count_expired(request)
             request.done.set()
             self._requests.remove(request)
 
@@ -67,27 +167,98 @@
             request.done.set()
         self._requests.clear()
 
+    def record_served(self, account: str, tokens: int, now: float) -> None:
+        """Record a call that the engine serves."""
+        if account:
+            self._served.record(account, tokens, now)
+
+    def record_start(self) -> None:
+        """Record the start of a load."""
+        self._started += 1
+
     def by_priority(
         self,
         loading: abc.Container[domain.AdapterName],
         load_seconds: abc.Callable[[domain.AdapterName], float],
         now: float,
-    ) -> list[LoadRequest]:
-        """Return one request for each adapter to load, by priority.
+    ) -> list[DueLoad]:
+        """Return the adapters to load, by priority.
 
         Adapters for which a request can meet its latency objective come
-        first, then those with the most requests, then those requested first.
+        first, then those of the most urgent request, then those of the
+        account that was served the fewest tokens lately, then those with the
+        most requests, then those requested first.
+
+        Requests whose priority is in time more often than a more urgent one
+        come after the late requests of the latter. They would have the longer
+        objective, and be served whenever the urgent ones have become late.
+        Requests of accounts that were served far more than usual come last.
         """
         by_adapter: dict[domain.AdapterName, list[LoadRequest]] = {}
         for request in self._requests:
             if request.adapter not in loading:
                 by_adapter.setdefault(request.adapter, []).append(request)
+            if not request.is_counted and now >= request.objective_at:
+                request.is_counted = True
+                self._shares.record(request.priority, False, now)
+        favoured = self._shares.favoured(now)
+        in_excess = self._served.in_excess(now)
+        rank_by_account = {
+            account: self._served.rank(account, now)
+            for account in {request.account for request in self._requests}
+        }
 
-        def rank(requests: list[LoadRequest]) -> tuple[bool, int]:
+        def rank(requests: list[LoadRequest]) -> _Rank:
             loaded_at = now + load_seconds(requests[0].adapter)
-            in_time = any(loaded_at < each.objective_at for each in requests)
-            return not in_time, -len(requests)
+            return min(
+                (
+                    each.account in in_excess,
+                    loaded_at >= each.objective_at
+                    or each.priority in favoured,
+                    each.priority,
+                    loaded_at >= each.objective_at,
+                    rank_by_account[each.account],
+                )
+                for each in requests
+            )
 
+        ranked = sorted(
+            ((rank(requests), requests) for requests in by_adapter.values()),
+            key=lambda each: (each[0], -len(each[1])),
+        )
+        if self._is_oldest_due():
+            _move_oldest_to_front(ranked)
         return [
-            requests[0] for requests in sorted(by_adapter.values(), key=rank)
+            DueLoad(
+                requests[0].adapter,
+                requests[0].version,
+                min(each.priority for each in requests),
+            )
+            for _, requests in ranked
         ]
+
+    def _is_oldest_due(self) -> bool:
+        """Return whether the next load is for the oldest leading request.
+
+        Requests of one priority and of no known account keep their order.
+        """
+        if (self._started + 1) % OLDEST_FIRST_INTERVAL:
+            return False
+        return (
+            len({request.priority for request in self._requests}) > 1
+            or len({request.account for request in self._requests} | {''}) > 1
+        )
+
+
+def _move_oldest_to_front(
+    ranked: list[tuple[_Rank, list[LoadRequest]]],
+) -> None:
+    """Move the leading adapter with the nearest objective to the front."""
+    leading = [each for each in ranked if each[0] == ranked[0][0]]
+    if leading:
+        oldest = min(
+            leading,
+            key=lambda each: min(item.objective_at for item in each[1]),
+        )
+        ranked.remove(oldest)
+        ranked.insert(0, oldest)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -54,6 +54,9 @@
                 'version': body.version,
                 'patience': body.patience,
                 'slack': body.slack,
+                'priority': _encode_priority(body.priority),
+                'account': body.account,
+                'tokens': body.tokens,
             }
         case _messages.Wanted():
             return 'wanted', body.is_there
@@ -65,6 +68,8 @@
                 'tokens': body.tokens,
                 'maxQueue': body.max_queue,
                 'isLoad': body.is_load,
+                'priority': _encode_priority(body.priority),
+                'account': body.account,
             }
         case _messages.Reserved():
             return 'reserved', {
@@ -135,6 +140,10 @@
             }
 
 
+def _encode_priority(priority: int) -> int:
+    return max(0, min(priority, 255))
+
+
 def _charge_fields(charge: _messages.Charge) -> dict[str, Any]:
     return {
         'account': charge.account,
@@ -290,7 +299,14 @@
             want = decoded.want
             adapter = domain.AdapterName.parse(want.adapter)
             return _messages.Want(
-                want.target, adapter, want.version, want.patience, want.slack
+                want.target,
+                adapter,
+                want.version,
+                want.patience,
+                want.slack,
+                want.priority,
+                want.account,
+                want.tokens,
             )
         case 'reserve':
             reserve = decoded.reserve
@@ -301,6 +317,8 @@
                 reserve.tokens,
                 reserve.maxQueue,
                 reserve.isLoad,
+                reserve.priority,
+                reserve.account,
             )
         case 'reserved':
             reserved = decoded.reserved
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -78,6 +78,10 @@
     names: tuple[str, ...]
 
 
+# Priority of requests from nodes that do not state it.
+DEFAULT_PRIORITY = 5
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Want:
     """A load request for an adapter, sent to a target's controller.
@@ -85,6 +89,9 @@
     :ivar version: minimum version, 0 for any
     :ivar patience: timeout of the request, seconds
     :ivar slack: time left to meet the latency objective, seconds
+    :ivar priority: priority of the call, 0 is the most urgent
+    :ivar account: account of the call, '' if it is not known
+    :ivar tokens: prompt tokens that the target has to process
     """
 
     target_id: str
@@ -92,6 +99,9 @@
     version: int
     patience: float
     slack: float
+    priority: int = DEFAULT_PRIORITY
+    account: str = ''
+    tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,6 +120,8 @@
     :ivar max_queue: longest queue with which the sender prefers this target
         to all others, seconds
     :ivar is_load: whether the sender will have the adapter loaded first
+    :ivar priority: priority of the call, 0 is the most urgent
+    :ivar account: account of the call, '' if it is not known
     """
 
     target_id: str
@@ -118,6 +130,8 @@
     tokens: int
     max_queue: float
     is_load: bool
+    priority: int = DEFAULT_PRIORITY
+    account: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -158,6 +158,9 @@
   version @2 :UInt64;       # minimum version, 0 for any
   patience @3 :Float64;     # timeout, seconds
   slack @4 :Float64;        # time to the latency objective, seconds
+  priority @5 :UInt8 = 5;   # 0 is the most urgent
+  account @6 :Text;         # '' if it is not known
+  tokens @7 :UInt32;        # prompt tokens to be processed
 }
 
 struct Charge {
@@ -179,6 +182,8 @@
   tokens @3 :UInt32;        # prompt tokens to be processed
   maxQueue @4 :Float64;     # accept only up to this queue, seconds
   isLoad @5 :Bool;          # whether the adapter will be loaded first
+  priority @6 :UInt8 = 5;   # 0 is the most urgent
+  account @7 :Text;         # '' if it is not known
 }
 
 struct Reserved {
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -244,9 +244,9 @@
             self.gateway.handle, domain.RequestLimits, 50
         )
 
-    async def _load(self, target_id, adapter, version, timeout, slack):
+    async def _load(self, request):
         await trio.lowlevel.checkpoint()
-        self.load_requests.append((target_id, adapter))
+        self.load_requests.append((request.target_id, request.adapter))
         return self.load_result
 
     async def _reserve(self, request):
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -402,13 +402,13 @@
     harness = gateway_harness.Harness(STREAM, engine=True)
     first = True
 
-    async def load(target_id, adapter, version, timeout, slack):
+    async def load(request):
         nonlocal first
         await trio.lowlevel.checkpoint()
         if first:
             first = False
-            harness.load_requests.append(target_id)
-            harness.set_targets(excluded=target_id)
+            harness.load_requests.append(request.target_id)
+            harness.set_targets(excluded=request.target_id)
         return True
 
     harness.dispatcher._load = load
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from mustardlb import schema
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _crashes
 from mustardlb_gateway import _fleet
@@ -77,6 +78,13 @@
             ('main', 'other'),
         ),
         _messages.Want('t1', builders.adapter('a1'), 3, 1.5, -0.5),
+        _messages.Want(
+            't1', builders.adapter('a1'), 3, 1.5, -0.5, 0, 'acme', 9190
+        ),
+        _messages.Reserve('t1', builders.adapter('a1'), 3, 9190, 0.5, True),
+        _messages.Reserve(
+            't1', builders.adapter('a1'), 3, 9190, 0.5, True, 2, 'acme'
+        ),
         _messages.Wanted(True),
         _messages.Wanted(False),
         _messages.Subscription(True),
@@ -104,6 +112,20 @@
     assert _message_codec.decode(_message_codec.encode(message)) == message
 
 
+def test_requests_of_older_nodes_have_the_default_priority():
+    """Guards against requests that an upgrade would serve first or last."""
+    adapter = builders.adapter('a1')
+    fields = {'target': 't1', 'adapter': str(adapter)}
+    for kind in ('want', 'reserve'):
+        message = schema.load('gateway').PeerMessage.new_message(
+            **{kind: fields}
+        )
+        data = message.to_bytes_packed()
+        decoded = _message_codec.decode(data).body
+        assert type(decoded).__name__.lower() == kind
+        assert (decoded.priority, decoded.account) == (5, '')
+
+
 @pytest.mark.parametrize('data', [b'', b'\xff' * 40])
 def test_invalid_message_is_rejected(data):
     with pytest.raises(ValueError, match='invalid message'):
