Choose targets by the load and the slowdown that they report

Cause: nodes chose plain targets by the requests in flight that digests told some hundred milliseconds before, and took all machines for equally fast, so that a slow target got the same share as the others. Change: _reported_loads keeps the last report of each target, from any response (rejections and health responses too), and an average of its slowdown. Digests and updates tell the other nodes the slowdown, as a field that nodes of an earlier release ignore. Prompts count for longer at slow engines, at their controllers too. Plain targets are drawn by their speed; slower ones get what the faster ones have no room for. Without reports the average returns to 1, at a different time at each node. Nothing changes for targets that report no slowdown.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_aggregate.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_aggregate.py
@@ -1,5 +1,7 @@
 """Aggregation of the digests of a data centre's nodes."""
 
+import dataclasses
+
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _messages
 from mustardlb_gateway import domain
@@ -20,6 +22,7 @@
         self.members = members
         self.own = own
         self._load_by_target: dict[str, _centres.Load] = {}
+        self._slowdowns_by_target: dict[str, list[int]] = {}
         self._adapter_counts: dict[str, dict[domain.AdapterName, int]] = {}
         self._member_by_vm = {
             vm: _centres.Member(digest.vm(vm), incarnation, digest.can_claim)
@@ -43,6 +46,10 @@
             load.running + usage.running,
             load.unread_tokens + usage.unread_tokens,
         )
+        if usage.slowdown:
+            self._slowdowns_by_target.setdefault(usage.target_id, []).append(
+                usage.slowdown
+            )
         counts = self._adapter_counts.setdefault(usage.target_id, {})
         for adapter in usage.adapters:
             counts[adapter] = counts.get(adapter, 0) + 1
@@ -89,7 +96,18 @@
                 load.running - usage.running,
                 load.unread_tokens - usage.unread_tokens,
             )
-        return {key: load for key, load in loads.items() if load.running}
+        # The slowdown that the subscriber tells itself is not left out, since
+        # the mean serves all subscribers.
+        for target_id, slowdowns in self._slowdowns_by_target.items():
+            loads[target_id] = dataclasses.replace(
+                loads[target_id],
+                slowdown=_centres.mean_slowdown(*slowdowns),
+            )
+        return {
+            key: load
+            for key, load in loads.items()
+            if load.running or load.slowdown
+        }
 
     def _adapters_without(
         self,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_centres.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_centres.py
@@ -39,10 +39,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
-    """Requests in flight at a target, and their pending prefill tokens."""
+    """Requests in flight at a target, and their pending prefill tokens.
+
+    :ivar slowdown: that the target has reported lately, in percent, 0 if it
+        reports none
+    """
 
     running: int
     unread_tokens: int
+    slowdown: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,8 +150,8 @@
     >>> new = CentreState(loads={'t1': Load(3, 0)})
     >>> delta = diff('a', old, new)
     >>> delta.loads
-    {'t1': Load(running=3, unread_tokens=0), 't2': Load(running=0, \
-unread_tokens=0)}
+    {'t1': Load(running=3, unread_tokens=0, slowdown=0), \
+'t2': Load(running=0, unread_tokens=0, slowdown=0)}
     >>> apply(old, delta) == new
     True
     """
@@ -195,6 +200,16 @@
     )
 
 
+def mean_slowdown(*slowdowns: int) -> int:
+    """Return the mean of the slowdowns that are known, in percent.
+
+    >>> mean_slowdown(0, 100, 400), mean_slowdown(0, 0)
+    (250, 0)
+    """
+    known = [each for each in slowdowns if each]
+    return round(sum(known) / len(known)) if known else 0
+
+
 def merge(one: CentreState, other: CentreState) -> CentreState:
     """Return the sum of the states of two groups of nodes."""
     loads = dict(one.loads)
@@ -203,6 +218,7 @@
         loads[target_id] = Load(
             before.running + load.running,
             before.unread_tokens + load.unread_tokens,
+            mean_slowdown(before.slowdown, load.slowdown),
         )
     admitted = dict(one.admitted)
     for account, cost in other.admitted.items():
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_controller.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_controller.py
@@ -124,7 +124,10 @@
         )
 
     def reserve(
-        self, request: _messages.Reserve, reported_tokens: int
+        self,
+        request: _messages.Reserve,
+        reported_tokens: int,
+        slowdown: float = 1.0,
     ) -> _messages.Reserved:
         """Reserve time for a prompt if the queue is short enough for it.
 
@@ -133,10 +136,11 @@
 
         :param reported_tokens: prompt tokens that the engine has to prefill
             by the digests of all nodes
+        :param slowdown: time that the engine takes, as a ratio of the usual
         """
         now = self._clock()
         queue = self._prefill_queue.seconds(
-            now, reported_tokens, self._load_age()
+            now, reported_tokens, self._load_age(), slowdown
         )
         adapter = request.adapter
         is_resident = request.is_load or self._contents.has(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_manager.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_manager.py
@@ -65,6 +65,9 @@
         newest_version: abc.Callable[[domain.AdapterName], int],
         load_age: abc.Callable[[], float],
         is_lost: abc.Callable[[str], bool] = lambda target_id: False,
+        slowdown: abc.Callable[
+            [domain.Target], float | None
+        ] = lambda target: None,
     ) -> None:
         self._vm = vm
         self._leases = leases
@@ -76,6 +79,7 @@
         self._newest_version = newest_version
         self._load_age = load_age
         self._is_lost = is_lost
+        self._slowdown = slowdown
         self._unresponsive_until: dict[str, float] = {}
         self._claims_from = float('-inf')
         self._by_target: dict[str, _engine_controller.EngineController] = {}
@@ -393,7 +397,9 @@
         if controller is None or not controller.is_acting:
             return _messages.Reserved(False)
         return controller.reserve(
-            request, self._targets.pending_prefill_tokens(request.target_id)
+            request,
+            self._targets.pending_prefill_tokens(request.target_id),
+            self._slowdown(controller.target) or 1.0,
         )
 
     async def handle_load_request(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -10,6 +10,7 @@
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _outcomes
 from mustardlb_gateway import _placement
+from mustardlb_gateway import _prefill_queue
 from mustardlb_gateway import _prefix_index
 from mustardlb_gateway import _target_links
 from mustardlb_gateway import _target_states
@@ -31,6 +32,10 @@
 MIN_STREAM_TIMEOUT_SECONDS = 2.5
 
 
+# Part of a response time that does not depend on the prompt. It only matters
+# for the comparison of cached prompts with others.
+BASE_RESPONSE_SECONDS = 0.05
+
 # The link to a target without data for this time is checked, and again after
 # each interval.
 SILENCE_SECONDS = 0.3
@@ -57,6 +62,9 @@
         record_origin: abc.Callable[
             [str, _messages.Origin, tuple[str, ...]], None
         ],
+        record_response_time: abc.Callable[
+            [domain.Target, str, float, float], object
+        ] = lambda target, route, seconds, usual: None,
     ) -> None:
         self._translation = translation
         self._pool = pool
@@ -69,6 +77,7 @@
         self._states = states
         self._tell_rest = tell_rest
         self._record_origin = record_origin
+        self._record_response_time = record_response_time
 
     async def run(
         self,
@@ -97,6 +106,15 @@
                 is_prefilled = True
                 self._targets.finish_prefill(target.target_id, prefill_tokens)
                 self._prefix_index.record(target.target_id, job.call)
+                if 200 <= attempt.status < 300:
+                    self._record_response_time(
+                        target,
+                        job.route.name,
+                        trio.current_time() - attempt.started_at,
+                        BASE_RESPONSE_SECONDS
+                        + prefill_tokens
+                        / _prefill_queue.PREFILL_TOKENS_PER_SECOND,
+                    )
 
         try:
             await self._send_and_receive(job, attempt, target, record_prefill)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -125,6 +125,7 @@
                 'isFull': body.is_full,
                 'revisions': _encode_numbers(body.revisions),
                 'changes': _encode_changes(body.changes),
+                'slowdowns': _encode_slowdowns(body.changes),
                 'levels': _encode_amounts(body.levels),
                 'crashEvidence': _target_observation_codec.encode_evidence(
                     body.crash_evidence
@@ -164,6 +165,7 @@
                 'running': usage.running,
                 'unreadTokens': usage.unread_tokens,
                 'adapters': [str(adapter) for adapter in usage.adapters],
+                'slowdown': usage.slowdown,
             }
             for usage in digest.usages
         ],
@@ -209,12 +211,32 @@
     list[tuple[str, str]],
 ]
 _changes_decoder = msgspec.msgpack.Decoder(list[_WireChange])
+_slowdowns_decoder = msgspec.msgpack.Decoder(dict[str, dict[str, int]])
 
 
 def _encode_changes(changes: tuple[_centres.CentreDelta, ...]) -> bytes:
     return msgspec.msgpack.encode([_encode_change(each) for each in changes])
 
 
+def _encode_slowdowns(changes: tuple[_centres.CentreDelta, ...]) -> bytes:
+    """Return the slowdowns of the targets in changes, by data centre.
+
+    They are not a part of the changes, which nodes of an earlier release
+    could not decode then. Empty if there are none.
+    """
+    slowdowns = {
+        change.data_centre: {
+            target_id: load.slowdown
+            for target_id, load in change.loads.items()
+            if load.slowdown
+        }
+        for change in changes
+    }
+    if not any(slowdowns.values()):
+        return b''
+    return msgspec.msgpack.encode(slowdowns)
+
+
 def _encode_change(change: _centres.CentreDelta) -> _WireChange:
     return (
         change.data_centre,
@@ -358,10 +380,7 @@
             return _messages.Update(
                 update.isFull,
                 {each.name: each.number for each in update.revisions},
-                tuple(
-                    _decode_change(each)
-                    for each in _changes_decoder.decode(update.changes)
-                ),
+                _decode_changes(update.changes, update.slowdowns),
                 {each.name: each.amount for each in update.levels},
                 _target_observation_codec.decode_evidence(
                     update.crashEvidence
@@ -396,6 +415,7 @@
                 each.running,
                 each.unreadTokens,
                 tuple(parse(adapter) for adapter in each.adapters),
+                each.slowdown,
             )
             for each in digest.usages
         ),
@@ -418,7 +438,19 @@
     )
 
 
-def _decode_change(wire: _WireChange) -> _centres.CentreDelta:
+def _decode_changes(
+    changes: bytes, slowdowns: bytes
+) -> tuple[_centres.CentreDelta, ...]:
+    by_centre = _slowdowns_decoder.decode(slowdowns) if slowdowns else {}
+    return tuple(
+        _decode_change(each, by_centre.get(each[0], {}))
+        for each in _changes_decoder.decode(changes)
+    )
+
+
+def _decode_change(
+    wire: _WireChange, slowdowns: dict[str, int]
+) -> _centres.CentreDelta:
     parse = domain.AdapterName.parse
     (
         centre,
@@ -446,7 +478,10 @@
         ),
         tuple(removed_members),
         admitted,
-        {key: _centres.Load(*load) for key, load in loads.items()},
+        {
+            key: _centres.Load(*load, slowdowns.get(key, 0))
+            for key, load in loads.items()
+        },
         {
             key: frozenset(map(parse, names))
             for key, names in adapters_in_use.items()
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -16,12 +16,15 @@
     """Requests that one node has in flight at a target.
 
     :ivar unread_tokens: prompt tokens that the target has yet to process
+    :ivar slowdown: that the target reported to the sender lately, in percent,
+        0 for none
     """
 
     target_id: str
     running: int
     unread_tokens: int
     adapters: tuple[domain.AdapterName, ...]
+    slowdown: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
@@ -24,6 +24,10 @@
             'Targets that this node leaves alone for some time after '
             'failures.',
         )
+        self.slow_targets = metrics.add_gauge(
+            'mustardlb_slow_targets',
+            'Targets that report to take at least twice the usual time.',
+        )
         self.lost_targets = metrics.add_gauge(
             'mustardlb_targets_out_of_reach',
             'Targets to which this node cannot connect itself, while others '
--- a/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
@@ -14,6 +14,7 @@
 from mustardlb_gateway import _leases
 from mustardlb_gateway import _prefill_queue
 from mustardlb_gateway import _prefix_index
+from mustardlb_gateway import _reported_loads
 from mustardlb_gateway import _targets
 from mustardlb_gateway import domain
 
@@ -59,6 +60,18 @@
 # If loads are older, two random plain targets are compared instead of all,
 # since all nodes would choose the one that looks idle until the next update.
 MAX_LOAD_AGE_SECONDS = 0.25
+
+
+# Plain targets whose slowdowns differ by less share requests by their speed.
+# Slower ones get requests only once the faster ones have this part of the
+# ratio of their slowdowns in requests for each slot: an idle target that takes
+# four times as long is used once two requests wait for each slot elsewhere.
+SIMILAR_SLOWDOWN_RATIO = 1.5
+FILL_RATIO = 0.5
+
+# Most requests for each slot before slower targets get some, whatever they
+# report. A false report must not fill the queues of all other targets.
+MAX_FILL = 2.0
 COMPARED_TARGETS = 2
 
 # Penalty for a target all of whose requests fail. It is scaled by the share
@@ -133,6 +146,7 @@
         load_age: abc.Callable[[], float] = lambda: 0.0,
         data_centre: str = '',
         is_adopted: abc.Callable[[domain.Target], bool] = lambda _: True,
+        reported_loads: _reported_loads.ReportedLoads | None = None,
     ) -> None:
         self._targets = targets
         self._prefix_index = prefix_index
@@ -143,6 +157,7 @@
         self._load_age = load_age
         self._data_centre = data_centre
         self._is_adopted = is_adopted
+        self._reported_loads = reported_loads
 
     def choose(self, request: PlacementRequest) -> Choice | None:
         """Return the target of lowest cost, or None if none is suitable."""
@@ -188,13 +203,33 @@
     def _compared_targets(
         self, candidates: list[domain.Target]
     ) -> list[domain.Target]:
-        """Return the plain targets to compare, among them a local one."""
-        if (
-            self._load_age() <= MAX_LOAD_AGE_SECONDS
-            or len(candidates) <= COMPARED_TARGETS
-        ):
+        """Return the plain targets to compare, among them a local one.
+
+        Targets that report a slowdown are drawn by the parts that they should
+        get. All nodes are told the same of them, so that the best one of two
+        would get the requests of all nodes until the next update.
+        """
+        if len(candidates) <= COMPARED_TARGETS:
             return candidates
-        sample = random.sample(candidates, COMPARED_TARGETS)
+        slowdowns = [self._slowdown(target) for target in candidates]
+        if any(slowdowns):
+            weights = capacity_shares(
+                [
+                    ReportedCapacity(
+                        target.slots,
+                        slowdown or 1.0,
+                        self._requests(target),
+                    )
+                    for target, slowdown in zip(
+                        candidates, slowdowns, strict=True
+                    )
+                ]
+            )
+            sample = random.choices(candidates, weights)
+        elif self._load_age() <= MAX_LOAD_AGE_SECONDS:
+            return candidates
+        else:
+            sample = random.sample(candidates, COMPARED_TARGETS)
         local = [
             target
             for target in candidates
@@ -204,14 +239,31 @@
 
     def _plain_choice(self, target: domain.Target) -> Choice:
         """Return a plain target with its load ratio as the cost."""
-        running = self._targets.in_flight(target.target_id)
+        running = self._requests(target)
         health = self._targets.health(target.target_id)
         fullness = (running + random.random()) / max(1, target.slots)
+        slowdown = self._slowdown(target)
+        if slowdown is not None:
+            # A request takes one usual time, and the wait at a full target.
+            fullness = (1 + fullness) * slowdown - 1
         cost = fullness + FAILURE_PENALTY_SECONDS * health.failure_share
         if target.data_centre != self._data_centre:
             cost += LOCAL_TARGET_ADVANTAGE
         return Choice(target, False, 0, cost)
 
+    def _slowdown(self, target: domain.Target) -> float | None:
+        """Return the slowdown of a target, None if it reports none."""
+        if self._reported_loads is None:
+            return None
+        return self._reported_loads.slowdown(target)
+
+    def _requests(self, target: domain.Target) -> int:
+        """Return the running and waiting requests of a target."""
+        in_flight = self._targets.in_flight(target.target_id)
+        if self._reported_loads is None:
+            return in_flight
+        return self._reported_loads.requests(target, in_flight)
+
     def _choose_engine(
         self, request: PlacementRequest, candidates: list[domain.Target]
     ) -> Choice | None:
@@ -323,9 +375,10 @@
         prefill_tokens = self._prefix_index.uncached_tokens(
             target.target_id, request.call
         )
-        queue = self._prefill_queue_seconds(request, target)
-        first_token_in = (
-            queue + prefill_tokens / _prefill_queue.PREFILL_TOKENS_PER_SECOND
+        slowdown = self._slowdown(target) or 1.0
+        queue = self._prefill_queue_seconds(request, target, slowdown)
+        first_token_in = queue + slowdown * (
+            prefill_tokens / _prefill_queue.PREFILL_TOKENS_PER_SECOND
         )
         cost = self._cost(request, target, first_token_in)
         return Choice(target, False, prefill_tokens, cost, queue)
@@ -344,14 +397,14 @@
                 1 - weight[0] / 255
             )
         missing_slots = max(0, 1 - self._free_slots(target.target_id))
+        slowdown = self._slowdown(target) or 1.0
         # The engine prefills other prompts while it loads the adapter.
         ready_in = max(
-            self._prefill_queue_seconds(request, target),
+            self._prefill_queue_seconds(request, target, slowdown),
             load_seconds + missing_slots * FULL_ENGINE_WAIT_SECONDS,
         )
-        first_token_in = (
-            ready_in
-            + prefill_tokens / _prefill_queue.PREFILL_TOKENS_PER_SECOND
+        first_token_in = ready_in + slowdown * (
+            prefill_tokens / _prefill_queue.PREFILL_TOKENS_PER_SECOND
         )
         if self._free_slots(target.target_id) < MIN_SPARE_SLOTS:
             penalty += LATE_PENALTY_SECONDS
@@ -359,14 +412,21 @@
         return Choice(target, True, prefill_tokens, cost, ready_in)
 
     def _prefill_queue_seconds(
-        self, request: PlacementRequest, target: domain.Target
+        self,
+        request: PlacementRequest,
+        target: domain.Target,
+        slowdown: float,
     ) -> float:
-        """Return the seconds until the engine can start another prefill."""
+        """Return the seconds until the engine can start another prefill.
+
+        What controllers have told includes the slowdown.
+        """
         known = request.queue_seconds.get(target.target_id)
         if known is not None:
             return known
         return (
-            self._targets.pending_prefill_tokens(target.target_id)
+            slowdown
+            * self._targets.pending_prefill_tokens(target.target_id)
             / _prefill_queue.PREFILL_TOKENS_PER_SECOND
         )
 
@@ -377,7 +437,7 @@
         first_token_in: float,
     ) -> float:
         """Return the cost, in seconds, of an engine for a request."""
-        running = self._targets.in_flight(target.target_id)
+        running = self._requests(target)
         health = self._targets.health(target.target_id)
         fullness = max(0.0, running / max(1, target.slots) - 0.8)
         cost = (
@@ -388,3 +448,55 @@
         if first_token_in > ON_TIME_SHARE * request.time_to_objective > 0:
             cost += LATE_PENALTY_SECONDS
         return cost
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedCapacity:
+    """Slots, slowdown, and running and waiting requests of a target."""
+
+    slots: int
+    slowdown: float
+    requests: int
+
+    @property
+    def weight(self) -> float:
+        """Return the speed, reduced while more requests than slots wait."""
+        free = min(1.0, self.slots / max(1, self.requests))
+        return max(1, self.slots) / self.slowdown * free
+
+
+def capacity_shares(reported: list[ReportedCapacity]) -> list[float]:
+    """Return the parts of the requests that plain targets should get.
+
+    Slower targets get what the faster ones have no room for, which are filled
+    up to a part of their slots. The work in progress at the slower ones does
+    not count, so that a queue there does not attract requests.
+
+    >>> capacity_shares(
+    ...     [ReportedCapacity(6, 1.0, 3), ReportedCapacity(6, 4.0, 20)]
+    ... )
+    [1.0, 0.0]
+    >>> capacity_shares(
+    ...     [ReportedCapacity(6, 1.0, 12), ReportedCapacity(6, 4.0, 0)]
+    ... )
+    [0.5, 0.5]
+    """
+    left = 1.0
+    shares = [0.0] * len(reported)
+    rest = sorted(range(len(reported)), key=lambda n: reported[n].slowdown)
+    while rest:
+        slowest = SIMILAR_SLOWDOWN_RATIO * reported[rest[0]].slowdown
+        similar = [n for n in rest if reported[n].slowdown <= slowest]
+        rest = rest[len(similar) :]
+        slots = sum(reported[n].slots for n in similar)
+        requests = sum(reported[n].requests for n in similar)
+        used = left
+        if rest:
+            ratio = reported[rest[0]].slowdown / reported[similar[-1]].slowdown
+            fill = min(MAX_FILL, max(1.0, FILL_RATIO * ratio))
+            used *= min(1.0, fill * slots / max(1, requests))
+        left -= used
+        weights = [reported[n].weight for n in similar]
+        for n, weight in zip(similar, weights, strict=True):
+            shares[n] = used * weight / sum(weights)
+    return shares
--- a/packages/mustardlb-gateway/mustardlb_gateway/_prefill_queue.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_prefill_queue.py
@@ -33,19 +33,25 @@
         self._reserved.append((now, tokens))
 
     def seconds(
-        self, now: float, reported_tokens: int, load_age: float
+        self,
+        now: float,
+        reported_tokens: int,
+        load_age: float,
+        slowdown: float = 1.0,
     ) -> float:
         """Return the seconds until all prompts are prefilled.
 
         :param reported_tokens: tokens to prefill by the digests
         :param load_age: age of the digests, seconds
+        :param slowdown: time that prompts take, as a ratio of the usual time
         """
         at = now - load_age
         while self._reserved and self._reserved[0][0] <= at:
             self._reserved.popleft()
-        queue = reported_tokens / PREFILL_TOKENS_PER_SECOND
+        per_second = PREFILL_TOKENS_PER_SECOND / slowdown
+        queue = reported_tokens / per_second
         for reserved_at, tokens in self._reserved:
             queue = max(0.0, queue - (reserved_at - at))
-            queue += tokens / PREFILL_TOKENS_PER_SECOND
+            queue += tokens / per_second
             at = reserved_at
         return max(0.0, queue - (now - at))
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_states.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_states.py
@@ -44,8 +44,9 @@
     """Rest that targets have asked this node for, and brittle targets.
 
     `limits` tells which targets are brittle, `owners` ranks the nodes,
-    `in_flight` returns the requests of this node at a target, and
-    `record_leaving` is called with each target that leaves.
+    `in_flight` returns the requests of this node at a target,
+    `record_leaving` is called with each target that leaves, and `record_load`
+    with each load that a target reports.
     """
 
     def __init__(
@@ -57,6 +58,9 @@
         in_flight: abc.Callable[[str], int],
         record_leaving: abc.Callable[[domain.Target], None],
         rng: random.Random | None = None,
+        record_load: abc.Callable[
+            [domain.Target, domain.TargetLoad | None], None
+        ] = lambda target, load: None,
     ) -> None:
         self._clock = clock
         self._limits = limits
@@ -65,6 +69,7 @@
         self._in_flight = in_flight
         self._record_leaving = record_leaving
         self._rng = rng or random.Random()
+        self._record_load = record_load
         self._rest_until_by_key: dict[TargetKey, float] = {}
 
     def record_response(
@@ -73,6 +78,7 @@
         """Record a response; return the seconds of rest that it asks for."""
         if info.is_leaving:
             self._record_leaving(target)
+        self._record_load(target, info.load)
         self._record_brittle(target, status, info.max_rejections)
         if status != 503 or info.rest is None:
             return 0.0
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -355,6 +355,14 @@
             load.unread_tokens for load in self._peer_loads(target_id)
         )
 
+    def told_slowdowns(self, target_id: str) -> list[float]:
+        """Return the slowdowns that other nodes tell of a target."""
+        return [
+            load.slowdown / 100
+            for load in self._peer_loads(target_id)
+            if load.slowdown
+        ]
+
     def _peer_loads(self, target_id: str) -> abc.Iterator[_centres.Load]:
         for centre in self.centres_by_name.values():
             load = centre.loads.get(target_id)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_engines.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_engines.py
@@ -59,5 +59,6 @@
         state.config.newest,
         lambda: membership.load_age,
         target_parts.reachability.is_lost,
+        target_parts.reported_loads.slowdown,
     )
     return EngineParts(leases, manager)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -46,6 +46,7 @@
         lambda: membership.load_age,
         settings.data_centre,
         target_parts.software_history.is_adopted,
+        target_parts.reported_loads,
     )
 
     def tell_rest(helper: str, target: domain.Target, seconds: float) -> None:
@@ -63,6 +64,7 @@
         target_parts.states,
         tell_rest,
         record_origin,
+        target_parts.reported_loads.record_response_time,
     )
     return _dispatch.Dispatcher(
         exchange,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -11,6 +11,7 @@
 from mustardlb_gateway import _quarantine
 from mustardlb_gateway import _reachability
 from mustardlb_gateway import _relay
+from mustardlb_gateway import _reported_loads
 from mustardlb_gateway import _software_history
 from mustardlb_gateway import _target_limits
 from mustardlb_gateway import _target_links
@@ -38,6 +39,7 @@
     links: _target_links.TargetLinks
     relay_server: _relay.RelayServer
     crash_watch: _crash_watch.CrashWatch
+    reported_loads: _reported_loads.ReportedLoads
 
 
 def make(
@@ -57,6 +59,12 @@
     state.targets_mirror.on_change(
         lambda: software_history.observe(targets.by_id.values())
     )
+    reported_loads = _reported_loads.ReportedLoads(
+        clock,
+        targets.own_in_flight,
+        targets.told_slowdowns,
+        lambda: len(membership.live) + 1,
+    )
     states = _target_states.TargetStates(
         clock,
         limits,
@@ -64,6 +72,7 @@
         _owners.Owners(settings.vm, lambda: membership.live, clock),
         targets.own_in_flight,
         targets.record_leaving,
+        record_load=reported_loads.record,
     )
     pool = http_client.Pool(_target_links.CONNECT_TIMEOUT_SECONDS)
     reachability = _reachability.Reachability(clock)
@@ -101,6 +110,7 @@
         links,
         relay_server,
         crash_watch,
+        reported_loads,
     )
 
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -251,14 +251,19 @@
         self._target_parts.crash_watch.handle_removal(target)
 
     def _make_digest(self) -> _messages.Digest:
+        slowdowns = self._target_parts.reported_loads.to_tell()
         usages = tuple(
             _messages.TargetUsage(
                 target_id,
                 usage.in_flight,
                 usage.prefill_tokens,
                 tuple(usage.by_adapter),
+                slowdowns.pop(target_id, 0),
             )
             for target_id, usage in self.targets.usage_by_id.items()
+        ) + tuple(
+            _messages.TargetUsage(target_id, 0, 0, (), slowdown)
+            for target_id, slowdown in slowdowns.items()
         )
         return _messages.Digest(
             self.settings.host,
@@ -437,6 +442,7 @@
             self._target_parts.limits.remove_gone()
             self._permits.remove_gone()
             self._target_parts.states.remove_expired()
+            self._target_parts.reported_loads.remove_expired()
             self._update_gauges()
 
     def _update_gauges(self) -> None:
@@ -445,6 +451,7 @@
         gauges.crash_reports.set(len(quarantine.evidence.report_by_key))
         gauges.stream_origins.set(self._stream_origins.size)
         gauges.suspended_targets.set(self.targets.suspended_count)
+        gauges.slow_targets.set(self._target_parts.reported_loads.slow_count)
         gauges.lost_targets.set(self._target_parts.reachability.lost_count)
         gauges.relayed_connections.set(self._target_parts.relay_server.count)
 
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -88,6 +88,7 @@
   levels @3 :List(Counted); # levels of the accounts' token buckets
   crashEvidence @4 :CrashEvidence;  # known to the sender, not sent before
   targetLimits @5 :List(LimitNotice); # known to the sender, not sent before
+  slowdowns @6 :Data;       # percent, of targets in `changes`, MessagePack
 }
 
 struct CrashEvidence {
@@ -134,6 +135,7 @@
   running @1 :UInt32;
   unreadTokens @2 :UInt32;  # prompt tokens to be processed
   adapters @3 :List(Text);  # adapters in use
+  slowdown @4 :UInt16;      # reported to the sender lately, percent, or 0
 }
 
 struct Holding {
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -21,6 +21,7 @@
 from mustardlb_gateway import _quarantine
 from mustardlb_gateway import _quota
 from mustardlb_gateway import _reachability
+from mustardlb_gateway import _reported_loads
 from mustardlb_gateway import _software_history
 from mustardlb_gateway import _stream_origins
 from mustardlb_gateway import _target_limits
@@ -45,13 +46,21 @@
     return None if value is None else float(value)
 
 
+def _load(value):
+    if value is None:
+        return None
+    running, slowdown = value.split(b',')
+    return domain.TargetLoad(int(running), 0, 8, float(slowdown))
+
+
 class TranslationStub:
     """Reads and writes the headers that the tests use.
 
     Requests have `x-id`, `x-key`, `x-wait` (client timeout in seconds),
     `x-adapter`, `last-event-id` and `x-resumed` (the request that is
     resumed); responses have `x-id`, `x-signed`, `x-not-run`, `x-limit`,
-    `x-rest`, `x-leaving` and `x-brittle`.
+    `x-rest`, `x-leaving`, `x-brittle` and `x-load` (running requests and
+    slowdown).
     """
 
     def read_target(self, name, spec):
@@ -96,6 +105,7 @@
             request_id and request_id.decode(),
             b'x-signed' in values,
             b'x-not-run' in values,
+            _load(values.get(b'x-load')),
             request_limit=float(values[b'x-limit'])
             if b'x-limit' in values
             else None,
@@ -170,6 +180,9 @@
         )
         self.failures = []
         self.permits_trials = False
+        self.reported_loads = _reported_loads.ReportedLoads(
+            clock, self.targets.own_in_flight, self.targets.told_slowdowns
+        )
         self.states = _target_states.TargetStates(
             clock,
             self.target_limits,
@@ -177,6 +190,7 @@
             _owners.Owners('vm1', frozenset, clock),
             self.targets.own_in_flight,
             self.targets.record_leaving,
+            record_load=self.reported_loads.record,
         )
         pool = http_client.Pool(0.5)
         self.reachability = _reachability.Reachability(clock)
@@ -202,6 +216,7 @@
                 self.states,
                 None,
                 self.stream_origins.record,
+                self.reported_loads.record_response_time,
             ),
             self.targets,
             _placement.Placement(
@@ -213,6 +228,7 @@
                 lambda target_id: 3,
                 lambda: self.load_age,
                 is_adopted=self.software_history.is_adopted,
+                reported_loads=self.reported_loads,
             ),
             lambda adapter: self.versions,
             self._load,
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -38,7 +38,9 @@
     is_leaving=False,
     revisions={'config': 7},
     admitted={'acme': 12.5},
-    usages=(_messages.TargetUsage('t1', 2, 300, (builders.adapter('a1'),)),),
+    usages=(
+        _messages.TargetUsage('t1', 2, 300, (builders.adapter('a1'),), 418),
+    ),
     holdings=(
         _centres.Holding('t1', 4, 99, True, {builders.adapter('a1'): 2}, -1),
     ),
@@ -55,7 +57,11 @@
     ),
     removed_members=('vm3',),
     admitted={'acme': 12.5},
-    loads={'t1': _centres.Load(2, 300), 't2': _centres.NO_LOAD},
+    loads={
+        't1': _centres.Load(2, 300, 418),
+        't2': _centres.NO_LOAD,
+        't3': _centres.Load(0, 0, 100),
+    },
     adapters_in_use={
         't1': frozenset({builders.adapter('a1')}),
         't2': frozenset(),
--- a/tests/mustardlb_gateway/test_placement.py
+++ b/tests/mustardlb_gateway/test_placement.py
@@ -15,9 +15,21 @@
         return spec
 
 
+class ReportsStub:
+    def __init__(self):
+        self.slowdowns = {}
+
+    def slowdown(self, target):
+        return self.slowdowns.get(target.target_id)
+
+    def requests(self, target, told):
+        return told
+
+
 class Harness:
     def __init__(self, *targets, engine=True):
         self.now = 0.0
+        self.reports = ReportsStub()
         clock = lambda: self.now  # noqa: E731
         mirror = _mirror.Mirror('servers')
         self.table = _targets.TargetTable(mirror, TranslationStub(), clock)
@@ -38,6 +50,7 @@
                 (target_id, adapter) in self.recently_resident
             ),
             lambda target_id: self.free_slots_by_id.get(target_id, 3),
+            reported_loads=self.reports,
         )
         self.service = builders.make_service(engine=engine)
 
@@ -81,6 +94,18 @@
     assert harness.choose() == ('t1', False)
 
 
+# An engine whose machine is slow takes longer for the prompts before this one.
+def test_slow_engine_is_avoided():
+    harness = Harness(*three_targets())
+    harness.table.begin_request('t0', None, 20_000)
+    harness.table.begin_request('t1', None, 30_000)
+    harness.table.begin_request('t2', None, 40_000)
+    harness.reports.slowdowns = {'t0': 4.0, 't1': 1.0}
+    assert harness.choose() == ('t1', False)
+    harness.reports.slowdowns = {'t0': 4.0, 't1': 4.0}
+    assert harness.choose() == ('t2', False)
+
+
 def test_adapter_is_copied_if_its_engine_is_much_busier():
     harness = Harness(*three_targets(['a1', 'a2', 'a2']))
     harness.table.begin_request('t0', None, 200_000)
