--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -90,6 +90,7 @@
   crashEvidence @4 :CrashEvidence;  # known to the sender, not sent before
   targetLimits @5 :List(LimitNotice); # known to the sender, not sent before
   cutOff @6 :List(Text);    # changed members that reach no target
+  slowdowns @7 :Data;       # percent, of targets in `changes`, MessagePack
 }
 
 struct CrashEvidence {
@@ -136,6 +137,7 @@
   running @1 :UInt32;
   unreadTokens @2 :UInt32;  # prompt tokens to be processed
   adapters @3 :List(Text);  # adapters in use
+  slowdown @4 :UInt16;      # reported to the sender lately, percent, or 0
 }
 
 struct Holding {
