Measure a stream's pause from its last complete event

Each byte of a target prolonged the response timeout, so that a stream which sent a byte now and then was not resumed elsewhere before its deadline. Only complete events do so now.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -296,7 +296,9 @@
 
     def _response_timeout(self, job: _jobs.Job) -> trio.CancelScope:
         """Return a scope for receiving data, with the response timeout."""
-        deadline = _response_deadline(job, self._response_timeout_seconds(job))
+        deadline = _response_deadline(
+            job, self._response_timeout_seconds(job), trio.current_time()
+        )
         return trio.CancelScope(deadline=deadline)
 
     async def _watch_link(
@@ -365,8 +367,10 @@
             job.splitter.discard_partial()
         timeout = self._response_timeout_seconds(job)
         is_recorded = False
+        # Bytes that complete no event are no progress.
+        event_at = trio.current_time()
         while True:
-            data = await _receive_data(connection, job, timeout)
+            data = await _receive_data(connection, job, timeout, event_at)
             now = trio.current_time()
             if (
                 data is None
@@ -402,6 +406,7 @@
                     job.first_byte = now
                 await self._begin_stream(job, target, head)
                 await job.reply.send(complete)
+                event_at = trio.current_time()
         if job.splitter.partial:
             raise http_client.ExchangeFailed('the last event is incomplete')
         if not is_recorded and attempt.output_at is not None:
@@ -444,10 +449,16 @@
 
 
 async def _receive_data(
-    connection: http_client.Connection, job: _jobs.Job, timeout: float
+    connection: http_client.Connection,
+    job: _jobs.Job,
+    timeout: float,
+    event_at: float,
 ) -> bytes | None:
-    """Return the next part of a stream; raises ExchangeFailed."""
-    deadline = _response_deadline(job, timeout)
+    """Return the next part of a stream; raises ExchangeFailed.
+
+    :param event_at: when the last event was complete, trio time
+    """
+    deadline = _response_deadline(job, timeout, event_at)
     if deadline == math.inf:
         return await connection.receive_data()
     with trio.CancelScope(deadline=deadline):
@@ -456,15 +467,14 @@
     raise http_client.ExchangeFailed('the target stopped sending the stream')
 
 
-def _response_deadline(job: _jobs.Job, timeout: float) -> float:
-    """Return when to give up on a target, in trio time.
+def _response_deadline(job: _jobs.Job, timeout: float, since: float) -> float:
+    """Return when to give up on a target that was silent since a trio time.
 
     The deadline is infinite if too little time would be left for another
     target.
     """
-    now = trio.current_time()
-    if now + timeout + timeout / 2 < job.deadline:
-        return now + timeout
+    if since + timeout + timeout / 2 < job.deadline:
+        return since + timeout
     return math.inf
 
 
