End a stalled stream when its client has abandoned it

The last attempt at a stream had no limit but the deadline, so that a target that sent a byte now and then kept its slot for as long. With a gap objective it now ends after the longest pause that clients bear, also before the first event, and is not tried again.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -210,7 +210,8 @@
         """Return whether the call may be sent to another target."""
         if job.sent_attempts >= job.route.max_attempts:
             return False
-        if trio.current_time() + MIN_TIME_LEFT_SECONDS > job.deadline:
+        latest = min(job.deadline, job.abandoned_at)
+        if trio.current_time() + MIN_TIME_LEFT_SECONDS > latest:
             return False
         return job.route.may_repeat or not job.may_have_run
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -406,7 +406,7 @@
                     job.first_byte = now
                 await self._begin_stream(job, target, head)
                 await job.reply.send(complete)
-                event_at = trio.current_time()
+                event_at = job.event_at = trio.current_time()
         if job.splitter.partial:
             raise http_client.ExchangeFailed('the last event is incomplete')
         if not is_recorded and attempt.output_at is not None:
@@ -470,12 +470,12 @@
 def _response_deadline(job: _jobs.Job, timeout: float, since: float) -> float:
     """Return when to give up on a target that was silent since a trio time.
 
-    The deadline is infinite if too little time would be left for another
-    target.
+    It is when the client abandons the stream, or infinite, if too little time
+    would be left for another target.
     """
     if since + timeout + timeout / 2 < job.deadline:
-        return since + timeout
-    return math.inf
+        return min(since + timeout, job.abandoned_at)
+    return job.abandoned_at
 
 
 def _unresponsive_after_seconds(route: domain.Route) -> float:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -1,6 +1,9 @@
 """State of a call that the gateway is processing."""
 
 import dataclasses
+import math
+
+import trio
 
 from mustardlb_gateway import _event_stream
 from mustardlb_gateway import _outcomes
@@ -8,6 +11,13 @@
 from mustardlb_gateway import http_server
 
 
+# Clients abandon a stream after the longest of these pauses: a fixed one, and
+# ratios of the latency objective and of the gap objective.
+CLIENT_GAP_SECONDS = 2.0
+CLIENT_GAP_PER_LATENCY = 4.0
+CLIENT_GAP_PER_GAP = 8.0
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """An admitted call and its progress; times are in trio time.
@@ -15,6 +25,9 @@
     :ivar priority: effective rank, 0 first
     :ivar arrived: when the request arrived
     :ivar deadline: when the client gets an error at the latest
+    :ivar stream_deadline: deadline of a stream that has begun
+    :ivar event_at: when the last event was forwarded, None before the first
+    :ivar scope: ends the current attempt at the deadline
     :ivar splitter: splits the stream that is forwarded to the client into
         events, None before the stream begins
     :ivar first_byte: when the first byte was sent to the client
@@ -46,6 +59,28 @@
     is_trial: bool = False
     software: str | None = None
     permitted_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    stream_deadline: float = 0.0
+    event_at: float | None = None
+    scope: trio.CancelScope | None = None
+
+    @property
+    def abandoned_at(self) -> float:
+        """Return when the client abandons a stream without further events.
+
+        Infinite if the route has no gap objective.
+        """
+        route = self.route
+        if (
+            route.kind != domain.RouteKind.STREAM
+            or route.gap_objective is None
+        ):
+            return math.inf
+        since = self.arrived if self.event_at is None else self.event_at
+        return since + max(
+            CLIENT_GAP_SECONDS,
+            CLIENT_GAP_PER_LATENCY * route.latency_objective,
+            CLIENT_GAP_PER_GAP * route.gap_objective,
+        )
 
     @property
     def sent_attempts(self) -> int:
