Let a stream go on past the timeout while its pauses are short

Streams whose events came steadily were cut at the route's timeout, which is about three seconds after the first event for some routes. On routes with a gap objective the timeout now applies until the stream has begun; from then on it ends with the client's own timeout or when the client abandons it.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -116,7 +116,8 @@
         client_disconnected = False
         try:
             async with trio.open_nursery() as nursery:
-                nursery.cancel_scope.deadline = job.deadline
+                job.scope = nursery.cancel_scope
+                job.scope.deadline = job.deadline
                 connection = await self._links.acquire(
                     target, job.call.request_id
                 )
@@ -425,6 +426,7 @@
         """
         if job.reply.has_begun:
             return
+        job.begin_stream()
         job.software = target.software
         self._record_origin(
             job.call.resumed_id or job.call.request_id,
