Time out transfers to and from clients by their progress

A client that read a response steadily, or sent a body steadily, was cut off 10 s after it began. The 10 s are now those without progress, which 4,096 bytes a second are; a peer of a byte now and then is disconnected as before.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_sockets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_sockets.py
@@ -15,6 +15,28 @@
 USER_TIMEOUT_MS = 3000
 
 
+# A slower transfer is no progress: its peer sends or reads a byte now and then.
+MIN_BYTES_PER_SECOND = 4096
+
+
+class Progress:
+    """Deadline of a transfer, which progress postpones.
+
+    :ivar deadline: trio time, at most `timeout` seconds ahead
+    """
+
+    def __init__(self, timeout: float) -> None:
+        self._timeout = timeout
+        self.deadline = trio.current_time() + timeout
+
+    def record(self, byte_count: int) -> None:
+        """Postpone the deadline by the time that these bytes may take."""
+        self.deadline = min(
+            self.deadline + byte_count / MIN_BYTES_PER_SECOND,
+            trio.current_time() + self._timeout,
+        )
+
+
 def set_tcp_options(stream: trio.SocketStream) -> None:
     """Disable Nagle's algorithm and enable dead-peer detection."""
     socket = trio.socket
@@ -61,7 +83,9 @@
     return bool(poll.poll(0))
 
 
-def write_available(stream: trio.SocketStream, data: bytes) -> int:
+def write_available(
+    stream: trio.SocketStream, data: bytes | memoryview
+) -> int:
     """Write what the socket's buffer takes and return the number of bytes.
 
     No other task may be sending on the stream. Raises
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
@@ -19,10 +19,10 @@
 # is served.
 MAX_PIPELINED_BYTES = 65_536
 
-# Time that a client may take to read one part of a response.
+# Time for which a client may read nothing of a response.
 WRITE_TIMEOUT_SECONDS = 10.0
 
-# Starts when the headers are complete.
+# Time for which a client may send nothing of a body.
 BODY_TIMEOUT_SECONDS = 10.0
 
 # Idle connections are closed this long after the configured idle timeout, so
@@ -341,8 +341,9 @@
             raise BadRequest(408, 'timed out reading the headers')
         if head is None:
             return None
-        with trio.move_on_after(BODY_TIMEOUT_SECONDS):
-            return await self._read_body(head)
+        progress = _sockets.Progress(BODY_TIMEOUT_SECONDS)
+        with trio.CancelScope(deadline=progress.deadline) as scope:
+            return await self._read_body(head, progress, scope)
         raise BadRequest(408, 'timed out reading the body')
 
     def _has_buffered_data(self) -> bool:
@@ -381,7 +382,12 @@
                 return None
             return event
 
-    async def _read_body(self, head: h11.Event) -> Request | None:
+    async def _read_body(
+        self,
+        head: h11.Event,
+        progress: _sockets.Progress,
+        scope: trio.CancelScope,
+    ) -> Request | None:
         if not isinstance(head, h11.Request):
             raise BadRequest(400, 'expected a request')
         self._check_headers(head)
@@ -393,6 +399,8 @@
         body = bytearray()
         while isinstance(event := await self._next_event(), h11.Data):
             body += event.data
+            progress.record(len(event.data))
+            scope.deadline = progress.deadline
             if len(body) > self._limits.max_body_bytes:
                 raise BadRequest(413, 'the body is too large')
         if not isinstance(event, h11.EndOfMessage):
@@ -484,11 +492,17 @@
         if not data:
             return
         try:
-            data = data[_sockets.write_available(self._stream, data) :]
-            if not data:
+            sent = _sockets.write_available(self._stream, data)
+            if sent == len(data):
                 return
-            with trio.fail_after(WRITE_TIMEOUT_SECONDS):
-                await self._stream.send_all(data)
+            unsent = memoryview(data)[sent:]
+            progress = _sockets.Progress(WRITE_TIMEOUT_SECONDS)
+            while unsent:
+                with trio.fail_at(progress.deadline):
+                    await trio.lowlevel.wait_writable(self._stream.socket)
+                sent = _sockets.write_available(self._stream, unsent)
+                progress.record(sent)
+                unsent = unsent[sent:]
         except (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
