--- a/packages/mustardlb-gateway/mustardlb_gateway/_sockets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_sockets.py
@@ -15,7 +15,7 @@
 USER_TIMEOUT_MS = 3000
 
 
-# A slower transfer is no progress: its peer sends or reads a byte now and then.
+# A peer of a slower transfer sends or reads a byte now and then.
 MIN_BYTES_PER_SECOND = 4096
 
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -494,9 +494,7 @@
         unfinished = self._client_server.requests_in_flight
         self._client_server.end_reading()
         self._gateway.end_calls()
-        with trio.move_on_after(LAST_RESPONSES_SECONDS):
-            while self._client_server.has_clients:
-                await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
+        await self._client_server.wait_for_clients(LAST_RESPONSES_SECONDS)
         log.info(
             'MLB-6015',
             in_flight=unfinished,
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
@@ -123,6 +123,7 @@
         self._connections: set[_ClientConnection] = set()
         self._listeners: list[trio.SocketListener] = []
         self._accept_scope = trio.CancelScope()
+        self._is_empty = trio.Event()
         self.is_stopping = False
         self.requests_in_flight = 0
 
@@ -160,6 +161,8 @@
             connection.abort()
         finally:
             self._connections.discard(connection)
+            if not self._connections:
+                self._is_empty.set()
 
     @property
     def has_clients(self) -> bool:
@@ -189,6 +192,14 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    async def wait_for_clients(self, seconds: float) -> None:
+        """Wait until no client is connected, for some time at most."""
+        if not self._connections:
+            return
+        self._is_empty = trio.Event()
+        with trio.move_on_after(seconds):
+            await self._is_empty.wait()
+
     def end_reading(self) -> None:
         """Reject the requests that are incomplete, as not run."""
         for connection in list(self._connections):
