Never forward a rejection when another attempt may have run

A response with 408, 429 or 503 was forwarded, also as the last one stored, when another attempt at the call may have run: its client was told that nothing had run. Such a response is now 502. A target's response is forwarded as it is when it is the only one.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -349,9 +349,7 @@
             # cannot follow; the stream is truncated.
             return
         job.first_byte = trio.current_time()
-        await job.reply.send_response(
-            response.status, response.headers, response.body
-        )
+        await job.send_response(response)
 
     async def _forward_stream(
         self,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -355,11 +355,7 @@
         except _jobs.TargetErrorResponse as target_error:
             if job.reply.has_begun:
                 return
-            await job.reply.send_response(
-                target_error.response.status,
-                target_error.response.headers,
-                target_error.response.body,
-            )
+            await job.send_response(target_error.response)
 
     def _log_call(self, job: _jobs.Job, outcome: str, cost: float) -> None:
         now = trio.current_time()
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -1,16 +1,17 @@
 """State of a call that the gateway is processing."""
 
 import dataclasses
+import http
 import math
 
 import trio
 
+from mustardlb import errors
 from mustardlb_gateway import _event_stream
 from mustardlb_gateway import _outcomes
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_server
 
-
 # Clients abandon a stream after the longest of these pauses: a fixed one, and
 # ratios of the latency objective and of the gap objective.
 CLIENT_GAP_SECONDS = 2.0
@@ -93,11 +94,36 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether a target may have executed the call."""
-        return any(
+        return self.possible_runs > 0
+
+    @property
+    def possible_runs(self) -> int:
+        """Return the number of targets that may have executed the call."""
+        return sum(
             attempt.was_sent and attempt.outcome != _outcomes.Outcome.NOT_RUN
             for attempt in self.attempts
         )
 
+    async def send_response(
+        self, response: _outcomes.BufferedResponse
+    ) -> None:
+        """Send a target's response to the client.
+
+        The target that rejected the call knows nothing of the others that may
+        have executed it.
+        """
+        is_rejection = response.status in _outcomes.NOT_RUN_STATUSES
+        if is_rejection and self.possible_runs > 1:
+            await self.reply.send_response(
+                http.HTTPStatus.BAD_GATEWAY,
+                [],
+                str(errors.Code.TARGET_FAILED).encode(),
+            )
+            return
+        await self.reply.send_response(
+            response.status, response.headers, response.body
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdapterVersions:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
@@ -11,6 +11,9 @@
 # Largest Retry-After as a ratio of the time that the client still waits.
 MAX_RETRY_AFTER_RATIO = 1 / 3
 
+# To a client, these statuses guarantee that its request has not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class Outcome(enum.StrEnum):
     """Outcome of one attempt at a target.
