--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -141,7 +141,8 @@
         client_disconnected = False
         try:
             async with trio.open_nursery() as nursery:
-                nursery.cancel_scope.deadline = job.deadline
+                job.scope = nursery.cancel_scope
+                job.scope.deadline = job.deadline
                 connection = await self._links.acquire(
                     target, job.call.request_id
                 )
@@ -326,7 +327,9 @@
 
     def _response_timeout(self, job: _jobs.Job) -> trio.CancelScope:
         """Return a scope for receiving data, with the response timeout."""
-        deadline = _response_deadline(job, self._response_timeout_seconds(job))
+        deadline = _response_deadline(
+            job, self._response_timeout_seconds(job), trio.current_time()
+        )
         return trio.CancelScope(deadline=deadline)
 
     async def _watch_link(
@@ -384,9 +387,7 @@
             # cannot follow; the stream is truncated.
             return
         job.first_byte = trio.current_time()
-        await job.reply.send_response(
-            response.status, response.headers, response.body
-        )
+        await job.send_response(response)
 
     async def _forward_stream(
         self,
@@ -403,8 +404,10 @@
             job.splitter.discard_partial()
         timeout = self._response_timeout_seconds(job)
         is_recorded = False
+        # Bytes that complete no event are no progress.
+        event_at = trio.current_time()
         while True:
-            data = await _receive_data(connection, job, timeout)
+            data = await _receive_data(connection, job, timeout, event_at)
             now = trio.current_time()
             if (
                 data is None
@@ -440,6 +443,7 @@
                     job.first_byte = now
                 await self._begin_stream(job, target, head)
                 await job.reply.send(complete)
+                event_at = job.event_at = trio.current_time()
         if job.splitter.partial:
             raise http_client.ExchangeFailed('the last event is incomplete')
         if not is_recorded and attempt.output_at is not None:
@@ -458,6 +462,7 @@
         """
         if job.reply.has_begun:
             return
+        job.begin_stream()
         job.software = target.software
         origin = _messages.Origin(target.service, target.software)
         # Clients name the request that began the stream, or their last one.
@@ -484,10 +489,16 @@
 
 
 async def _receive_data(
-    connection: http_client.Connection, job: _jobs.Job, timeout: float
+    connection: http_client.Connection,
+    job: _jobs.Job,
+    timeout: float,
+    event_at: float,
 ) -> bytes | None:
-    """Return the next part of a stream; raises ExchangeFailed."""
-    deadline = _response_deadline(job, timeout)
+    """Return the next part of a stream; raises ExchangeFailed.
+
+    :param event_at: when the last event was complete, trio time
+    """
+    deadline = _response_deadline(job, timeout, event_at)
     if deadline == math.inf:
         return await connection.receive_data()
     with trio.CancelScope(deadline=deadline):
@@ -496,16 +507,15 @@
     raise http_client.ExchangeFailed('the target stopped sending the stream')
 
 
-def _response_deadline(job: _jobs.Job, timeout: float) -> float:
-    """Return when to give up on a target, in trio time.
+def _response_deadline(job: _jobs.Job, timeout: float, since: float) -> float:
+    """Return when to give up on a target that was silent since a trio time.
 
-    The deadline is infinite if too little time would be left for another
-    target.
+    It is when the client abandons the stream, or infinite, if too little time
+    would be left for another target.
     """
-    now = trio.current_time()
-    if now + timeout + timeout / 2 < job.deadline:
-        return now + timeout
-    return math.inf
+    if since + timeout + timeout / 2 < job.deadline:
+        return min(since + timeout, job.abandoned_at)
+    return job.abandoned_at
 
 
 def _expected_silence_seconds(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -1,12 +1,23 @@
 """State of a call that the gateway is processing."""
 
 import dataclasses
+import http
+import math
 
+import trio
+
+from mustardlb import errors
 from mustardlb_gateway import _event_stream
 from mustardlb_gateway import _outcomes
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_server
 
+# Clients abandon a stream after the longest of these pauses: a fixed one, and
+# ratios of the latency objective and of the gap objective.
+CLIENT_GAP_SECONDS = 2.0
+CLIENT_GAP_PER_LATENCY = 4.0
+CLIENT_GAP_PER_GAP = 8.0
+
 
 @dataclasses.dataclass(slots=True)
 class Job:
@@ -15,6 +26,9 @@
     :ivar priority: effective rank, 0 first
     :ivar arrived: when the request arrived
     :ivar deadline: when the client gets an error at the latest
+    :ivar stream_deadline: deadline of a stream that has begun
+    :ivar event_at: when the last event was forwarded, None before the first
+    :ivar scope: ends the current attempt at the deadline
     :ivar splitter: splits the stream that is forwarded to the client into
         events, None before the stream begins
     :ivar first_byte: when the first byte was sent to the client
@@ -46,6 +60,31 @@
     is_trial: bool = False
     software: str | None = None
     permitted_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    stream_deadline: float = 0.0
+    event_at: float | None = None
+    scope: trio.CancelScope | None = None
+
+    def begin_stream(self) -> None:
+        """Extend the deadline once the stream has begun."""
+        self.deadline = max(self.deadline, self.stream_deadline)
+        if self.scope is not None:
+            self.scope.deadline = self.deadline
+
+    @property
+    def abandoned_at(self) -> float:
+        """Return when the client abandons a stream without further events.
+
+        Infinite if the route has no gap objective or is no stream's.
+        """
+        route = self.route
+        if route.gap_objective is None or not route.bounds_gaps:
+            return math.inf
+        since = self.arrived if self.event_at is None else self.event_at
+        return since + max(
+            CLIENT_GAP_SECONDS,
+            CLIENT_GAP_PER_LATENCY * route.latency_objective,
+            CLIENT_GAP_PER_GAP * route.gap_objective,
+        )
 
     @property
     def account_name(self) -> str:
@@ -60,11 +99,36 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether a target may have executed the call."""
-        return any(
+        return self.possible_runs > 0
+
+    @property
+    def possible_runs(self) -> int:
+        """Return the number of targets that may have executed the call."""
+        return sum(
             attempt.was_sent and attempt.outcome != _outcomes.Outcome.NOT_RUN
             for attempt in self.attempts
         )
 
+    async def send_response(
+        self, response: _outcomes.BufferedResponse
+    ) -> None:
+        """Send a target's response to the client.
+
+        The target that rejected the call knows nothing of the others that may
+        have executed it.
+        """
+        is_rejection = response.status in _outcomes.NOT_RUN_STATUSES
+        if is_rejection and self.possible_runs > 1:
+            await self.reply.send_response(
+                http.HTTPStatus.BAD_GATEWAY,
+                [],
+                str(errors.Code.TARGET_FAILED).encode(),
+            )
+            return
+        await self.reply.send_response(
+            response.status, response.headers, response.body
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdapterVersions:
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -535,11 +535,7 @@
         unfinished = self._client_server.requests_in_flight
         self._client_server.end_reading()
         self._gateway.end_calls()
-        latest = trio.current_time() + LAST_RESPONSES_SECONDS
-        while trio.current_time() < latest:
-            if not self._client_server.has_clients:
-                break
-            await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
+        await self._client_server.wait_for_clients(LAST_RESPONSES_SECONDS)
         log.info(
             'MLB-6015',
             in_flight=unfinished,
