Revert "Let a stream go on past the timeout while its pauses are short"

Cause: the timeout of a route is the longest time for which its operator wants a request kept waiting, to its final answer. Streams that went on past it would leave most such requests without one half a second later. Change: the timeout ends a stream as before.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -141,8 +141,7 @@
         client_disconnected = False
         try:
             async with trio.open_nursery() as nursery:
-                job.scope = nursery.cancel_scope
-                job.scope.deadline = job.deadline
+                nursery.cancel_scope.deadline = job.deadline
                 connection = await self._links.acquire(
                     target, job.call.request_id
                 )
@@ -462,7 +461,6 @@
         """
         if job.reply.has_begun:
             return
-        job.begin_stream()
         job.software = target.software
         origin = _messages.Origin(target.service, target.software)
         # Clients name the request that began the stream, or their last one.
--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -274,10 +274,14 @@
         schedule, now = self._stop_schedule, trio.current_time()
         if schedule is None or now < schedule.admit_all_until:
             return
-        longest = call.client_timeout or DEFAULT_CLIENT_TIMEOUT_SECONDS
-        if not route.bounds_gaps:
-            longest = min(longest, route.timeout)
-        if now + longest < schedule.deadline:
+        if (
+            now
+            + min(
+                call.client_timeout or DEFAULT_CLIENT_TIMEOUT_SECONDS,
+                route.timeout,
+            )
+            < schedule.deadline
+        ):
             return
         raise _outcomes.rejection(
             errors.Code.NODE_STOPPING,
@@ -327,9 +331,6 @@
             reply,
             is_trial=admitted.is_trial,
             software=admitted.software,
-            stream_deadline=(
-                arrived + client_timeout if route.bounds_gaps else 0.0
-            ),
         )
         running.job = job
         self._count_request(admitted.service.name)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -64,20 +64,17 @@
     event_at: float | None = None
     scope: trio.CancelScope | None = None
 
-    def begin_stream(self) -> None:
-        """Extend the deadline once the stream has begun."""
-        self.deadline = max(self.deadline, self.stream_deadline)
-        if self.scope is not None:
-            self.scope.deadline = self.deadline
-
     @property
     def abandoned_at(self) -> float:
         """Return when the client abandons a stream without further events.
 
-        Infinite if the route has no gap objective or is no stream's.
+        Infinite if the route has no gap objective.
         """
         route = self.route
-        if route.gap_objective is None or not route.bounds_gaps:
+        if (
+            route.kind != domain.RouteKind.STREAM
+            or route.gap_objective is None
+        ):
             return math.inf
         since = self.arrived if self.event_at is None else self.event_at
         return since + max(
--- a/packages/mustardlb-gateway/mustardlb_gateway/domain.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/domain.py
@@ -32,8 +32,7 @@
 class Route:
     """Routing rule for the requests of a host and path prefix.
 
-    :ivar timeout: seconds until a request fails with an error; with a gap
-        objective, a stream must have begun by then
+    :ivar timeout: seconds until a request fails with an error
     :ivar latency_objective: seconds within which a response is on time
     :ivar priority: rank, 0 first
     :ivar max_attempts: maximum number of targets tried for one request
@@ -61,11 +60,6 @@
         """Return the names of the services."""
         return tuple(each.service for each in self.services)
 
-    @property
-    def bounds_gaps(self) -> bool:
-        """Return whether a stream goes on while its pauses are short."""
-        return self.kind == RouteKind.STREAM and self.gap_objective is not None
-
     @property
     def may_repeat(self) -> bool:
         """Return whether a request may be executed more than once."""
