Permits for limited targets expire during a pause

Change: permits are kept by the clock that counts suspensions, are looked at directly before the request is sent, and a grant that took longer than a permit lasts (one second) is not used.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -112,7 +112,11 @@
                 choice.target.target_id, trio.current_time()
             )
             job.attempts.append(attempt)
-            job.permitted_until.pop(choice.target.target_id, None)
+            permitted_until = job.permitted_until.pop(
+                choice.target.target_id, math.inf
+            )
+            if self._permits.is_limited(choice.target):
+                attempt.permitted_until = permitted_until
             self._log_choice(job, choice)
             await self._exchange.run(job, attempt, choice)
             if attempt.is_withheld:
@@ -197,12 +201,12 @@
         if not self._states.takes_requests(target):
             return False
         target_id = target.target_id
-        if job.permitted_until.get(target_id, 0.0) > trio.current_time():
+        if job.permitted_until.get(target_id, 0.0) > self._permits.now():
             return True
         if not await self._permits.acquire(target, job.call.request_id):
             return False
         job.permitted_until[target_id] = (
-            trio.current_time() + _target_permits.PERMIT_TTL_SECONDS
+            self._permits.now() + _target_permits.PERMIT_TTL_SECONDS
         )
         return True
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -60,7 +60,9 @@
         ensure_current: abc.Callable[
             [], abc.Awaitable[None]
         ] = trio.lowlevel.cancel_shielded_checkpoint,
+        clock: abc.Callable[[], float] = trio.current_time,
     ) -> None:
+        self._clock = clock
         self._translation = translation
         self._ensure_current = ensure_current
         self._pool = pool
@@ -125,11 +127,14 @@
                     target, job.call.request_id
                 )
                 await self._ensure_current()
-                if self._states.rest(
-                    target
-                ) or not self._targets.takes_requests(target):
-                    # It has asked for rest, or has left or restarted, while
-                    # the connection was opened or this process was paused.
+                if (
+                    self._states.rest(target)
+                    or not self._targets.takes_requests(target)
+                    or self._clock() > attempt.permitted_until
+                ):
+                    # It has asked for rest, or has left or restarted, or the
+                    # permit has expired, while the connection was opened or
+                    # this process was paused.
                     attempt.is_withheld = True
                     raise http_client.ExchangeFailed(
                         'the target takes no requests for now', was_sent=False
--- a/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from mustardlb import errors
 from mustardlb import steps
@@ -46,6 +47,8 @@
     :ivar is_link_failure: whether only a link to the target failed, which
         says nothing of the target
     :ivar is_withheld: not sent, since the target takes no requests for now
+    :ivar permitted_until: until when it may be sent, seconds on the clock that
+        counts suspensions
     :ivar output_at: trio time of the first part of the response body, None
         if none was received
     :ivar response: error response that is forwarded to the client if no
@@ -64,6 +67,7 @@
     is_link_failure: bool = False
     is_withheld: bool = False
     output_at: float | None = None
+    permitted_until: float = math.inf
 
     def describe(self, now: float) -> dict[str, object]:
         """Return the fields of a log event; `fate` is the outcome."""
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_permits.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_permits.py
@@ -91,6 +91,16 @@
         ] = {}
         self._denied_until: dict[str, float] = {}
 
+    def now(self) -> float:
+        """Return the time by which permits expire."""
+        return self._clock()
+
+    def is_limited(self, target: domain.Target) -> bool:
+        """Return whether requests to a target need a permit."""
+        key = target.target_id, target.incarnation
+        notice = self._limits.notice_by_key.get(key)
+        return notice is not None and notice.limit is not None
+
     def denied(self) -> dict[str, float]:
         """Return the seconds until targets may be asked for again, by id."""
         now = self._clock()
@@ -139,11 +149,15 @@
             longest = _owners.BACKOFF_SECONDS if rank else math.inf
             if owner == self._vm:
                 return min(longest, self._take(notice, rank))
+            asked_at = self._clock()
             response = await self._request(
                 owner,
                 _messages.Permit(notice, rank),
                 _owners.RESPONSE_TIMEOUT_SECONDS,
             )
+            if self._clock() - asked_at > PERMIT_TTL_SECONDS:
+                # The permit has waited while this process was paused.
+                return UNDECIDED_SECONDS
             if isinstance(response, _messages.Permitted):
                 return min(longest, response.wait)
             self._owners.mark_unresponsive(owner)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -33,6 +33,7 @@
         [str, _messages.Origin, tuple[str, ...]], None
     ],
     ensure_current: abc.Callable[[], abc.Awaitable[None]],
+    clock: abc.Callable[[], float],
 ) -> _dispatch.Dispatcher:
     """Return the dispatcher with the choice of targets and the exchange."""
     targets = state.targets
@@ -65,6 +66,7 @@
         tell_rest,
         record_origin,
         ensure_current,
+        clock,
     )
     return _dispatch.Dispatcher(
         exchange,
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -178,6 +178,7 @@
             self._acquire_retry,
             self._stream_origins.record,
             self._pauses.ensure_current,
+            clock,
         )
         self._gateway = _gateway.Gateway(
             translation,
--- a/tests/mustardlb_gateway/test_pauses.py
+++ b/tests/mustardlb_gateway/test_pauses.py
@@ -124,6 +124,36 @@
     assert (response.status == 200) == (change == 'restarted')
 
 
+# trio's clock did not count a suspension of the machine, so that a permit of
+# half a minute ago was used.
+@pytest.mark.parametrize('seconds', [0.5, 2.0, 30.0])
+async def test_permit_expires_during_a_suspension(seconds, monkeypatch):
+    harness = gateway_harness.Harness(builders.make_route())
+    clock = Clock()
+    harness.permits._clock = clock
+    harness.dispatcher._exchange._clock = clock
+    asked = []
+
+    async def ask(notice, request_id):
+        await trio.lowlevel.checkpoint()
+        asked.append(request_id)
+        return 0.0
+
+    harness.permits._ask = ask
+
+    def on_send():
+        if len(asked) == 1:
+            clock.suspended += seconds
+
+    async with harness.running(test_app.respond_ok) as harness:
+        target = harness.targets.by_id['t0']
+        harness.target_limits.record_response(target, 5.0, 0.0)
+        harness.on_send = on_send
+        response = await harness.send_request()
+    assert response.status == 200
+    assert len(asked) == (1 if seconds < 1 else 2)
+
+
 class SilentStore(simulated_store.SimulatedStore):
     """A store whose watches do not tell of changes while `is_silent`."""
 
--- a/tests/mustardlb_gateway/test_target_permits.py
+++ b/tests/mustardlb_gateway/test_target_permits.py
@@ -273,3 +273,26 @@
     began = trio.current_time()
     await permits.acquire(TARGET, 'r')
     assert trio.current_time() - began < _owners.RESPONSE_TIMEOUT_SECONDS
+
+
+# A grant that waited in the socket of a paused process was used although the
+# owner had handed out the permits of all the time since.
+@pytest.mark.parametrize('seconds', [2.0, 10.0, 30.0])
+async def test_late_permit_is_not_used(seconds, autojump_clock):
+    fleet = Fleet(7, 20.0)
+    owner = fleet.permits['vm0']._owners.ranking('t1')[0]
+    name = next(vm for vm in fleet.permits if vm != owner)
+    fleet.limits[name].record_response(TARGET, 20.0, 0.0)
+    await fleet.permits[name].acquire(TARGET, 'first')
+    await trio.sleep(1)
+    assert await fleet.permits[name].acquire(TARGET, 'r')
+    request = fleet.permits[name]._request
+
+    async def request_late(vm, body, timeout):
+        response = await request(vm, body, timeout)
+        await trio.sleep(seconds)
+        return response
+
+    fleet.permits[name]._request = request_late
+    await trio.sleep(1)
+    assert not await fleet.permits[name].acquire(TARGET, 'r')
