One trial of a quarantined request at a time, also after pauses

A permission that had waited in the socket of a paused process was used. While nodes differed on who lives, each node that was asked as the owner permitted a trial. A paused owner permitted one before it knew what others had done. Change: a trial is sent within 5 s of its permission, which is looked at directly before the request; answers that took over a second are not used; only a node that takes itself for the owner, and was not paused just now, permits trials.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -117,6 +117,10 @@
             )
             if self._permits.is_limited(choice.target):
                 attempt.permitted_until = permitted_until
+            if job.is_trial and not job.sent_attempts:
+                attempt.permitted_until = min(
+                    attempt.permitted_until, job.trial_until
+                )
             self._log_choice(job, choice)
             await self._exchange.run(job, attempt, choice)
             if attempt.is_withheld:
@@ -164,7 +168,11 @@
 
     def _check_quarantine(self, job: _jobs.Job) -> None:
         """Raise the final error of a call that is quarantined by now."""
-        if job.is_trial and not job.sent_attempts:
+        if (
+            job.is_trial
+            and not job.sent_attempts
+            and self._permits.now() < job.trial_until
+        ):
             return
         if not self._quarantine.holds(job.call):
             return
--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -16,6 +16,7 @@
 from mustardlb_gateway import _metrics
 from mustardlb_gateway import _outcomes
 from mustardlb_gateway import _quarantine
+from mustardlb_gateway import _trials
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_server
 from mustardlb_gateway import ports
@@ -49,6 +50,7 @@
     :ivar is_trial: whether the call is sent although it is in quarantine
     :ivar software: version of the software that began the stream that the
         call resumes, or None
+    :ivar trial_until: until when a trial may be sent, clock seconds
     """
 
     call: domain.Call
@@ -58,6 +60,7 @@
     charge: _charging.Decision | None
     is_trial: bool
     software: str | None
+    trial_until: float
 
     @property
     def cost(self) -> float:
@@ -175,6 +178,7 @@
                 )
         self._check_time_left(call, route)
         is_trial = await self._check_quarantine(call)
+        trial_until = self._clock() + _trials.START_SECONDS
         if self._in_flight > MAX_IN_FLIGHT_REQUESTS:
             raise _outcomes.rejection(
                 errors.Code.OVERLOADED,
@@ -198,6 +202,7 @@
             charge,
             is_trial,
             origin.software if origin is not None else None,
+            trial_until,
         )
 
     async def _find_stream(
@@ -294,6 +299,7 @@
             reply,
             is_trial=admitted.is_trial,
             software=admitted.software,
+            trial_until=admitted.trial_until,
         )
         self._count_request(admitted.service.name)
         outcome = 'client_gone'
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -1,6 +1,7 @@
 """State of a call that the gateway is processing."""
 
 import dataclasses
+import math
 
 from mustardlb_gateway import _event_stream
 from mustardlb_gateway import _outcomes
@@ -23,6 +24,7 @@
     :ivar reserved_queue: queue of the engine that accepted the reservation,
         seconds; None without a reservation
     :ivar is_trial: whether it is sent once although it is in quarantine
+    :ivar trial_until: until when, seconds on the clock that counts suspensions
     :ivar software: version of the software at which the stream goes on, None
         before it begins
     :ivar permitted_until: until when the call may be sent to a target with a
@@ -46,6 +48,7 @@
     is_trial: bool = False
     software: str | None = None
     permitted_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    trial_until: float = math.inf
 
     @property
     def sent_attempts(self) -> int:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_trials.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_trials.py
@@ -19,12 +19,21 @@
 # another reason.
 TRIAL_SECONDS = 10.0
 
+# A trial is sent within this time after it was permitted, so that it ends
+# before the owner permits the next one.
+START_SECONDS = 5.0
+
+# A permission that took longer to arrive has waited while this process was
+# paused.
+MAX_ANSWER_SECONDS = 1.0
+
 
 class Trials:
     """Decides whether a call in quarantine is sent as a trial.
 
     `request` sends a message to a node and returns its response, or None
     without one in time. `live` returns the names of the other live nodes.
+    `is_settled` returns whether this process was not paused just now.
     """
 
     def __init__(
@@ -37,7 +46,9 @@
         ],
         live: abc.Callable[[], frozenset[str]],
         clock: abc.Callable[[], float],
+        is_settled: abc.Callable[[], bool] = lambda: True,
     ) -> None:
+        self._is_settled = is_settled
         self._vm = vm
         self._quarantine = quarantine
         self._request = request
@@ -64,15 +75,28 @@
         owner = self._owners.ranking(suspect)[0]
         if owner == self._vm:
             return self.grant(suspect)
+        asked_at = self._clock()
         response = await self._request(
             owner,
             _messages.Trial(suspect),
             _owners.RESPONSE_TIMEOUT_SECONDS,
         )
-        return isinstance(response, _messages.Tried) and response.is_granted
+        return (
+            isinstance(response, _messages.Tried)
+            and response.is_granted
+            and self._clock() - asked_at <= MAX_ANSWER_SECONDS
+        )
 
     def grant(self, suspect: str) -> bool:
-        """Return whether this node, as the owner, permits a trial now."""
+        """Return whether this node, as the owner, permits a trial now.
+
+        Nodes that differ on who lives may ask different nodes. Only one that
+        takes itself for the owner decides.
+        """
+        if not self._is_settled():
+            return False
+        if self._owners.ranking(suspect)[0] != self._vm:
+            return False
         now = self._clock()
         self._last_by_suspect = {
             suspect: at
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -110,6 +110,7 @@
     target_parts: TargetParts,
     peers: _peers.Peers,
     clock: abc.Callable[[], float],
+    is_settled: abc.Callable[[], bool],
 ) -> _trials.Trials:
     """Return the permits to send calls that are quarantined."""
     return _trials.Trials(
@@ -118,6 +119,7 @@
         peers.request,
         peers.alive,
         clock,
+        is_settled,
     )
 
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -144,7 +144,11 @@
             clock,
         )
         self._trials = _wiring_targets.make_trials(
-            settings, self._target_parts, self.peers, clock
+            settings,
+            self._target_parts,
+            self.peers,
+            clock,
+            self._pauses.is_settled,
         )
         self._permits = _wiring_targets.make_permits(
             settings, self._target_parts, self.peers, clock
--- a/tests/mustardlb_gateway/test_pauses.py
+++ b/tests/mustardlb_gateway/test_pauses.py
@@ -12,6 +12,7 @@
 import simulated_store
 import structlog
 import test_app
+import test_dispatch
 import trio
 
 from mustardlb_gateway import _centres
@@ -154,6 +155,27 @@
     assert len(asked) == (1 if seconds < 1 else 2)
 
 
+# The owner permits the next trial after ten seconds, while this one had not
+# been sent yet.
+@pytest.mark.parametrize('seconds', [2.0, 10.0, 30.0])
+async def test_trial_expires_during_a_suspension(seconds):
+    harness = gateway_harness.Harness(builders.make_route())
+    clock = Clock()
+    harness.permits._clock = clock
+    harness.dispatcher._exchange._clock = clock
+    harness.permits_trials = True
+
+    def on_send():
+        clock.suspended += seconds
+
+    async with harness.running(test_app.respond_ok) as harness:
+        test_dispatch.quarantine_calls(harness)
+        harness.on_send = on_send
+        response = await harness.send_request()
+        assert response.status == (200 if seconds < 5 else 503)
+        assert harness.request_count == (1 if seconds < 5 else 0)
+
+
 class SilentStore(simulated_store.SimulatedStore):
     """A store whose watches do not tell of changes while `is_silent`."""
 
--- a/tests/mustardlb_gateway/test_trials.py
+++ b/tests/mustardlb_gateway/test_trials.py
@@ -128,3 +128,54 @@
 async def test_call_that_is_not_quarantined_is_sent(autojump_clock):
     fleet = Fleet(2)
     assert await fleet.trials['vm0'].permit(CALL)
+
+
+# A permission that waited in the socket of a paused process was used while
+# the owner had permitted another trial.
+@pytest.mark.parametrize('seconds', [2.0, 10.0, 30.0])
+async def test_late_permission_is_not_used(seconds, autojump_clock):
+    fleet = Fleet(7)
+    await fleet.quarantine()
+    await trio.sleep(_crash_decision.FIRST_TRIAL_SECONDS)
+    owner = fleet.trials['vm0']._owners.ranking('bad')[0]
+    trials = next(each for name, each in fleet.trials.items() if name != owner)
+
+    async def request_late(vm, body, timeout):
+        response = await fleet._request(vm, body, timeout)
+        await trio.sleep(seconds)
+        return response
+
+    trials._request = request_late
+    assert not await trials.permit(CALL)
+
+
+# While nodes differ on who lives, they ask different nodes, each of which
+# permitted a trial.
+@pytest.mark.parametrize('count', [3, 7, 40])
+async def test_one_trial_while_the_owner_changes(count, autojump_clock):
+    fleet = Fleet(count)
+    await fleet.quarantine()
+    await trio.sleep(_crash_decision.FIRST_TRIAL_SECONDS)
+    ranking = fleet.trials['vm0']._owners.ranking('bad')
+    # The second half does not see the owner.
+    behind = list(fleet.trials)[count // 2 :]
+    for name in behind:
+        if name not in ranking[:2]:
+            fleet.trials[name]._owners._live = lambda name=name: (
+                frozenset(fleet.trials) - {name, ranking[0]}
+            )
+    granted = [await each.permit(CALL) for each in fleet.trials.values()]
+    assert granted.count(True) == 1
+
+
+# An owner that has just woken up does not know what others have permitted.
+async def test_paused_owner_permits_no_trial(autojump_clock):
+    fleet = Fleet(7)
+    await fleet.quarantine()
+    await trio.sleep(_crash_decision.FIRST_TRIAL_SECONDS)
+    owner = fleet.trials['vm0']._owners.ranking('bad')[0]
+    fleet.trials[owner]._is_settled = lambda: False
+    for trials in fleet.trials.values():
+        assert not await trials.permit(CALL)
+    fleet.trials[owner]._is_settled = lambda: True
+    assert await fleet.trials[owner].permit(CALL)
