One owner hands out a target's whole limit while nodes differ

While some nodes see the owner and others do not, the owner and the node after it were both asked as the owner, and each handed out the whole limit. Change: a node hands out permits at its own rank if that is lower. Result: test_limit_is_kept_while_nodes_differ_on_the_owner (7, 40 and 200 nodes, half of which do not see the owner) fails before and passes now; test_target_permits.py and test_limited_targets.py pass.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_permits.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_permits.py
@@ -170,7 +170,11 @@
         notice = self._limits.notice_by_key.get(permit.notice.key)
         if notice is None or notice.limit is None:
             return _messages.Permitted(0.0)
-        return _messages.Permitted(self._take(notice, permit.rank))
+        # A node that does not see the owner asks this one in its place, while
+        # others still ask the owner.
+        own_rank = self._owners.ranking(notice.target_id).index(self._vm)
+        rank = max(permit.rank, own_rank)
+        return _messages.Permitted(self._take(notice, rank))
 
     def _take(self, notice: _target_limits.LimitNotice, rank: int) -> float:
         now = self._clock()
--- a/tests/mustardlb_gateway/test_target_permits.py
+++ b/tests/mustardlb_gateway/test_target_permits.py
@@ -296,3 +296,22 @@
     fleet.permits[name]._request = request_late
     await trio.sleep(1)
     assert not await fleet.permits[name].acquire(TARGET, 'r')
+
+
+# While nodes differ on who lives, two nodes were asked as the owner, and each
+# handed out the whole limit.
+@pytest.mark.parametrize('count', [7, 40, 200])
+async def test_limit_is_kept_while_nodes_differ_on_the_owner(
+    count, autojump_clock
+):
+    limit = 20.0
+    fleet = Fleet(count, limit)
+    ranking = fleet.permits['vm0']._owners.ranking('t1')
+    names = [name for name in fleet.permits if name not in ranking[:2]]
+    for name in names[: len(names) // 2]:
+        fleet.permits[name]._owners._live = lambda name=name: (
+            frozenset(fleet.limits) - {name, ranking[0]}
+        )
+    await fleet.run(20, 80)
+    fleet.expect_limit_kept(limit)
+    assert len(fleet.arrivals) > 0.5 * 20 * limit
