--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -109,7 +109,15 @@
                 choice.target.target_id, trio.current_time()
             )
             job.attempts.append(attempt)
-            job.permitted_until.pop(choice.target.target_id, None)
+            permitted_until = job.permitted_until.pop(
+                choice.target.target_id, math.inf
+            )
+            if self._permits.is_limited(choice.target):
+                attempt.permitted_until = permitted_until
+            if job.is_trial and not job.sent_attempts:
+                attempt.permitted_until = min(
+                    attempt.permitted_until, job.trial_until
+                )
             self._log_choice(job, choice)
             await self._exchange.run(job, attempt, choice)
             if attempt.is_withheld:
@@ -157,7 +165,11 @@
 
     def _check_quarantine(self, job: _jobs.Job) -> None:
         """Raise the final error of a call that is quarantined by now."""
-        if job.is_trial and not job.sent_attempts:
+        if (
+            job.is_trial
+            and not job.sent_attempts
+            and self._permits.now() < job.trial_until
+        ):
             return
         if not self._quarantine.holds(job.call):
             return
@@ -196,14 +208,14 @@
         ) or self._targets.is_evacuated(target):
             return False
         target_id = target.target_id
-        if job.permitted_until.get(target_id, 0.0) > trio.current_time():
+        if job.permitted_until.get(target_id, 0.0) > self._permits.now():
             return True
         if not await self._permits.acquire(target, job.call.request_id):
             return False
         if self._targets.is_evacuated(target):
             return False
         job.permitted_until[target_id] = (
-            trio.current_time() + _target_permits.PERMIT_TTL_SECONDS
+            self._permits.now() + _target_permits.PERMIT_TTL_SECONDS
         )
         return True
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -70,7 +70,9 @@
         record_response_time: abc.Callable[
             [domain.Target, str, float, float], object
         ] = lambda target, route, seconds, usual: None,
+        clock: abc.Callable[[], float] = trio.current_time,
     ) -> None:
+        self._clock = clock
         self._translation = translation
         self._ensure_current = ensure_current
         self._pool = pool
@@ -146,12 +148,14 @@
                     target, job.call.request_id
                 )
                 await self._ensure_current()
-                if self._states.rest(
-                    target
-                ) or not self._targets.takes_requests(target):
-                    # It has asked for rest, or has left or restarted, or
-                    # its data centre was evacuated, while the connection was
-                    # opened or this process was paused.
+                if (
+                    self._states.rest(target)
+                    or not self._targets.takes_requests(target)
+                    or self._clock() > attempt.permitted_until
+                ):
+                    # It has asked for rest, or has left or restarted, its data
+                    # centre was evacuated, or the permit has expired, while
+                    # the connection was opened or this process was paused.
                     attempt.is_withheld = True
                     raise http_client.ExchangeFailed(
                         'the target takes no requests for now', was_sent=False
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -4,8 +4,6 @@
 import http
 import math
 
-import trio
-
 from mustardlb import errors
 from mustardlb_gateway import _event_stream
 from mustardlb_gateway import _outcomes
@@ -26,9 +24,7 @@
     :ivar priority: effective rank, 0 first
     :ivar arrived: when the request arrived
     :ivar deadline: when the client gets an error at the latest
-    :ivar stream_deadline: deadline of a stream that has begun
     :ivar event_at: when the last event was forwarded, None before the first
-    :ivar scope: ends the current attempt at the deadline
     :ivar splitter: splits the stream that is forwarded to the client into
         events, None before the stream begins
     :ivar first_byte: when the first byte was sent to the client
@@ -37,6 +33,7 @@
     :ivar reserved_queue: queue of the engine that accepted the reservation,
         seconds; None without a reservation
     :ivar is_trial: whether it is sent once although it is in quarantine
+    :ivar trial_until: until when, seconds on the clock that counts suspensions
     :ivar software: version of the software at which the stream goes on, None
         before it begins
     :ivar permitted_until: until when the call may be sent to a target with a
@@ -60,9 +57,8 @@
     is_trial: bool = False
     software: str | None = None
     permitted_until: dict[str, float] = dataclasses.field(default_factory=dict)
-    stream_deadline: float = 0.0
+    trial_until: float = math.inf
     event_at: float | None = None
-    scope: trio.CancelScope | None = None
 
     @property
     def abandoned_at(self) -> float:
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -152,7 +152,11 @@
             clock,
         )
         self._trials = _wiring_targets.make_trials(
-            settings, self._target_parts, self.peers, clock
+            settings,
+            self._target_parts,
+            self.peers,
+            clock,
+            self._pauses.is_settled,
         )
         self._permits = _wiring_targets.make_permits(
             settings, self._target_parts, self.peers, clock
@@ -186,6 +190,7 @@
             self._acquire_retry,
             self._stream_origins.record,
             self._pauses.ensure_current,
+            clock,
         )
         self._gateway = _gateway.Gateway(
             translation,
