Calls without a target wait in a queue instead of polling

A call for which no target was available chose again every 40 ms until its deadline, at any node, in no order: 300 waiting calls chose 7,500 times a second on a node that may have 0.39 of a core.

Such calls now wait in a bounded queue for each service, ordered by priority, by the tokens served lately to the account at this node, and by deadline. One is woken when a request of the node ends, when targets or the fleet's view change, and by a timer; it takes the room or passes the turn on, to three others at most.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -10,6 +10,7 @@
 
 from mustardlb import errors
 from mustardlb import steps
+from mustardlb_gateway import _admission
 from mustardlb_gateway import _exchange
 from mustardlb_gateway import _jobs
 from mustardlb_gateway import _messages
@@ -24,8 +25,11 @@
 
 log = structlog.get_logger()
 
-# Delay before the choice is repeated when no target is available.
-CHOICE_RETRY_SECONDS = 0.04
+# Delay before a target that was not reached twice is tried again.
+REACH_RETRY_SECONDS = 0.04
+
+# A load that failed faster was refused without waiting for a slot.
+MIN_SLOT_WAIT_SECONDS = 0.04
 
 # A load that takes longer is no longer awaited; the target is then chosen
 # again from the state at that time.
@@ -62,6 +66,7 @@
 
     `permits` decides on requests to targets that have named a limit, and
     `states` on those to targets that ask for rest or are brittle.
+    `waiting` holds the calls for which there is no target at present.
     `record_failure` is called with each attempt that a target may have failed
     on, whether its connection broke, and how long ago it was sent.
     """
@@ -95,6 +100,7 @@
         self._record_failure = record_failure
         self._permits = permits
         self._states = states
+        self.waiting = _admission.WaitingCalls()
 
     async def run(self, job: _jobs.Job) -> None:
         """Send the response to a call, or raise the error to respond with."""
@@ -111,7 +117,11 @@
             job.attempts.append(attempt)
             job.permitted_until.pop(choice.target.target_id, None)
             self._log_choice(job, choice)
-            await self._exchange.run(job, attempt, choice)
+            self.waiting.record_sent(job, choice.prefill_tokens)
+            try:
+                await self._exchange.run(job, attempt, choice)
+            finally:
+                self.waiting.notify_ended(job.service.name)
             if attempt.is_withheld:
                 job.attempts.remove(attempt)
                 continue
@@ -153,7 +163,7 @@
             raise self._final_error(job, attempt.problem)
         tried = [each.target_id for each in job.attempts]
         if tried.count(attempt.target_id) > 1:
-            await trio.sleep(CHOICE_RETRY_SECONDS)
+            await trio.sleep(REACH_RETRY_SECONDS)
 
     def _check_quarantine(self, job: _jobs.Job) -> None:
         """Raise the final error of a call that is quarantined by now."""
@@ -301,10 +311,19 @@
 
         Raises the final error of the call shortly before its deadline.
         """
+        with self.waiting.place(job) as place:
+            return await self._choose_in_turn(job, place)
+
+    async def _choose_in_turn(
+        self, job: _jobs.Job, place: _admission.Place
+    ) -> _placement.Choice:
         started_at = trio.current_time()
         load_excluded: frozenset[str] = frozenset()
         while True:
-            choice, request = await self._choose_reserved(job, load_excluded)
+            choice, request = await self._choose_reserved(
+                job, load_excluded, place
+            )
+            place.take()
             now = trio.current_time()
             time_left = job.deadline - now
             adapter = job.call.adapter
@@ -336,7 +355,8 @@
                 return choice
             load_excluded |= {choice.target.target_id}
             self._check_slot_wait(job)
-            await trio.sleep(CHOICE_RETRY_SECONDS)
+            if trio.current_time() - now < MIN_SLOT_WAIT_SECONDS:
+                await self._wait(job, place)
 
     def _check_slot_wait(self, job: _jobs.Job) -> None:
         """Raise a rejection if a call has waited too long for a slot."""
@@ -362,7 +382,10 @@
         )
 
     async def _choose_reserved(
-        self, job: _jobs.Job, load_excluded: frozenset[str]
+        self,
+        job: _jobs.Job,
+        load_excluded: frozenset[str],
+        place: _admission.Place,
     ) -> tuple[_placement.Choice, _placement.PlacementRequest]:
         """Choose a target and reserve time at it, if it is an engine.
 
@@ -382,10 +405,12 @@
                 job, load_excluded, queue_seconds, absent
             )
             choice = self._choose(job, request)
+            is_denied = False
             if choice is None and request.denied:
-                await self._wait_for_permit(job, request)
+                is_denied = await self._wait_for_permit(job, request, place)
             if choice is None:
-                await trio.sleep(CHOICE_RETRY_SECONDS)
+                if not is_denied:
+                    await self._wait(job, place)
                 queue_seconds, absent = {}, frozenset()
                 continue
             if not await self._is_permitted(job, choice.target):
@@ -409,17 +434,35 @@
         ready = self._targets.ready(job.service.name)
         return self._permits.denied() | self._states.denied(ready)
 
-    async def _wait_for_permit(
-        self, job: _jobs.Job, request: _placement.PlacementRequest
+    async def _wait(
+        self,
+        job: _jobs.Job,
+        place: _admission.Place,
+        seconds: float = math.inf,
     ) -> None:
+        """Wait until there may be room, or for some seconds at most.
+
+        Raises the final error if too many more urgent calls wait.
+        """
+        now = trio.current_time()
+        until = min(now + seconds, job.deadline - MIN_TIME_LEFT_SECONDS)
+        if not await place.wait(until):
+            raise self._final_error(job, 'too many calls wait for a target')
+
+    async def _wait_for_permit(
+        self,
+        job: _jobs.Job,
+        request: _placement.PlacementRequest,
+        place: _admission.Place,
+    ) -> bool:
         """Wait for a target that has reached its limit, if that is short.
 
-        Raises a rejection if the wait would be long. Returns at once if there
-        is no such target either.
+        Raises a rejection if the wait would be long. Returns False at once if
+        there is no such target either.
         """
         without_limits = dataclasses.replace(request, denied=frozenset())
         if self._choose(job, without_limits) is None:
-            return
+            return False
         denied = self._denied(job)
         wait = min(
             (
@@ -438,8 +481,9 @@
             for target in self._targets.ready(job.service.name)
         )
         if now + wait <= latest and not is_resting:
-            await trio.sleep(max(wait, CHOICE_RETRY_SECONDS))
-            return
+            # Without a time, the events of requests that end are awaited.
+            await self._wait(job, place, wait or latest - now)
+            return True
         problem = 'no target takes requests for now, as targets have said'
         if job.may_have_run:
             raise self._final_error(job, problem)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -64,7 +64,7 @@
         tell_rest,
         record_origin,
     )
-    return _dispatch.Dispatcher(
+    dispatcher = _dispatch.Dispatcher(
         exchange,
         targets,
         placement,
@@ -77,3 +77,5 @@
         permits,
         target_parts.states,
     )
+    state.targets_mirror.on_change(dispatcher.waiting.notify_changed)
+    return dispatcher
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -175,6 +175,7 @@
             self._acquire_retry,
             self._stream_origins.record,
         )
+        self._waiting = dispatcher.waiting
         self._gateway = _gateway.Gateway(
             translation,
             dispatcher,
@@ -294,6 +295,7 @@
         self._gauges.live_nodes.set(len(self.membership.live))
         self.targets.centres_by_name = view
         self.engine_manager.apply_fleet_view(view)
+        self._waiting.notify_changed()
         now = self._clock()
         for name, centre in view.items():
             if self.fleet.is_fresh(name):
--- a/tests/mustardlb_gateway/test_stale_loads.py
+++ b/tests/mustardlb_gateway/test_stale_loads.py
@@ -149,7 +149,9 @@
             arrived + ROUTE.timeout,
             None,
         )
-        choice, _ = await self.dispatcher._choose_reserved(job, frozenset())
+        choice, _ = await self.dispatcher._choose_reserved(
+            job, frozenset(), self.dispatcher.waiting.place(job)
+        )
         now = trio.current_time()
         target_id = choice.target.target_id
         done_at = max(now, self.busy_until[target_id]) + (
