--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -70,7 +70,7 @@
         target_parts.reported_loads.record_response_time,
         clock,
     )
-    return _dispatch.Dispatcher(
+    dispatcher = _dispatch.Dispatcher(
         exchange,
         targets,
         placement,
@@ -83,3 +83,5 @@
         permits,
         target_parts.states,
     )
+    state.targets_mirror.on_change(dispatcher.waiting.notify_changed)
+    return dispatcher
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -192,6 +192,7 @@
             self._pauses.ensure_current,
             clock,
         )
+        self._waiting = dispatcher.waiting
         self._gateway = _gateway.Gateway(
             translation,
             dispatcher,
@@ -342,6 +343,7 @@
         self._gauges.live_nodes.set(len(self.membership.live))
         self.targets.centres_by_name = view
         self.engine_manager.apply_fleet_view(view)
+        self._waiting.notify_changed()
         now = self._clock()
         for name, centre in view.items():
             if self.fleet.is_fresh(name):
