Bound what a node buffers for slow clients and targets

A client that did not read left its target unread for up to 10 s, and nothing bounded what all clients together made a node hold. With limits.memory_mb set, output is sent by a task of its own, all buffered data is counted, and a quarter of the memory is the limit. A client that is over 1 MB behind a stream is disconnected, and the slowest ones when the limit is exceeded; new requests are rejected as not run above three quarters of it. Without the setting there is no bound, as before.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _event_stream
 from mustardlb_gateway import _jobs
 from mustardlb_gateway import _messages
@@ -57,6 +58,7 @@
         record_origin: abc.Callable[
             [str, _messages.Origin, tuple[str, ...]], None
         ],
+        buffers: _buffers.Buffers | None = None,
     ) -> None:
         self._translation = translation
         self._pool = pool
@@ -69,6 +71,7 @@
         self._states = states
         self._tell_rest = tell_rest
         self._record_origin = record_origin
+        self._buffers = buffers or _buffers.Buffers(lambda: 0.0)
 
     async def run(
         self,
@@ -98,9 +101,13 @@
                 self._targets.finish_prefill(target.target_id, prefill_tokens)
                 self._prefix_index.record(target.target_id, job.call)
 
+        job.held = self._buffers.open()
+        # The encoded request, besides the body that was received.
+        job.held.add(len(job.call.body))
         try:
             await self._send_and_receive(job, attempt, target, record_prefill)
         finally:
+            job.held.close()
             if not is_prefilled:
                 self._targets.finish_prefill(target.target_id, prefill_tokens)
             self._targets.end_request(target.target_id, job.call.adapter)
@@ -247,7 +254,9 @@
             )
             return
         with self._response_timeout(job) as scope:
-            body = await connection.receive_body(MAX_BUFFERED_RESPONSE_BYTES)
+            body = await connection.receive_body(
+                MAX_BUFFERED_RESPONSE_BYTES, job.hold
+            )
         if scope.cancelled_caught:
             raise http_client.ExchangeFailed(
                 'the target stopped sending the response'
@@ -400,6 +409,7 @@
                 complete = job.splitter.feed(data)
             except ValueError as error:
                 raise http_client.ExchangeFailed(str(error)) from error
+            job.hold_event(len(job.splitter.partial))
             if complete:
                 if job.first_byte is None:
                     job.first_byte = now
--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -122,6 +122,7 @@
             abc.Awaitable[_messages.Origin | None],
         ],
         clock: abc.Callable[[], float],
+        is_memory_full: abc.Callable[[], bool] = lambda: False,
     ) -> None:
         self._translation = translation
         self._dispatcher = dispatcher
@@ -135,6 +136,7 @@
         self._permit_trial = permit_trial
         self._find_origin = find_origin
         self._clock = clock
+        self._is_memory_full = is_memory_full
         self._in_flight = 0
         self._running: set[_RunningCall] = set()
         self._stop_schedule: StopSchedule | None = None
@@ -213,6 +215,13 @@
                 step,
                 START_RETRY_AFTER_SECONDS,
             )
+        if self._is_memory_full():
+            raise _outcomes.rejection(
+                errors.Code.OVERLOADED,
+                'no memory is left for another request',
+                step,
+                START_RETRY_AFTER_SECONDS,
+            )
         origin = await self._find_stream(call, route)
         name = _choose_service(route.services)
         if origin is not None and origin.service in route.service_names:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -7,6 +7,7 @@
 import trio
 
 from mustardlb import errors
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _event_stream
 from mustardlb_gateway import _outcomes
 from mustardlb_gateway import domain
@@ -29,6 +30,7 @@
     :ivar stream_deadline: deadline of a stream that has begun
     :ivar event_at: when the last event was forwarded, None before the first
     :ivar scope: ends the current attempt at the deadline
+    :ivar held: what the current attempt buffers of request and response
     :ivar splitter: splits the stream that is forwarded to the client into
         events, None before the stream begins
     :ivar first_byte: when the first byte was sent to the client
@@ -63,6 +65,19 @@
     stream_deadline: float = 0.0
     event_at: float | None = None
     scope: trio.CancelScope | None = None
+    held: _buffers.Holding | None = None
+
+    def hold(self, byte_count: int) -> bool:
+        """Record data of a response; return whether there is room for it."""
+        if self.held is None:
+            return True
+        self.held.add(byte_count)
+        return self.held.has_room
+
+    def hold_event(self, byte_count: int) -> None:
+        """Record the size of the incomplete event of a stream."""
+        if self.held is not None:
+            self.held.set(len(self.call.body) + byte_count)
 
     def begin_stream(self) -> None:
         """Extend the deadline once the stream has begun."""
--- a/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
@@ -33,6 +33,15 @@
             'mustardlb_relayed_connections',
             'Connections to targets that this node relays for others.',
         )
+        self.buffered_bytes = metrics.add_gauge(
+            'mustardlb_buffered_bytes',
+            'Data that is buffered for clients and targets.',
+        )
+        self.slow_clients = metrics.add_gauge(
+            'mustardlb_slow_clients',
+            'Clients that were disconnected because of what was buffered for '
+            'them, since the start.',
+        )
         self.stream_origins = metrics.add_gauge(
             'mustardlb_stream_origins',
             'Streams of the last minute whose beginning this node knows.',
--- a/packages/mustardlb-gateway/mustardlb_gateway/_sockets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_sockets.py
@@ -15,6 +15,9 @@
 USER_TIMEOUT_MS = 3000
 
 
+# Unsent data that the system holds for a peer, if memory is bounded.
+MAX_UNSENT_BYTES = 131_072
+
 # A peer of a slower transfer sends or reads a byte now and then.
 MIN_BYTES_PER_SECOND = 4096
 
@@ -76,6 +79,15 @@
     return stream
 
 
+def limit_unsent(stream: trio.SocketStream) -> None:
+    """Limit what the system buffers beyond the data in transit."""
+    stream.setsockopt(
+        trio.socket.IPPROTO_TCP,
+        trio.socket.TCP_NOTSENT_LOWAT,
+        MAX_UNSENT_BYTES,
+    )
+
+
 def is_readable(sock: trio.socket.SocketType) -> bool:
     """Return whether data, the end or a new connection can be received."""
     poll = select.poll()
@@ -83,6 +95,13 @@
     return bool(poll.poll(0))
 
 
+async def wait_writable(stream: trio.SocketStream) -> None:
+    """Wait until the socket takes data; raises trio.ClosedResourceError."""
+    if stream.socket.fileno() < 0:
+        raise trio.ClosedResourceError
+    await trio.lowlevel.wait_writable(stream.socket)
+
+
 def write_available(
     stream: trio.SocketStream, data: bytes | memoryview
 ) -> int:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _dispatch
 from mustardlb_gateway import _exchange
 from mustardlb_gateway import _membership
@@ -32,6 +33,7 @@
     record_origin: abc.Callable[
         [str, _messages.Origin, tuple[str, ...]], None
     ],
+    buffers: _buffers.Buffers,
 ) -> _dispatch.Dispatcher:
     """Return the dispatcher with the choice of targets and the exchange."""
     targets = state.targets
@@ -63,6 +65,7 @@
         target_parts.states,
         tell_rest,
         record_origin,
+        buffers,
     )
     return _dispatch.Dispatcher(
         exchange,
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -7,6 +7,7 @@
 import trio
 
 from mustardlb import clock as clocks
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _charging
 from mustardlb_gateway import _crashes
@@ -86,6 +87,7 @@
         self._nursery: trio.Nursery | None = None
         self.is_stopping = False
         self._counts_changed = trio.Event()
+        self._buffers = _buffers.Buffers(lambda: self.settings.memory_mb)
         self._retry_budgets_by_service: dict[
             str, _retry_budget.RetryBudget
         ] = {}
@@ -181,6 +183,7 @@
             self.peers,
             self._acquire_retry,
             self._stream_origins.record,
+            self._buffers,
         )
         self._gateway = _gateway.Gateway(
             translation,
@@ -195,6 +198,7 @@
             self._trials.permit,
             self._stream_origins.find,
             clock,
+            lambda: self._buffers.is_full,
         )
         self._client_server = self._make_client_server()
         self.targets.on_removed(self._on_target_removed)
@@ -234,7 +238,7 @@
             100, self.settings.max_descriptors - RESERVED_DESCRIPTORS
         )
         return http_server.Server(
-            self._gateway.handle, limits, max_connections
+            self._gateway.handle, limits, max_connections, self._buffers
         )
 
     def _get_retry_budget(self, service: str) -> _retry_budget.RetryBudget:
@@ -453,6 +457,8 @@
         gauges.stream_origins.set(self._stream_origins.size)
         gauges.suspended_targets.set(self.targets.suspended_count)
         gauges.lost_targets.set(self._target_parts.reachability.lost_count)
+        gauges.buffered_bytes.set(self._buffers.held)
+        gauges.slow_clients.set(self._buffers.evictions)
         gauges.relayed_connections.set(self._target_parts.relay_server.count)
 
     def reload(self, settings: gateway_settings.Settings) -> None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -278,16 +278,22 @@
             return None
         raise ExchangeFailed('the response body is truncated')
 
-    async def receive_body(self, max_bytes: int) -> bytes:
+    async def receive_body(
+        self, max_bytes: int, hold: abc.Callable[[int], bool] | None = None
+    ) -> bytes:
         """Return the rest of the body.
 
-        Raises ExchangeFailed if it is truncated or exceeds `max_bytes`.
+        `hold` is called with the size of each part that was received, and
+        returns whether there is memory for it. Raises ExchangeFailed if the
+        body is truncated, exceeds `max_bytes` or has no room.
         """
         body = bytearray()
         while (data := await self.receive_data()) is not None:
             body += data
             if len(body) > max_bytes:
                 raise ExchangeFailed('the response body is too large')
+            if hold is not None and not hold(len(data)):
+                raise ExchangeFailed('no memory is left for the response')
         return bytes(body)
 
     async def _next_event(self) -> Any:
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
@@ -8,6 +8,7 @@
 import structlog
 import trio
 
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _sockets
 from mustardlb_gateway import domain
 
@@ -19,6 +20,8 @@
 # is served.
 MAX_PIPELINED_BYTES = 65_536
 
+MAX_WRITE_BYTES = 262_144
+
 # Time for which a client may read nothing of a response.
 WRITE_TIMEOUT_SECONDS = 10.0
 
@@ -116,8 +119,10 @@
         handler: Handler,
         limits: abc.Callable[[], domain.RequestLimits],
         max_connections: int,
+        buffers: _buffers.Buffers | None = None,
     ) -> None:
         self._handler = handler
+        self.buffers = buffers or _buffers.Buffers(lambda: 0.0)
         self.limits = limits
         self._max_connections = max_connections
         self._connections: set[_ClientConnection] = set()
@@ -160,6 +165,7 @@
         except ClientDisconnected:
             connection.abort()
         finally:
+            connection.release_buffers()
             self._connections.discard(connection)
             if not self._connections:
                 self._is_empty.set()
@@ -211,6 +217,8 @@
 
     :ivar _pipelined: data received while the current request is served
     :ivar _client_closed: the client closed its side of the connection
+    :ivar _output: data that is sent while the request is served, unless it is
+        sent directly
     """
 
     def __init__(
@@ -229,6 +237,18 @@
         self._idle_scope: trio.CancelScope | None = None
         self._idle_since = 0.0
         self._reading_scope: trio.CancelScope | None = None
+        self._buffers = server.buffers
+        self._input_held = self._buffers.open()
+        self._output_held = self._buffers.open(self.abort)
+        self._output = bytearray()
+        self._is_output_buffered = False
+        self._output_changed = trio.Event()
+        self._output_sent = trio.Event()
+
+    def release_buffers(self) -> None:
+        """Record that the connection holds no data any more."""
+        self._input_held.close()
+        self._output_held.close()
 
     def close_if_idle(self) -> None:
         """Close the connection if no byte of a next request has arrived."""
@@ -254,6 +274,8 @@
     async def run(self) -> None:
         """Serve requests until the client or the server closes."""
         _sockets.set_tcp_options(self._stream)
+        if self._buffers.is_bounded:
+            _sockets.limit_unsent(self._stream)
         while True:
             try:
                 request = await self._read_request()
@@ -282,6 +304,7 @@
                 )
         finally:
             self._server.requests_in_flight -= 1
+            self._input_held.set(len(self._pipelined))
         if not reply.is_complete:
             self.abort()
             return False
@@ -297,12 +320,71 @@
             nursery.start_soon(
                 self._watch_for_disconnect, nursery.cancel_scope
             )
+            if self._buffers.is_bounded:
+                self._is_output_buffered = True
+                nursery.start_soon(self._send_output, nursery.cancel_scope)
             try:
                 await self._handler(request, reply)
+                if self._output:
+                    self._output_sent = trio.Event()
+                    await self._output_sent.wait()
             except ClientDisconnected:
                 # No further request is read from this connection.
                 self._client_closed = True
             nursery.cancel_scope.cancel()
+        self._is_output_buffered = False
+
+    async def _send_output(self, scope: trio.CancelScope) -> None:
+        """Send the buffered output; cancel the handler if that fails."""
+        try:
+            while True:
+                await self._output_changed.wait()
+                await self._send_buffered()
+                self._output_changed = trio.Event()
+        except trio.TooSlowError:
+            self._buffers.evict(self._output_held, 'stalled')
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        self._client_closed = True
+        self._output_held.close()
+        self.abort()
+        scope.cancel()
+
+    async def _send_buffered(self) -> None:
+        progress = _sockets.Progress(WRITE_TIMEOUT_SECONDS)
+        while self._output:
+            with trio.fail_at(progress.deadline):
+                await _sockets.wait_writable(self._stream)
+            data = bytes(self._output[:MAX_WRITE_BYTES])
+            sent = _sockets.write_available(self._stream, data)
+            del self._output[:sent]
+            self._output_held.remove(sent)
+            progress.record(sent)
+        self._output_sent.set()
+
+    def _buffer_output(self, data: bytes, is_whole: bool) -> None:
+        """Send what the socket takes and buffer the rest.
+
+        A client that is too far behind a stream is disconnected, so that the
+        target's data is always read.
+        """
+        if not self._output:
+            try:
+                sent = _sockets.write_available(self._stream, data)
+            except (
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+            ) as error:
+                raise ClientDisconnected from error
+            data = data[sent:]
+        if not data:
+            return
+        self._output += data
+        self._output_held.add(len(data))
+        self._output_changed.set()
+        if not is_whole and len(self._output) > self._buffers.client_limit:
+            self._buffers.evict(self._output_held, 'behind')
+            raise ClientDisconnected
 
     async def _watch_for_disconnect(self, scope: trio.CancelScope) -> None:
         while len(self._pipelined) < MAX_PIPELINED_BYTES:
@@ -315,6 +397,7 @@
                 scope.cancel()
                 return
             self._pipelined += data
+            self._input_held.add(len(data))
 
     async def _read_request(self) -> Request | None:
         """Return the next request, or None to close the connection.
@@ -410,6 +493,9 @@
         body = bytearray()
         while isinstance(event := await self._next_event(), h11.Data):
             body += event.data
+            self._input_held.add(len(event.data))
+            if self._buffers.is_exceeded:
+                raise BadRequest(503, 'no memory is left for the body')
             progress.record(len(event.data))
             scope.deadline = progress.deadline
             if len(body) > self._limits.max_body_bytes:
@@ -492,16 +578,22 @@
             encoded += self._h11.send(h11.Data(data=data)) or b''
         if is_last:
             encoded += self._h11.send(h11.EndOfMessage()) or b''
-        await self._write(encoded)
+        await self._write(encoded, is_last)
 
     async def write(self, event: h11.Event) -> None:
         """Send a part of the body or the end of the message."""
         await self._write(self._h11.send(event) or b'')
 
-    async def _write(self, data: bytes) -> None:
-        """Send data; a client that keeps up costs no wait for its socket."""
+    async def _write(self, data: bytes, is_whole: bool = False) -> None:
+        """Send data; a client that keeps up costs no wait for its socket.
+
+        :param is_whole: no further data of the response follows
+        """
         if not data:
             return
+        if self._is_output_buffered:
+            self._buffer_output(data, is_whole)
+            return
         try:
             sent = _sockets.write_available(self._stream, data)
             if sent == len(data):
@@ -510,7 +602,7 @@
             progress = _sockets.Progress(WRITE_TIMEOUT_SECONDS)
             while unsent:
                 with trio.fail_at(progress.deadline):
-                    await trio.lowlevel.wait_writable(self._stream.socket)
+                    await _sockets.wait_writable(self._stream)
                 sent = _sockets.write_available(self._stream, unsent)
                 progress.record(sent)
                 unsent = unsent[sent:]
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -8,6 +8,7 @@
 import scripted
 import trio
 
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _charging
 from mustardlb_gateway import _dispatch
 from mustardlb_gateway import _exchange
@@ -123,10 +124,19 @@
     :ivar failures: target, and whether its connection broke, of each failure
         without lasting output
     :ivar permits_trials: whether calls in quarantine are tried
+    :ivar buffers: all buffered data, bounded if `memory_mb` is not 0
     :ivar reservations: responses to reservations, None if nobody decides
     """
 
-    def __init__(self, route, accounts=None, retries_left=100, engine=False):
+    def __init__(
+        self,
+        route,
+        accounts=None,
+        retries_left=100,
+        engine=False,
+        memory_mb=0.0,
+    ):
+        self.buffers = _buffers.Buffers(lambda: memory_mb)
         self.service = builders.make_service(engine=engine)
         self.configuration = builders.make_configuration(
             routes=[route], accounts=accounts, services=[self.service]
@@ -202,6 +212,7 @@
                 self.states,
                 None,
                 self.stream_origins.record,
+                self.buffers,
             ),
             self.targets,
             _placement.Placement(
@@ -239,9 +250,10 @@
             self._permit_trial,
             self.stream_origins.find,
             clock,
+            lambda: self.buffers.is_full,
         )
         self.server = http_server.Server(
-            self.gateway.handle, domain.RequestLimits, 50
+            self.gateway.handle, domain.RequestLimits, 50, self.buffers
         )
 
     async def _load(self, target_id, adapter, version, timeout, slack):
