Count what a node holds for relayed connections

A relaying node holds up to 64 KB in each direction for a slow node or target. It counts toward the limit, and a full node relays for nobody else.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
@@ -13,6 +13,7 @@
 import trio
 
 from mustardlb import frames
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _message_codec
 from mustardlb_gateway import _messages
@@ -134,11 +135,13 @@
         targets: abc.Callable[[], abc.Mapping[str, domain.Target]],
         encode: _peer_channel.Encoder,
         is_stopping: abc.Callable[[], bool],
+        buffers: _buffers.Buffers | None = None,
     ) -> None:
         self._links = links
         self._targets = targets
         self._encode = encode
         self._is_stopping = is_stopping
+        self._buffers = buffers or _buffers.Buffers(lambda: 0.0)
         self.count = 0
 
     async def serve(
@@ -159,7 +162,7 @@
                 client, self._encode(_messages.RelayResult(outcome), 0)
             )
             if server is not None:
-                await _copy_both(client, server)
+                await _copy_both(client, server, self._buffers)
         except _peer_channel.CONNECTION_ERRORS as error:
             log.info('MLB-6305', peer=vm, problem=repr(error))
         finally:
@@ -174,7 +177,11 @@
         target = self._targets().get(relay.target_id)
         if target is None or target.incarnation != relay.incarnation:
             return _reachability.RelayOutcome.UNKNOWN, None
-        if self.count > MAX_CONNECTIONS or self._is_stopping():
+        if (
+            self.count > MAX_CONNECTIONS
+            or self._is_stopping()
+            or self._buffers.is_full
+        ):
             return _reachability.RelayOutcome.BUSY, None
         return await self._links.connect_for_other(
             target, CONNECT_TIMEOUT_SECONDS
@@ -182,18 +189,28 @@
 
 
 async def _copy_both(
-    client: trio.SocketStream, server: http_client.Stream
+    client: trio.SocketStream,
+    server: http_client.Stream,
+    buffers: _buffers.Buffers,
 ) -> None:
     """Copy bytes both ways until either side ends."""
+    held, request_held = buffers.open(), buffers.open()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_copy, client, server, nursery.cancel_scope)
+        nursery.start_soon(
+            _copy, client, server, nursery.cancel_scope, request_held
+        )
         try:
             while data := await server.receive_some(MAX_READ_BYTES):
+                held.set(len(data))
                 await frames.send(client, bytes(data))
+                held.close()
             await frames.send(client, b'')
             await client.send_eof()
         except _LOST as error:
             log.info('MLB-6309', problem=repr(error))
+        finally:
+            held.close()
+            request_held.close()
         nursery.cancel_scope.cancel()
 
 
@@ -201,10 +218,13 @@
     source: trio.SocketStream,
     sink: http_client.Stream,
     scope: trio.CancelScope,
+    held: _buffers.Holding,
 ) -> None:
     try:
         while data := await source.receive_some(MAX_READ_BYTES):
+            held.set(len(data))
             await sink.send_all(data)
+            held.close()
     except _LOST as error:
         log.info('MLB-6309', problem=repr(error))
     scope.cancel()
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -3,6 +3,7 @@
 from collections import abc
 import dataclasses
 
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _crash_watch
 from mustardlb_gateway import _membership
 from mustardlb_gateway import _messages
@@ -48,6 +49,7 @@
     peers: abc.Callable[[], _peers.Peers],
     is_stopping: abc.Callable[[], bool],
     clock: abc.Callable[[], float],
+    buffers: _buffers.Buffers,
 ) -> TargetParts:
     """Return the parts that know and reach the targets."""
     targets = state.targets
@@ -84,6 +86,7 @@
         lambda: targets.by_id,
         lambda body, request: peers().encode(body, request),
         is_stopping,
+        buffers,
     )
     crash_watch = _crash_watch.CrashWatch(
         quarantine,
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -122,6 +122,7 @@
             lambda: self.peers,
             lambda: self.is_stopping,
             clock,
+            self._buffers,
         )
         self.quarantine = self._target_parts.quarantine
         self.peers = _peers.Peers(
--- a/tests/mustardlb_gateway/test_buffers.py
+++ b/tests/mustardlb_gateway/test_buffers.py
@@ -11,8 +11,12 @@
 import pytest
 import scripted
 import trio
+import trio.testing
 
 from mustardlb_gateway import _buffers
+from mustardlb_gateway import _messages
+from mustardlb_gateway import _reachability
+from mustardlb_gateway import _relay
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_server
 
@@ -245,6 +249,37 @@
         assert harness.buffers.evictions == 1
 
 
+# What a relaying node holds for a slow node counts, and it takes on no further
+# relays when it is full.
+async def test_relayed_data_is_counted():
+    buffers = _buffers.Buffers(lambda: MEMORY_MB)
+    server, target = trio.testing.memory_stream_pair()
+    client, node = trio.testing.memory_stream_pair()
+    # The pipe to the other node takes one frame only.
+    client.send_stream.send_all_hook = trio.sleep_forever
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_relay._copy_both, client, server, buffers)
+        await target.send_all(b'a' * 10_000)
+        await trio.testing.wait_all_tasks_blocked()
+        assert buffers.held == 10_000
+        nursery.cancel_scope.cancel()
+    assert buffers.held == 0
+    assert node is not None
+
+
+async def test_full_node_relays_for_nobody():
+    buffers = _buffers.Buffers(lambda: MEMORY_MB)
+    buffers.open().add(LIMIT)
+    target = builders.make_target()
+    relays = _relay.RelayServer(
+        None, lambda: {target.target_id: target}, None, lambda: False, buffers
+    )
+    relay = _messages.Relay(target.target_id, target.incarnation)
+    outcome, stream = await relays._connect(relay)
+    assert outcome == _reachability.RelayOutcome.BUSY
+    assert stream is None
+
+
 # Settings without a memory limit change nothing.
 async def test_nothing_is_rejected_without_a_limit():
     harness = gateway_harness.Harness(PLAIN)
