--- a/tests/mustardlb_gateway/test_planned_stop.py
+++ b/tests/mustardlb_gateway/test_planned_stop.py
@@ -11,6 +11,7 @@
 import gateway_harness
 import pytest
 import test_app
+import test_unreachable_targets
 import trio
 
 from mustardlb_gateway import app
@@ -257,6 +258,31 @@
         assert response.headers[b'connection'] == b'close'
 
 
+# The node that stops relays the connection for another one.
+async def test_relayed_request_is_finished(short_drain):
+    async def slow(connection, head, body):
+        await trio.sleep(1.2)
+        await test_app.respond_ok(connection, head, body)
+
+    site = test_unreachable_targets.Site(slow, kind='non_idempotent')
+    async with site.running(nodes=2, targets=1):
+        await site.cut(0, 'reset')
+        statuses = []
+
+        async def send():
+            port = site.cluster.nodes[0].settings.front_port
+            response = await test_app.send_request(port, request_id='r1')
+            statuses.append(response.status)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            while not site.targets[0].requests:
+                await trio.sleep(0.02)
+            assert site.cluster.nodes[1]._target_parts.relay_server.count
+            await site.cluster.nodes[1].stop()
+        assert statuses == [200]
+
+
 # Clients that know nothing of the stop connect and send until the node
 # refuses connections.
 async def test_each_accepted_request_gets_a_response(short_drain):
