--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -5,6 +5,7 @@
 import math
 
 from mustardlb import errors
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _event_stream
 from mustardlb_gateway import _outcomes
 from mustardlb_gateway import domain
@@ -25,6 +26,7 @@
     :ivar arrived: when the request arrived
     :ivar deadline: when the client gets an error at the latest
     :ivar event_at: when the last event was forwarded, None before the first
+    :ivar held: what the current attempt buffers of request and response
     :ivar splitter: splits the stream that is forwarded to the client into
         events, None before the stream begins
     :ivar first_byte: when the first byte was sent to the client
@@ -59,6 +61,19 @@
     permitted_until: dict[str, float] = dataclasses.field(default_factory=dict)
     trial_until: float = math.inf
     event_at: float | None = None
+    held: _buffers.Holding | None = None
+
+    def hold(self, byte_count: int) -> bool:
+        """Record data of a response; return whether there is room for it."""
+        if self.held is None:
+            return True
+        self.held.add(byte_count)
+        return self.held.has_room
+
+    def hold_event(self, byte_count: int) -> None:
+        """Record the size of the incomplete event of a stream."""
+        if self.held is not None:
+            self.held.set(len(self.call.body) + byte_count)
 
     @property
     def abandoned_at(self) -> float:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _dispatch
 from mustardlb_gateway import _exchange
 from mustardlb_gateway import _membership
@@ -34,6 +35,7 @@
     ],
     ensure_current: abc.Callable[[], abc.Awaitable[None]],
     clock: abc.Callable[[], float],
+    buffers: _buffers.Buffers,
 ) -> _dispatch.Dispatcher:
     """Return the dispatcher with the choice of targets and the exchange."""
     targets = state.targets
@@ -69,6 +71,7 @@
         ensure_current,
         target_parts.reported_loads.record_response_time,
         clock,
+        buffers,
     )
     dispatcher = _dispatch.Dispatcher(
         exchange,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -3,6 +3,7 @@
 from collections import abc
 import dataclasses
 
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _crash_watch
 from mustardlb_gateway import _membership
 from mustardlb_gateway import _messages
@@ -50,6 +51,7 @@
     peers: abc.Callable[[], _peers.Peers],
     is_stopping: abc.Callable[[], bool],
     clock: abc.Callable[[], float],
+    buffers: _buffers.Buffers,
 ) -> TargetParts:
     """Return the parts that know and reach the targets."""
     targets = state.targets
@@ -96,6 +98,7 @@
         is_stopping,
         targets.is_evacuated,
         lambda target: state.evacuations.is_overdue(target.data_centre),
+        buffers,
     )
     crash_watch = _crash_watch.CrashWatch(
         quarantine,
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -7,6 +7,7 @@
 import trio
 
 from mustardlb import clock as clocks
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _charging
 from mustardlb_gateway import _crashes
@@ -87,6 +88,7 @@
         self._nursery: trio.Nursery | None = None
         self.is_stopping = False
         self._counts_changed = trio.Event()
+        self._buffers = _buffers.Buffers(lambda: self.settings.memory_mb)
         self._retry_budgets_by_service: dict[
             str, _retry_budget.RetryBudget
         ] = {}
@@ -124,6 +126,7 @@
             lambda: self.peers,
             lambda: self.is_stopping,
             clock,
+            self._buffers,
         )
         self.quarantine = self._target_parts.quarantine
         self.peers = _peers.Peers(
@@ -191,6 +194,7 @@
             self._stream_origins.record,
             self._pauses.ensure_current,
             clock,
+            self._buffers,
         )
         self._waiting = dispatcher.waiting
         self._gateway = _gateway.Gateway(
@@ -206,6 +210,7 @@
             self._trials.permit,
             self._stream_origins.find,
             clock,
+            lambda: self._buffers.is_full,
         )
         self._client_server = self._make_client_server()
         self.targets.on_removed(self._on_target_removed)
@@ -264,7 +269,9 @@
         max_connections = max(
             100, self.settings.max_descriptors - RESERVED_DESCRIPTORS
         )
-        return http_server.Server(self._handle, limits, max_connections)
+        return http_server.Server(
+            self._handle, limits, max_connections, self._buffers
+        )
 
     async def _handle(
         self, request: http_server.Request, reply: http_server.Reply
@@ -501,6 +508,8 @@
         gauges.slow_targets.set(self._target_parts.reported_loads.slow_count)
         gauges.lost_targets.set(self._target_parts.reachability.lost_count)
         gauges.evacuated_centres.set(len(self._evacuations.since_by_centre))
+        gauges.buffered_bytes.set(self._buffers.held)
+        gauges.slow_clients.set(self._buffers.evictions)
         gauges.relayed_connections.set(self._target_parts.relay_server.count)
 
     def reload(self, settings: gateway_settings.Settings) -> None:
