Tests of an account's limit while its owner is paused or hidden

Change: tests in which the owner of a flooded account is paused for 2, 10 and 30 s, and in which half of the nodes do not see it. No code changes. Result: they pass; the limit with its tolerance is kept.

--- a/tests/mustardlb_gateway/test_charging.py
+++ b/tests/mustardlb_gateway/test_charging.py
@@ -27,6 +27,7 @@
     :ivar serving: nodes that clients send requests to
     :ivar silent: nodes that do not respond
     :ivar unaware: nodes whose configuration lacks the account
+    :ivar paused: nodes that receive no counters
     :ivar admitted: time and cost of each admitted request
     """
 
@@ -37,6 +38,7 @@
         self.nodes = {}
         self.silent = set()
         self.unaware = set()
+        self.paused = set()
         self.admitted = []
         self.rejected = 0
         for number, name in enumerate(self.names):
@@ -92,6 +94,8 @@
             await trio.sleep(1.0)
             now = trio.current_time()
             for name, quota in self.quotas.items():
+                if name in self.paused:
+                    continue
                 for centre, by_vm in totals.items():
                     others = sum(by_vm.values()) - by_vm.get(name, 0.0)
                     quota.charge_remote(centre, 1, {ACCOUNT.name: others}, now)
@@ -218,3 +222,41 @@
         data = _message_codec.encode(_messages.Message('vm1', 1, 1, charge))
         with pytest.raises(ValueError, match='cost'):
             _message_codec.decode(data)
+
+
+# An owner that wakes up has a full bucket, whatever others have granted
+# meanwhile, until their counters arrive.
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('seconds', [2, 10, 30])
+async def test_flood_stays_within_limit_while_the_owner_is_paused(
+    autojump_clock, seed, seconds
+):
+    fleet = Fleet(40)
+    owner = fleet.ranking()[0]
+
+    def pause_owner(now):
+        is_paused = 11 < now < 11 + seconds
+        fleet.silent = fleet.paused = {owner} if is_paused else set()
+
+    await fleet.run_load(21 + seconds, flood_after_pause, seed, pause_owner)
+    assert fleet.most_in_window() <= ALLOWED
+
+
+# Half of the nodes do not see the owner, so that two nodes grant requests.
+@pytest.mark.parametrize('seed', range(3))
+async def test_flood_stays_within_limit_while_nodes_differ_on_the_owner(
+    autojump_clock, seed
+):
+    fleet = Fleet(40)
+    owner, _, *others = fleet.ranking()
+
+    def hide_owner(now):
+        is_hidden = 11 < now < 13
+        for name in others[::2]:
+            hidden = {name, owner} if is_hidden else {name}
+            fleet.nodes[name]._owners._live = lambda hidden=hidden: (
+                frozenset(fleet.names) - hidden
+            )
+
+    await fleet.run_load(22, flood_after_pause, seed, hide_owner)
+    assert fleet.most_in_window() <= ALLOWED
