Test of two controllers of an engine around a handover

Change: a test in which the former holder loses its quorum in the midst of commands, some without a response or executed late, while another node claims the engine, also with a lost response. Each command is executed at most once, the commands of the two do not mix, and the former holder sends none after the handover time.

--- a/tests/mustardlb_gateway/test_engine_controller.py
+++ b/tests/mustardlb_gateway/test_engine_controller.py
@@ -1,3 +1,5 @@
+import random
+
 import builders
 import pytest
 import simulated_store
@@ -124,6 +126,7 @@
 
 class Harness:
     def __init__(self):
+        self.has_quorum = lambda: True
         self.engine = EngineStub()
         self.in_use = set()
         self.load_age = 0.1
@@ -147,7 +150,7 @@
             lambda: builders.make_engine(adapter_slots=self.engine.slots),
             lambda adapter: self.newest.get(adapter, 0),
             lambda target_id, adapter: adapter in self.in_use,
-            lambda: True,
+            self.has_quorum,
             lambda: builders.MODEL,
             lambda target_id, adapter: False,
             lambda adapter, version: (
@@ -493,3 +496,83 @@
     harness.engine.connect_seconds = 0.0
     await trio.sleep(seconds + 1)
     assert await harness.controller.request_load(adapter(3), 0, 5.0)
+
+
+# Around a handover two nodes believed that they controlled an engine. Each
+# command is executed once, those of the two do not mix, and the former holder
+# sends none after the handover time.
+@pytest.mark.parametrize('seed', range(10))
+@pytest.mark.parametrize('fences_checked', [True, False])
+async def test_commands_of_two_controllers_do_not_mix(
+    seed, fences_checked, autojump_clock, nursery
+):
+    rng = random.Random(seed)
+    store = simulated_store.SimulatedStore()
+    engine = EngineStub()
+    executed = []
+    execute = engine._execute
+
+    def record(command):
+        accepted = engine.accepted
+        outcome = execute(command)
+        executed.append(
+            (trio.current_time(), command, engine.accepted - accepted)
+        )
+        return outcome
+
+    engine._execute = record
+    quorum = {'vm1': True, 'vm2': True}
+    controllers = {}
+    for vm in quorum:
+        harness = Harness()
+        harness.store, harness.engine = store, engine
+        harness.leases = _leases.Leases(
+            vm,
+            1,
+            store,
+            trio.current_time,
+            lambda: 3.0,
+            lambda: fences_checked,
+            lambda: 1e9 + trio.current_time(),
+        )
+        harness.has_quorum = lambda vm=vm: quorum[vm]
+        if vm == 'vm2':
+            await trio.sleep(rng.uniform(0.5, 3))
+            # The former holder is paused or cut off, in the midst of commands
+            # some of which get no response, or are executed late.
+            engine.lost_responses = [rng.random() < 0.5 for _ in range(3)]
+            quorum['vm1'] = False
+            await trio.sleep(rng.uniform(0.0, 0.3))
+            store.lose_responses = rng.random() < 0.5
+            if store.lose_responses:
+                assert await harness.leases.claim('t1') is None
+                store.lose_responses = False
+            claimed_at = trio.current_time()
+        controllers[vm] = await harness.start(nursery)
+
+        async def ask(controller):
+            while True:
+                await trio.sleep(rng.expovariate(10))
+                await controller.request_load(
+                    adapter(rng.randrange(8)), 0, 0.5
+                )
+
+        for _ in range(3):
+            nursery.start_soon(ask, controllers[vm])
+    await trio.sleep(1)
+    engine.execute_delayed()
+    await trio.sleep(8)
+    fences = [command.fence for _, command, _ in executed]
+    assert set(fences) >= {1, max(fences)}
+    assert max(fences) > 1
+    last_of_first = max(
+        at for at, command, _ in executed if command.fence == 1
+    )
+    first_of_second = min(
+        at for at, command, _ in executed if command.fence > 1
+    )
+    assert last_of_first < first_of_second
+    assert last_of_first < claimed_at + 3.0
+    assert all(count <= 1 for _, _, count in executed)
+    assert engine.accepted == sum(count for _, _, count in executed)
+    assert engine.max_occupied <= engine.slots
