The deadline of a call counts a suspension of the machine

A request was sent after it although its client had given up. Change: a job also keeps its deadline on the clock that does, which is looked at directly before the request is sent; the call is then rejected as not run.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -127,6 +127,14 @@
                     target, job.call.request_id
                 )
                 await self._ensure_current()
+                if self._clock() > job.expires_at:
+                    # The machine was suspended, which trio's deadline does
+                    # not count. The client has left.
+                    job.deadline = trio.current_time()
+                    attempt.is_withheld = True
+                    raise http_client.ExchangeFailed(
+                        'the deadline was during a suspension', was_sent=False
+                    )
                 if (
                     self._states.rest(target)
                     or not self._targets.takes_requests(target)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -301,6 +301,7 @@
             software=admitted.software,
             trial_until=admitted.trial_until,
         )
+        job.expires_at = self._clock() + job.deadline - trio.current_time()
         self._count_request(admitted.service.name)
         outcome = 'client_gone'
         try:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -16,6 +16,7 @@
     :ivar priority: effective rank, 0 first
     :ivar arrived: when the request arrived
     :ivar deadline: when the client gets an error at the latest
+    :ivar expires_at: the deadline on the clock that counts suspensions
     :ivar splitter: splits the stream that is forwarded to the client into
         events, None before the stream begins
     :ivar first_byte: when the first byte was sent to the client
@@ -49,6 +50,7 @@
     software: str | None = None
     permitted_until: dict[str, float] = dataclasses.field(default_factory=dict)
     trial_until: float = math.inf
+    expires_at: float = math.inf
 
     @property
     def sent_attempts(self) -> int:
--- a/tests/mustardlb_gateway/test_pauses.py
+++ b/tests/mustardlb_gateway/test_pauses.py
@@ -129,9 +129,9 @@
 # half a minute ago was used.
 @pytest.mark.parametrize('seconds', [0.5, 2.0, 30.0])
 async def test_permit_expires_during_a_suspension(seconds, monkeypatch):
-    harness = gateway_harness.Harness(builders.make_route())
+    harness = gateway_harness.Harness(builders.make_route(timeout=60.0))
     clock = Clock()
-    harness.permits._clock = clock
+    harness.permits._clock = harness.gateway._clock = clock
     harness.dispatcher._exchange._clock = clock
     asked = []
 
@@ -150,7 +150,7 @@
         target = harness.targets.by_id['t0']
         harness.target_limits.record_response(target, 5.0, 0.0)
         harness.on_send = on_send
-        response = await harness.send_request()
+        response = await harness.send_request(b'x-wait: 60\r\n')
     assert response.status == 200
     assert len(asked) == (1 if seconds < 1 else 2)
 
@@ -159,9 +159,9 @@
 # been sent yet.
 @pytest.mark.parametrize('seconds', [2.0, 10.0, 30.0])
 async def test_trial_expires_during_a_suspension(seconds):
-    harness = gateway_harness.Harness(builders.make_route())
+    harness = gateway_harness.Harness(builders.make_route(timeout=60.0))
     clock = Clock()
-    harness.permits._clock = clock
+    harness.permits._clock = harness.gateway._clock = clock
     harness.dispatcher._exchange._clock = clock
     harness.permits_trials = True
 
@@ -171,7 +171,28 @@
     async with harness.running(test_app.respond_ok) as harness:
         test_dispatch.quarantine_calls(harness)
         harness.on_send = on_send
-        response = await harness.send_request()
+        response = await harness.send_request(b'x-wait: 60\r\n')
+        assert response.status == (200 if seconds < 5 else 503)
+        assert harness.request_count == (1 if seconds < 5 else 0)
+
+
+# trio's deadline came late by the suspension, so that a request was run whose
+# client had left long before.
+@pytest.mark.parametrize('seconds', [2.0, 10.0, 30.0])
+async def test_deadline_counts_a_suspension(seconds):
+    harness = gateway_harness.Harness(builders.make_route(timeout=5.0))
+    clock = Clock()
+    harness.gateway._clock = clock
+    harness.dispatcher._exchange._clock = clock
+
+    def on_send():
+        clock.suspended += seconds
+
+    async with harness.running(test_app.respond_ok) as harness:
+        harness.on_send = on_send
+        started_at = trio.current_time()
+        response = await harness.send_request(b'x-wait: 5\r\n')
+        assert trio.current_time() - started_at < 1
         assert response.status == (200 if seconds < 5 else 503)
         assert harness.request_count == (1 if seconds < 5 else 0)
 
