--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -348,6 +348,7 @@
             trial_until=admitted.trial_until,
         )
         running.job = job
+        job.expires_at = self._clock() + job.deadline - trio.current_time()
         self._count_request(admitted.service.name)
         outcome = 'client_gone'
         try:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -27,6 +27,7 @@
     :ivar deadline: when the client gets an error at the latest
     :ivar event_at: when the last event was forwarded, None before the first
     :ivar held: what the current attempt buffers of request and response
+    :ivar expires_at: the deadline on the clock that counts suspensions
     :ivar splitter: splits the stream that is forwarded to the client into
         events, None before the stream begins
     :ivar first_byte: when the first byte was sent to the client
@@ -60,6 +61,7 @@
     software: str | None = None
     permitted_until: dict[str, float] = dataclasses.field(default_factory=dict)
     trial_until: float = math.inf
+    expires_at: float = math.inf
     event_at: float | None = None
     held: _buffers.Holding | None = None
 
