Test of a relaying node that ends in the midst of a request

Change: a test over real connections: a planned stop finishes the request, after a kill it is not sent again and the client gets 502 or 504. Result: both cases pass without changes of the code.

--- a/tests/mustardlb_gateway/test_unreachable_targets.py
+++ b/tests/mustardlb_gateway/test_unreachable_targets.py
@@ -116,3 +116,44 @@
         served_elsewhere = (await site.send_requests(1, 30)).count(200)
         assert served_elsewhere == 30
         assert served >= MIN_SERVED_RATIO * served_elsewhere
+
+
+async def respond_slowly(connection, head, body):
+    await trio.sleep(0.7)
+    await test_app.respond_ok(connection, head, body)
+
+
+# The node that relays a request ends in the midst of it. The request has run,
+# so that it must not be sent by way of another one.
+@pytest.mark.parametrize('is_planned', [True, False])
+async def test_relaying_node_ends_in_the_midst_of_a_request(is_planned):
+    site = Site(respond_slowly)
+    async with site.running():
+        await site.cut(0, 'new_refused')
+        statuses = []
+
+        async def send():
+            response = await test_app.send_request(
+                site.cluster.nodes[0].settings.front_port, request_id='once'
+            )
+            statuses.append(response.status)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+
+            async def is_received():
+                await trio.lowlevel.checkpoint()
+                return any(target.requests for target in site.targets)
+
+            await test_app.wait_until(is_received)
+            (helper,) = [
+                node
+                for node in site.cluster.nodes
+                if node._target_parts.relay_server.count
+            ]
+            if is_planned:
+                nursery.start_soon(helper.stop)
+            else:
+                helper._nursery.cancel_scope.cancel()
+        assert statuses == [200] if is_planned else statuses[0] in (502, 504)
+        assert sum(len(each.requests) for each in site.targets) == 1
