A node that is slow for long does not count as paused all the time

Cause: a node whose event loop is blocked for a second again and again would have kept its view of the other nodes for ever and never had a quorum. Change: after three pauses without a second between them it goes on as before. A test of idle connections at a pause.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_pauses.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_pauses.py
@@ -22,6 +22,10 @@
 # this node does not know which nodes have taken over from it.
 SETTLE_SECONDS = 1.0
 
+# A node whose event loop is blocked again and again would never be settled. It
+# is after so many pauses without time to settle between them.
+MAX_PAUSES_IN_A_ROW = 3
+
 # What is confirmed neither by the store nor within this time by other nodes
 # is as well known as before.
 UNCONFIRMED_SECONDS = 3.0
@@ -43,6 +47,7 @@
         self._refresh = refresh
         self._ticked_at: float | None = None
         self._resumed_at = float('-inf')
+        self._in_a_row = 0
         self._is_stale = False
         self._is_confirmed = True
         self._refreshed: trio.Event | None = None
@@ -59,6 +64,9 @@
         seconds, self._ticked_at = now - self._ticked_at, now
         if seconds < MIN_PAUSE_SECONDS:
             return
+        if now - seconds > self._resumed_at + SETTLE_SECONDS:
+            self._in_a_row = 0
+        self._in_a_row += 1
         self._resumed_at = now
         self._is_stale, self._is_confirmed = True, False
         log.warning('MLB-6250', seconds=round(seconds, 3))
@@ -73,7 +81,10 @@
     def is_settled(self) -> bool:
         """Return whether the others have been heard since the last pause."""
         self._check()
-        return self._clock() >= self._resumed_at + SETTLE_SECONDS
+        return (
+            self._in_a_row > MAX_PAUSES_IN_A_ROW
+            or self._clock() >= self._resumed_at + SETTLE_SECONDS
+        )
 
     def is_confirmed(self) -> bool:
         """Return whether what was known before the last pause holds again."""
--- a/tests/mustardlb_gateway/test_pauses.py
+++ b/tests/mustardlb_gateway/test_pauses.py
@@ -21,6 +21,7 @@
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _pauses
 from mustardlb_gateway import domain
+from mustardlb_gateway import http_client
 
 
 class Clock:
@@ -100,6 +101,62 @@
     assert pauses.is_confirmed()
 
 
+# A node whose event loop is blocked for a second and more all the time would
+# go by the view of before the first time for ever.
+async def test_slow_node_is_settled_after_some_pauses(autojump_clock, nursery):
+    clock = Clock()
+
+    async def refresh():
+        await trio.lowlevel.checkpoint()
+        return True
+
+    pauses = _pauses.Pauses(clock, refresh)
+    nursery.start_soon(pauses.run)
+    await trio.sleep(1)
+    settled = []
+    for _ in range(6):
+        clock.suspended += 1.5
+        settled.append(pauses.is_settled())
+        await trio.sleep(0.1)
+    assert settled == [False] * 3 + [True] * 3
+    # A single pause later counts again.
+    await trio.sleep(5)
+    clock.suspended += 1.5
+    assert not pauses.is_settled()
+
+
+# trio's clock does not count how long a connection rested in a suspension.
+async def test_idle_connections_are_closed_at_a_pause(autojump_clock, nursery):
+    closed = []
+    clock = Clock()
+
+    async def refresh():
+        await trio.lowlevel.checkpoint()
+        return True
+
+    class Connection:
+        def __init__(self, name):
+            self.name = name
+
+        def mark_unused(self):
+            pass
+
+        def close(self):
+            closed.append(self.name)
+
+    pool = http_client.Pool(0.5)
+    pool.add_idle('t1', Connection('t1'))
+    pool.add_idle('t2', Connection('t2'))
+    pauses = _pauses.Pauses(clock, refresh)
+    pauses.on_pause(pool.close_idle)
+    nursery.start_soon(pauses.run)
+    await trio.sleep(1)
+    clock.suspended += 10
+    await pauses.ensure_current()
+    assert closed == ['t1', 't2']
+    assert pool.take_idle('t1') is None
+
+
 # A target left or restarted between its choice and the request.
 @pytest.mark.parametrize('change', ['removed', 'draining', 'restarted'])
 async def test_target_that_left_during_a_pause_gets_no_request(change):
