Give targets that have started or recovered a window of requests

Cause: all nodes see a target that has just started at the same moment, empty, and send it their full shares. One that bears little at first crashed and started again for ever; suspensions are each node's own. Change: the owner of a target decides on a window for all nodes together (_warm_up), from what they observe: it grows with each response as fast as those of other targets, and is halved when responses are slow or fail. Digests tell it to all nodes, which divide it by rank like the slots of brittle targets (_slot_shares). It applies to services whose targets report a slowdown or that have a cold_start. The slowdowns in the updates of hubs take one byte for each target now.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_aggregate.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_aggregate.py
@@ -45,6 +45,7 @@
         self._load_by_target[usage.target_id] = _centres.Load(
             load.running + usage.running,
             load.unread_tokens + usage.unread_tokens,
+            window=_centres.smaller_window(load.window, usage.window),
         )
         if usage.slowdown:
             self._slowdowns_by_target.setdefault(usage.target_id, []).append(
@@ -95,6 +96,7 @@
             loads[usage.target_id] = _centres.Load(
                 load.running - usage.running,
                 load.unread_tokens - usage.unread_tokens,
+                window=load.window,
             )
         # The slowdown that the subscriber tells itself is not left out, since
         # the mean serves all subscribers.
@@ -106,7 +108,7 @@
         return {
             key: load
             for key, load in loads.items()
-            if load.running or load.slowdown
+            if load.running or load.slowdown or load.window
         }
 
     def _adapters_without(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_centres.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_centres.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import math
 from typing import TypeVar
 
 from mustardlb_gateway import domain
@@ -37,17 +38,38 @@
     can_claim: bool = True
 
 
+# Factor between the slowdowns that nodes tell each other, so that small
+# changes are not told.
+TOLD_STEP = 1.1
+
+# Size of a window that is no limit any more.
+UNLIMITED_WINDOW = 65_535
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Window:
+    """Requests that all nodes may have in flight at a target that warms up.
+
+    :ivar incarnation: of the target
+    """
+
+    size: int
+    incarnation: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
     """Requests in flight at a target, and their pending prefill tokens.
 
     :ivar slowdown: that the target has reported lately, in percent, 0 if it
         reports none
+    :ivar window: as told by the target's owner
     """
 
     running: int
     unread_tokens: int
     slowdown: int = 0
+    window: Window | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,8 +172,8 @@
     >>> new = CentreState(loads={'t1': Load(3, 0)})
     >>> delta = diff('a', old, new)
     >>> delta.loads
-    {'t1': Load(running=3, unread_tokens=0, slowdown=0), \
-'t2': Load(running=0, unread_tokens=0, slowdown=0)}
+    {'t1': Load(running=3, unread_tokens=0, slowdown=0, \
+window=None), 't2': Load(running=0, unread_tokens=0, slowdown=0, window=None)}
     >>> apply(old, delta) == new
     True
     """
@@ -200,14 +222,35 @@
     )
 
 
+def told_percent(slowdown: float) -> int:
+    """Return a slowdown as nodes tell it, in percent.
+
+    >>> told_percent(1.0), told_percent(1.04), told_percent(4.0)
+    (100, 100, 418)
+    """
+    return max(1, round(100 * TOLD_STEP ** told_steps(slowdown)))
+
+
+def told_steps(slowdown: float) -> int:
+    """Return a slowdown in steps from 1."""
+    return round(math.log(slowdown) / math.log(TOLD_STEP))
+
+
 def mean_slowdown(*slowdowns: int) -> int:
     """Return the mean of the slowdowns that are known, in percent.
 
     >>> mean_slowdown(0, 100, 400), mean_slowdown(0, 0)
-    (250, 0)
+    (259, 0)
     """
     known = [each for each in slowdowns if each]
-    return round(sum(known) / len(known)) if known else 0
+    return told_percent(sum(known) / len(known) / 100) if known else 0
+
+
+def smaller_window(one: Window | None, other: Window | None) -> Window | None:
+    """Return the smaller window, if nodes differ on who the owner is."""
+    if one is None or other is None:
+        return one or other
+    return min(one, other, key=lambda window: window.size)
 
 
 def merge(one: CentreState, other: CentreState) -> CentreState:
@@ -219,6 +262,7 @@
             before.running + load.running,
             before.unread_tokens + load.unread_tokens,
             mean_slowdown(before.slowdown, load.slowdown),
+            smaller_window(before.window, load.window),
         )
     admitted = dict(one.admitted)
     for account, cost in other.admitted.items():
--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -118,6 +118,15 @@
                 'incarnation': body.incarnation,
                 'seconds': body.seconds,
             }
+        case _messages.Observed():
+            return 'observed', {
+                'target': body.target_id,
+                'incarnation': body.incarnation,
+                'fast': body.fast,
+                'slow': body.slow,
+                'failed': body.failed,
+                'isSuspended': body.is_suspended,
+            }
         case _messages.Subscription():
             return 'subscription', body.is_wanted
         case _messages.Update():
@@ -125,7 +134,7 @@
                 'isFull': body.is_full,
                 'revisions': _encode_numbers(body.revisions),
                 'changes': _encode_changes(body.changes),
-                'slowdowns': _encode_slowdowns(body.changes),
+                'reports': _encode_reports(body.changes),
                 'levels': _encode_amounts(body.levels),
                 'crashEvidence': _target_observation_codec.encode_evidence(
                     body.crash_evidence
@@ -166,6 +175,8 @@
                 'unreadTokens': usage.unread_tokens,
                 'adapters': [str(adapter) for adapter in usage.adapters],
                 'slowdown': usage.slowdown,
+                'window': usage.window.size if usage.window else 0,
+                'windowOf': usage.window.incarnation if usage.window else 0,
             }
             for usage in digest.usages
         ],
@@ -211,30 +222,57 @@
     list[tuple[str, str]],
 ]
 _changes_decoder = msgspec.msgpack.Decoder(list[_WireChange])
-_slowdowns_decoder = msgspec.msgpack.Decoder(dict[str, dict[str, int]])
+# By data centre: the slowdown of each target in `loads`, in their order, and
+# windows by target with the incarnation. A byte for each slowdown, since loads
+# are most of what hubs send.
+_WireReport = tuple[bytes, dict[str, tuple[int, int]]]
+_WireReports = dict[str, _WireReport]
+_SLOWDOWN_BYTE_OF_1 = 128
+_NO_REPORT: _WireReport = (b'', {})
+_reports_decoder = msgspec.msgpack.Decoder(_WireReports)
 
 
 def _encode_changes(changes: tuple[_centres.CentreDelta, ...]) -> bytes:
     return msgspec.msgpack.encode([_encode_change(each) for each in changes])
 
 
-def _encode_slowdowns(changes: tuple[_centres.CentreDelta, ...]) -> bytes:
-    """Return the slowdowns of the targets in changes, by data centre.
+def _encode_reports(changes: tuple[_centres.CentreDelta, ...]) -> bytes:
+    """Return the slowdowns and windows of targets, by data centre.
 
     They are not a part of the changes, which nodes of an earlier release
     could not decode then. Empty if there are none.
     """
-    slowdowns = {
-        change.data_centre: {
-            target_id: load.slowdown
-            for target_id, load in change.loads.items()
-            if load.slowdown
-        }
+    reports: _WireReports = {
+        change.data_centre: (
+            bytes(_slowdown_byte(load) for load in change.loads.values()),
+            {
+                target_id: (load.window.size, load.window.incarnation)
+                for target_id, load in change.loads.items()
+                if load.window
+            },
+        )
         for change in changes
+        if any(each.slowdown or each.window for each in change.loads.values())
     }
-    if not any(slowdowns.values()):
+    if not reports:
         return b''
-    return msgspec.msgpack.encode(slowdowns)
+    return msgspec.msgpack.encode(reports)
+
+
+def _slowdown_byte(load: _centres.Load) -> int:
+    """Return the steps of a slowdown from 1 as a byte, 0 for none."""
+    if not load.slowdown:
+        return 0
+    steps = _centres.told_steps(load.slowdown / 100)
+    return min(255, max(1, _SLOWDOWN_BYTE_OF_1 + steps))
+
+
+def _slowdown_of(byte: int) -> int:
+    """Return a slowdown in percent, from its byte."""
+    if not byte:
+        return 0
+    slowdown = _centres.TOLD_STEP ** (byte - _SLOWDOWN_BYTE_OF_1)
+    return _centres.told_percent(slowdown)
 
 
 def _encode_change(change: _centres.CentreDelta) -> _WireChange:
@@ -373,6 +411,16 @@
         case 'rest':
             rest = decoded.rest
             return _messages.Rest(rest.target, rest.incarnation, rest.seconds)
+        case 'observed':
+            observed = decoded.observed
+            return _messages.Observed(
+                observed.target,
+                observed.incarnation,
+                observed.fast,
+                observed.slow,
+                observed.failed,
+                observed.isSuspended,
+            )
         case 'subscription':
             return _messages.Subscription(decoded.subscription)
         case 'update':
@@ -380,7 +428,7 @@
             return _messages.Update(
                 update.isFull,
                 {each.name: each.number for each in update.revisions},
-                _decode_changes(update.changes, update.slowdowns),
+                _decode_changes(update.changes, update.reports),
                 {each.name: each.amount for each in update.levels},
                 _target_observation_codec.decode_evidence(
                     update.crashEvidence
@@ -416,6 +464,7 @@
                 each.unreadTokens,
                 tuple(parse(adapter) for adapter in each.adapters),
                 each.slowdown,
+                _decode_window(each.window, each.windowOf),
             )
             for each in digest.usages
         ),
@@ -438,18 +487,22 @@
     )
 
 
+def _decode_window(size: int, incarnation: int) -> _centres.Window | None:
+    return _centres.Window(size, incarnation) if size else None
+
+
 def _decode_changes(
-    changes: bytes, slowdowns: bytes
+    changes: bytes, reports: bytes
 ) -> tuple[_centres.CentreDelta, ...]:
-    by_centre = _slowdowns_decoder.decode(slowdowns) if slowdowns else {}
+    by_centre = _reports_decoder.decode(reports) if reports else {}
     return tuple(
-        _decode_change(each, by_centre.get(each[0], {}))
+        _decode_change(each, by_centre.get(each[0], _NO_REPORT))
         for each in _changes_decoder.decode(changes)
     )
 
 
 def _decode_change(
-    wire: _WireChange, slowdowns: dict[str, int]
+    wire: _WireChange, report: _WireReport
 ) -> _centres.CentreDelta:
     parse = domain.AdapterName.parse
     (
@@ -464,6 +517,8 @@
         holdings,
         removed_holdings,
     ) = wire
+    slowdowns, windows = report
+    slowdowns = slowdowns or bytes(len(loads))
     return _centres.CentreDelta(
         centre,
         lost_count,
@@ -479,8 +534,12 @@
         tuple(removed_members),
         admitted,
         {
-            key: _centres.Load(*load, slowdowns.get(key, 0))
-            for key, load in loads.items()
+            key: _centres.Load(
+                *load,
+                _slowdown_of(byte),
+                _decode_window(*windows.get(key, (0, 0))),
+            )
+            for (key, load), byte in zip(loads.items(), slowdowns, strict=True)
         },
         {
             key: frozenset(map(parse, names))
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -18,6 +18,7 @@
     :ivar unread_tokens: prompt tokens that the target has yet to process
     :ivar slowdown: that the target reported to the sender lately, in percent,
         0 for none
+    :ivar window: of which the sender is the owner
     """
 
     target_id: str
@@ -25,6 +26,7 @@
     unread_tokens: int
     adapters: tuple[domain.AdapterName, ...]
     slowdown: int = 0
+    window: _centres.Window | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -285,6 +287,23 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observed:
+    """Tells the owner of a target how it answered. Has no response.
+
+    :ivar fast: responses as fast as those of other targets
+    :ivar failed: requests that failed or were rejected
+    :ivar is_suspended: the sender has suspended the target
+    """
+
+    target_id: str
+    incarnation: int
+    fast: int
+    slow: int
+    failed: int
+    is_suspended: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Subscription:
     """Starts updates on this connection with a full one, or ends them."""
@@ -335,6 +354,7 @@
     | Relay
     | RelayResult
     | Rest
+    | Observed
     | Subscription
     | Update
 )
@@ -351,6 +371,7 @@
     TellOrigins,
     FindOrigin,
     Rest,
+    Observed,
 )
 
 RESPONSES = (
--- a/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
@@ -28,6 +28,10 @@
             'mustardlb_slow_targets',
             'Targets that report to take at least twice the usual time.',
         )
+        self.warming_targets = metrics.add_gauge(
+            'mustardlb_warming_targets',
+            'Targets with a window of requests after a start or failures.',
+        )
         self.lost_targets = metrics.add_gauge(
             'mustardlb_targets_out_of_reach',
             'Targets to which this node cannot connect itself, while others '
--- a/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
@@ -477,7 +477,7 @@
     ... )
     [1.0, 0.0]
     >>> capacity_shares(
-    ...     [ReportedCapacity(6, 1.0, 12), ReportedCapacity(6, 4.0, 0)]
+    ...     [ReportedCapacity(6, 1.0, 24), ReportedCapacity(6, 4.0, 0)]
     ... )
     [0.5, 0.5]
     """
--- a/packages/mustardlb-gateway/mustardlb_gateway/_reported_loads.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_reported_loads.py
@@ -14,6 +14,7 @@
 
 import structlog
 
+from mustardlb_gateway import _centres
 from mustardlb_gateway import domain
 
 log = structlog.get_logger()
@@ -39,10 +40,6 @@
 DECAY_SECONDS = 2.0
 HOLD_SECONDS_PER_NODE = 0.5
 
-# Factor between the slowdowns that nodes tell each other, so that small
-# changes are not told.
-TOLD_STEP = 1.1
-
 # The correction by the response times, as a logarithm: weight of one response,
 # and of one in the usual time of a route; its limits; the part that is taken
 # for chance; and the time in which it returns to none by 63%.
@@ -107,6 +104,7 @@
         self._node_count = node_count
         self._rng = rng or random.Random()
         self._report_by_id: dict[str, _Report] = {}
+        self._reported_at_by_service: dict[str, float] = {}
         self._usual_by_route: dict[str, float] = {}
         self._logged_at_by_id: dict[str, float] = {}
 
@@ -124,6 +122,7 @@
             self._log_implausible(target.target_id, load)
             return
         now = self._clock()
+        self._reported_at_by_service[target.service] = now
         report = self._report(target)
         elapsed = max(0.0, now - report.at)
         weight = min(
@@ -135,6 +134,10 @@
         report.requests = requests
         report.own_in_flight = self._own_in_flight(target.target_id)
 
+    def is_reported(self, service: str) -> bool:
+        """Return whether targets of a service report a slowdown."""
+        return service in self._reported_at_by_service
+
     def _report(self, target: domain.Target) -> _Report:
         report = self._report_by_id.get(target.target_id)
         if report is None or report.incarnation != target.incarnation:
@@ -204,32 +207,35 @@
 
         :param usual: an estimate of the seconds to compare it with, which
             only has to be right in proportion within a route
-        :return: the time as a ratio of that at the other targets, None if
-            the target reports no slowdown or there is nothing to compare with
+        :return: the time as a ratio of that at the other targets, less the
+            slowdown; None if there is nothing to compare with
         """
         report = self._report_by_id.get(target.target_id)
-        if report is None or report.incarnation != target.incarnation:
-            return None
+        if report is not None and report.incarnation != target.incarnation:
+            report = None
         now = self._clock()
-        known = _decayed(report.average, now - report.at - RECENT_SECONDS)
         value = math.log(max(1e-4, seconds) / max(1e-4, usual))
-        relative = value - math.log(known)
+        if report is not None:
+            value -= math.log(
+                _decayed(report.average, now - report.at - RECENT_SECONDS)
+            )
         before = self._usual_by_route.get(route)
         if before is None:
-            self._usual_by_route[route] = relative
+            self._usual_by_route[route] = value
             return None
-        excess = max(-MAX_CORRECTION, min(MAX_CORRECTION, relative - before))
         # A part that is limited, so that one very slow response does not
         # change what is usual.
+        excess = max(-MAX_CORRECTION, min(MAX_CORRECTION, value - before))
         self._usual_by_route[route] = before + USUAL_WEIGHT * excess
-        correction = report.correction * math.exp(
-            (report.corrected_at - now) / CORRECTION_SECONDS
-        )
-        report.correction = correction + RESPONSE_WEIGHT * (
-            excess - correction
-        )
-        report.corrected_at = now
-        return math.exp(relative - before)
+        if report is not None:
+            correction = report.correction * math.exp(
+                (report.corrected_at - now) / CORRECTION_SECONDS
+            )
+            report.correction = correction + RESPONSE_WEIGHT * (
+                excess - correction
+            )
+            report.corrected_at = now
+        return math.exp(value - before)
 
     def requests(self, target: domain.Target, told: int) -> int:
         """Return the running and waiting requests of a target.
@@ -252,7 +258,7 @@
         """Return the slowdowns to tell other nodes, in percent, by target."""
         since = self._clock() - RECENT_SECONDS
         return {
-            target_id: told_percent(report.average)
+            target_id: _centres.told_percent(report.average)
             for target_id, report in self._report_by_id.items()
             if report.at >= since
         }
@@ -274,6 +280,11 @@
             for target_id, report in self._report_by_id.items()
             if max(report.at, report.known_at) >= since
         }
+        self._reported_at_by_service = {
+            service: at
+            for service, at in self._reported_at_by_service.items()
+            if at >= since
+        }
         self._logged_at_by_id = {
             target_id: at
             for target_id, at in self._logged_at_by_id.items()
@@ -284,13 +295,3 @@
 def _decayed(slowdown: float, seconds: float) -> float:
     """Return a slowdown some seconds after it begins to return to 1."""
     return 1 + (slowdown - 1) * math.exp(-max(0.0, seconds) / DECAY_SECONDS)
-
-
-def told_percent(slowdown: float) -> int:
-    """Return a slowdown as nodes tell it, in percent.
-
-    >>> told_percent(1.0), told_percent(1.04), told_percent(4.0)
-    (100, 100, 418)
-    """
-    steps = round(math.log(slowdown) / math.log(TOLD_STEP))
-    return max(1, round(100 * TOLD_STEP**steps))
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_states.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_states.py
@@ -12,7 +12,9 @@
 import structlog
 
 from mustardlb_gateway import _owners
+from mustardlb_gateway import _slot_shares
 from mustardlb_gateway import _target_limits
+from mustardlb_gateway import _warm_up
 from mustardlb_gateway import domain
 
 log = structlog.get_logger()
@@ -31,11 +33,6 @@
 # brittle. They may differ for a moment on which nodes there are.
 BRITTLE_FILL_RATIO = 0.8
 
-# Calls in progress or refused, as a ratio of the slots of all brittle targets,
-# for which the shares are set. Nodes cannot learn of a surge before a brittle
-# target falls over, so this applies at any load.
-PEAK_DEMAND_RATIO = 3.0
-
 # Target and its incarnation.
 TargetKey = tuple[str, int]
 
@@ -61,6 +58,7 @@
         record_load: abc.Callable[
             [domain.Target, domain.TargetLoad | None], None
         ] = lambda target, load: None,
+        warm_up: _warm_up.WarmUp | None = None,
     ) -> None:
         self._clock = clock
         self._limits = limits
@@ -70,6 +68,7 @@
         self._record_leaving = record_leaving
         self._rng = rng or random.Random()
         self._record_load = record_load
+        self._warm_up = warm_up
         self._rest_until_by_key: dict[TargetKey, float] = {}
 
     def record_response(
@@ -79,6 +78,8 @@
         if info.is_leaving:
             self._record_leaving(target)
         self._record_load(target, info.load)
+        if self._warm_up is not None and status in (429, 503):
+            self._warm_up.record_rejection(target)
         self._record_brittle(target, status, info.max_rejections)
         if status != 503 or info.rest is None:
             return 0.0
@@ -135,35 +136,26 @@
         return max(0.0, self._rest_until_by_key.get(key, 0.0) - self._clock())
 
     def is_full(self, target: domain.Target) -> bool:
-        """Return whether this node uses its share of a brittle target.
+        """Return whether this node uses its share of a target.
 
-        The shares of all nodes together leave some slots free, so that the
-        target has no reason to reject a request.
+        The shares of all nodes together of a brittle target leave some slots
+        free, so that the target has no reason to reject a request. Those of
+        one that warms up are the parts of its window.
         """
+        if self._warm_up is not None and self._warm_up.is_full(target):
+            return True
         if self._limits.max_rejections(target) is None:
             return False
         ranking = self._owners.ranking(target.target_id)
         room = max(1, int(target.slots * BRITTLE_FILL_RATIO))
-        if room < len(ranking):
-            room = self._holders(target, room, len(ranking))
-        share, rest = divmod(room, len(ranking))
-        share += ranking.index(self._vm) < rest
-        return self._in_flight(target.target_id) >= share
-
-    def _holders(self, target: domain.Target, room: int, nodes: int) -> int:
-        """Return how many nodes may each use one slot of a brittle target.
-
-        A node with an offered load of `demand` calls uses its slot for the
-        part demand / (1 + demand) of the time (Erlang's loss formula for one
-        slot), so that more nodes than there is room for keep it filled.
-        """
-        demand = (
-            PEAK_DEMAND_RATIO
-            * target.slots
-            * self._limits.brittle_count()
-            / nodes
+        slots = target.slots * self._limits.brittle_count()
+        share = _slot_shares.share(
+            room,
+            ranking,
+            self._vm,
+            _slot_shares.PEAK_DEMAND_RATIO * slots / len(ranking),
         )
-        return min(nodes, int(room * (1 + 1 / max(demand, 1e-6))))
+        return self._in_flight(target.target_id) >= share
 
     def takes_requests(self, target: domain.Target) -> bool:
         """Return whether a request may be sent to a target now."""
@@ -172,9 +164,14 @@
     def denied(self, targets: abc.Iterable[domain.Target]) -> dict[str, float]:
         """Return the seconds until targets take requests, by their ids.
 
-        0 for a brittle target that is full, whose room nobody can tell.
+        0 for a target that is full, whose room nobody can tell.
         """
-        if not self._rest_until_by_key and not self._limits.has_brittle():
+        has_windows = self._warm_up is not None and self._warm_up.has_windows
+        if not (
+            self._rest_until_by_key
+            or self._limits.has_brittle()
+            or has_windows
+        ):
             return {}
         return {
             target.target_id: self.rest(target)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -87,6 +87,10 @@
         self.centres_by_name: dict[str, _centres.CentreState] = {}
         self._leaving: set[tuple[str, int]] = set()
         self._removal_callbacks: list[abc.Callable[[domain.Target], None]] = []
+        self._registration_callbacks: list[
+            abc.Callable[[domain.Target, bool], None]
+        ] = []
+        self._failure_callbacks: list[abc.Callable[[str, bool], None]] = []
         mirror.on_change(self._refresh)
 
     @property
@@ -105,9 +109,30 @@
         """Register a callback for each target removed or restarted."""
         self._removal_callbacks.append(callback)
 
+    def on_registered(
+        self, callback: abc.Callable[[domain.Target, bool], None]
+    ) -> None:
+        """Register a callback for each target registered or restarted.
+
+        Its second argument is whether the node knew of no target before.
+        """
+        self._registration_callbacks.append(callback)
+
+    def on_failure(self, callback: abc.Callable[[str, bool], None]) -> None:
+        """Register a callback for each failure of a target.
+
+        Its arguments are the id of the target and whether it is suspended.
+        """
+        self._failure_callbacks.append(callback)
+
     def _refresh(self) -> None:
         current = self._decode_changed()
         previous, self.by_id = self.by_id, current
+        for target in current.values():
+            before = previous.get(target.target_id)
+            if before is None or before.incarnation != target.incarnation:
+                for callback in self._registration_callbacks:
+                    callback(target, not previous)
         now = self._clock()
         for target_id, target in previous.items():
             new = current.get(target_id)
@@ -286,10 +311,13 @@
         health.failure_share += FAILURE_EWMA_WEIGHT * (
             1 - health.failure_share
         )
-        if got_response:
-            return
-        health.consecutive_failures += 1
-        if health.consecutive_failures < FAILURES_TO_SUSPEND:
+        is_suspended = False
+        if not got_response:
+            health.consecutive_failures += 1
+            is_suspended = health.consecutive_failures >= FAILURES_TO_SUSPEND
+        for callback in self._failure_callbacks:
+            callback(target_id, is_suspended)
+        if not is_suspended:
             return
         health.suspended_until = self._clock() + health.next_suspension
         log.info(
@@ -363,6 +391,18 @@
             if load.slowdown
         ]
 
+    def told_windows(self) -> dict[str, _centres.Window]:
+        """Return the windows that the owners of targets tell, by target."""
+        windows: dict[str, _centres.Window] = {}
+        for centre in self.centres_by_name.values():
+            for target_id, load in centre.loads.items():
+                window = _centres.smaller_window(
+                    load.window, windows.get(target_id)
+                )
+                if window is not None:
+                    windows[target_id] = window
+        return windows
+
     def _peer_loads(self, target_id: str) -> abc.Iterator[_centres.Load]:
         for centre in self.centres_by_name.values():
             load = centre.loads.get(target_id)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -52,6 +52,14 @@
     def tell_rest(helper: str, target: domain.Target, seconds: float) -> None:
         _wiring_targets.tell_rest(peers, helper, target, seconds)
 
+    def record_response_time(
+        target: domain.Target, route: str, seconds: float, usual: float
+    ) -> None:
+        ratio = target_parts.reported_loads.record_response_time(
+            target, route, seconds, usual
+        )
+        target_parts.warm_up.record_response(target, ratio)
+
     exchange = _exchange.Exchange(
         translation,
         target_parts.pool,
@@ -64,7 +72,7 @@
         target_parts.states,
         tell_rest,
         record_origin,
-        target_parts.reported_loads.record_response_time,
+        record_response_time,
     )
     return _dispatch.Dispatcher(
         exchange,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -19,6 +19,7 @@
 from mustardlb_gateway import _target_permits
 from mustardlb_gateway import _target_states
 from mustardlb_gateway import _trials
+from mustardlb_gateway import _warm_up
 from mustardlb_gateway import _wiring_state
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_client
@@ -40,6 +41,7 @@
     relay_server: _relay.RelayServer
     crash_watch: _crash_watch.CrashWatch
     reported_loads: _reported_loads.ReportedLoads
+    warm_up: _warm_up.WarmUp
 
 
 def make(
@@ -65,6 +67,25 @@
         targets.told_slowdowns,
         lambda: len(membership.live) + 1,
     )
+
+    def is_warmed_up(name: str) -> bool:
+        service = state.config.service(name)
+        is_cold = service is not None and service.cold_start > 0
+        return is_cold or reported_loads.is_reported(name)
+
+    warm_up = _warm_up.WarmUp(
+        settings.vm,
+        lambda: membership.live,
+        targets.own_in_flight,
+        targets.in_flight,
+        targets.told_windows,
+        lambda target_id: targets.by_id.get(target_id),
+        is_warmed_up,
+        lambda vm, observed: peers().notify(vm, observed),
+        clock,
+    )
+    targets.on_registered(warm_up.record_target)
+    targets.on_failure(warm_up.record_failure)
     states = _target_states.TargetStates(
         clock,
         limits,
@@ -73,6 +94,7 @@
         targets.own_in_flight,
         targets.record_leaving,
         record_load=reported_loads.record,
+        warm_up=warm_up,
     )
     pool = http_client.Pool(_target_links.CONNECT_TIMEOUT_SECONDS)
     reachability = _reachability.Reachability(clock)
@@ -111,6 +133,7 @@
         relay_server,
         crash_watch,
         reported_loads,
+        warm_up,
     )
 
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -252,18 +252,28 @@
 
     def _make_digest(self) -> _messages.Digest:
         slowdowns = self._target_parts.reported_loads.to_tell()
+        windows = self._target_parts.warm_up.to_tell()
         usages = tuple(
             _messages.TargetUsage(
                 target_id,
                 usage.in_flight,
                 usage.prefill_tokens,
                 tuple(usage.by_adapter),
-                slowdowns.pop(target_id, 0),
+                slowdowns.get(target_id, 0),
+                windows.get(target_id),
             )
             for target_id, usage in self.targets.usage_by_id.items()
         ) + tuple(
-            _messages.TargetUsage(target_id, 0, 0, (), slowdown)
-            for target_id, slowdown in slowdowns.items()
+            _messages.TargetUsage(
+                target_id,
+                0,
+                0,
+                (),
+                slowdowns.get(target_id, 0),
+                windows.get(target_id),
+            )
+            for target_id in (slowdowns | windows).keys()
+            - self.targets.usage_by_id.keys()
         )
         return _messages.Digest(
             self.settings.host,
@@ -362,6 +372,10 @@
                     message.body.incarnation,
                     message.body.seconds,
                 )
+            case _messages.Observed():
+                self._target_parts.warm_up.handle_observed(
+                    message.vm, message.body
+                )
             case _messages.Refund():
                 self._charging.handle_refund(message.body)
         return None
@@ -443,6 +457,7 @@
             self._permits.remove_gone()
             self._target_parts.states.remove_expired()
             self._target_parts.reported_loads.remove_expired()
+            self._target_parts.warm_up.update()
             self._update_gauges()
 
     def _update_gauges(self) -> None:
@@ -451,6 +466,7 @@
         gauges.crash_reports.set(len(quarantine.evidence.report_by_key))
         gauges.stream_origins.set(self._stream_origins.size)
         gauges.suspended_targets.set(self.targets.suspended_count)
+        gauges.warming_targets.set(self._target_parts.warm_up.count)
         gauges.slow_targets.set(self._target_parts.reported_loads.slow_count)
         gauges.lost_targets.set(self._target_parts.reachability.lost_count)
         gauges.relayed_connections.set(self._target_parts.relay_server.count)
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -32,6 +32,7 @@
     relay @23 :Relay;       # this connection to a target
     relayResult @24 :UInt8; # response to `relay`: RelayOutcome
     rest @25 :Rest;         # for the receiver, at a target that it relayed to
+    observed @26 :Observed; # for the owner of a target; has no response
   }
 }
 
@@ -41,6 +42,15 @@
   seconds @2 :Float64;
 }
 
+struct Observed {
+  target @0 :Text;
+  incarnation @1 :UInt64;   # of the target
+  fast @2 :UInt32;          # responses, in comparison with other targets
+  slow @3 :UInt32;
+  failed @4 :UInt32;        # requests that failed or were rejected
+  isSuspended @5 :Bool;     # the sender has suspended the target
+}
+
 struct Relay {
   target @0 :Text;
   incarnation @1 :UInt64;   # of the target
@@ -88,7 +98,8 @@
   levels @3 :List(Counted); # levels of the accounts' token buckets
   crashEvidence @4 :CrashEvidence;  # known to the sender, not sent before
   targetLimits @5 :List(LimitNotice); # known to the sender, not sent before
-  slowdowns @6 :Data;       # percent, of targets in `changes`, MessagePack
+  reports @6 :Data;         # slowdowns and windows of targets in `changes`,
+                            # MessagePack
 }
 
 struct CrashEvidence {
@@ -136,6 +147,8 @@
   unreadTokens @2 :UInt32;  # prompt tokens to be processed
   adapters @3 :List(Text);  # adapters in use
   slowdown @4 :UInt16;      # reported to the sender lately, percent, or 0
+  window @5 :UInt16;        # of which the sender is the owner, or 0
+  windowOf @6 :UInt64;      # incarnation of the target with that window
 }
 
 struct Holding {
