Reject calls whose adapter would be loaded too late

A call that no engine could load its adapter for in time waited for half of its time, or to its deadline, and was then sent back at random.

If three engines, or all, answer with more than the call has left and no other engine has a free slot, the call is rejected at once as not run. A call that may have run is not. The Retry-After is spread over a third of the time left, the more urgent first. Without estimates (requests of one priority and without accounts, older nodes) the rule of half of the time remains.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_admission.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_admission.py
@@ -9,11 +9,13 @@
 
 from collections import abc
 import dataclasses
+import random
 import types
 
 import trio
 
 from mustardlb_gateway import _jobs
+from mustardlb_gateway import _outcomes
 from mustardlb_gateway import _served_tokens
 
 # Time without an event after which a waiting call begins a turn. With many
@@ -30,6 +32,13 @@
 # few dozen calls in flight.
 MAX_WAITING_CALLS = 500
 
+# Shortest Retry-After, about the duration of an adapter load, unless the
+# client has less time left.
+MIN_RETRY_AFTER_SECONDS = 0.3
+
+# Rejections of a priority count for the returns of the others for this time.
+RETURN_MEMORY_SECONDS = 10.0
+
 # Priority, tokens served lately to the account in steps, and deadline.
 _Rank = tuple[int, int, float]
 
@@ -212,3 +221,52 @@
             self._served.rank(job.account_name, self._clock()),
             job.deadline,
         )
+
+
+class ReturnTimes:
+    """When the clients of rejected calls return.
+
+    They are spread over up to a third of the time that they have left. Those
+    of less urgent calls return later than those of more urgent ones.
+    """
+
+    def __init__(
+        self, clock: abc.Callable[[], float] = trio.current_time
+    ) -> None:
+        self._clock = clock
+        # Longest Retry-After and time of the last rejections, by service.
+        self._recent: dict[str, dict[int, tuple[float, float]]] = {}
+
+    def choose(self, service: str, priority: int, time_left: float) -> float:
+        """Return the Retry-After of a call that is rejected now.
+
+        :param time_left: seconds that the client still waits
+        """
+        now = self._clock()
+        longest = _outcomes.MAX_RETRY_AFTER_RATIO * max(0.0, time_left)
+        recent = {
+            each: (seconds, at)
+            for each, (seconds, at) in self._recent.get(service, {}).items()
+            if now - at <= RETURN_MEMORY_SECONDS
+        }
+        recent[priority] = longest, now
+        self._recent[service] = recent
+        # Less urgent calls may have less time; the more urgent ones then
+        # return within that time too.
+        longest = min(
+            seconds
+            for each, (seconds, _) in recent.items()
+            if each >= priority
+        )
+        earlier = sum(each < priority for each in recent)
+        parts = len(recent) + 1
+        return random.uniform(
+            max(
+                min(MIN_RETRY_AFTER_SECONDS, longest),
+                longest * earlier / parts,
+            ),
+            max(
+                min(MIN_RETRY_AFTER_SECONDS, longest),
+                longest * (earlier + 2) / parts,
+            ),
+        )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -39,13 +39,18 @@
 # shortest queue of those that were asked.
 MAX_REJECTED_RESERVATIONS = 5
 
+# A call is rejected if this many engines, those of lowest cost, would load its
+# adapter too late, and no other engine has a free slot.
+MAX_LATE_TURNS = 3
+
 # No attempt is started with less time than this until the deadline.
 MIN_TIME_LEFT_SECONDS = 0.05
 
-# A call that has missed its latency objective and still waits for a slot for
-# its adapter after this part of its time is rejected. Controllers serve calls
-# first that can be on time, so the call is not likely to get a slot, and the
-# client has time left to return.
+# Where controllers give no estimate of a call's turn, a call that has missed
+# its latency objective and still waits for a slot for its adapter after this
+# part of its time is rejected. Controllers serve calls first that can be on
+# time, so the call is not likely to get a slot, and the client has time left
+# to return.
 MAX_SLOT_WAIT_RATIO = 0.5
 
 # A call waits for a target that has reached its limit up to this part of its
@@ -101,6 +106,7 @@
         self._permits = permits
         self._states = states
         self.waiting = _admission.WaitingCalls()
+        self._return_times = _admission.ReturnTimes()
 
     async def run(self, job: _jobs.Job) -> None:
         """Send the response to a call, or raise the error to respond with."""
@@ -330,6 +336,9 @@
             if not choice.must_load or adapter is None:
                 job.waited += now - started_at
                 return choice
+            if self._is_too_late(job, choice, request):
+                load_excluded |= {choice.target.target_id}
+                continue
             load_timeout = min(
                 LOAD_TIMEOUT_SECONDS,
                 max(0.0, time_left - MIN_TIME_LEFT_SECONDS),
@@ -356,29 +365,93 @@
             load_excluded |= {choice.target.target_id}
             self._check_slot_wait(job)
             if trio.current_time() - now < MIN_SLOT_WAIT_SECONDS:
-                await self._wait(job, place)
+                rest = self._latest_slot_wait(job) - trio.current_time()
+                await self._wait(job, place, rest if rest > 0 else math.inf)
 
-    def _check_slot_wait(self, job: _jobs.Job) -> None:
-        """Raise a rejection if a call has waited too long for a slot."""
-        now = trio.current_time()
+    @staticmethod
+    def _latest_slot_wait(job: _jobs.Job) -> float:
+        """Return until when a call waits for a slot without an estimate."""
         allowed = job.deadline - job.arrived
-        latest = job.arrived + max(
+        return job.arrived + max(
             job.route.latency_objective, MAX_SLOT_WAIT_RATIO * allowed
         )
-        if now < latest or job.may_have_run or not job.controllers_asked:
+
+    def _check_slot_wait(self, job: _jobs.Job) -> None:
+        """Raise a rejection if a call has waited too long for a slot.
+
+        Calls with an estimate of their turn wait on.
+        """
+        now = trio.current_time()
+        if now < self._latest_slot_wait(job) or job.turn is not None:
             return
-        # Those who return are spread over the time in which they may.
-        longest = _outcomes.MAX_RETRY_AFTER_RATIO * (job.deadline - now)
-        retry_after = random.uniform(
-            DEFAULT_RETRY_AFTER_SECONDS,
-            max(DEFAULT_RETRY_AFTER_SECONDS, longest),
-        )
-        raise _outcomes.rejection(
-            errors.Code.OVERLOADED,
+        if job.may_have_run or not job.controllers_asked:
+            return
+        raise self._overloaded(
+            job,
             f'the adapter was not loaded in {now - job.arrived:.2f} s, '
             f'{job.controllers_asked} controllers asked',
+        )
+
+    def _is_too_late(
+        self,
+        job: _jobs.Job,
+        choice: _placement.Choice,
+        request: _placement.PlacementRequest,
+    ) -> bool:
+        """Return whether an engine would load the adapter too late.
+
+        Raises a rejection if the engines of lowest cost all would, and no
+        other one has a free slot.
+        """
+        now = trio.current_time()
+        time_left = (
+            job.deadline
+            - now
+            - MIN_TIME_LEFT_SECONDS
+            - choice.prefill_tokens / _prefill_queue.PREFILL_TOKENS_PER_SECOND
+        )
+        # A call that may have run cannot return, so that waiting is its best.
+        if job.turn is None or job.may_have_run or job.turn <= time_left:
+            job.late_turns.clear()
+            return False
+        # If an engine is chosen again, there is no other one to ask.
+        is_repeated = choice.target.target_id in job.late_turns
+        job.late_turns[choice.target.target_id] = job.turn
+        if not is_repeated:
+            if self._placement.has_free_slot(request, job.late_turns):
+                return True
+            engines = len(self._targets.ready(job.service.name))
+            if len(job.late_turns) < min(MAX_LATE_TURNS, engines):
+                return True
+        turn = min(job.late_turns.values())
+        log.info(
+            'MLB-6620',
+            request=job.call.request_id,
+            service=job.service.name,
+            priority=job.priority,
+            account=job.account_name,
+            turn=round(turn, 3),
+            left=round(time_left, 3),
+            asked=len(job.late_turns),
+            seconds=round(now - job.arrived, 3),
+        )
+        raise self._overloaded(
+            job,
+            f'the adapter would be loaded in {turn:.2f} s at the earliest, '
+            f'{len(job.late_turns)} controllers asked',
+        )
+
+    def _overloaded(self, job: _jobs.Job, problem: str) -> errors.Error:
+        """Return the rejection of a call that has not run."""
+        return _outcomes.rejection(
+            errors.Code.OVERLOADED,
+            problem,
             steps.Step.DISPATCH,
-            retry_after,
+            self._return_times.choose(
+                job.service.name,
+                job.priority,
+                job.deadline - trio.current_time(),
+            ),
         )
 
     async def _choose_reserved(
@@ -446,8 +519,12 @@
         """
         now = trio.current_time()
         until = min(now + seconds, job.deadline - MIN_TIME_LEFT_SECONDS)
-        if not await place.wait(until):
-            raise self._final_error(job, 'too many calls wait for a target')
+        if await place.wait(until):
+            return
+        problem = 'too many calls wait for a target'
+        if job.may_have_run:
+            raise self._final_error(job, problem)
+        raise self._overloaded(job, problem)
 
     async def _wait_for_permit(
         self,
@@ -529,8 +606,12 @@
                 choice.must_load,
                 job.priority,
                 job.account_name,
+                request.time_to_objective
+                - choice.prefill_tokens
+                / _prefill_queue.PREFILL_TOKENS_PER_SECOND,
             )
         )
+        job.turn = reserved.turn if reserved is not None else None
         if reserved is not None:
             job.controllers_asked += 1
         return reserved
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_controller.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_controller.py
@@ -164,7 +164,14 @@
                 self._requests.record_served(
                     request.account, request.tokens, now
                 )
-        return _messages.Reserved(True, is_accepted, is_resident, queue)
+        turn = None
+        if request.is_load and not self._contents.has(
+            adapter, request.version
+        ):
+            turn = self._requests.turn(
+                request.priority, request.account, request.slack
+            )
+        return _messages.Reserved(True, is_accepted, is_resident, queue, turn)
 
     @property
     def resident(self) -> dict[domain.AdapterName, int]:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -25,6 +25,10 @@
     :ivar is_trial: whether it is sent once although it is in quarantine
     :ivar software: version of the software at which the stream goes on, None
         before it begins
+    :ivar turn: estimated seconds at least until the engine that was asked
+        last starts to load the adapter, None if it gave no estimate
+    :ivar late_turns: such estimates of the engines that would load it too
+        late for the call, by target
     :ivar permitted_until: until when the call may be sent to a target with a
         limit
     """
@@ -46,6 +50,8 @@
     is_trial: bool = False
     software: str | None = None
     permitted_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    turn: float | None = None
+    late_turns: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
     def account_name(self) -> str:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_load_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_load_requests.py
@@ -7,6 +7,7 @@
 
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _served_tokens
+from mustardlb_gateway import _turns
 from mustardlb_gateway import domain
 
 # Half-life of the counts of calls that were in time. An engine of a large
@@ -37,6 +38,7 @@
     :ivar account: account of the call, '' if it is not known
     :ivar tokens: prompt tokens that the target has to process
     :ivar is_counted: whether it was counted as in time or late
+    :ivar rank: rank among the requests, None before they were ordered
     """
 
     adapter: domain.AdapterName
@@ -49,6 +51,7 @@
     done: trio.Event = dataclasses.field(default_factory=trio.Event)
     is_loaded: bool = False
     is_counted: bool = False
+    rank: _turns.Rank | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,6 +118,10 @@
         self._served = _served_tokens.ServedTokens()
         self._shares = InTimeShares()
         self._started = 0
+        self._turns = _turns.Turns()
+        self._in_excess: set[str] = set()
+        self._favoured: set[int] = set()
+        self._is_mixed = False
 
     def __len__(self) -> int:
         return len(self._requests)
@@ -154,6 +161,8 @@
                 if not request.is_counted:
                     is_in_time = now < request.objective_at
                     self._shares.record(request.priority, is_in_time, now)
+                if request.rank is not None:
+                    self._turns.record_served(request.rank)
             elif now < request.deadline:
                 continue
             else:
@@ -176,6 +185,20 @@
         """Record the start of a load."""
         self._started += 1
 
+    def turn(self, priority: int, account: str, slack: float) -> float | None:
+        """Return in how many seconds a request may get its turn.
+
+        None if that is not known, or if all requests have one priority and no
+        known account.
+
+        :param slack: seconds until the call misses its objective
+        """
+        if not self._is_mixed:
+            return None
+        is_excess = account in self._in_excess
+        in_time = is_excess, priority in self._favoured, priority
+        return self._turns.seconds(in_time, (is_excess, True, priority), slack)
+
     def by_priority(
         self,
         loading: abc.Container[domain.AdapterName],
@@ -201,14 +224,14 @@
             if not request.is_counted and now >= request.objective_at:
                 request.is_counted = True
                 self._shares.record(request.priority, False, now)
-        favoured = self._shares.favoured(now)
-        in_excess = self._served.in_excess(now)
+        self._favoured = favoured = self._shares.favoured(now)
+        self._in_excess = in_excess = self._served.in_excess(now)
         rank_by_account = {
             account: self._served.rank(account, now)
             for account in {request.account for request in self._requests}
         }
 
-        def rank(requests: list[LoadRequest]) -> _Rank:
+        def rank_of(requests: list[LoadRequest]) -> _Rank:
             loaded_at = now + load_seconds(requests[0].adapter)
             return min(
                 (
@@ -223,10 +246,14 @@
             )
 
         ranked = sorted(
-            ((rank(requests), requests) for requests in by_adapter.values()),
+            (
+                (rank_of(requests), requests)
+                for requests in by_adapter.values()
+            ),
             key=lambda each: (each[0], -len(each[1])),
         )
-        if self._is_oldest_due():
+        self._observe(now)
+        if self._is_mixed and not (self._started + 1) % OLDEST_FIRST_INTERVAL:
             _move_oldest_to_front(ranked)
         return [
             DueLoad(
@@ -237,17 +264,23 @@
             for _, requests in ranked
         ]
 
-    def _is_oldest_due(self) -> bool:
-        """Return whether the next load is for the oldest leading request.
-
-        Requests of one priority and of no known account keep their order.
-        """
-        if (self._started + 1) % OLDEST_FIRST_INTERVAL:
-            return False
-        return (
+    def _observe(self, now: float) -> None:
+        """Record what waits, for estimates of turns."""
+        # Requests of one priority and of no known account keep their order.
+        self._is_mixed = (
             len({request.priority for request in self._requests}) > 1
             or len({request.account for request in self._requests} | {''}) > 1
         )
+        for request in self._requests:
+            request.rank = (
+                request.account in self._in_excess,
+                request.priority in self._favoured
+                or now >= request.objective_at,
+                request.priority,
+            )
+        self._turns.advance(
+            [each.rank for each in self._requests if each.rank], now
+        )
 
 
 def _move_oldest_to_front(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -70,6 +70,7 @@
                 'isLoad': body.is_load,
                 'priority': _encode_priority(body.priority),
                 'account': body.account,
+                'slack': body.slack,
             }
         case _messages.Reserved():
             return 'reserved', {
@@ -77,6 +78,7 @@
                 'isAccepted': body.is_accepted,
                 'isResident': body.is_resident,
                 'queue': body.queue,
+                'turn': body.turn or 0.0,
             }
         case _messages.Charge():
             return 'charge', _charge_fields(body)
@@ -319,6 +321,7 @@
                 reserve.isLoad,
                 reserve.priority,
                 reserve.account,
+                reserve.slack,
             )
         case 'reserved':
             reserved = decoded.reserved
@@ -327,6 +330,7 @@
                 reserved.isAccepted,
                 reserved.isResident,
                 reserved.queue,
+                reserved.turn or None,
             )
         case 'charge':
             return _decode_charge(decoded.charge)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -122,6 +122,7 @@
     :ivar is_load: whether the sender will have the adapter loaded first
     :ivar priority: priority of the call, 0 is the most urgent
     :ivar account: account of the call, '' if it is not known
+    :ivar slack: time left to meet the latency objective, seconds
     """
 
     target_id: str
@@ -132,6 +133,7 @@
     is_load: bool
     priority: int = DEFAULT_PRIORITY
     account: str = ''
+    slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,12 +143,15 @@
     :ivar is_decided: False if the node does not control the target
     :ivar is_resident: whether the adapter is loaded or will be
     :ivar queue: seconds until the target can prefill another prompt
+    :ivar turn: seconds at least until a load of the adapter is started, None
+        if that is not known
     """
 
     is_decided: bool
     is_accepted: bool = False
     is_resident: bool = False
     queue: float = 0.0
+    turn: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
@@ -170,6 +170,22 @@
             )
         return self._choose_engine(request, candidates)
 
+    def has_free_slot(
+        self, request: PlacementRequest, asked: abc.Container[str]
+    ) -> bool:
+        """Return whether another engine than those asked has a free slot."""
+        adapter = request.call.adapter
+        model = domain.AdapterName(adapter.model) if adapter else None
+        return any(
+            target.target_id not in asked
+            and target.target_id not in request.denied
+            and not self._targets.is_suspended(target.target_id)
+            and self._is_controlled(target.target_id)
+            and self._free_slots(target.target_id) > 0
+            and model in self._resident(target)
+            for target in self._with_software(request)
+        )
+
     def _with_software(self, request: PlacementRequest) -> list[domain.Target]:
         """Return the ready targets with software that may serve a call.
 
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -184,6 +184,7 @@
   isLoad @5 :Bool;          # whether the adapter will be loaded first
   priority @6 :UInt8 = 5;   # 0 is the most urgent
   account @7 :Text;         # '' if it is not known
+  slack @8 :Float64;        # time to the latency objective, seconds
 }
 
 struct Reserved {
@@ -191,4 +192,5 @@
   isAccepted @1 :Bool;
   isResident @2 :Bool;      # whether the adapter is loaded
   queue @3 :Float64;        # queue of prompts, seconds
+  turn @4 :Float64;         # seconds until a load starts, 0 if not known
 }
--- a/tests/mustardlb_gateway/test_admission.py
+++ b/tests/mustardlb_gateway/test_admission.py
@@ -245,3 +245,39 @@
             await trio.testing.wait_all_tasks_blocked()
         assert results == {'b': False, 'd': False}
     assert results == {'a': True, 'b': False, 'c': True, 'd': False}
+
+
+def test_rejected_clients_return_in_the_order_of_their_priority():
+    """Guards against clients that return all at once or too late.
+
+    The urgent calls have three times the timeout of the others.
+    """
+    random.seed(1)
+    now = 0.0
+    returns = _admission.ReturnTimes(lambda: now)
+    chosen = collections.defaultdict(list)
+    for _ in range(1000):
+        for priority, left in ((2, 5.0), (1, 6.0), (0, 15.0)):
+            seconds = returns.choose('llm', priority, left)
+            assert 0 < seconds <= left / 3
+            chosen[priority].append(seconds)
+    means = [sum(chosen[each]) / 1000 for each in range(3)]
+    assert means == sorted(means)
+    for seconds in chosen.values():
+        # Spread over a third of the time at least, and not in a few steps.
+        assert max(seconds) - min(seconds) > 0.3 * 5 / 3
+        assert len({round(each, 2) for each in seconds}) > 40
+
+
+def test_returns_of_one_priority_use_all_of_the_time():
+    """Guards against a changed spread where all calls have one priority."""
+    random.seed(1)
+    returns = _admission.ReturnTimes(lambda: 0.0)
+    chosen = [returns.choose('llm', 5, 6.0) for _ in range(1000)]
+    assert 0.3 <= min(chosen) < 0.35
+    assert 1.95 < max(chosen) <= 2.0
+
+
+def test_client_without_time_left_may_return_at_once():
+    """Guards against a Retry-After beyond the client's own timeout."""
+    assert _admission.ReturnTimes(lambda: 0.0).choose('llm', 5, 0.0) == 0.0
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -654,6 +654,89 @@
     assert 0.2 < float(response.headers[b'retry-after']) <= 2 / 3
 
 
+def too_late(turn=9.0):
+    return _messages.Reserved(True, True, True, 0.0, turn)
+
+
+@pytest.mark.parametrize('engines', [1, 2, 8])
+async def test_call_whose_turn_comes_too_late_is_rejected_at_once(engines):
+    """Guards against calls that wait for a load beyond their timeout."""
+    harness = gateway_harness.Harness(STREAM, engine=True)
+    harness.reservations = [too_late()] * 100
+    harness.dispatcher._placement._free_slots = lambda target_id: 0
+    streams = [make_stream(range(1)) for _ in range(engines)]
+    async with harness.running(*streams) as harness:
+        started_at = trio.current_time()
+        response = await harness.send_request(
+            b'x-adapter: a7\r\nx-wait: 2\r\n'
+        )
+        assert trio.current_time() - started_at < 0.2
+        assert not harness.request_count
+    assert response.status == 503
+    assert 0 < float(response.headers[b'retry-after']) <= 2 / 3
+    asked = len(harness.reserve_requests)
+    assert asked == min(engines, _dispatch.MAX_LATE_TURNS)
+    assert harness.load_requests == []
+
+
+async def test_no_call_is_rejected_while_an_engine_has_a_free_slot():
+    """Guards against rejections by the estimates of the wrong engines."""
+    harness = gateway_harness.Harness(STREAM, engine=True)
+    harness.dispatcher._placement._free_slots = lambda target_id: (
+        1 if target_id == 't5' else 0
+    )
+
+    async def reserve(request):
+        await trio.lowlevel.checkpoint()
+        harness.reserve_requests.append(request)
+        return too_late(0.0 if request.target_id == 't5' else 9.0)
+
+    harness.dispatcher._reserve = reserve
+    streams = [make_stream(range(1)) for _ in range(6)]
+    async with harness.running(*streams) as harness:
+        response = await harness.send_request(b'x-adapter: a7\r\n')
+    assert response.is_complete
+    assert harness.load_requests == [('t5', builders.adapter('a7'))]
+
+
+async def test_free_slot_that_is_never_chosen_does_not_hold_a_call():
+    """Guards against asking on and on while a slot only seems to be free."""
+    harness = gateway_harness.Harness(STREAM, engine=True)
+    harness.reservations = [too_late()] * 100
+    harness.dispatcher._placement.has_free_slot = lambda *arguments: True
+    streams = [make_stream(range(1)) for _ in range(6)]
+    async with harness.running(*streams) as harness:
+        response = await harness.send_request(b'x-adapter: a7\r\n')
+    assert response.status == 503
+    assert len(harness.reserve_requests) == 7
+
+
+async def test_call_whose_turn_comes_late_is_served():
+    """Guards against rejections of calls that are only late."""
+    harness = gateway_harness.Harness(STREAM, engine=True)
+    harness.reservations = [too_late(1.5)]
+    harness.dispatcher._placement._free_slots = lambda target_id: 0
+    async with harness.running(make_stream(range(1))) as harness:
+        response = await harness.send_request(b'x-adapter: a7\r\n')
+    assert response.is_complete
+
+
+async def test_call_that_may_have_run_is_not_rejected_as_not_run():
+    """Guards against a false guarantee, and against giving up a stream."""
+    harness = gateway_harness.Harness(STREAM, engine=True)
+    harness.reservations = [too_late(None)] + [too_late()] * 100
+    harness.dispatcher._placement._free_slots = lambda target_id: 0
+
+    async def break_off(connection, request, body):
+        await connection.reset()
+
+    scripts = [break_off, make_stream(range(1))]
+    async with harness.running(*scripts) as harness:
+        response = await harness.send_request(b'x-adapter: a7\r\n')
+        assert harness.request_count
+    assert response.status != 503
+
+
 async def test_call_waits_on_while_no_controller_decides():
     harness = gateway_harness.Harness(STREAM, engine=True)
     harness.load_result = False
--- a/tests/mustardlb_gateway/test_load_order.py
+++ b/tests/mustardlb_gateway/test_load_order.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import math
 import random
 
 import builders
@@ -14,7 +15,9 @@
 import test_engine_controller
 import trio
 
+from mustardlb_gateway import _admission
 from mustardlb_gateway import _load_requests
+from mustardlb_gateway import _messages
 
 SECONDS = 60.0
 ADAPTERS = 10_000
@@ -61,6 +64,9 @@
     adapter: str
     tokens: int = 9190
     waited: float | None = None
+    is_impatient: bool = False
+    rejected_after: list = dataclasses.field(default_factory=list)
+    retry_after: list = dataclasses.field(default_factory=list)
 
     @property
     def in_time(self):
@@ -102,6 +108,8 @@
             test_engine_controller.Harness() for _ in range(engines)
         ]
         self.idle_samples = self.samples = 0
+        self.free_when_rejected = 0
+        self.return_times = _admission.ReturnTimes()
 
     @property
     def idle_share(self):
@@ -130,6 +138,17 @@
         arrived = trio.current_time()
         deadline = arrived + timeout - PREFILL_SECONDS
         while (now := trio.current_time()) < deadline:
+            if self.is_rejected(harness, arrival, adapter, deadline - now):
+                arrival.rejected_after.append(now - arrived)
+                allowed = 9 if arrival.is_impatient else 1
+                if len(arrival.rejected_after) > allowed:
+                    return
+                retry_after = self.return_times.choose(
+                    'llm', arrival.priority, deadline - now
+                )
+                arrival.retry_after.append(retry_after / (deadline - now))
+                await trio.sleep(0 if arrival.is_impatient else retry_after)
+                continue
             if await harness.controller.request_load(
                 adapter,
                 0,
@@ -151,6 +170,29 @@
             harness.in_use.discard(adapter)
         harness.controller.notify_usage_changed()
 
+    def is_rejected(self, harness, arrival, adapter, time_left):
+        """Return whether the engine loads an adapter too late for a call."""
+        objective = ROUTES[arrival.priority][1]
+        timeout = ROUTES[arrival.priority][2]
+        reserved = harness.controller.reserve(
+            _messages.Reserve(
+                't1',
+                adapter,
+                0,
+                arrival.tokens,
+                math.inf,
+                True,
+                arrival.priority,
+                arrival.account,
+                time_left + objective - timeout,
+            ),
+            0,
+        )
+        if reserved.turn is None or reserved.turn <= time_left:
+            return False
+        self.free_when_rejected += harness.controller.free_slots() > 0
+        return True
+
     async def sample(self):
         while True:
             await trio.sleep(0.05)
@@ -222,6 +264,47 @@
     assert min(served.values()) > 0.5 * max(served.values())
 
 
+class UnlimitedRequests(_load_requests.LoadRequests):
+    """Requests of which none is ever too late."""
+
+    def turn(self, priority, account, slack):
+        return None
+
+
+async def test_calls_that_would_miss_their_timeout_are_rejected(
+    autojump_clock,
+):
+    """Guards against calls that wait in vain, and rejections of others.
+
+    Half of the engines are lost. Rejected clients return once, and a third of
+    them repeat at once, which must gain them nothing.
+    """
+    arrivals = make_arrivals(30.0, 1)
+    for number, arrival in enumerate(arrivals):
+        arrival.is_impatient = number % 3 == 0
+    unlimited, _ = await play(arrivals, 5, UnlimitedRequests)
+    fleet = Fleet(5, _load_requests.LoadRequests)
+    played = [
+        dataclasses.replace(each, rejected_after=[], retry_after=[])
+        for each in arrivals
+    ]
+    await fleet.run(played)
+    assert fleet.free_when_rejected == 0
+    loss = 0.02 * len(arrivals)
+    for is_good in (is_in_time, is_served):
+        good = sum(map(is_good, played))
+        assert good >= sum(map(is_good, unlimited)) - loss
+        by_rank = shares(played, by_priority, is_good)
+        assert by_rank[0] >= by_rank[1] >= by_rank[2]
+    missed = [each for each in played if not is_served(each)]
+    rejected = [each for each in missed if each.rejected_after]
+    assert len(rejected) > 0.9 * len(missed) > 50
+    for arrival in rejected:
+        assert all(0 < each <= 1 / 3 for each in arrival.retry_after)
+    served = shares(played, lambda each: each.is_impatient, is_served)
+    assert served[True] <= served[False] + 0.02
+
+
 async def play_hot_account(requests_class):
     """Return the others' calls while one account sends seven times as much.
 
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -83,8 +83,10 @@
         ),
         _messages.Reserve('t1', builders.adapter('a1'), 3, 9190, 0.5, True),
         _messages.Reserve(
-            't1', builders.adapter('a1'), 3, 9190, 0.5, True, 2, 'acme'
+            't1', builders.adapter('a1'), 3, 9190, 0.5, True, 2, 'acme', 0.5
         ),
+        _messages.Reserved(True, True, True, 0.5),
+        _messages.Reserved(True, True, True, 0.5, 2.5),
         _messages.Wanted(True),
         _messages.Wanted(False),
         _messages.Subscription(True),
