--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -39,6 +39,10 @@
     :ivar trial_until: until when, seconds on the clock that counts suspensions
     :ivar software: version of the software at which the stream goes on, None
         before it begins
+    :ivar turn: estimated seconds at least until the engine that was asked
+        last starts to load the adapter, None if it gave no estimate
+    :ivar late_turns: such estimates of the engines that would load it too
+        late for the call, by target
     :ivar permitted_until: until when the call may be sent to a target with a
         limit
     """
@@ -60,6 +64,8 @@
     is_trial: bool = False
     software: str | None = None
     permitted_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    turn: float | None = None
+    late_turns: dict[str, float] = dataclasses.field(default_factory=dict)
     trial_until: float = math.inf
     expires_at: float = math.inf
     event_at: float | None = None
