Keep the requests of all nodes to cold targets within their limit

Cause: a target that has just started, or is taken back after an evacuation, got as many requests as any other and looked like the least loaded one. Above its limit it crashes.

Change: _cold_targets determines until when each incarnation is cold, from its registration, from responses, from its start, from broken connections and from the end of an evacuation. Requests to it need a permit (_cold_permits). The two highest ranked of all known nodes hand them out, each within a fixed share, whatever the nodes see alive. Placement treats a cold target as a smaller or slower one.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -10,6 +10,7 @@
 
 from mustardlb import errors
 from mustardlb import steps
+from mustardlb_gateway import _cold_permits
 from mustardlb_gateway import _exchange
 from mustardlb_gateway import _jobs
 from mustardlb_gateway import _messages
@@ -64,6 +65,8 @@
     `states` on those to targets that ask for rest or are brittle.
     `record_failure` is called with each attempt that a target may have failed
     on, whether its connection broke, and how long ago it was sent.
+    `cold` decides on requests to cold targets. `record_broken` is called with
+    each target whose connection broke or was refused.
     """
 
     def __init__(
@@ -86,7 +89,11 @@
         ],
         permits: _target_permits.TargetPermits,
         states: _target_states.TargetStates,
+        cold: _cold_permits.ColdPermits | None = None,
+        record_broken: abc.Callable[[domain.Target], None] = lambda _: None,
     ) -> None:
+        self._cold = cold
+        self._record_broken = record_broken
         self._exchange = exchange
         self._targets = targets
         self._placement = placement
@@ -113,12 +120,19 @@
             )
             job.attempts.append(attempt)
             job.permitted_until.pop(choice.target.target_id, None)
+            attempt.send_by = job.cold_permits.pop(
+                choice.target.target_id, None
+            )
             self._log_choice(job, choice)
             await self._exchange.run(job, attempt, choice)
             if attempt.is_withheld:
                 job.attempts.remove(attempt)
                 continue
             self._record_attempt(job, attempt)
+            if not attempt.is_link_failure and (
+                attempt.is_broken or not attempt.was_sent
+            ):
+                self._record_broken(choice.target)
             if not attempt.was_sent:
                 await self._handle_unreached(job, attempt)
                 continue
@@ -188,26 +202,43 @@
         )
 
     async def _is_permitted(
-        self, job: _jobs.Job, target: domain.Target
+        self, job: _jobs.Job, target: domain.Target, will_load: bool = False
     ) -> bool:
         """Return whether a call may be sent to a target now.
 
-        A permit is kept while the adapter is loaded.
+        A permit is kept while the adapter is loaded, but not one for a cold
+        target, which is only asked for afterwards.
         """
         if not self._states.takes_requests(
             target
         ) or self._targets.is_evacuated(target):
             return False
         target_id = target.target_id
-        if job.permitted_until.get(target_id, 0.0) > trio.current_time():
+        if job.permitted_until.get(target_id, 0.0) <= trio.current_time():
+            if not await self._permits.acquire(target, job.call.request_id):
+                return False
+            if self._targets.is_evacuated(target):
+                return False
+            job.permitted_until[target_id] = (
+                trio.current_time() + _target_permits.PERMIT_TTL_SECONDS
+            )
+        return await self._is_permitted_cold(job, target, will_load)
+
+    async def _is_permitted_cold(
+        self, job: _jobs.Job, target: domain.Target, will_load: bool
+    ) -> bool:
+        """Return whether a call may be sent to a target that may be cold."""
+        cold, target_id = self._cold, target.target_id
+        if cold is None or cold.may_send(
+            target, job.cold_permits.get(target_id)
+        ):
             return True
-        if not await self._permits.acquire(target, job.call.request_id):
-            return False
-        if self._targets.is_evacuated(target):
+        if will_load:
+            return target_id not in cold.denied()
+        send_by = await cold.acquire(target, job.call.request_id)
+        if send_by is None or self._targets.is_evacuated(target):
             return False
-        job.permitted_until[target_id] = (
-            trio.current_time() + _target_permits.PERMIT_TTL_SECONDS
-        )
+        job.cold_permits[target_id] = send_by
         return True
 
     def _may_retry(self, job: _jobs.Job) -> bool:
@@ -390,7 +421,9 @@
                 await trio.sleep(CHOICE_RETRY_SECONDS)
                 queue_seconds, absent = {}, frozenset()
                 continue
-            if not await self._is_permitted(job, choice.target):
+            if not await self._is_permitted(
+                job, choice.target, choice.must_load
+            ):
                 await trio.lowlevel.checkpoint()
                 continue
             max_queue = choice.max_queue
@@ -409,7 +442,8 @@
     def _denied(self, job: _jobs.Job) -> dict[str, float]:
         """Return the seconds until targets take a request, by their ids."""
         ready = self._targets.ready(job.service.name)
-        return self._permits.denied() | self._states.denied(ready)
+        denied = self._permits.denied() | self._states.denied(ready)
+        return denied | self._cold.denied() if self._cold else denied
 
     async def _wait_for_permit(
         self, job: _jobs.Job, request: _placement.PlacementRequest
@@ -435,6 +469,9 @@
         latest = job.arrived + MAX_PERMIT_WAIT_RATIO * (
             job.route.latency_objective
         )
+        if self._cold is not None and self._cold.denied():
+            # They take requests again soon, however slowly.
+            latest = max(latest, job.deadline - MIN_TIME_LEFT_SECONDS)
         is_resting = any(
             self._states.rest(target)
             for target in self._targets.ready(job.service.name)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -38,7 +38,11 @@
 
 
 class Exchange:
-    """Forwards calls to targets and their responses to clients."""
+    """Forwards calls to targets and their responses to clients.
+
+    `may_send` returns whether a call, with a permit until some time or None,
+    may be sent to a target now, as far as that depends on cold targets.
+    """
 
     def __init__(
         self,
@@ -57,7 +61,11 @@
         record_origin: abc.Callable[
             [str, _messages.Origin, tuple[str, ...]], None
         ],
+        may_send: abc.Callable[
+            [domain.Target, float | None], bool
+        ] = lambda target, send_by: True,
     ) -> None:
+        self._may_send = may_send
         self._translation = translation
         self._pool = pool
         self._links = links
@@ -120,11 +128,14 @@
                 connection = await self._links.acquire(
                     target, job.call.request_id
                 )
-                if self._states.rest(target) or self._targets.is_evacuated(
-                    target
+                if (
+                    self._states.rest(target)
+                    or self._targets.is_evacuated(target)
+                    or not self._may_send(target, attempt.send_by)
                 ):
-                    # It has asked for rest, or its data centre was evacuated,
-                    # while the connection was opened.
+                    # It has asked for rest or become cold, its permit has
+                    # expired, or its data centre was evacuated, while the
+                    # connection was opened.
                     attempt.is_withheld = True
                     raise http_client.ExchangeFailed(
                         'the target takes no requests for now', was_sent=False
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -27,6 +27,8 @@
         before it begins
     :ivar permitted_until: until when the call may be sent to a target with a
         limit
+    :ivar cold_permits: until when the call may be sent to a cold target,
+        clock seconds
     """
 
     call: domain.Call
@@ -46,6 +48,7 @@
     is_trial: bool = False
     software: str | None = None
     permitted_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    cold_permits: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
     def sent_attempts(self) -> int:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -90,6 +90,12 @@
             }
         case _messages.Permitted():
             return 'permitted', body.wait
+        case _messages.ColdPermit():
+            return 'coldPermit', _cold_fields(body) | {
+                'ranked': list(body.ranked)
+            }
+        case _messages.ColdNotice():
+            return 'coldNotice', _cold_fields(body)
         case _messages.Trial():
             return 'trial', body.suspect
         case _messages.Tried():
@@ -327,6 +333,19 @@
             )
         case 'permitted':
             return _messages.Permitted(decoded.permitted)
+        case 'coldPermit':
+            cold = decoded.coldPermit
+            return _messages.ColdPermit(
+                cold.target,
+                cold.incarnation,
+                cold.seconds,
+                tuple(cold.ranked),
+            )
+        case 'coldNotice':
+            cold = decoded.coldNotice
+            return _messages.ColdNotice(
+                cold.target, cold.incarnation, cold.seconds
+            )
         case 'trial':
             return _messages.Trial(decoded.trial)
         case 'tried':
@@ -372,6 +391,16 @@
             return _messages.Wanted(decoded.wanted)
 
 
+def _cold_fields(
+    body: _messages.ColdPermit | _messages.ColdNotice,
+) -> dict[str, Any]:
+    return {
+        'target': body.target_id,
+        'incarnation': body.incarnation,
+        'seconds': body.seconds,
+    }
+
+
 def _decode_charge(charge: Any) -> _messages.Charge:
     """Decode a charge; raises ValueError if its cost is no amount."""
     if not 0 <= charge.cost < float('inf'):
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -190,6 +190,29 @@
     wait: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdPermit:
+    """A request for a permit for a cold target; the response is Permitted.
+
+    :ivar seconds: for which the target has said that it is cold, or 0
+    :ivar ranked: nodes of the highest ranks that the sender knows
+    """
+
+    target_id: str
+    incarnation: int
+    seconds: float
+    ranked: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdNotice:
+    """Tells a node for how long a target is cold. Has no response."""
+
+    target_id: str
+    incarnation: int
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Trial:
     """A request to try a quarantined suspect, sent to its owner."""
@@ -323,6 +346,8 @@
     | Refund
     | Permit
     | Permitted
+    | ColdPermit
+    | ColdNotice
     | Trial
     | Tried
     | TellOrigins
@@ -344,6 +369,8 @@
     Charge,
     Refund,
     Permit,
+    ColdPermit,
+    ColdNotice,
     Trial,
     TellOrigins,
     FindOrigin,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
@@ -33,6 +33,10 @@
             'mustardlb_relayed_connections',
             'Connections to targets that this node relays for others.',
         )
+        self.cold_targets = metrics.add_gauge(
+            'mustardlb_cold_targets',
+            'Targets that get few requests since they are cold.',
+        )
         self.evacuated_centres = metrics.add_gauge(
             'mustardlb_evacuated_data_centres',
             'Data centres whose targets get no requests.',
--- a/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
@@ -46,6 +46,8 @@
     :ivar is_link_failure: whether only a link to the target failed, which
         says nothing of the target
     :ivar is_withheld: not sent, since the target takes no requests for now
+    :ivar send_by: end of its permit for a cold target, clock seconds; None
+        without one
     :ivar output_at: trio time of the first part of the response body, None
         if none was received
     :ivar response: error response that is forwarded to the client if no
@@ -63,6 +65,7 @@
     helper: str = ''
     is_link_failure: bool = False
     is_withheld: bool = False
+    send_by: float | None = None
     output_at: float | None = None
 
     def describe(self, now: float) -> dict[str, object]:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
@@ -65,6 +65,13 @@
 # of failed requests.
 FAILURE_PENALTY_SECONDS = 2.0
 
+# A cold target has few requests in flight since it gets few, which does not
+# make it the least loaded one. A plain target counts as if it had only this
+# part of its slots. An engine gets a penalty of about the time between two
+# requests to it, which is below the cost of a copy of an adapter.
+COLD_SLOTS_RATIO = 0.25
+COLD_PENALTY_SECONDS = 0.15
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
@@ -133,7 +140,9 @@
         load_age: abc.Callable[[], float] = lambda: 0.0,
         data_centre: str = '',
         is_adopted: abc.Callable[[domain.Target], bool] = lambda _: True,
+        is_cold: abc.Callable[[domain.Target], bool] = lambda _: False,
     ) -> None:
+        self._is_cold = is_cold
         self._targets = targets
         self._prefix_index = prefix_index
         self._resident = resident
@@ -206,7 +215,10 @@
         """Return a plain target with its load ratio as the cost."""
         running = self._targets.in_flight(target.target_id)
         health = self._targets.health(target.target_id)
-        fullness = (running + random.random()) / max(1, target.slots)
+        slots = max(1.0, target.slots)
+        if self._is_cold(target):
+            slots *= COLD_SLOTS_RATIO
+        fullness = (running + random.random()) / slots
         cost = fullness + FAILURE_PENALTY_SECONDS * health.failure_share
         if target.data_centre != self._data_centre:
             cost += LOCAL_TARGET_ADVANTAGE
@@ -385,6 +397,8 @@
             + fullness
             + FAILURE_PENALTY_SECONDS * health.failure_share
         )
+        if self._is_cold(target):
+            cost += COLD_PENALTY_SECONDS
         if first_token_in > ON_TIME_SHARE * request.time_to_objective > 0:
             cost += LATE_PENALTY_SECONDS
         return cost
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_states.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_states.py
@@ -40,7 +40,8 @@
 
     `limits` tells which targets are brittle, `owners` ranks the nodes,
     `in_flight` returns the requests of this node at a target, and
-    `record_leaving` is called with each target that leaves.
+    `record_leaving` is called with each target that leaves, `record_cold` with
+    each that says that it is cold and for how many seconds.
     """
 
     def __init__(
@@ -52,7 +53,11 @@
         in_flight: abc.Callable[[str], int],
         record_leaving: abc.Callable[[domain.Target], None],
         rng: random.Random | None = None,
+        record_cold: abc.Callable[
+            [domain.Target, float], None
+        ] = lambda target, seconds: None,
     ) -> None:
+        self._record_cold = record_cold
         self._clock = clock
         self._limits = limits
         self._vm = vm
@@ -68,6 +73,8 @@
         """Record a response; return the seconds of rest that it asks for."""
         if info.is_leaving:
             self._record_leaving(target)
+        if info.cold_remaining:
+            self._record_cold(target, info.cold_remaining)
         self._record_brittle(target, status, info.max_rejections)
         if status != 503 or info.rest is None:
             return 0.0
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 
+from mustardlb_gateway import _cold_permits
 from mustardlb_gateway import _dispatch
 from mustardlb_gateway import _exchange
 from mustardlb_gateway import _membership
@@ -25,6 +26,7 @@
     target_parts: _wiring_targets.TargetParts,
     engines: _wiring_engines.EngineParts,
     permits: _target_permits.TargetPermits,
+    cold_permits: _cold_permits.ColdPermits,
     prefix_index: _prefix_index.PrefixIndex,
     membership: _membership.Membership,
     peers: _peers.Peers,
@@ -46,6 +48,7 @@
         lambda: membership.load_age,
         settings.data_centre,
         target_parts.software_history.is_adopted,
+        cold_permits.is_cold,
     )
 
     def tell_rest(helper: str, target: domain.Target, seconds: float) -> None:
@@ -63,6 +66,7 @@
         target_parts.states,
         tell_rest,
         record_origin,
+        cold_permits.may_send,
     )
     return _dispatch.Dispatcher(
         exchange,
@@ -76,4 +80,6 @@
         target_parts.crash_watch.record_failure,
         permits,
         target_parts.states,
+        cold_permits,
+        target_parts.cold.record_broken,
     )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -3,6 +3,8 @@
 from collections import abc
 import dataclasses
 
+from mustardlb_gateway import _cold_permits
+from mustardlb_gateway import _cold_targets
 from mustardlb_gateway import _crash_watch
 from mustardlb_gateway import _membership
 from mustardlb_gateway import _messages
@@ -38,6 +40,7 @@
     links: _target_links.TargetLinks
     relay_server: _relay.RelayServer
     crash_watch: _crash_watch.CrashWatch
+    cold: _cold_targets.ColdTargets
 
 
 def make(
@@ -57,6 +60,14 @@
     state.targets_mirror.on_change(
         lambda: software_history.observe(targets.by_id.values())
     )
+    cold = _cold_targets.ColdTargets(
+        state.targets_mirror,
+        targets,
+        state.config.service,
+        state.evacuations,
+        lambda target, seconds: tell_cold(peers(), target, seconds),
+        clock,
+    )
     states = _target_states.TargetStates(
         clock,
         limits,
@@ -64,6 +75,7 @@
         _owners.Owners(settings.vm, lambda: membership.live, clock),
         targets.own_in_flight,
         targets.record_leaving,
+        record_cold=cold.record_response,
     )
     pool = http_client.Pool(_target_links.CONNECT_TIMEOUT_SECONDS)
     reachability = _reachability.Reachability(clock)
@@ -103,6 +115,7 @@
         links,
         relay_server,
         crash_watch,
+        cold,
     )
 
 
@@ -138,6 +151,44 @@
     )
 
 
+def make_cold_permits(
+    settings: abc.Callable[[], gateway_settings.Settings],
+    state: _wiring_state.StateParts,
+    target_parts: TargetParts,
+    membership: _membership.Membership,
+    peers: _peers.Peers,
+    clock: abc.Callable[[], float],
+) -> _cold_permits.ColdPermits:
+    """Return the permits to send requests to cold targets."""
+
+    def bound(per_second: float) -> float:
+        ratio = settings().cold_limit_ratio
+        return ratio * per_second + settings().cold_limit_slack
+
+    return _cold_permits.ColdPermits(
+        settings().vm,
+        target_parts.cold,
+        state.targets.is_evacuated,
+        peers.request,
+        peers.notify,
+        lambda: membership.vms_by_name,
+        peers.alive,
+        bound,
+        clock,
+    )
+
+
+def tell_cold(
+    peers: _peers.Peers, target: domain.Target, seconds: float
+) -> None:
+    """Tell all nodes for how many seconds a target is cold."""
+    notice = _messages.ColdNotice(
+        target.target_id, target.incarnation, seconds
+    )
+    for vm in peers.alive():
+        peers.notify(vm, notice)
+
+
 def tell_rest(
     peers: _peers.Peers, helper: str, target: domain.Target, seconds: float
 ) -> None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -147,6 +147,14 @@
         self._permits = _wiring_targets.make_permits(
             settings, self._target_parts, self.peers, clock
         )
+        self._cold_permits = _wiring_targets.make_cold_permits(
+            lambda: self.settings,
+            state,
+            self._target_parts,
+            self.membership,
+            self.peers,
+            clock,
+        )
         self._stream_origins = self._make_stream_origins(state.targets_mirror)
         engines = _wiring_engines.make(
             lambda: self.settings,
@@ -170,6 +178,7 @@
             self._target_parts,
             engines,
             self._permits,
+            self._cold_permits,
             self._prefix_index,
             self.membership,
             self.peers,
@@ -348,6 +357,12 @@
                 )
             case _messages.Permit():
                 return self._permits.handle_permit(message.body)
+            case _messages.ColdPermit():
+                return _messages.Permitted(
+                    self._cold_permits.handle(message.vm, message.body)
+                )
+            case _messages.ColdNotice():
+                self._cold_permits.handle_notice(message.vm, message.body)
             case _messages.TellOrigins():
                 return self._stream_origins.handle_told(message.body)
             case _messages.FindOrigin():
@@ -438,6 +453,8 @@
             self.quarantine.refresh_if_due()
             self._target_parts.limits.remove_gone()
             self._permits.remove_gone()
+            self._target_parts.cold.remove_gone()
+            self._cold_permits.remove_gone()
             self._target_parts.states.remove_expired()
             self._update_gauges()
 
@@ -448,6 +465,7 @@
         gauges.stream_origins.set(self._stream_origins.size)
         gauges.suspended_targets.set(self.targets.suspended_count)
         gauges.lost_targets.set(self._target_parts.reachability.lost_count)
+        gauges.cold_targets.set(self._target_parts.cold.count)
         gauges.evacuated_centres.set(len(self._evacuations.since_by_centre))
         gauges.relayed_connections.set(self._target_parts.relay_server.count)
 
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -32,6 +32,8 @@
     relay @23 :Relay;       # this connection to a target
     relayResult @24 :UInt8; # response to `relay`: RelayOutcome
     rest @25 :Rest;         # for the receiver, at a target that it relayed to
+    coldPermit @26 :Cold;   # its response is `permitted`
+    coldNotice @27 :Cold;   # has no response
   }
 }
 
@@ -41,6 +43,13 @@
   seconds @2 :Float64;
 }
 
+struct Cold {
+  target @0 :Text;
+  incarnation @1 :UInt64;   # of the target
+  seconds @2 :Float64;      # for which it is cold, 0 if it did not say so
+  ranked @3 :List(Text);    # nodes of the highest ranks, in `coldPermit` only
+}
+
 struct Relay {
   target @0 :Text;
   incarnation @1 :UInt64;   # of the target
--- a/tests/mustardlb_gateway/builders.py
+++ b/tests/mustardlb_gateway/builders.py
@@ -17,8 +17,10 @@
     return domain.EngineSpec(**(fields | changes))
 
 
-def make_service(name='llm', engine=True):
-    return domain.Service(name, 100, make_engine() if engine else None)
+def make_service(name='llm', engine=True, **changes):
+    return domain.Service(
+        name, 100, make_engine() if engine else None, **changes
+    )
 
 
 def make_target(target_id='t1', service='llm', resident=(), **changes):
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -9,6 +9,8 @@
 import trio
 
 from mustardlb_gateway import _charging
+from mustardlb_gateway import _cold_permits
+from mustardlb_gateway import _cold_targets
 from mustardlb_gateway import _dispatch
 from mustardlb_gateway import _evacuations
 from mustardlb_gateway import _exchange
@@ -52,7 +54,7 @@
     Requests have `x-id`, `x-key`, `x-wait` (client timeout in seconds),
     `x-adapter`, `last-event-id` and `x-resumed` (the request that is
     resumed); responses have `x-id`, `x-signed`, `x-not-run`, `x-limit`,
-    `x-rest`, `x-leaving` and `x-brittle`.
+    `x-rest`, `x-leaving`, `x-brittle` and `x-cold`.
     """
 
     def read_target(self, name, spec):
@@ -103,6 +105,7 @@
             rest=_number(values.get(b'x-rest')),
             is_leaving=b'x-leaving' in values,
             max_rejections=_number(values.get(b'x-brittle')),
+            cold_remaining=_number(values.get(b'x-cold')),
         )
 
     def response_headers(self, headers):
@@ -145,13 +148,33 @@
         self.mirror = mirror
         clock = trio.current_time
         self.evacuations = _mirror.Mirror('evacuations')
+        evacuations = _evacuations.Evacuations(
+            self.evacuations, clock, lambda: 0.0
+        )
         self.targets = _targets.TargetTable(
             mirror,
             translation,
             clock,
-            _evacuations.Evacuations(
-                self.evacuations, clock, lambda: 0.0
-            ).is_evacuated,
+            evacuations.is_evacuated,
+        )
+        self.cold = _cold_targets.ColdTargets(
+            mirror,
+            self.targets,
+            lambda name: self.service,
+            evacuations,
+            lambda target, remaining: None,
+            clock,
+        )
+        self.cold_permits = _cold_permits.ColdPermits(
+            'vm1',
+            self.cold,
+            self.targets.is_evacuated,
+            None,
+            lambda vm, body: None,
+            frozenset,
+            frozenset,
+            lambda per_second: per_second * 1.5 + 5,
+            clock,
         )
         prefix_index = _prefix_index.PrefixIndex(clock)
         self.quota = _quota.Quota(lambda: _quota.Tolerance(0.0, 10.0))
@@ -186,6 +209,7 @@
             _owners.Owners('vm1', frozenset, clock),
             self.targets.own_in_flight,
             self.targets.record_leaving,
+            record_cold=self.cold.record_response,
         )
         pool = http_client.Pool(0.5)
         self.reachability = _reachability.Reachability(clock)
@@ -211,6 +235,7 @@
                 self.states,
                 None,
                 self.stream_origins.record,
+                self.cold_permits.may_send,
             ),
             self.targets,
             _placement.Placement(
@@ -222,6 +247,7 @@
                 lambda target_id: 3,
                 lambda: self.load_age,
                 is_adopted=self.software_history.is_adopted,
+                is_cold=self.cold_permits.is_cold,
             ),
             lambda adapter: self.versions,
             self._load,
@@ -231,6 +257,8 @@
             self._record_failure,
             self.permits,
             self.states,
+            self.cold_permits,
+            self.cold.record_broken,
         )
         charging = _charging.Charging(
             'vm1', 'a', self.quota, None, None, frozenset, None, clock
--- a/tests/mustardlb_gateway/test_app.py
+++ b/tests/mustardlb_gateway/test_app.py
@@ -26,7 +26,9 @@
         return builders.make_configuration(
             spec['version'],
             [builders.make_route(**spec['route'])],
-            services=[builders.make_service(engine=False)],
+            services=[
+                builders.make_service(engine=False, **spec.get('service', {}))
+            ],
         )
 
     def read_target(self, name, spec):
@@ -37,6 +39,8 @@
             resident=(),
             software=spec.get('software', ''),
             data_centre=spec.get('data_centre', 'a'),
+            incarnation=spec.get('incarnation', 1),
+            cold_remaining=spec.get('cold_remaining', 0.0),
         )
 
     def read_version(self, spec):
@@ -54,9 +58,10 @@
         self.nodes = []
         self.store_views = []
 
-    def put_configuration(self, version=1, **route):
+    def put_configuration(self, version=1, service=None, **route):
         route = {'kind': 'non_idempotent'} | route
-        self.store.put('config', 'main', {'version': version, 'route': route})
+        spec = {'version': version, 'route': route, 'service': service or {}}
+        self.store.put('config', 'main', spec)
 
     def put_target(self, state='ready'):
         spec = {'port': self.target.port, 'state': state}
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -86,6 +86,8 @@
         ),
         _messages.Permit(LIMITS['t1', 99], 2),
         _messages.Permitted(0.25),
+        _messages.ColdPermit('t1', 99, 1.5, ('vm2', 'vm3')),
+        _messages.ColdNotice('t1', 99, 1.5),
         _messages.Trial('p1'),
         _messages.Tried(True),
         _messages.TellOrigins({ORIGIN: (7, 2**64 - 1)}),
