--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -11,6 +11,7 @@
 from mustardlb import errors
 from mustardlb import steps
 from mustardlb_gateway import _admission
+from mustardlb_gateway import _cold_permits
 from mustardlb_gateway import _exchange
 from mustardlb_gateway import _jobs
 from mustardlb_gateway import _messages
@@ -74,6 +75,8 @@
     `waiting` holds the calls for which there is no target at present.
     `record_failure` is called with each attempt that a target may have failed
     on, whether its connection broke, and how long ago it was sent.
+    `cold` decides on requests to cold targets. `record_broken` is called with
+    each target whose connection broke or was refused.
     """
 
     def __init__(
@@ -93,7 +96,11 @@
         ],
         permits: _target_permits.TargetPermits,
         states: _target_states.TargetStates,
+        cold: _cold_permits.ColdPermits | None = None,
+        record_broken: abc.Callable[[domain.Target], None] = lambda _: None,
     ) -> None:
+        self._cold = cold
+        self._record_broken = record_broken
         self._exchange = exchange
         self._targets = targets
         self._placement = placement
@@ -130,6 +137,9 @@
                 attempt.permitted_until = min(
                     attempt.permitted_until, job.trial_until
                 )
+            attempt.send_by = job.cold_permits.pop(
+                choice.target.target_id, None
+            )
             self._log_choice(job, choice)
             self.waiting.record_sent(job, choice.prefill_tokens)
             try:
@@ -140,6 +150,10 @@
                 job.attempts.remove(attempt)
                 continue
             self._record_attempt(job, attempt)
+            if not attempt.is_link_failure and (
+                attempt.is_broken or not attempt.was_sent
+            ):
+                self._record_broken(choice.target)
             if not attempt.was_sent:
                 await self._handle_unreached(job, attempt)
                 continue
@@ -213,26 +227,43 @@
         )
 
     async def _is_permitted(
-        self, job: _jobs.Job, target: domain.Target
+        self, job: _jobs.Job, target: domain.Target, will_load: bool = False
     ) -> bool:
         """Return whether a call may be sent to a target now.
 
-        A permit is kept while the adapter is loaded.
+        A permit is kept while the adapter is loaded, but not one for a cold
+        target, which is only asked for afterwards.
         """
         if not self._states.takes_requests(
             target
         ) or self._targets.is_evacuated(target):
             return False
         target_id = target.target_id
-        if job.permitted_until.get(target_id, 0.0) > self._permits.now():
+        if job.permitted_until.get(target_id, 0.0) <= self._permits.now():
+            if not await self._permits.acquire(target, job.call.request_id):
+                return False
+            if self._targets.is_evacuated(target):
+                return False
+            job.permitted_until[target_id] = (
+                self._permits.now() + _target_permits.PERMIT_TTL_SECONDS
+            )
+        return await self._is_permitted_cold(job, target, will_load)
+
+    async def _is_permitted_cold(
+        self, job: _jobs.Job, target: domain.Target, will_load: bool
+    ) -> bool:
+        """Return whether a call may be sent to a target that may be cold."""
+        cold, target_id = self._cold, target.target_id
+        if cold is None or cold.may_send(
+            target, job.cold_permits.get(target_id)
+        ):
             return True
-        if not await self._permits.acquire(target, job.call.request_id):
-            return False
-        if self._targets.is_evacuated(target):
+        if will_load:
+            return target_id not in cold.denied()
+        send_by = await cold.acquire(target, job.call.request_id)
+        if send_by is None or self._targets.is_evacuated(target):
             return False
-        job.permitted_until[target_id] = (
-            self._permits.now() + _target_permits.PERMIT_TTL_SECONDS
-        )
+        job.cold_permits[target_id] = send_by
         return True
 
     def _may_retry(self, job: _jobs.Job) -> bool:
@@ -503,7 +534,9 @@
                     await self._wait(job, place)
                 queue_seconds, absent = {}, frozenset()
                 continue
-            if not await self._is_permitted(job, choice.target):
+            if not await self._is_permitted(
+                job, choice.target, choice.must_load
+            ):
                 await trio.lowlevel.checkpoint()
                 continue
             max_queue = choice.max_queue
@@ -522,7 +555,8 @@
     def _denied(self, job: _jobs.Job) -> dict[str, float]:
         """Return the seconds until targets take a request, by their ids."""
         ready = self._targets.ready(job.service.name)
-        return self._permits.denied() | self._states.denied(ready)
+        denied = self._permits.denied() | self._states.denied(ready)
+        return denied | self._cold.denied() if self._cold else denied
 
     async def _wait(
         self,
@@ -570,6 +604,9 @@
         latest = job.arrived + MAX_PERMIT_WAIT_RATIO * (
             job.route.latency_objective
         )
+        if self._cold is not None and self._cold.denied():
+            # They take requests again soon, however slowly.
+            latest = max(latest, job.deadline - MIN_TIME_LEFT_SECONDS)
         is_resting = any(
             self._states.rest(target)
             for target in self._targets.ready(job.service.name)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -46,7 +46,11 @@
 
 
 class Exchange:
-    """Forwards calls to targets and their responses to clients."""
+    """Forwards calls to targets and their responses to clients.
+
+    `may_send` returns whether a call, with a permit until some time or None,
+    may be sent to a target now, as far as that depends on cold targets.
+    """
 
     def __init__(
         self,
@@ -73,7 +77,11 @@
         ] = lambda target, route, seconds, usual: None,
         clock: abc.Callable[[], float] = trio.current_time,
         buffers: _buffers.Buffers | None = None,
+        may_send: abc.Callable[
+            [domain.Target, float | None], bool
+        ] = lambda target, send_by: True,
     ) -> None:
+        self._may_send = may_send
         self._clock = clock
         self._translation = translation
         self._ensure_current = ensure_current
@@ -167,10 +175,11 @@
                     self._states.rest(target)
                     or not self._targets.takes_requests(target)
                     or self._clock() > attempt.permitted_until
+                    or not self._may_send(target, attempt.send_by)
                 ):
-                    # It has asked for rest, or has left or restarted, its data
-                    # centre was evacuated, or the permit has expired, while
-                    # the connection was opened or this process was paused.
+                    # It has asked for rest, left, restarted or become cold,
+                    # its data centre was evacuated, or a permit has expired,
+                    # while the connection was opened or this process paused.
                     attempt.is_withheld = True
                     raise http_client.ExchangeFailed(
                         'the target takes no requests for now', was_sent=False
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -45,6 +45,8 @@
         late for the call, by target
     :ivar permitted_until: until when the call may be sent to a target with a
         limit
+    :ivar cold_permits: until when the call may be sent to a cold target,
+        clock seconds
     """
 
     call: domain.Call
@@ -64,6 +66,7 @@
     is_trial: bool = False
     software: str | None = None
     permitted_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    cold_permits: dict[str, float] = dataclasses.field(default_factory=dict)
     turn: float | None = None
     late_turns: dict[str, float] = dataclasses.field(default_factory=dict)
     trial_until: float = math.inf
--- a/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
@@ -78,6 +78,13 @@
 # of failed requests.
 FAILURE_PENALTY_SECONDS = 2.0
 
+# A cold target has few requests in flight since it gets few, which does not
+# make it the least loaded one. A plain target counts as if it had only this
+# part of its slots. An engine gets a penalty of about the time between two
+# requests to it, which is below the cost of a copy of an adapter.
+COLD_SLOTS_RATIO = 0.25
+COLD_PENALTY_SECONDS = 0.15
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
@@ -147,7 +154,9 @@
         data_centre: str = '',
         is_adopted: abc.Callable[[domain.Target], bool] = lambda _: True,
         reported_loads: _reported_loads.ReportedLoads | None = None,
+        is_cold: abc.Callable[[domain.Target], bool] = lambda _: False,
     ) -> None:
+        self._is_cold = is_cold
         self._targets = targets
         self._prefix_index = prefix_index
         self._resident = resident
@@ -257,7 +266,10 @@
         """Return a plain target with its load ratio as the cost."""
         running = self._requests(target)
         health = self._targets.health(target.target_id)
-        fullness = (running + random.random()) / max(1, target.slots)
+        slots = max(1.0, target.slots)
+        if self._is_cold(target):
+            slots *= COLD_SLOTS_RATIO
+        fullness = (running + random.random()) / slots
         slowdown = self._slowdown(target)
         if slowdown is not None:
             # A request takes one usual time, and the wait at a full target.
@@ -461,6 +473,8 @@
             + fullness
             + FAILURE_PENALTY_SECONDS * health.failure_share
         )
+        if self._is_cold(target):
+            cost += COLD_PENALTY_SECONDS
         if first_token_in > ON_TIME_SHARE * request.time_to_objective > 0:
             cost += LATE_PENALTY_SECONDS
         return cost
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_states.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_states.py
@@ -42,8 +42,9 @@
 
     `limits` tells which targets are brittle, `owners` ranks the nodes,
     `in_flight` returns the requests of this node at a target,
-    `record_leaving` is called with each target that leaves, and `record_load`
-    with each load that a target reports.
+    `record_leaving` is called with each target that leaves, `record_load` with
+    each load that a target reports, and `record_cold` with each target that
+    says that it is cold and for how many seconds.
     """
 
     def __init__(
@@ -59,7 +60,11 @@
             [domain.Target, domain.TargetLoad | None], None
         ] = lambda target, load: None,
         warm_up: _warm_up.WarmUp | None = None,
+        record_cold: abc.Callable[
+            [domain.Target, float], None
+        ] = lambda target, seconds: None,
     ) -> None:
+        self._record_cold = record_cold
         self._clock = clock
         self._limits = limits
         self._vm = vm
@@ -80,6 +85,8 @@
         self._record_load(target, info.load)
         if self._warm_up is not None and status in (429, 503):
             self._warm_up.record_rejection(target)
+        if info.cold_remaining:
+            self._record_cold(target, info.cold_remaining)
         self._record_brittle(target, status, info.max_rejections)
         if status != 503 or info.rest is None:
             return 0.0
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -3,6 +3,7 @@
 from collections import abc
 
 from mustardlb_gateway import _buffers
+from mustardlb_gateway import _cold_permits
 from mustardlb_gateway import _dispatch
 from mustardlb_gateway import _exchange
 from mustardlb_gateway import _membership
@@ -26,6 +27,7 @@
     target_parts: _wiring_targets.TargetParts,
     engines: _wiring_engines.EngineParts,
     permits: _target_permits.TargetPermits,
+    cold_permits: _cold_permits.ColdPermits,
     prefix_index: _prefix_index.PrefixIndex,
     membership: _membership.Membership,
     peers: _peers.Peers,
@@ -51,6 +53,7 @@
         settings.data_centre,
         target_parts.software_history.is_adopted,
         target_parts.reported_loads,
+        cold_permits.is_cold,
     )
 
     def tell_rest(helper: str, target: domain.Target, seconds: float) -> None:
@@ -80,6 +83,7 @@
         record_response_time,
         clock,
         buffers,
+        cold_permits.may_send,
     )
     dispatcher = _dispatch.Dispatcher(
         exchange,
@@ -93,6 +97,8 @@
         target_parts.crash_watch.record_failure,
         permits,
         target_parts.states,
+        cold_permits,
+        target_parts.cold.record_broken,
     )
     state.targets_mirror.on_change(dispatcher.waiting.notify_changed)
     return dispatcher
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -4,6 +4,8 @@
 import dataclasses
 
 from mustardlb_gateway import _buffers
+from mustardlb_gateway import _cold_permits
+from mustardlb_gateway import _cold_targets
 from mustardlb_gateway import _crash_watch
 from mustardlb_gateway import _membership
 from mustardlb_gateway import _messages
@@ -43,6 +45,7 @@
     crash_watch: _crash_watch.CrashWatch
     reported_loads: _reported_loads.ReportedLoads
     warm_up: _warm_up.WarmUp
+    cold: _cold_targets.ColdTargets
 
 
 def make(
@@ -88,6 +91,14 @@
     )
     targets.on_registered(warm_up.record_target)
     targets.on_failure(warm_up.record_failure)
+    cold = _cold_targets.ColdTargets(
+        state.targets_mirror,
+        targets,
+        state.config.service,
+        state.evacuations,
+        lambda target, seconds: tell_cold(peers(), target, seconds),
+        clock,
+    )
     states = _target_states.TargetStates(
         clock,
         limits,
@@ -97,6 +108,7 @@
         targets.record_leaving,
         record_load=reported_loads.record,
         warm_up=warm_up,
+        record_cold=cold.record_response,
     )
     pool = http_client.Pool(_target_links.CONNECT_TIMEOUT_SECONDS)
     reachability = _reachability.Reachability(clock)
@@ -140,6 +152,7 @@
         crash_watch,
         reported_loads,
         warm_up,
+        cold,
     )
 
 
@@ -177,6 +190,44 @@
     )
 
 
+def make_cold_permits(
+    settings: abc.Callable[[], gateway_settings.Settings],
+    state: _wiring_state.StateParts,
+    target_parts: TargetParts,
+    membership: _membership.Membership,
+    peers: _peers.Peers,
+    clock: abc.Callable[[], float],
+) -> _cold_permits.ColdPermits:
+    """Return the permits to send requests to cold targets."""
+
+    def bound(per_second: float) -> float:
+        ratio = settings().cold_limit_ratio
+        return ratio * per_second + settings().cold_limit_slack
+
+    return _cold_permits.ColdPermits(
+        settings().vm,
+        target_parts.cold,
+        state.targets.is_evacuated,
+        peers.request,
+        peers.notify,
+        lambda: membership.vms_by_name,
+        peers.alive,
+        bound,
+        clock,
+    )
+
+
+def tell_cold(
+    peers: _peers.Peers, target: domain.Target, seconds: float
+) -> None:
+    """Tell all nodes for how many seconds a target is cold."""
+    notice = _messages.ColdNotice(
+        target.target_id, target.incarnation, seconds
+    )
+    for vm in peers.alive():
+        peers.notify(vm, notice)
+
+
 def tell_rest(
     peers: _peers.Peers, helper: str, target: domain.Target, seconds: float
 ) -> None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -164,6 +164,14 @@
         self._permits = _wiring_targets.make_permits(
             settings, self._target_parts, self.peers, clock
         )
+        self._cold_permits = _wiring_targets.make_cold_permits(
+            lambda: self.settings,
+            state,
+            self._target_parts,
+            self.membership,
+            self.peers,
+            clock,
+        )
         self._stream_origins = self._make_stream_origins(state.targets_mirror)
         engines = _wiring_engines.make(
             lambda: self.settings,
@@ -187,6 +195,7 @@
             self._target_parts,
             engines,
             self._permits,
+            self._cold_permits,
             self._prefix_index,
             self.membership,
             self.peers,
@@ -414,6 +423,12 @@
                 )
             case _messages.Permit():
                 return self._permits.handle_permit(message.body)
+            case _messages.ColdPermit():
+                return _messages.Permitted(
+                    self._cold_permits.handle(message.vm, message.body)
+                )
+            case _messages.ColdNotice():
+                self._cold_permits.handle_notice(message.vm, message.body)
             case _messages.TellOrigins():
                 return self._stream_origins.handle_told(message.body)
             case _messages.FindOrigin():
@@ -509,6 +524,8 @@
             self.quarantine.refresh_if_due()
             self._target_parts.limits.remove_gone()
             self._permits.remove_gone()
+            self._target_parts.cold.remove_gone()
+            self._cold_permits.remove_gone()
             self._target_parts.states.remove_expired()
             self._target_parts.reported_loads.remove_expired()
             self._target_parts.warm_up.update()
@@ -523,6 +540,7 @@
         gauges.warming_targets.set(self._target_parts.warm_up.count)
         gauges.slow_targets.set(self._target_parts.reported_loads.slow_count)
         gauges.lost_targets.set(self._target_parts.reachability.lost_count)
+        gauges.cold_targets.set(self._target_parts.cold.count)
         gauges.evacuated_centres.set(len(self._evacuations.since_by_centre))
         gauges.buffered_bytes.set(self._buffers.held)
         gauges.slow_clients.set(self._buffers.evictions)
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -33,6 +33,8 @@
     relayResult @24 :UInt8; # response to `relay`: RelayOutcome
     rest @25 :Rest;         # for the receiver, at a target that it relayed to
     observed @26 :Observed; # for the owner of a target; has no response
+    coldPermit @27 :Cold;   # its response is `permitted`
+    coldNotice @28 :Cold;   # has no response
   }
 }
 
@@ -51,6 +53,13 @@
   isSuspended @5 :Bool;     # the sender has suspended the target
 }
 
+struct Cold {
+  target @0 :Text;
+  incarnation @1 :UInt64;   # of the target
+  seconds @2 :Float64;      # for which it is cold, 0 if it did not say so
+  ranked @3 :List(Text);    # nodes of the highest ranks, in `coldPermit` only
+}
+
 struct Relay {
   target @0 :Text;
   incarnation @1 :UInt64;   # of the target
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -10,6 +10,8 @@
 
 from mustardlb_gateway import _buffers
 from mustardlb_gateway import _charging
+from mustardlb_gateway import _cold_permits
+from mustardlb_gateway import _cold_targets
 from mustardlb_gateway import _dispatch
 from mustardlb_gateway import _evacuations
 from mustardlb_gateway import _exchange
@@ -61,8 +63,8 @@
     Requests have `x-id`, `x-key`, `x-wait` (client timeout in seconds),
     `x-adapter`, `last-event-id` and `x-resumed` (the request that is
     resumed); responses have `x-id`, `x-signed`, `x-not-run`, `x-limit`,
-    `x-rest`, `x-leaving`, `x-brittle` and `x-load` (running requests and
-    slowdown).
+    `x-rest`, `x-leaving`, `x-brittle`, `x-cold` and `x-load` (running requests
+    and slowdown).
     """
 
     def read_target(self, name, spec):
@@ -114,6 +116,7 @@
             rest=_number(values.get(b'x-rest')),
             is_leaving=b'x-leaving' in values,
             max_rejections=_number(values.get(b'x-brittle')),
+            cold_remaining=_number(values.get(b'x-cold')),
         )
 
     def response_headers(self, headers):
@@ -165,13 +168,33 @@
         self.mirror = mirror
         clock = trio.current_time
         self.evacuations = _mirror.Mirror('evacuations')
+        evacuations = _evacuations.Evacuations(
+            self.evacuations, clock, lambda: 0.0
+        )
         self.targets = _targets.TargetTable(
             mirror,
             translation,
             clock,
-            _evacuations.Evacuations(
-                self.evacuations, clock, lambda: 0.0
-            ).is_evacuated,
+            evacuations.is_evacuated,
+        )
+        self.cold = _cold_targets.ColdTargets(
+            mirror,
+            self.targets,
+            lambda name: self.service,
+            evacuations,
+            lambda target, remaining: None,
+            clock,
+        )
+        self.cold_permits = _cold_permits.ColdPermits(
+            'vm1',
+            self.cold,
+            self.targets.is_evacuated,
+            None,
+            lambda vm, body: None,
+            frozenset,
+            frozenset,
+            lambda per_second: per_second * 1.5 + 5,
+            clock,
         )
         prefix_index = _prefix_index.PrefixIndex(clock)
         self.quota = _quota.Quota(lambda: _quota.Tolerance(0.0, 10.0))
@@ -211,6 +234,7 @@
             self.targets.own_in_flight,
             self.targets.record_leaving,
             record_load=self.reported_loads.record,
+            record_cold=self.cold.record_response,
         )
         pool = http_client.Pool(0.5)
         self.reachability = _reachability.Reachability(clock)
@@ -239,6 +263,7 @@
                 self._ensure_current,
                 self.reported_loads.record_response_time,
                 buffers=self.buffers,
+                may_send=self.cold_permits.may_send,
             ),
             self.targets,
             _placement.Placement(
@@ -251,6 +276,7 @@
                 lambda: self.load_age,
                 is_adopted=self.software_history.is_adopted,
                 reported_loads=self.reported_loads,
+                is_cold=self.cold_permits.is_cold,
             ),
             lambda adapter: self.versions,
             self._load,
@@ -260,6 +286,8 @@
             self._record_failure,
             self.permits,
             self.states,
+            self.cold_permits,
+            self.cold.record_broken,
         )
         charging = _charging.Charging(
             'vm1', 'a', self.quota, None, None, frozenset, None, clock
