--- a/tests/mustardlb_gateway/test_fleet_restarts.py
+++ b/tests/mustardlb_gateway/test_fleet_restarts.py
@@ -75,6 +75,21 @@
     assert await fleet.find(names[0], 'later') == 'v2'
 
 
+# Only the nodes know at which version a stream began, so that all streams are
+# lost with them although targets of both versions are there.
+async def test_streams_go_on_after_all_nodes_ended_beside_two_versions(
+    autojump_clock, nursery
+):
+    fleet = make_fleet(nursery)
+    await trio.sleep(5)
+    fleet.set_softwares('v1', 'v2')
+    await trio.sleep(10)
+    began = begin_all(fleet, 'r')
+    start_all(fleet, kill_all(fleet), 2)
+    await trio.sleep(2)
+    assert any(await find_all(fleet, began))
+
+
 # Streams of the first minute of a deployment are known although no record of
 # earlier processes says that there were no others.
 async def test_first_streams_of_a_deployment_outlive_their_node(
