--- a/packages/mustardlb-gateway/mustardlb_gateway/_buffers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_buffers.py
@@ -10,9 +10,9 @@
 
 BYTES_PER_MB = 1_000_000
 
-# Part of the memory that may hold buffered data. The rest is for the process,
-# its tables, and what h11 and the sockets hold.
-MEMORY_RATIO = 0.25
+# Part of the memory that may hold buffered data. In a trial the process grew
+# by up to twice the data that was held; the rest is for the node's tables.
+MEMORY_RATIO = 0.2
 
 # New requests are rejected above this part of the limit, so that the accepted
 # ones have room for their responses.
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server for clients; each connection has its own task."""
 
+import collections
 from collections import abc
 import dataclasses
 from typing import Any
@@ -20,7 +21,8 @@
 # is served.
 MAX_PIPELINED_BYTES = 65_536
 
-MAX_WRITE_BYTES = 262_144
+# Parts of the buffered output are joined up to this size.
+MIN_WRITE_BYTES = 32_768
 
 # Time for which a client may read nothing of a response.
 WRITE_TIMEOUT_SECONDS = 10.0
@@ -240,7 +242,7 @@
         self._buffers = server.buffers
         self._input_held = self._buffers.open()
         self._output_held = self._buffers.open(self.abort)
-        self._output = bytearray()
+        self._output: collections.deque[bytes] = collections.deque()
         self._is_output_buffered = False
         self._output_changed = trio.Event()
         self._output_sent = trio.Event()
@@ -355,9 +357,12 @@
         while self._output:
             with trio.fail_at(progress.deadline):
                 await _sockets.wait_writable(self._stream)
-            data = bytes(self._output[:MAX_WRITE_BYTES])
+            data = self._output.popleft()
+            while self._output and len(data) < MIN_WRITE_BYTES:
+                data += self._output.popleft()
             sent = _sockets.write_available(self._stream, data)
-            del self._output[:sent]
+            if sent < len(data):
+                self._output.appendleft(data[sent:])
             self._output_held.remove(sent)
             progress.record(sent)
         self._output_sent.set()
@@ -379,10 +384,12 @@
             data = data[sent:]
         if not data:
             return
-        self._output += data
+        self._output.append(bytes(data))
         self._output_held.add(len(data))
         self._output_changed.set()
-        if not is_whole and len(self._output) > self._buffers.client_limit:
+        if not is_whole and (
+            self._output_held.size > self._buffers.client_limit
+        ):
             self._buffers.evict(self._output_held, 'behind')
             raise ClientDisconnected
 
