Test that further signals don't kill a stopping process

It sends SIGTERM three times to a process with the real signal receiver. Before stop signals were read to the end, the process ended with -15.

--- a/tests/mustardlb_gateway/test_planned_stop.py
+++ b/tests/mustardlb_gateway/test_planned_stop.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import socket
+import sys
 import time
 
 import gateway_harness
@@ -243,6 +244,51 @@
         assert response.status == 200
 
 
+PROCESS = """
+import os
+import signal
+
+import trio
+
+from mustardlb_gateway import app
+
+
+class Node:
+    is_stopping = False
+
+    def __init__(self):
+        self.ended = trio.Event()
+
+    async def run(self):
+        for _ in range(3):
+            os.kill(os.getpid(), signal.SIGTERM)
+            await trio.sleep(0.1)
+        await self.ended.wait()
+
+    async def stop(self):
+        await trio.sleep(0.5)
+        self.ended.set()
+
+
+async def main():
+    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+        await app.run_node(
+            Node(), signals, frozenset({signal.SIGTERM}), lambda: None
+        )
+
+
+trio.run(main)
+"""
+
+
+# The exit status was that of a process killed by SIGTERM.
+async def test_process_survives_further_signals():
+    ended = await trio.run_process(
+        [sys.executable, '-c', PROCESS], check=False
+    )
+    assert ended.returncode == 0
+
+
 async def test_request_on_a_connection_that_was_kept_alive_is_served(
     short_drain,
 ):
