Ask whether a target has restarted before a stream goes on there

Change: before a stream that began elsewhere or before is sent on, the targets are brought up to date (one question for all that ask at the same time, 0.2 s at most), and the target is looked up again, also by its software. Streams that begin are sent without it. Result: test_stream_does_not_go_on_at_a_target_that_has_restarted fails before and passes now; the tests of dispatch, app, mirror, targets and unreachable targets pass (117 tests).

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -61,8 +61,12 @@
             [], abc.Awaitable[None]
         ] = trio.lowlevel.cancel_shielded_checkpoint,
         clock: abc.Callable[[], float] = trio.current_time,
+        confirm_targets: abc.Callable[
+            [], abc.Awaitable[None]
+        ] = trio.lowlevel.cancel_shielded_checkpoint,
     ) -> None:
         self._clock = clock
+        self._confirm_targets = confirm_targets
         self._translation = translation
         self._ensure_current = ensure_current
         self._pool = pool
@@ -126,6 +130,10 @@
                 connection = await self._links.acquire(
                     target, job.call.request_id
                 )
+                if job.software is not None:
+                    # A target that has restarted with other software since
+                    # this node last heard of it must not go on with a stream.
+                    await self._confirm_targets()
                 await self._ensure_current()
                 if self._clock() > job.expires_at:
                     # The machine was suspended, which trio's deadline does
--- a/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
@@ -175,6 +175,36 @@
     return False
 
 
+class Confirmer:
+    """Brings a mirror up to date, once for all that ask at the same time."""
+
+    def __init__(
+        self,
+        mirror: Mirror,
+        store: ports.Store,
+        clock: abc.Callable[[], float],
+        timeout: float,
+    ) -> None:
+        self._mirror = mirror
+        self._store = store
+        self._clock = clock
+        self._timeout = timeout
+        self._lock = trio.Lock()
+        self._started_at = float('-inf')
+
+    async def confirm(self) -> None:
+        """Bring the mirror up to date unless the store is lost anyway."""
+        if not self._mirror.is_connected:
+            return
+        asked_at = self._clock()
+        async with self._lock:
+            if self._started_at < asked_at:
+                self._started_at = self._clock()
+                await confirm(
+                    self._mirror, self._store, self._clock, self._timeout
+                )
+
+
 def _mark_disconnected(mirror: Mirror, problem: str, now: float) -> None:
     if mirror.is_connected:
         log.warning(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -228,6 +228,7 @@
         return (
             current.state == domain.TargetState.READY
             and current.incarnation == target.incarnation
+            and current.software == target.software
         )
 
     def incarnation(self, target_id: str) -> int | None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -34,6 +34,7 @@
     ],
     ensure_current: abc.Callable[[], abc.Awaitable[None]],
     clock: abc.Callable[[], float],
+    confirm_targets: abc.Callable[[], abc.Awaitable[None]],
 ) -> _dispatch.Dispatcher:
     """Return the dispatcher with the choice of targets and the exchange."""
     targets = state.targets
@@ -67,6 +68,7 @@
         record_origin,
         ensure_current,
         clock,
+        confirm_targets,
     )
     return _dispatch.Dispatcher(
         exchange,
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -183,6 +183,9 @@
             self._stream_origins.record,
             self._pauses.ensure_current,
             clock,
+            _mirror.Confirmer(
+                state.targets_mirror, store, clock, CONFIRM_TIMEOUT_SECONDS
+            ).confirm,
         )
         self._gateway = _gateway.Gateway(
             translation,
--- a/tests/mustardlb_gateway/test_app.py
+++ b/tests/mustardlb_gateway/test_app.py
@@ -35,6 +35,7 @@
             state=domain.TargetState(spec['state']),
             resident=(),
             software=spec.get('software', ''),
+            incarnation=spec.get('incarnation', 1),
         )
 
     def read_version(self, spec):
--- a/tests/mustardlb_gateway/test_stream_software.py
+++ b/tests/mustardlb_gateway/test_stream_software.py
@@ -4,6 +4,7 @@
 import gateway_harness
 import pytest
 import scripted
+import simulated_store
 import test_app
 import test_dispatch
 import trio
@@ -185,3 +186,44 @@
                 ]
             }
             assert len(versions) == 1
+
+
+class SilentStore(simulated_store.SimulatedStore):
+    """A store whose watches do not tell of changes while `is_silent`."""
+
+    is_silent = False
+
+    async def watch(self, kind, revision, wait):
+        changes = await super().watch(kind, revision, wait)
+        while wait and self.is_silent:
+            await trio.sleep(0.05)
+        return changes
+
+
+# A target had restarted under its id with other software, and the node had
+# not heard of it yet when the client resumed.
+async def test_stream_does_not_go_on_at_a_target_that_has_restarted():
+    cluster = test_app.Cluster(test_dispatch.make_stream(range(6)))
+    cluster.store = SilentStore()
+    cluster.put_configuration(
+        kind=domain.RouteKind.STREAM, is_resumable=True, timeout=5.0
+    )
+    async with cluster.running():
+        spec = {'port': cluster.target.port, 'state': 'ready'}
+        cluster.store.put('servers', 't1', spec | {'software': 'v1'})
+        (node,) = cluster.nodes
+        await test_app.wait_until(lambda: test_app.is_ready(node))
+        response = await test_app.send_request(
+            node.settings.front_port, request_id='r1'
+        )
+        assert response.events == [0, 1, 2, 3, 4, 5]
+        response = await resume(node, 1, 'r1')
+        assert response.events == [3, 4, 5]
+        received = len(cluster.target.requests)
+        cluster.store.is_silent = True
+        cluster.store.put(
+            'servers', 't1', spec | {'software': 'v2', 'incarnation': 2}
+        )
+        response = await resume(node, 2, 'r1')
+        assert response.status == 503
+        assert len(cluster.target.requests) == received
