--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -38,6 +38,7 @@
     ensure_current: abc.Callable[[], abc.Awaitable[None]],
     clock: abc.Callable[[], float],
     buffers: _buffers.Buffers,
+    confirm_targets: abc.Callable[[], abc.Awaitable[None]],
 ) -> _dispatch.Dispatcher:
     """Return the dispatcher with the choice of targets and the exchange."""
     targets = state.targets
@@ -84,6 +85,7 @@
         clock,
         buffers,
         cold_permits.may_send,
+        confirm_targets,
     )
     dispatcher = _dispatch.Dispatcher(
         exchange,
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -204,6 +204,9 @@
             self._pauses.ensure_current,
             clock,
             self._buffers,
+            _mirror.Confirmer(
+                state.targets_mirror, store, clock, CONFIRM_TIMEOUT_SECONDS
+            ).confirm,
         )
         self._waiting = dispatcher.waiting
         self._gateway = _gateway.Gateway(
