--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -71,7 +71,8 @@
 
     `permits` decides on requests to targets that have named a limit, and
     `states` on those to targets that ask for rest or are brittle.
-    `waiting` holds the calls for which there is no target at present.
+    `count_rejection` is called with service, priority and reason of calls that
+    would wait too long. `waiting` holds the calls that no target takes now.
     `record_failure` is called with each attempt that a target may have failed
     on, whether its connection broke, and how long ago it was sent.
     """
@@ -93,6 +94,9 @@
         ],
         permits: _target_permits.TargetPermits,
         states: _target_states.TargetStates,
+        count_rejection: abc.Callable[
+            [str, int, str], None
+        ] = lambda service, priority, reason: None,
     ) -> None:
         self._exchange = exchange
         self._targets = targets
@@ -105,6 +109,7 @@
         self._record_failure = record_failure
         self._permits = permits
         self._states = states
+        self._count_rejection = count_rejection
         self.waiting = _admission.WaitingCalls()
         self._return_times = _admission.ReturnTimes()
 
@@ -317,13 +322,16 @@
 
         Raises the final error of the call shortly before its deadline.
         """
-        with self.waiting.place(job) as place:
-            return await self._choose_in_turn(job, place)
+        started_at = trio.current_time()
+        try:
+            with self.waiting.place(job) as place:
+                return await self._choose_in_turn(job, place)
+        finally:
+            job.waited += trio.current_time() - started_at
 
     async def _choose_in_turn(
         self, job: _jobs.Job, place: _admission.Place
     ) -> _placement.Choice:
-        started_at = trio.current_time()
         load_excluded: frozenset[str] = frozenset()
         while True:
             choice, request = await self._choose_reserved(
@@ -334,7 +342,6 @@
             time_left = job.deadline - now
             adapter = job.call.adapter
             if not choice.must_load or adapter is None:
-                job.waited += now - started_at
                 return choice
             if self._is_too_late(job, choice, request):
                 load_excluded |= {choice.target.target_id}
@@ -360,7 +367,6 @@
                     choice.prefill_tokens,
                 )
             ) and self._targets.takes_requests(choice.target):
-                job.waited += trio.current_time() - started_at
                 return choice
             load_excluded |= {choice.target.target_id}
             self._check_slot_wait(job)
@@ -390,6 +396,7 @@
             job,
             f'the adapter was not loaded in {now - job.arrived:.2f} s, '
             f'{job.controllers_asked} controllers asked',
+            'slot',
         )
 
     def _is_too_late(
@@ -439,10 +446,14 @@
             job,
             f'the adapter would be loaded in {turn:.2f} s at the earliest, '
             f'{len(job.late_turns)} controllers asked',
+            'turn',
         )
 
-    def _overloaded(self, job: _jobs.Job, problem: str) -> errors.Error:
+    def _overloaded(
+        self, job: _jobs.Job, problem: str, reason: str
+    ) -> errors.Error:
         """Return the rejection of a call that has not run."""
+        self._count_rejection(job.service.name, job.priority, reason)
         return _outcomes.rejection(
             errors.Code.OVERLOADED,
             problem,
@@ -524,7 +535,7 @@
         problem = 'too many calls wait for a target'
         if job.may_have_run:
             raise self._final_error(job, problem)
-        raise self._overloaded(job, problem)
+        raise self._overloaded(job, problem, 'queue')
 
     async def _wait_for_permit(
         self,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -335,6 +335,7 @@
             first_byte - job.arrived,
             now - job.arrived,
         )
+        self._metrics.observe_wait(job.service.name, job.priority, job.waited)
         log.info(
             'MLB-6601',
             request=job.call.request_id,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_metrics.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_metrics.py
@@ -1,5 +1,7 @@
 """Request counters and latency histograms in the Prometheus text format."""
 
+from collections import abc
+
 import prometheus_client
 import trio
 
@@ -27,7 +29,10 @@
 
 
 class Metrics:
-    """Metrics of the requests by account and route."""
+    """Metrics of the requests by account and route.
+
+    :ivar count_waiting: returns the waiting calls by service and priority
+    """
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
@@ -59,6 +64,27 @@
             registry=self.registry,
         )
 
+        self._waits = prometheus_client.Histogram(
+            'mustardlb_wait_seconds',
+            'Time for which calls waited for a target.',
+            ['service', 'priority'],
+            buckets=BUCKET_BOUNDS_SECONDS,
+            registry=self.registry,
+        )
+        self._rejections = prometheus_client.Counter(
+            'mustardlb_rejections',
+            'Calls that were rejected because they would wait too long.',
+            ['service', 'priority', 'reason'],
+            registry=self.registry,
+        )
+        self._waiting = prometheus_client.Gauge(
+            'mustardlb_waiting_calls',
+            'Calls in the queue of this node.',
+            ['service', 'priority'],
+            registry=self._gauge_registry,
+        )
+        self.count_waiting: abc.Callable[[], dict[tuple[str, int], int]] = dict
+
     def observe_request(
         self,
         account: str,
@@ -72,6 +98,18 @@
         self._first_byte.labels(route).observe(first_byte)
         self._total.labels(route).observe(total)
 
+    def observe_wait(
+        self, service: str, priority: int, seconds: float
+    ) -> None:
+        """Record how long a call waited until a target was available."""
+        self._waits.labels(service, priority).observe(seconds)
+
+    def count_rejection(
+        self, service: str, priority: int, reason: str
+    ) -> None:
+        """Count a call that was rejected because of its wait."""
+        self._rejections.labels(service, priority, reason).inc()
+
     def count_error(self, code: str) -> None:
         """Count a request that was rejected or failed."""
         self._refusals.labels(code).inc()
@@ -87,6 +125,9 @@
     ) -> None:
         """Respond with the current metrics."""
         await trio.lowlevel.checkpoint()
+        self._waiting.clear()
+        for (service, priority), count in self.count_waiting().items():
+            self._waiting.labels(service, priority).set(count)
         # The gauges come first, as a collector may truncate long responses.
         body = prometheus_client.generate_latest(
             self._gauge_registry
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -6,6 +6,7 @@
 from mustardlb_gateway import _exchange
 from mustardlb_gateway import _membership
 from mustardlb_gateway import _messages
+from mustardlb_gateway import _metrics
 from mustardlb_gateway import _peers
 from mustardlb_gateway import _placement
 from mustardlb_gateway import _prefix_index
@@ -32,6 +33,7 @@
     record_origin: abc.Callable[
         [str, _messages.Origin, tuple[str, ...]], None
     ],
+    metrics: _metrics.Metrics,
 ) -> _dispatch.Dispatcher:
     """Return the dispatcher with the choice of targets and the exchange."""
     targets = state.targets
@@ -76,6 +78,8 @@
         target_parts.crash_watch.record_failure,
         permits,
         target_parts.states,
+        metrics.count_rejection,
     )
+    metrics.count_waiting = dispatcher.waiting.counts
     state.targets_mirror.on_change(dispatcher.waiting.notify_changed)
     return dispatcher
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -174,6 +174,7 @@
             self.peers,
             self._acquire_retry,
             self._stream_origins.record,
+            self.metrics,
         )
         self._waiting = dispatcher.waiting
         self._gateway = _gateway.Gateway(
--- a/tests/mustardlb_gateway/test_admission.py
+++ b/tests/mustardlb_gateway/test_admission.py
@@ -281,3 +281,15 @@
 def test_client_without_time_left_may_return_at_once():
     """Guards against a Retry-After beyond the client's own timeout."""
     assert _admission.ReturnTimes(lambda: 0.0).choose('llm', 5, 0.0) == 0.0
+
+
+async def test_waiting_calls_are_counted(autojump_clock):
+    """Guards against a queue that operators cannot see."""
+    waiting = _admission.WaitingCalls()
+    async with trio.open_nursery() as nursery:
+        for priority in (0, 2, 2):
+            place = waiting.place(make_job(priority))
+            nursery.start_soon(place.wait, trio.current_time() + 1)
+        await trio.testing.wait_all_tasks_blocked()
+        assert waiting.counts() == {('llm', 0): 1, ('llm', 2): 2}
+    assert waiting.counts() == {}
--- a/tests/mustardlb_gateway/test_app.py
+++ b/tests/mustardlb_gateway/test_app.py
@@ -142,6 +142,7 @@
         assert (await send_request(node.settings.front_port)).status == 200
         metrics = await send_request(node.settings.metrics_port)
         assert b'mustardlb_requests_total' in metrics.body
+        assert b'mustardlb_wait_seconds_count' in metrics.body
 
 
 async def test_changes_take_effect_within_seconds():
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -664,6 +664,8 @@
     harness = gateway_harness.Harness(STREAM, engine=True)
     harness.reservations = [too_late()] * 100
     harness.dispatcher._placement._free_slots = lambda target_id: 0
+    rejections = []
+    harness.dispatcher._count_rejection = lambda *each: rejections.append(each)
     streams = [make_stream(range(1)) for _ in range(engines)]
     async with harness.running(*streams) as harness:
         started_at = trio.current_time()
@@ -676,6 +678,7 @@
     assert 0 < float(response.headers[b'retry-after']) <= 2 / 3
     asked = len(harness.reserve_requests)
     assert asked == min(engines, _dispatch.MAX_LATE_TURNS)
+    assert rejections == [('llm', 5, 'turn')]
     assert harness.load_requests == []
 
 
