--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -8,6 +8,7 @@
 from mustardlb_gateway import _exchange
 from mustardlb_gateway import _membership
 from mustardlb_gateway import _messages
+from mustardlb_gateway import _metrics
 from mustardlb_gateway import _peers
 from mustardlb_gateway import _placement
 from mustardlb_gateway import _prefix_index
@@ -39,6 +40,7 @@
     clock: abc.Callable[[], float],
     buffers: _buffers.Buffers,
     confirm_targets: abc.Callable[[], abc.Awaitable[None]],
+    metrics: _metrics.Metrics,
 ) -> _dispatch.Dispatcher:
     """Return the dispatcher with the choice of targets and the exchange."""
     targets = state.targets
@@ -101,6 +103,8 @@
         target_parts.states,
         cold_permits,
         target_parts.cold.record_broken,
+        metrics.count_rejection,
     )
+    metrics.count_waiting = dispatcher.waiting.counts
     state.targets_mirror.on_change(dispatcher.waiting.notify_changed)
     return dispatcher
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -207,6 +207,7 @@
             _mirror.Confirmer(
                 state.targets_mirror, store, clock, CONFIRM_TIMEOUT_SECONDS
             ).confirm,
+            self.metrics,
         )
         self._waiting = dispatcher.waiting
         self._gateway = _gateway.Gateway(
