Draw plain targets that report a slowdown without comparing loads

Cause: a drawn target was compared with a local one by loads that are some hundred milliseconds old, so that all nodes of a data centre went over to the other targets at the same moment. Change: a local target is preferred by chance: as often as its part of the requests allows, and the less the fuller it is.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
@@ -57,6 +57,10 @@
 # one and is still chosen, since bytes between data centres are charged.
 LOCAL_TARGET_ADVANTAGE = 0.2
 
+# Part of the slots of the local targets that report a slowdown up to which they
+# are preferred fully. Full targets are not preferred.
+LOCAL_PREFERENCE_FULLNESS = 0.6
+
 # If loads are older, two random plain targets are compared instead of all,
 # since all nodes would choose the one that looks idle until the next update.
 MAX_LOAD_AGE_SECONDS = 0.25
@@ -205,31 +209,18 @@
     ) -> list[domain.Target]:
         """Return the plain targets to compare, among them a local one.
 
-        Targets that report a slowdown are drawn by the parts that they should
-        get. All nodes are told the same of them, so that the best one of two
-        would get the requests of all nodes until the next update.
+        If they report a slowdown, one is drawn and not compared. All nodes
+        are told the same, so that the best one of two would get the requests
+        of all nodes until the next update.
         """
         if len(candidates) <= COMPARED_TARGETS:
             return candidates
         slowdowns = [self._slowdown(target) for target in candidates]
         if any(slowdowns):
-            weights = capacity_shares(
-                [
-                    ReportedCapacity(
-                        target.slots,
-                        slowdown or 1.0,
-                        self._requests(target),
-                    )
-                    for target, slowdown in zip(
-                        candidates, slowdowns, strict=True
-                    )
-                ]
-            )
-            sample = random.choices(candidates, weights)
-        elif self._load_age() <= MAX_LOAD_AGE_SECONDS:
+            return [self._draw(candidates, slowdowns)]
+        if self._load_age() <= MAX_LOAD_AGE_SECONDS:
             return candidates
-        else:
-            sample = random.sample(candidates, COMPARED_TARGETS)
+        sample = random.sample(candidates, COMPARED_TARGETS)
         local = [
             target
             for target in candidates
@@ -237,6 +228,43 @@
         ]
         return [random.choice(local), *sample] if local else sample
 
+    def _draw(
+        self,
+        candidates: list[domain.Target],
+        slowdowns: list[float | None],
+    ) -> domain.Target:
+        """Return a plain target, drawn by the part that it should get.
+
+        A local target is preferred as long as its data centre sends it no
+        more than that, and the less the fuller it is.
+        """
+        reported = [
+            ReportedCapacity(
+                target.slots, slowdown or 1.0, self._requests(target)
+            )
+            for target, slowdown in zip(candidates, slowdowns, strict=True)
+        ]
+        shares = capacity_shares(reported)
+        local = [
+            n
+            for n, target in enumerate(candidates)
+            if target.data_centre == self._data_centre
+        ]
+        local_share = sum(shares[n] for n in local)
+        if local_share > 0:
+            centres = len({target.data_centre for target in candidates})
+            slots = sum(reported[n].slots for n in local)
+            requests = sum(reported[n].requests for n in local)
+            preference = (1 - requests / max(1, slots)) / (
+                1 - LOCAL_PREFERENCE_FULLNESS
+            )
+            if random.random() < min(1.0, local_share * centres, preference):
+                return random.choices(
+                    [candidates[n] for n in local],
+                    [shares[n] for n in local],
+                )[0]
+        return random.choices(candidates, shares)[0]
+
     def _plain_choice(self, target: domain.Target) -> Choice:
         """Return a plain target with its load ratio as the cost."""
         running = self._requests(target)
