Let windows that are hardly used grow by time

Change: a window of which less than half is in use, and whose last responses were good, doubles each second (windows without responses grew by half a second before).

--- a/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
@@ -57,8 +57,8 @@
 # one and is still chosen, since bytes between data centres are charged.
 LOCAL_TARGET_ADVANTAGE = 0.2
 
-# Part of the slots of the local targets that report a slowdown up to which they
-# are preferred fully. Full targets are not preferred.
+# Part of the slots up to which local targets that report a slowdown are fully
+# preferred. Full ones are not preferred at all.
 LOCAL_PREFERENCE_FULLNESS = 0.6
 
 # If loads are older, two random plain targets are compared instead of all,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_warm_up.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_warm_up.py
@@ -40,10 +40,12 @@
 # window of fast responses; before, it doubles.
 GROWTH_RATIO = 1 / 8
 
-# A target that answers nothing, since it gets no requests, is not kept idle:
-# its window grows by this ratio a second. The same holds for a window of which
-# the owner has told nothing for the time below.
-IDLE_GROWTH_PER_SECOND = 1.5
+# A window of which less than half is in use, and with no bad responses, grows
+# by this ratio a second. Where each of many nodes sends the target a request
+# in some seconds, there are too few responses for it to double by them. The
+# same holds without responses, and for a window of which the owner has told
+# nothing, after the time below.
+IDLE_GROWTH_PER_SECOND = 2.0
 SILENT_SECONDS = 2.0
 
 # A target that is slow for this time with the least window is slow by itself,
@@ -95,6 +97,7 @@
     """The window of a target; times are clock seconds.
 
     :ivar size: requests in flight of all nodes together
+    :ivar is_good: whether the last responses that the owner was told of were
     :ivar was_halved: whether it grows slowly
     :ivar began_at: when this node learned of it
     :ivar told_at: when the owner last told it, or a response was observed
@@ -106,6 +109,7 @@
     size: float
     began_at: float
     told_at: float
+    is_good: bool = False
     was_halved: bool = False
     halved_at: float = float('-inf')
     least_since: float | None = None
@@ -281,6 +285,7 @@
         if window is None or window.over_at is not None:
             return
         window.told_at = now
+        window.is_good = False
         fast, slow = counts.fast, counts.slow
         is_slow_itself = (
             window.least_since is not None
@@ -292,6 +297,7 @@
         if bad > fast:
             self._halve(target, window, counts, now)
         elif 4 * bad <= fast:
+            window.is_good = True
             grown = float(fast)
             if window.was_halved:
                 grown *= GROWTH_RATIO * window.slots / window.size
@@ -442,7 +448,10 @@
             self._sharers.ranking(key[0])
         )
         is_silent = hears_most and now - window.told_at > SILENT_SECONDS
-        if is_silent and 2 * self._all_in_flight(key[0]) < window.size:
+        is_good = window.is_good and self._is_owner(key[0])
+        if (is_silent or is_good) and 2 * self._all_in_flight(
+            key[0]
+        ) < window.size:
             window.size *= math.pow(IDLE_GROWTH_PER_SECOND, elapsed)
         is_stuck = now - window.began_at > MAX_SECONDS
         if window.size >= OVER_RATIO * window.slots or (
