Reduce the cost of watching for cold targets where there are none

Cause: each quarter of a second a node looked up the service of every target, also where no service has a limit.

Change: targets that are gone are removed every 5 s, and the gauge looks up each service once.

A test of targets under a new id, and of those that register again, is added.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_cold_permits.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_cold_permits.py
@@ -379,7 +379,7 @@
         """Forget the shares of targets that are gone."""
         self._refresh_known()
         now = self._clock()
-        known = self._cold.known_ids()
+        known = self._cold.known_ids() if self._permits_by_id else set()
         self._permits_by_id = {
             target_id: permits
             for target_id, permits in self._permits_by_id.items()
--- a/packages/mustardlb-gateway/mustardlb_gateway/_cold_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_cold_targets.py
@@ -29,6 +29,7 @@
 # A target that is gone is remembered for this time, so that one that
 # registers again after an outage of the store does not count as started.
 GONE_TTL_SECONDS = 60.0
+REMOVE_INTERVAL_SECONDS = 5.0
 
 # Target and its incarnation.
 TargetKey = tuple[str, int]
@@ -80,6 +81,7 @@
         self._tell = tell
         self._clock = clock
         self._known_by_key: dict[TargetKey, _Incarnation] = {}
+        self._removed_at = -math.inf
         mirror.on_change(self._observe)
 
     def _observe(self) -> None:
@@ -211,11 +213,22 @@
     @property
     def count(self) -> int:
         """Return the number of registered targets that are cold."""
-        return sum(map(self.is_cold, self._targets.by_id.values()))
+        targets = self._targets.by_id.values()
+        limited = {
+            name
+            for name in {target.service for target in targets}
+            if (service := self._service(name)) and service.cold_per_second
+        }
+        if not limited:
+            return 0
+        return sum(map(self.is_cold, targets))
 
     def remove_gone(self) -> None:
         """Forget targets that have been gone for some time."""
         now = self._clock()
+        if now < self._removed_at + REMOVE_INTERVAL_SECONDS:
+            return
+        self._removed_at = now
         for target in self._targets.by_id.values():
             known = self._known_by_key.get(
                 (target.target_id, target.incarnation)
--- a/tests/mustardlb_gateway/test_cold_targets.py
+++ b/tests/mustardlb_gateway/test_cold_targets.py
@@ -226,6 +226,26 @@
     assert sum(at > late + 1 for at in fleet.arrivals) >= 0.5 * 7.2 * 7
 
 
+# Guards against a target that starts again under another id, or registers
+# again after an outage of the store, and is taken for the other kind.
+async def test_new_id_is_cold_and_a_lapsed_one_is_not(autojump_clock):
+    fleet = cold_fleet.Fleet(1)
+    node = fleet.nodes['vm0']
+    target = builders.make_target('t1')
+    node.set_target(target, 1)
+    assert node.cold.is_cold(target)
+    await trio.sleep(cold_fleet.COLD_START_SECONDS + 1)
+    assert not node.cold.is_cold(target)
+    node.mirror.replace_all([], 2)
+    await trio.sleep(2)
+    node.cold.remove_gone()
+    node.set_target(builders.make_target('t1'), 3)
+    assert not node.cold.is_cold(target)
+    other = builders.make_target('t2')
+    node.set_target(other, 4)
+    assert node.cold.is_cold(other)
+
+
 # Guards against the rush to a data centre that is taken back.
 @pytest.mark.parametrize('count', COUNTS)
 async def test_targets_are_cold_after_an_evacuation(count, autojump_clock):
