Test that whole nodes tell each other slowdowns and windows

Cause: the wiring of reports and windows into digests had no test with whole nodes, and a node that got no response itself did not know that a service reports slowdowns, so that it began no window as an owner. Change: a test with two nodes over loopback connections; what other nodes tell counts as a report of the service.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_reported_loads.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_reported_loads.py
@@ -176,6 +176,8 @@
         ):
             return None
         now = self._clock()
+        if told:
+            self._reported_at_by_service[target.service] = now
         report = self._report(target)
         if now - report.at <= RECENT_SECONDS:
             told.append(report.average)
--- a/tests/mustardlb_gateway/test_app.py
+++ b/tests/mustardlb_gateway/test_app.py
@@ -247,6 +247,46 @@
         await wait_until(reports_nodes)
 
 
+async def test_nodes_tell_each_other_slowdowns_and_windows():
+    async def respond(connection, head, body):
+        await connection.send(
+            scripted.response(scripted.request_id(head), extra=b'x-load: 1,4')
+        )
+
+    cluster = Cluster(respond)
+    cluster.put_configuration()
+    async with cluster.running(nodes=2):
+        cluster.put_target()
+        await wait_until(lambda: are_all_connected(cluster))
+        first, other = cluster.nodes
+
+        async def knows_slowdown():
+            await send_request(first.settings.front_port)
+            [target] = other.targets.by_id.values() or [None]
+            slowdown = other._target_parts.reported_loads.slowdown(target)
+            return slowdown is not None and slowdown > 2
+
+        await wait_until(lambda: is_ready(other))
+        await wait_until(knows_slowdown)
+        # A target that has just started gets a window at both nodes.
+        spec = {'port': cluster.target.port, 'state': 'ready'}
+        cluster.store.put('servers', 't2', spec)
+
+        async def have_windows():
+            await trio.lowlevel.checkpoint()
+            return all(
+                node._target_parts.warm_up.count == 1
+                and 't2' in node.targets.told_windows()
+                for node in cluster.nodes
+                if not node._target_parts.warm_up.to_tell()
+            )
+
+        await wait_until(have_windows)
+        assert any(
+            node._target_parts.warm_up.to_tell() for node in cluster.nodes
+        )
+
+
 async def are_all_connected(cluster):
     await trio.lowlevel.checkpoint()
     others = len(cluster.nodes) - 1
