Split the planned stop, requests of nodes and gauges from app.py

Change: _planned_stop and _peer_requests, and the upkeep of what is known of targets in _wiring_targets. No behaviour changes.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -9,6 +9,7 @@
 from mustardlb_gateway import _crash_watch
 from mustardlb_gateway import _membership
 from mustardlb_gateway import _messages
+from mustardlb_gateway import _node_gauges
 from mustardlb_gateway import _owners
 from mustardlb_gateway import _peers
 from mustardlb_gateway import _quarantine
@@ -21,6 +22,7 @@
 from mustardlb_gateway import _target_network
 from mustardlb_gateway import _target_permits
 from mustardlb_gateway import _target_states
+from mustardlb_gateway import _targets
 from mustardlb_gateway import _trials
 from mustardlb_gateway import _warm_up
 from mustardlb_gateway import _wiring_state
@@ -236,3 +238,30 @@
         helper,
         _messages.Rest(target.target_id, target.incarnation, seconds),
     )
+
+
+def refresh(parts: TargetParts) -> None:
+    """Forget what has expired, and bring up to date what depends on time."""
+    parts.pool.close_expired()
+    parts.quarantine.refresh_if_due()
+    parts.limits.remove_gone()
+    parts.cold.remove_gone()
+    parts.states.remove_expired()
+    parts.reported_loads.remove_expired()
+    parts.warm_up.update()
+
+
+def update_gauges(
+    gauges: _node_gauges.NodeGauges,
+    parts: TargetParts,
+    targets: _targets.TargetTable,
+) -> None:
+    """Set the gauges of what is known about targets."""
+    gauges.quarantined.set(parts.quarantine.size)
+    gauges.crash_reports.set(len(parts.quarantine.evidence.report_by_key))
+    gauges.suspended_targets.set(targets.suspended_count)
+    gauges.warming_targets.set(parts.warm_up.count)
+    gauges.slow_targets.set(parts.reported_loads.slow_count)
+    gauges.lost_targets.set(parts.reachability.lost_count)
+    gauges.cold_targets.set(parts.cold.count)
+    gauges.relayed_connections.set(parts.relay_server.count)
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -19,7 +19,9 @@
 from mustardlb_gateway import _mirror
 from mustardlb_gateway import _node_gauges
 from mustardlb_gateway import _pauses
+from mustardlb_gateway import _peer_requests
 from mustardlb_gateway import _peers
+from mustardlb_gateway import _planned_stop
 from mustardlb_gateway import _prefix_index
 from mustardlb_gateway import _quota
 from mustardlb_gateway import _registration
@@ -43,20 +45,6 @@
 # Interval at which the quota is updated and idle connections are closed.
 MAINTENANCE_INTERVAL_SECONDS = 0.25
 
-# A stopping node still admits all requests for this time, since the load
-# balancer removes it after two failed readiness checks, one per second.
-DRAIN_DELAY_SECONDS = 2.7
-
-# Unfinished responses are cut off this long before the stop timeout.
-STOP_MARGIN_SECONDS = 0.5
-
-# A stopping node accepts no connections in this time before its deadline, so
-# that the clients whose connections it has accepted can send their requests.
-LAST_REQUEST_SECONDS = 0.5
-
-# Time for the errors that end unfinished requests.
-LAST_RESPONSES_SECONDS = 0.2
-
 # File descriptors that are not available for client connections.
 RESERVED_DESCRIPTORS = 1500
 
@@ -225,6 +213,17 @@
             clock,
             lambda: self._buffers.is_full,
         )
+        self._request_handlers = _peer_requests.Handlers(
+            self._peer_sync,
+            self.engine_manager,
+            self._charging,
+            self._trials,
+            self._permits,
+            self._cold_permits,
+            self._stream_origins,
+            self._target_parts.states,
+            self._target_parts.warm_up,
+        )
         self._client_server = self._make_client_server()
         self.targets.on_removed(self._on_target_removed)
         self._pauses.on_pause(self._target_parts.pool.close_idle)
@@ -408,48 +407,7 @@
     async def _handle_peer_request(
         self, message: _messages.Message
     ) -> _messages.Body | None:
-        match message.body:
-            case _messages.SnapshotRequest():
-                return self._peer_sync.snapshot(
-                    message.body.kind, message.body.since
-                )
-            case _messages.Want():
-                return await self.engine_manager.handle_load_request(
-                    message.body
-                )
-            case _messages.Reserve():
-                return self.engine_manager.handle_reserve(message.body)
-            case _messages.Charge():
-                return self._charging.handle_charge(message.body)
-            case _messages.Trial():
-                return _messages.Tried(
-                    self._trials.grant(message.body.suspect)
-                )
-            case _messages.Permit():
-                return self._permits.handle_permit(message.body)
-            case _messages.ColdPermit():
-                return _messages.Permitted(
-                    self._cold_permits.handle(message.vm, message.body)
-                )
-            case _messages.ColdNotice():
-                self._cold_permits.handle_notice(message.vm, message.body)
-            case _messages.TellOrigins():
-                return self._stream_origins.handle_told(message.body)
-            case _messages.FindOrigin():
-                return self._stream_origins.handle_find(message.body)
-            case _messages.Rest():
-                self._target_parts.states.record_rest(
-                    message.body.target_id,
-                    message.body.incarnation,
-                    message.body.seconds,
-                )
-            case _messages.Observed():
-                self._target_parts.warm_up.handle_observed(
-                    message.vm, message.body
-                )
-            case _messages.Refund():
-                self._charging.handle_refund(message.body)
-        return None
+        return await _peer_requests.handle(self._request_handlers, message)
 
     def is_ready(self) -> bool:
         """Return whether the node can serve new connections."""
@@ -524,31 +482,18 @@
                 accounts = (configuration.accounts_by_name or {}).values()
                 self._quota.add_accounts(accounts, now)
             self._quota.charge_assumed_shares(now)
-            self._target_parts.pool.close_expired()
-            self.quarantine.refresh_if_due()
-            self._target_parts.limits.remove_gone()
+            _wiring_targets.refresh(self._target_parts)
             self._permits.remove_gone()
-            self._target_parts.cold.remove_gone()
             self._cold_permits.remove_gone()
-            self._target_parts.states.remove_expired()
-            self._target_parts.reported_loads.remove_expired()
-            self._target_parts.warm_up.update()
             self._update_gauges()
 
     def _update_gauges(self) -> None:
-        gauges, quarantine = self._gauges, self.quarantine
-        gauges.quarantined.set(quarantine.size)
-        gauges.crash_reports.set(len(quarantine.evidence.report_by_key))
+        gauges = self._gauges
+        _wiring_targets.update_gauges(gauges, self._target_parts, self.targets)
         gauges.stream_origins.set(self._stream_origins.size)
-        gauges.suspended_targets.set(self.targets.suspended_count)
-        gauges.warming_targets.set(self._target_parts.warm_up.count)
-        gauges.slow_targets.set(self._target_parts.reported_loads.slow_count)
-        gauges.lost_targets.set(self._target_parts.reachability.lost_count)
-        gauges.cold_targets.set(self._target_parts.cold.count)
         gauges.evacuated_centres.set(len(self._evacuations.since_by_centre))
         gauges.buffered_bytes.set(self._buffers.held)
         gauges.slow_clients.set(self._buffers.evictions)
-        gauges.relayed_connections.set(self._target_parts.relay_server.count)
 
     def reload(self, settings: gateway_settings.Settings) -> None:
         """Apply changed settings while the node runs."""
@@ -556,44 +501,14 @@
         log.info('MLB-6013', stop_timeout=settings.stop_timeout)
 
     async def stop(self) -> None:
-        """Finish the requests in flight, then stop `run`.
-
-        Requests that are unfinished shortly before the stop timeout get an
-        error, and streams are cut off.
-        """
-        started_at = trio.current_time()
-        deadline = (
-            started_at + self.settings.stop_timeout - STOP_MARGIN_SECONDS
-        )
+        """Finish the requests in flight, then stop `run`."""
         self.is_stopping = True
-        self._client_server.is_stopping = True
-        drain_delay_ends = min(deadline, started_at + DRAIN_DELAY_SECONDS)
-        self._gateway.schedule_stop(
-            _gateway.StopSchedule(drain_delay_ends, deadline)
-        )
-        self.engine_manager.stop()
-        log.info('MLB-6014', in_flight=self._client_server.requests_in_flight)
-        accept_until = deadline - LAST_REQUEST_SECONDS
-        await trio.sleep_until(drain_delay_ends)
-        while trio.current_time() < deadline:
-            server = self._client_server
-            server.close_idle()
-            is_busy = server.has_clients or bool(
-                self._target_parts.relay_server.count
-            )
-            if not is_busy and not server.is_accepting:
-                break
-            if not is_busy or trio.current_time() >= accept_until:
-                server.stop_accepting()
-            await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
-        unfinished = self._client_server.requests_in_flight
-        self._client_server.end_reading()
-        self._gateway.end_calls()
-        await self._client_server.wait_for_clients(LAST_RESPONSES_SECONDS)
-        log.info(
-            'MLB-6015',
-            in_flight=unfinished,
-            seconds=round(trio.current_time() - started_at, 3),
+        await _planned_stop.finish_requests(
+            self._client_server,
+            self._gateway,
+            lambda: self._target_parts.relay_server.count,
+            self.settings.stop_timeout,
+            self.engine_manager.stop,
         )
         if self._nursery is not None:
             self._nursery.cancel_scope.cancel()
