Bound of the late share is half again; planned stop's constants are patched where they are

Cause: for targets that are slow in turn the bound of test_slow_target_is_avoided had been two thirds since half failed at first. Change: half for all kinds. Tests of the planned stop patch _planned_stop.

--- a/tests/mustardlb_gateway/test_planned_stop.py
+++ b/tests/mustardlb_gateway/test_planned_stop.py
@@ -15,6 +15,7 @@
 import test_unreachable_targets
 import trio
 
+from mustardlb_gateway import _planned_stop
 from mustardlb_gateway import app
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_server
@@ -109,7 +110,7 @@
 
 @pytest.fixture
 def short_drain(monkeypatch):
-    monkeypatch.setattr(app, 'DRAIN_DELAY_SECONDS', 0.4)
+    monkeypatch.setattr(_planned_stop, 'DRAIN_DELAY_SECONDS', 0.4)
 
 
 class StoppingNode:
--- a/tests/mustardlb_gateway/test_reported_loads.py
+++ b/tests/mustardlb_gateway/test_reported_loads.py
@@ -377,9 +377,7 @@
         }
 
     reading, former = await run_fleets(make_targets, nodes)
-    # Nodes notice that another target is slow only when it has answered.
-    ratio = 2 / 3 if kind == 'turns' else 1 / 2
-    assert reading.late_share <= ratio * former.late_share
+    assert reading.late_share <= former.late_share / 2
 
 
 # Nodes that read the same report must not all choose the same target.
