Name buffered data apart from the engines that a node holds

Cause: _buffers.Holding and _centres.Holding were two things of one name. Change: the former is BufferedData.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_buffers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_buffers.py
@@ -40,7 +40,7 @@
 
     def __init__(self, memory_mb: abc.Callable[[], float]) -> None:
         self._memory_mb = memory_mb
-        self._outputs: set[Holding] = set()
+        self._outputs: set[BufferedData] = set()
         self.held = 0
         self.evictions = 0
 
@@ -75,16 +75,16 @@
 
     def open(
         self, disconnect: abc.Callable[[], None] | None = None
-    ) -> 'Holding':
-        """Return an empty holding.
+    ) -> 'BufferedData':
+        """Return a count of data that is empty.
 
         With `disconnect`, it is what a client has not read yet; the client is
         disconnected if all data together exceeds the limit.
         """
-        return Holding(self, disconnect)
+        return BufferedData(self, disconnect)
 
-    def change(self, holding: 'Holding', byte_count: int) -> None:
-        """Record a change of a holding's size."""
+    def change(self, holding: 'BufferedData', byte_count: int) -> None:
+        """Record a change of the size of some data."""
         self.held += byte_count
         if holding.disconnect is None:
             return
@@ -100,7 +100,7 @@
             slowest = min(self._outputs, key=lambda each: each.rate(now))
             self.evict(slowest, 'memory')
 
-    def evict(self, holding: 'Holding', reason: str) -> None:
+    def evict(self, holding: 'BufferedData', reason: str) -> None:
         """Disconnect a client."""
         log.info(
             'MLB-6020',
@@ -116,7 +116,7 @@
             disconnect()
 
 
-class Holding:
+class BufferedData:
     """Data that is buffered for one purpose.
 
     :ivar size: bytes
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -72,7 +72,7 @@
     trial_until: float = math.inf
     expires_at: float = math.inf
     event_at: float | None = None
-    held: _buffers.Holding | None = None
+    held: _buffers.BufferedData | None = None
 
     def hold(self, byte_count: int) -> bool:
         """Record data of a response; return whether there is room for it."""
--- a/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
@@ -244,7 +244,7 @@
     sink: http_client.Stream,
     scope: trio.CancelScope,
     may_send: abc.Callable[[], bool],
-    held: _buffers.Holding,
+    held: _buffers.BufferedData,
 ) -> None:
     try:
         while data := await source.receive_some(MAX_READ_BYTES):
