--- a/tests/mustardlb_gateway/test_buffers.py
+++ b/tests/mustardlb_gateway/test_buffers.py
@@ -258,7 +258,9 @@
     # The pipe to the other node takes one frame only.
     client.send_stream.send_all_hook = trio.sleep_forever
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_relay._copy_both, client, server, buffers)
+        nursery.start_soon(
+            _relay._copy_both, client, server, lambda: True, buffers
+        )
         await target.send_all(b'a' * 10_000)
         await trio.testing.wait_all_tasks_blocked()
         assert buffers.held == 10_000
@@ -272,7 +274,11 @@
     buffers.open().add(LIMIT)
     target = builders.make_target()
     relays = _relay.RelayServer(
-        None, lambda: {target.target_id: target}, None, lambda: False, buffers
+        None,
+        lambda: {target.target_id: target},
+        None,
+        lambda: False,
+        buffers=buffers,
     )
     relay = _messages.Relay(target.target_id, target.incarnation)
     outcome, stream = await relays._connect(relay)
