--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_controller.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_controller.py
@@ -104,27 +104,43 @@
         version: int,
         timeout: float,
         slack: float = 0.0,
+        priority: int = _messages.DEFAULT_PRIORITY,
+        account: str = '',
+        tokens: int = 0,
     ) -> bool:
         """Return whether an adapter is loaded within `timeout` seconds.
 
         Requests that can still meet their latency objective, which is due
-        in `slack` seconds, are served before the others.
+        in `slack` seconds, are served before the others, in the order of
+        their priority and of the tokens served lately to their account.
         """
         now = self._clock()
-        self._contents.touch(adapter)
+        self._contents.touch(adapter, priority)
         self._contents.reserve(adapter)
         if self._contents.has(adapter, version):
+            self._requests.record_served(account, tokens, now)
             return True
         self._wake_up.set()
         return await self._requests.wait(
             _load_requests.LoadRequest(
-                adapter, version, now + timeout, now + slack
+                adapter,
+                version,
+                now + timeout,
+                now + slack,
+                priority,
+                account,
+                tokens,
+                # A late call was counted where it became late.
+                is_counted=slack <= 0,
             ),
             timeout,
         )
 
     def reserve(
-        self, request: _messages.Reserve, reported_tokens: int
+        self,
+        request: _messages.Reserve,
+        reported_tokens: int,
+        slowdown: float = 1.0,
     ) -> _messages.Reserved:
         """Reserve time for a prompt if the queue is short enough for it.
 
@@ -133,10 +149,11 @@
 
         :param reported_tokens: prompt tokens that the engine has to prefill
             by the digests of all nodes
+        :param slowdown: time that the engine takes, as a ratio of the usual
         """
         now = self._clock()
         queue = self._prefill_queue.seconds(
-            now, reported_tokens, self._load_age()
+            now, reported_tokens, self._load_age(), slowdown
         )
         adapter = request.adapter
         is_resident = request.is_load or self._contents.has(
@@ -145,8 +162,12 @@
         is_accepted = is_resident and queue <= request.max_queue
         if is_accepted:
             self._prefill_queue.add(request.tokens, now)
-            self._contents.touch(adapter)
+            self._contents.touch(adapter, request.priority)
             self._contents.reserve(adapter)
+            if not request.is_load:
+                self._requests.record_served(
+                    request.account, request.tokens, now
+                )
         return _messages.Reserved(True, is_accepted, is_resident, queue)
 
     @property
@@ -222,21 +243,24 @@
             self._adapter_slots(), self._requests.adapters()
         )
         has_room = True
-        for request in self._requests.by_priority(
+        for due in self._requests.by_priority(
             self._contents.loading, self._first_poll_seconds, self._clock()
         ):
             if len(self._contents.loading) >= MAX_CONCURRENT_LOADS:
                 return
-            if request.adapter not in self.resident:
+            if due.adapter not in self.resident:
                 # If there is no room for one adapter, there is none for the
                 # others, of which many may be waiting.
-                has_room = has_room and await self._make_room(request.adapter)
+                has_room = has_room and await self._make_room(
+                    due.adapter, due.priority
+                )
                 if not has_room:
                     continue
             if self._pending_unload is not None:
                 return
-            if not await self._start_load(request.adapter, request.version):
+            if not await self._start_load(due.adapter, due.version):
                 return
+            self._requests.record_start()
 
     async def _refresh_report(self) -> bool:
         """Request a report if one is due.
@@ -400,22 +424,43 @@
             return HOST_FIRST_POLL_SECONDS
         return STORE_FIRST_POLL_SECONDS
 
-    async def _make_room(self, adapter: domain.AdapterName) -> bool:
+    async def _make_room(
+        self, adapter: domain.AdapterName, priority: int
+    ) -> bool:
         """Evict the least used adapters until another one fits.
 
+        Those used lately by more urgent calls are evicted last.
+
         Return False if no adapter can be evicted now.
         """
         engine = self._engine()
         if engine is None:
             return False
         while self._contents.is_full(engine, adapter):
-            victim = self._contents.choose_victim(self._requests.adapters())
+            victim = self._contents.choose_victim(
+                self._requests.adapters(), priority
+            )
             if victim is None:
                 return False
             if not await self._unload(victim):
                 return False
         return True
 
+    def _is_permitted_since(self, seen_at: float) -> abc.Callable[[], bool]:
+        """Return a check whether a lease seen at a time permits commands.
+
+        This process may be paused between the two.
+        """
+
+        def is_permitted() -> bool:
+            return (
+                self._clock() - seen_at <= _leases.MAX_COMMAND_DELAY_SECONDS
+                and self._leases.by_target.get(self.lease.target_id)
+                is self.lease
+            )
+
+        return is_permitted
+
     async def _send_command(
         self,
         kind: domain.CommandKind,
@@ -446,7 +491,9 @@
                 self.lease, self._has_quorum()
             ):
                 return _engine_client.CommandOutcome.REFUSED
-            outcome = await self._client.send_command(self.target, command)
+            outcome = await self._client.send_command(
+                self.target, command, self._is_permitted_since(self._clock())
+            )
             if outcome != _engine_client.CommandOutcome.UNKNOWN:
                 break
         match outcome:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_manager.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_manager.py
@@ -65,6 +65,9 @@
         newest_version: abc.Callable[[domain.AdapterName], int],
         load_age: abc.Callable[[], float],
         is_lost: abc.Callable[[str], bool] = lambda target_id: False,
+        slowdown: abc.Callable[
+            [domain.Target], float | None
+        ] = lambda target: None,
     ) -> None:
         self._vm = vm
         self._leases = leases
@@ -76,6 +79,7 @@
         self._newest_version = newest_version
         self._load_age = load_age
         self._is_lost = is_lost
+        self._slowdown = slowdown
         self._unresponsive_until: dict[str, float] = {}
         self._claims_from = float('-inf')
         self._by_target: dict[str, _engine_controller.EngineController] = {}
@@ -333,32 +337,17 @@
         holder = self._holders.holder(target_id)
         return holder[1].room if holder else 0
 
-    async def request_load(
-        self,
-        target_id: str,
-        adapter: domain.AdapterName,
-        version: int,
-        timeout: float,
-        slack: float,
-    ) -> bool:
-        """Load an adapter on an engine; return whether it is loaded.
-
-        :param version: minimum version, 0 for any
-        :param timeout: seconds until the load is of no use to the call
-        :param slack: seconds until the call misses its latency objective
-        """
-        controller = self._by_target.get(target_id)
-        if controller is not None:
-            return await controller.request_load(
-                adapter, version, timeout, slack
-            )
-        holder = self._holders.holder(target_id)
+    async def request_load(self, request: _messages.Want) -> bool:
+        """Load an adapter on an engine; return whether it is loaded."""
+        if request.target_id in self._by_target:
+            return (await self.handle_load_request(request)).is_there
+        holder = self._holders.holder(request.target_id)
         if holder is None:
             return False
         response = await self._peers.request(
             holder[0],
-            _messages.Want(target_id, adapter, version, timeout, slack),
-            timeout + ROUND_TRIP_MARGIN_SECONDS,
+            request,
+            request.patience + ROUND_TRIP_MARGIN_SECONDS,
         )
         return isinstance(response, _messages.Wanted) and response.is_there
 
@@ -393,7 +382,9 @@
         if controller is None or not controller.is_acting:
             return _messages.Reserved(False)
         return controller.reserve(
-            request, self._targets.pending_prefill_tokens(request.target_id)
+            request,
+            self._targets.pending_prefill_tokens(request.target_id),
+            self._slowdown(controller.target) or 1.0,
         )
 
     async def handle_load_request(
@@ -409,5 +400,8 @@
                 request.version,
                 request.patience,
                 request.slack,
+                request.priority,
+                request.account,
+                request.tokens,
             )
         )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -10,6 +10,7 @@
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _outcomes
 from mustardlb_gateway import _placement
+from mustardlb_gateway import _prefill_queue
 from mustardlb_gateway import _prefix_index
 from mustardlb_gateway import _target_links
 from mustardlb_gateway import _target_states
@@ -31,9 +32,15 @@
 MIN_STREAM_TIMEOUT_SECONDS = 2.5
 
 
+# Part of a response time that does not depend on the prompt. It only matters
+# for the comparison of cached prompts with others.
+BASE_RESPONSE_SECONDS = 0.05
+
 # The link to a target without data for this time is checked, and again after
-# each interval.
+# an interval that doubles each time. A check opens a connection, which targets
+# limit, so the time that the target needs to prefill the prompt is added.
 SILENCE_SECONDS = 0.3
+MAX_EXPECTED_SILENCE_SECONDS = 0.7
 CHECK_INTERVAL_SECONDS = 0.7
 
 
@@ -57,8 +64,15 @@
         record_origin: abc.Callable[
             [str, _messages.Origin, tuple[str, ...]], None
         ],
+        ensure_current: abc.Callable[
+            [], abc.Awaitable[None]
+        ] = trio.lowlevel.cancel_shielded_checkpoint,
+        record_response_time: abc.Callable[
+            [domain.Target, str, float, float], object
+        ] = lambda target, route, seconds, usual: None,
     ) -> None:
         self._translation = translation
+        self._ensure_current = ensure_current
         self._pool = pool
         self._links = links
         self._targets = targets
@@ -69,6 +83,7 @@
         self._states = states
         self._tell_rest = tell_rest
         self._record_origin = record_origin
+        self._record_response_time = record_response_time
 
     async def run(
         self,
@@ -97,9 +112,18 @@
                 is_prefilled = True
                 self._targets.finish_prefill(target.target_id, prefill_tokens)
                 self._prefix_index.record(target.target_id, job.call)
+                if 200 <= attempt.status < 300:
+                    self._record_response_time(
+                        target,
+                        job.route.name,
+                        trio.current_time() - attempt.started_at,
+                        BASE_RESPONSE_SECONDS
+                        + prefill_tokens
+                        / _prefill_queue.PREFILL_TOKENS_PER_SECOND,
+                    )
 
         try:
-            await self._send_and_receive(job, attempt, target, record_prefill)
+            await self._send_and_receive(job, attempt, choice, record_prefill)
         finally:
             if not is_prefilled:
                 self._targets.finish_prefill(target.target_id, prefill_tokens)
@@ -109,9 +133,10 @@
         self,
         job: _jobs.Job,
         attempt: _outcomes.Attempt,
-        target: domain.Target,
+        choice: _placement.Choice,
         record_prefill: abc.Callable[[], None],
     ) -> None:
+        target = choice.target
         connection: http_client.Connection | None = None
         client_disconnected = False
         try:
@@ -120,19 +145,25 @@
                 connection = await self._links.acquire(
                     target, job.call.request_id
                 )
-                if self._states.rest(target):
-                    # It has asked for rest while the connection was opened.
+                await self._ensure_current()
+                if self._states.rest(
+                    target
+                ) or not self._targets.takes_requests(target):
+                    # It has asked for rest, or has left or restarted, or
+                    # its data centre was evacuated, while the connection was
+                    # opened or this process was paused.
                     attempt.is_withheld = True
                     raise http_client.ExchangeFailed(
                         'the target takes no requests for now', was_sent=False
                     )
                 attempt.was_sent = True
+                connection.add_request_id(job.call.request_id)
                 attempt.helper = connection.helper
                 nursery.start_soon(
                     self._report_unresponsive, job, target.target_id
                 )
                 nursery.start_soon(
-                    self._watch_link, job, attempt, target, connection
+                    self._watch_link, job, attempt, choice, connection
                 )
                 await connection.send(
                     job.call.method,
@@ -226,7 +257,11 @@
         is_success = 200 <= head.status < 300
         # Status 421 (Misdirected Request) means that the target did not
         # execute the request, even if no header of the response says so.
-        if info.not_executed or head.status == 421:
+        # Without an id, a rejection on a reused connection may be a late one
+        # of an earlier request.
+        is_rejected = info.not_executed or head.status == 421
+        is_own = info.request_id is not None or not connection.is_reused
+        if is_rejected and is_own:
             await connection.receive_body(MAX_BUFFERED_RESPONSE_BYTES)
             attempt.outcome = _outcomes.Outcome.NOT_RUN
             attempt.problem = f'rejected with status {head.status}'
@@ -298,18 +333,25 @@
         self,
         job: _jobs.Job,
         attempt: _outcomes.Attempt,
-        target: domain.Target,
+        choice: _placement.Choice,
         connection: http_client.Connection,
     ) -> None:
         """End an attempt whose link is broken, if it may be repeated.
 
         The link is checked whenever the target is silent for some time.
         """
-        silent_since = trio.current_time()
+        target = choice.target
+        sent_at = silent_since = trio.current_time()
+        expected = _expected_silence_seconds(job, choice)
+        interval = CHECK_INTERVAL_SECONDS
         while True:
             silent_since = max(silent_since, connection.data_at)
-            await trio.sleep_until(silent_since + SILENCE_SECONDS)
+            silence = SILENCE_SECONDS
+            if silent_since <= sent_at:
+                silence += expected
+            await trio.sleep_until(silent_since + silence)
             if connection.data_at > silent_since:
+                interval = CHECK_INTERVAL_SECONDS
                 continue
             if await self._links.is_link_broken(target, connection.helper):
                 attempt.is_link_failure = True
@@ -321,7 +363,8 @@
                         'the link to the target is broken',
                         is_link_failure=True,
                     )
-            silent_since = trio.current_time() + CHECK_INTERVAL_SECONDS
+            silent_since = trio.current_time() + interval
+            interval *= 2
 
     async def _report_unresponsive(
         self, job: _jobs.Job, target_id: str
@@ -416,11 +459,13 @@
         if job.reply.has_begun:
             return
         job.software = target.software
-        self._record_origin(
-            job.call.resumed_id or job.call.request_id,
-            _messages.Origin(target.service, target.software),
-            job.route.service_names,
-        )
+        origin = _messages.Origin(target.service, target.software)
+        # Clients name the request that began the stream, or their last one.
+        for request_id in (job.call.request_id, job.call.resumed_id):
+            if request_id:
+                self._record_origin(
+                    request_id, origin, job.route.service_names
+                )
         await job.reply.begin(
             head.status, self._translation.response_headers(head.headers)
         )
@@ -463,6 +508,15 @@
     return math.inf
 
 
+def _expected_silence_seconds(
+    job: _jobs.Job, choice: _placement.Choice
+) -> float:
+    """Return the seconds that a target needs before its first output."""
+    prefill = choice.prefill_tokens / _prefill_queue.PREFILL_TOKENS_PER_SECOND
+    queue = job.reserved_queue or 0.0
+    return min(MAX_EXPECTED_SILENCE_SECONDS, queue + prefill)
+
+
 def _unresponsive_after_seconds(route: domain.Route) -> float:
     """Return the seconds after which a target counts as unresponsive."""
     timeout = max(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -54,6 +54,9 @@
                 'version': body.version,
                 'patience': body.patience,
                 'slack': body.slack,
+                'priority': _encode_priority(body.priority),
+                'account': body.account,
+                'tokens': body.tokens,
             }
         case _messages.Wanted():
             return 'wanted', body.is_there
@@ -65,6 +68,8 @@
                 'tokens': body.tokens,
                 'maxQueue': body.max_queue,
                 'isLoad': body.is_load,
+                'priority': _encode_priority(body.priority),
+                'account': body.account,
             }
         case _messages.Reserved():
             return 'reserved', {
@@ -125,6 +130,8 @@
                 'isFull': body.is_full,
                 'revisions': _encode_numbers(body.revisions),
                 'changes': _encode_changes(body.changes),
+                'cutOff': _cut_off_members(body.changes),
+                'slowdowns': _encode_slowdowns(body.changes),
                 'levels': _encode_amounts(body.levels),
                 'crashEvidence': _target_observation_codec.encode_evidence(
                     body.crash_evidence
@@ -135,6 +142,10 @@
             }
 
 
+def _encode_priority(priority: int) -> int:
+    return max(0, min(priority, 255))
+
+
 def _charge_fields(charge: _messages.Charge) -> dict[str, Any]:
     return {
         'account': charge.account,
@@ -164,6 +175,7 @@
                 'running': usage.running,
                 'unreadTokens': usage.unread_tokens,
                 'adapters': [str(adapter) for adapter in usage.adapters],
+                'slowdown': usage.slowdown,
             }
             for usage in digest.usages
         ],
@@ -178,6 +190,7 @@
         'targetLimits': _target_observation_codec.encode_limits(
             digest.target_limits
         ),
+        'isCutOff': digest.is_cut_off,
     }
 
 
@@ -209,12 +222,46 @@
     list[tuple[str, str]],
 ]
 _changes_decoder = msgspec.msgpack.Decoder(list[_WireChange])
+_slowdowns_decoder = msgspec.msgpack.Decoder(dict[str, dict[str, int]])
+
+
+def _cut_off_members(changes: tuple[_centres.CentreDelta, ...]) -> list[str]:
+    """Return the names of those changed members that reach no target.
+
+    They are a field of their own, since gateways of earlier releases decode
+    the entries of changes only in their exact form.
+    """
+    return [
+        member.vm.vm
+        for change in changes
+        for member in change.members
+        if member.is_cut_off
+    ]
 
 
 def _encode_changes(changes: tuple[_centres.CentreDelta, ...]) -> bytes:
     return msgspec.msgpack.encode([_encode_change(each) for each in changes])
 
 
+def _encode_slowdowns(changes: tuple[_centres.CentreDelta, ...]) -> bytes:
+    """Return the slowdowns of the targets in changes, by data centre.
+
+    They are not a part of the changes, which nodes of an earlier release
+    could not decode then. Empty if there are none.
+    """
+    slowdowns = {
+        change.data_centre: {
+            target_id: load.slowdown
+            for target_id, load in change.loads.items()
+            if load.slowdown
+        }
+        for change in changes
+    }
+    if not any(slowdowns.values()):
+        return b''
+    return msgspec.msgpack.encode(slowdowns)
+
+
 def _encode_change(change: _centres.CentreDelta) -> _WireChange:
     return (
         change.data_centre,
@@ -290,7 +337,14 @@
             want = decoded.want
             adapter = domain.AdapterName.parse(want.adapter)
             return _messages.Want(
-                want.target, adapter, want.version, want.patience, want.slack
+                want.target,
+                adapter,
+                want.version,
+                want.patience,
+                want.slack,
+                want.priority,
+                want.account,
+                want.tokens,
             )
         case 'reserve':
             reserve = decoded.reserve
@@ -301,6 +355,8 @@
                 reserve.tokens,
                 reserve.maxQueue,
                 reserve.isLoad,
+                reserve.priority,
+                reserve.account,
             )
         case 'reserved':
             reserved = decoded.reserved
@@ -355,13 +411,11 @@
             return _messages.Subscription(decoded.subscription)
         case 'update':
             update = decoded.update
+            cut_off = frozenset(update.cutOff)
             return _messages.Update(
                 update.isFull,
                 {each.name: each.number for each in update.revisions},
-                tuple(
-                    _decode_change(each)
-                    for each in _changes_decoder.decode(update.changes)
-                ),
+                _decode_changes(update.changes, update.slowdowns, cut_off),
                 {each.name: each.amount for each in update.levels},
                 _target_observation_codec.decode_evidence(
                     update.crashEvidence
@@ -396,6 +450,7 @@
                 each.running,
                 each.unreadTokens,
                 tuple(parse(adapter) for adapter in each.adapters),
+                each.slowdown,
             )
             for each in digest.usages
         ),
@@ -403,6 +458,7 @@
         digest.canClaim,
         _target_observation_codec.decode_evidence(digest.crashEvidence),
         _target_observation_codec.decode_limits(digest.targetLimits),
+        digest.isCutOff,
     )
 
 
@@ -418,7 +474,19 @@
     )
 
 
-def _decode_change(wire: _WireChange) -> _centres.CentreDelta:
+def _decode_changes(
+    changes: bytes, slowdowns: bytes, cut_off: frozenset[str]
+) -> tuple[_centres.CentreDelta, ...]:
+    by_centre = _slowdowns_decoder.decode(slowdowns) if slowdowns else {}
+    return tuple(
+        _decode_change(each, by_centre.get(each[0], {}), cut_off)
+        for each in _changes_decoder.decode(changes)
+    )
+
+
+def _decode_change(
+    wire: _WireChange, slowdowns: dict[str, int], cut_off: frozenset[str]
+) -> _centres.CentreDelta:
     parse = domain.AdapterName.parse
     (
         centre,
@@ -441,12 +509,16 @@
                 _centres.Vm(vm, host, port, centre, capacity),
                 incarnation,
                 can_claim,
+                vm in cut_off,
             )
             for vm, host, port, capacity, incarnation, can_claim in members
         ),
         tuple(removed_members),
         admitted,
-        {key: _centres.Load(*load) for key, load in loads.items()},
+        {
+            key: _centres.Load(*load, slowdowns.get(key, 0))
+            for key, load in loads.items()
+        },
         {
             key: frozenset(map(parse, names))
             for key, names in adapters_in_use.items()
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -16,12 +16,15 @@
     """Requests that one node has in flight at a target.
 
     :ivar unread_tokens: prompt tokens that the target has yet to process
+    :ivar slowdown: that the target reported to the sender lately, in percent,
+        0 for none
     """
 
     target_id: str
     running: int
     unread_tokens: int
     adapters: tuple[domain.AdapterName, ...]
+    slowdown: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +38,7 @@
     :ivar can_claim: whether the sender can claim leases in the store
     :ivar crash_evidence: found by the sender
     :ivar target_limits: that targets have told the sender
+    :ivar is_cut_off: whether the sender reaches no target
     """
 
     host: str
@@ -52,6 +56,7 @@
     target_limits: _target_limits.NoticesByKey = dataclasses.field(
         default_factory=dict
     )
+    is_cut_off: bool = False
 
     def vm(self, name: str) -> _centres.Vm:
         """Return the sender, whose name is given in the message."""
@@ -78,6 +83,10 @@
     names: tuple[str, ...]
 
 
+# Priority of requests from nodes that do not state it.
+DEFAULT_PRIORITY = 5
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Want:
     """A load request for an adapter, sent to a target's controller.
@@ -85,6 +94,9 @@
     :ivar version: minimum version, 0 for any
     :ivar patience: timeout of the request, seconds
     :ivar slack: time left to meet the latency objective, seconds
+    :ivar priority: priority of the call, 0 is the most urgent
+    :ivar account: account of the call, '' if it is not known
+    :ivar tokens: prompt tokens that the target has to process
     """
 
     target_id: str
@@ -92,6 +104,9 @@
     version: int
     patience: float
     slack: float
+    priority: int = DEFAULT_PRIORITY
+    account: str = ''
+    tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,6 +125,8 @@
     :ivar max_queue: longest queue with which the sender prefers this target
         to all others, seconds
     :ivar is_load: whether the sender will have the adapter loaded first
+    :ivar priority: priority of the call, 0 is the most urgent
+    :ivar account: account of the call, '' if it is not known
     """
 
     target_id: str
@@ -118,6 +135,8 @@
     tokens: int
     max_queue: float
     is_load: bool
+    priority: int = DEFAULT_PRIORITY
+    account: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
@@ -24,6 +24,10 @@
             'Targets that this node leaves alone for some time after '
             'failures.',
         )
+        self.slow_targets = metrics.add_gauge(
+            'mustardlb_slow_targets',
+            'Targets that report to take at least twice the usual time.',
+        )
         self.lost_targets = metrics.add_gauge(
             'mustardlb_targets_out_of_reach',
             'Targets to which this node cannot connect itself, while others '
@@ -33,6 +37,10 @@
             'mustardlb_relayed_connections',
             'Connections to targets that this node relays for others.',
         )
+        self.evacuated_centres = metrics.add_gauge(
+            'mustardlb_evacuated_data_centres',
+            'Data centres whose targets get no requests.',
+        )
         self.stream_origins = metrics.add_gauge(
             'mustardlb_stream_origins',
             'Streams of the last minute whose beginning this node knows.',
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_states.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_states.py
@@ -31,6 +31,11 @@
 # brittle. They may differ for a moment on which nodes there are.
 BRITTLE_FILL_RATIO = 0.8
 
+# Calls in progress or refused, as a ratio of the slots of all brittle targets,
+# for which the shares are set. Nodes cannot learn of a surge before a brittle
+# target falls over, so this applies at any load.
+PEAK_DEMAND_RATIO = 3.0
+
 # Target and its incarnation.
 TargetKey = tuple[str, int]
 
@@ -39,8 +44,9 @@
     """Rest that targets have asked this node for, and brittle targets.
 
     `limits` tells which targets are brittle, `owners` ranks the nodes,
-    `in_flight` returns the requests of this node at a target, and
-    `record_leaving` is called with each target that leaves.
+    `in_flight` returns the requests of this node at a target,
+    `record_leaving` is called with each target that leaves, and `record_load`
+    with each load that a target reports.
     """
 
     def __init__(
@@ -52,6 +58,9 @@
         in_flight: abc.Callable[[str], int],
         record_leaving: abc.Callable[[domain.Target], None],
         rng: random.Random | None = None,
+        record_load: abc.Callable[
+            [domain.Target, domain.TargetLoad | None], None
+        ] = lambda target, load: None,
     ) -> None:
         self._clock = clock
         self._limits = limits
@@ -60,6 +69,7 @@
         self._in_flight = in_flight
         self._record_leaving = record_leaving
         self._rng = rng or random.Random()
+        self._record_load = record_load
         self._rest_until_by_key: dict[TargetKey, float] = {}
 
     def record_response(
@@ -68,6 +78,7 @@
         """Record a response; return the seconds of rest that it asks for."""
         if info.is_leaving:
             self._record_leaving(target)
+        self._record_load(target, info.load)
         self._record_brittle(target, status, info.max_rejections)
         if status != 503 or info.rest is None:
             return 0.0
@@ -133,10 +144,27 @@
             return False
         ranking = self._owners.ranking(target.target_id)
         room = max(1, int(target.slots * BRITTLE_FILL_RATIO))
+        if room < len(ranking):
+            room = self._holders(target, room, len(ranking))
         share, rest = divmod(room, len(ranking))
         share += ranking.index(self._vm) < rest
         return self._in_flight(target.target_id) >= share
 
+    def _holders(self, target: domain.Target, room: int, nodes: int) -> int:
+        """Return how many nodes may each use one slot of a brittle target.
+
+        A node with an offered load of `demand` calls uses its slot for the
+        part demand / (1 + demand) of the time (Erlang's loss formula for one
+        slot), so that more nodes than there is room for keep it filled.
+        """
+        demand = (
+            PEAK_DEMAND_RATIO
+            * target.slots
+            * self._limits.brittle_count()
+            / nodes
+        )
+        return min(nodes, int(room * (1 + 1 / max(demand, 1e-6))))
+
     def takes_requests(self, target: domain.Target) -> bool:
         """Return whether a request may be sent to a target now."""
         return not self.rest(target) and not self.is_full(target)
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
@@ -30,6 +30,9 @@
 # server closes.
 IDLE_TIMEOUT_MARGIN_SECONDS = 1.0
 
+# A stopping server gives a client this time to send its next request.
+IDLE_GRACE_SECONDS = 0.3
+
 _UNIQUE_HEADERS = (b'host', b'content-length')
 
 
@@ -118,6 +121,8 @@
         self.limits = limits
         self._max_connections = max_connections
         self._connections: set[_ClientConnection] = set()
+        self._listeners: list[trio.SocketListener] = []
+        self._accept_scope = trio.CancelScope()
         self.is_stopping = False
         self.requests_in_flight = 0
 
@@ -127,14 +132,20 @@
         port: int,
         task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Accept clients until cancelled.
+        """Accept clients until cancelled or `stop_accepting`.
 
         Reports the bound port through `task_status`.
         """
-        listeners = await trio.open_tcp_listeners(port, host=host)
-        bound_port = listeners[0].socket.getsockname()[1]
+        self._listeners = await trio.open_tcp_listeners(port, host=host)
+        bound_port = self._listeners[0].socket.getsockname()[1]
         task_status.started(bound_port)
-        await trio.serve_listeners(self._serve_client, listeners)
+        async with trio.open_nursery() as nursery:
+            with self._accept_scope:
+                await trio.serve_listeners(
+                    self._serve_client,
+                    self._listeners,
+                    handler_nursery=nursery,
+                )
 
     async def _serve_client(self, stream: trio.SocketStream) -> None:
         if len(self._connections) >= self._max_connections:
@@ -150,11 +161,39 @@
         finally:
             self._connections.discard(connection)
 
+    @property
+    def has_clients(self) -> bool:
+        """Return whether a client is connected."""
+        return bool(self._connections)
+
+    @property
+    def is_accepting(self) -> bool:
+        """Return whether new clients are accepted."""
+        return bool(self._listeners)
+
+    def stop_accepting(self) -> None:
+        """Close the listening sockets, unless a client waits there.
+
+        A client that the system has accepted and this process has not would
+        be disconnected.
+        """
+        if any(_sockets.is_readable(each.socket) for each in self._listeners):
+            return
+        self._accept_scope.cancel()
+        for listener in self._listeners:
+            listener.socket.close()
+        self._listeners = []
+
     def close_idle(self) -> None:
-        """Close the connections on which no request has begun."""
+        """Close the connections that have no request and had none lately."""
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def end_reading(self) -> None:
+        """Reject the requests that are incomplete, as not run."""
+        for connection in list(self._connections):
+            connection.end_reading()
+
 
 class _ClientConnection:
     """A client connection; serves one request at a time.
@@ -177,12 +216,23 @@
         self._pipelined = bytearray()
         self._client_closed = False
         self._idle_scope: trio.CancelScope | None = None
+        self._idle_since = 0.0
+        self._reading_scope: trio.CancelScope | None = None
 
     def close_if_idle(self) -> None:
-        """Close the connection if no byte of a next request was received."""
-        if self._idle_scope is not None and not self._pipelined:
+        """Close the connection if no byte of a next request has arrived."""
+        if self._idle_scope is None or self._pipelined:
+            return
+        if trio.current_time() < self._idle_since + IDLE_GRACE_SECONDS:
+            return
+        if not _sockets.is_readable(self._stream.socket):
             self._idle_scope.cancel()
 
+    def end_reading(self) -> None:
+        """Reject the request if it is incomplete."""
+        if self._reading_scope is not None:
+            self._reading_scope.cancel()
+
     def abort(self) -> None:
         """Close the socket without ending the response.
 
@@ -261,17 +311,30 @@
         Returns None after the idle timeout or when the client has closed.
         Raises BadRequest.
         """
+        self._idle_since = trio.current_time()
         self._idle_scope = trio.CancelScope(
-            deadline=trio.current_time()
+            deadline=self._idle_since
             + self._limits.idle_timeout
             + IDLE_TIMEOUT_MARGIN_SECONDS
         )
         if not self._pipelined and not self._has_buffered_data():
             with self._idle_scope:
                 await self._receive()
-            if self._idle_scope.cancelled_caught:
+            if self._idle_scope.cancelled_caught and not _sockets.is_readable(
+                self._stream.socket
+            ):
                 return None
         self._idle_scope = None
+        request = None
+        with trio.CancelScope() as self._reading_scope:
+            request = await self._read_complete_request()
+        is_ended = self._reading_scope.cancelled_caught
+        self._reading_scope = None
+        if is_ended:
+            raise BadRequest(503, 'the node is stopping')
+        return request
+
+    async def _read_complete_request(self) -> Request | None:
         with trio.move_on_after(self._limits.header_timeout) as scope:
             head = await self._next_event()
         if scope.cancelled_caught:
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -79,6 +79,7 @@
   canClaim @10 :Bool = true;  # false if the store does not answer the sender
   crashEvidence @11 :CrashEvidence; # found by the sender
   targetLimits @12 :List(LimitNotice);
+  isCutOff @13 :Bool;       # whether the sender reaches no target
 }
 
 struct Update {
@@ -88,6 +89,8 @@
   levels @3 :List(Counted); # levels of the accounts' token buckets
   crashEvidence @4 :CrashEvidence;  # known to the sender, not sent before
   targetLimits @5 :List(LimitNotice); # known to the sender, not sent before
+  cutOff @6 :List(Text);    # changed members that reach no target
+  slowdowns @7 :Data;       # percent, of targets in `changes`, MessagePack
 }
 
 struct CrashEvidence {
@@ -134,6 +137,7 @@
   running @1 :UInt32;
   unreadTokens @2 :UInt32;  # prompt tokens to be processed
   adapters @3 :List(Text);  # adapters in use
+  slowdown @4 :UInt16;      # reported to the sender lately, percent, or 0
 }
 
 struct Holding {
@@ -158,6 +162,9 @@
   version @2 :UInt64;       # minimum version, 0 for any
   patience @3 :Float64;     # timeout, seconds
   slack @4 :Float64;        # time to the latency objective, seconds
+  priority @5 :UInt8 = 5;   # 0 is the most urgent
+  account @6 :Text;         # '' if it is not known
+  tokens @7 :UInt32;        # prompt tokens to be processed
 }
 
 struct Charge {
@@ -179,6 +186,8 @@
   tokens @3 :UInt32;        # prompt tokens to be processed
   maxQueue @4 :Float64;     # accept only up to this queue, seconds
   isLoad @5 :Bool;          # whether the adapter will be loaded first
+  priority @6 :UInt8 = 5;   # 0 is the most urgent
+  account @7 :Text;         # '' if it is not known
 }
 
 struct Reserved {
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -10,6 +10,7 @@
 
 from mustardlb_gateway import _charging
 from mustardlb_gateway import _dispatch
+from mustardlb_gateway import _evacuations
 from mustardlb_gateway import _exchange
 from mustardlb_gateway import _gateway
 from mustardlb_gateway import _jobs
@@ -21,6 +22,7 @@
 from mustardlb_gateway import _quarantine
 from mustardlb_gateway import _quota
 from mustardlb_gateway import _reachability
+from mustardlb_gateway import _reported_loads
 from mustardlb_gateway import _software_history
 from mustardlb_gateway import _stream_origins
 from mustardlb_gateway import _target_limits
@@ -45,13 +47,21 @@
     return None if value is None else float(value)
 
 
+def _load(value):
+    if value is None:
+        return None
+    running, slowdown = value.split(b',')
+    return domain.TargetLoad(int(running), 0, 8, float(slowdown))
+
+
 class TranslationStub:
     """Reads and writes the headers that the tests use.
 
     Requests have `x-id`, `x-key`, `x-wait` (client timeout in seconds),
     `x-adapter`, `last-event-id` and `x-resumed` (the request that is
     resumed); responses have `x-id`, `x-signed`, `x-not-run`, `x-limit`,
-    `x-rest`, `x-leaving` and `x-brittle`.
+    `x-rest`, `x-leaving`, `x-brittle` and `x-load` (running requests and
+    slowdown).
     """
 
     def read_target(self, name, spec):
@@ -96,6 +106,7 @@
             request_id and request_id.decode(),
             b'x-signed' in values,
             b'x-not-run' in values,
+            _load(values.get(b'x-load')),
             request_limit=float(values[b'x-limit'])
             if b'x-limit' in values
             else None,
@@ -143,7 +154,15 @@
         mirror.is_connected = True
         self.mirror = mirror
         clock = trio.current_time
-        self.targets = _targets.TargetTable(mirror, translation, clock)
+        self.evacuations = _mirror.Mirror('evacuations')
+        self.targets = _targets.TargetTable(
+            mirror,
+            translation,
+            clock,
+            _evacuations.Evacuations(
+                self.evacuations, clock, lambda: 0.0
+            ).is_evacuated,
+        )
         prefix_index = _prefix_index.PrefixIndex(clock)
         self.quota = _quota.Quota(lambda: _quota.Tolerance(0.0, 10.0))
         self.quarantine = _quarantine.Quarantine(clock, lambda: 0.0, clock)
@@ -169,7 +188,11 @@
             'vm1', self.target_limits, None, frozenset, clock
         )
         self.failures = []
+        self.on_send = lambda: None
         self.permits_trials = False
+        self.reported_loads = _reported_loads.ReportedLoads(
+            clock, self.targets.own_in_flight, self.targets.told_slowdowns
+        )
         self.states = _target_states.TargetStates(
             clock,
             self.target_limits,
@@ -177,6 +200,7 @@
             _owners.Owners('vm1', frozenset, clock),
             self.targets.own_in_flight,
             self.targets.record_leaving,
+            record_load=self.reported_loads.record,
         )
         pool = http_client.Pool(0.5)
         self.reachability = _reachability.Reachability(clock)
@@ -202,6 +226,8 @@
                 self.states,
                 None,
                 self.stream_origins.record,
+                self._ensure_current,
+                self.reported_loads.record_response_time,
             ),
             self.targets,
             _placement.Placement(
@@ -213,6 +239,7 @@
                 lambda target_id: 3,
                 lambda: self.load_age,
                 is_adopted=self.software_history.is_adopted,
+                reported_loads=self.reported_loads,
             ),
             lambda adapter: self.versions,
             self._load,
@@ -244,9 +271,9 @@
             self.gateway.handle, domain.RequestLimits, 50
         )
 
-    async def _load(self, target_id, adapter, version, timeout, slack):
+    async def _load(self, request):
         await trio.lowlevel.checkpoint()
-        self.load_requests.append((target_id, adapter))
+        self.load_requests.append((request.target_id, request.adapter))
         return self.load_result
 
     async def _reserve(self, request):
@@ -257,6 +284,10 @@
     def _record_failure(self, target, call, is_broken, sent_seconds_ago):
         self.failures.append((target.target_id, is_broken))
 
+    async def _ensure_current(self):
+        await trio.lowlevel.checkpoint()
+        self.on_send()
+
     async def _confirm(self):
         await trio.lowlevel.checkpoint()
         return False
@@ -302,11 +333,23 @@
             self.mirror.revision + 1,
         )
 
+    def set_evacuated(self, *data_centres):
+        revision = self.evacuations.revision + 1
+        self.evacuations.replace_all(
+            [ports.StoredObject(name, 1, {}) for name in data_centres],
+            revision,
+        )
+
     @property
     def request_count(self):
         """Return the number of requests that the targets received."""
         return sum(len(each.requests) for each in self.scripted)
 
+    @property
+    def targets_got(self):
+        """Return (head, body) of each request that the targets received."""
+        return [each for server in self.scripted for each in server.requests]
+
     async def send_request(
         self, headers=b'', request_id=b'r1', method=b'POST'
     ):
--- a/tests/mustardlb_gateway/test_dispatch.py
+++ b/tests/mustardlb_gateway/test_dispatch.py
@@ -402,13 +402,13 @@
     harness = gateway_harness.Harness(STREAM, engine=True)
     first = True
 
-    async def load(target_id, adapter, version, timeout, slack):
+    async def load(request):
         nonlocal first
         await trio.lowlevel.checkpoint()
         if first:
             first = False
-            harness.load_requests.append(target_id)
-            harness.set_targets(excluded=target_id)
+            harness.load_requests.append(request.target_id)
+            harness.set_targets(excluded=request.target_id)
         return True
 
     harness.dispatcher._load = load
@@ -574,14 +574,16 @@
         drop_idle_connections
     ) as harness:
         statuses = []
-        for _ in range(5):
-            statuses.append((await harness.send_request()).status)
+        for number in range(5):
+            response = await harness.send_request(request_id=b'%d' % number)
+            statuses.append(response.status)
             await trio.sleep(0.3)
         assert statuses == [200, 502, 200, 200, 200]
         # Connections with a shorter idle time are still reused.
         opened = harness.scripted[0].opened
-        assert (await harness.send_request()).status == 200
-        assert (await harness.send_request()).status == 200
+        for request_id in (b'5', b'6'):
+            response = await harness.send_request(request_id=request_id)
+            assert response.status == 200
         assert harness.scripted[0].opened == opened + 1
 
 
@@ -845,3 +847,25 @@
         response = await harness.send_request(b'x-wait: 6\r\n')
         assert response.status == 503
         assert float(response.headers[b'retry-after']) > 1.5
+
+
+@pytest.mark.parametrize(('queue', 'connections'), [(0.0, 2), (0.5, 1)])
+async def test_link_is_not_checked_while_a_prompt_is_prefilled(
+    queue, connections
+):
+    """Guards against a new connection for each call with a long prompt.
+
+    Targets limit their connections. An engine is silent while other prompts
+    are before this one, which says nothing about the link.
+    """
+
+    async def respond_late(connection, head, body):
+        await trio.sleep(0.55)
+        await make_stream(range(1))(connection, head, body)
+
+    harness = gateway_harness.Harness(STREAM, engine=True)
+    harness.reservations = [reserved(queue, is_accepted=True)]
+    async with harness.running(respond_late, resident=['a7']) as harness:
+        response = await harness.send_request(b'x-adapter: a7\r\n')
+    assert response.is_complete
+    assert harness.scripted[0].opened == connections
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from mustardlb import schema
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _crashes
 from mustardlb_gateway import _fleet
@@ -38,12 +39,15 @@
     is_leaving=False,
     revisions={'config': 7},
     admitted={'acme': 12.5},
-    usages=(_messages.TargetUsage('t1', 2, 300, (builders.adapter('a1'),)),),
+    usages=(
+        _messages.TargetUsage('t1', 2, 300, (builders.adapter('a1'),), 418),
+    ),
     holdings=(
         _centres.Holding('t1', 4, 99, True, {builders.adapter('a1'): 2}, -1),
     ),
     crash_evidence=EVIDENCE,
     target_limits=LIMITS,
+    is_cut_off=True,
 )
 
 CHANGE = _centres.CentreDelta(
@@ -52,10 +56,17 @@
     is_watching=True,
     members=(
         _centres.Member(_centres.Vm('vm2', '10.0.0.2', 7600, 'a', 5.0), 9),
+        _centres.Member(
+            _centres.Vm('vm4', '10.0.0.4', 7600, 'a', 5.0), 8, True, True
+        ),
     ),
     removed_members=('vm3',),
     admitted={'acme': 12.5},
-    loads={'t1': _centres.Load(2, 300), 't2': _centres.NO_LOAD},
+    loads={
+        't1': _centres.Load(2, 300, 418),
+        't2': _centres.NO_LOAD,
+        't3': _centres.Load(0, 0, 100),
+    },
     adapters_in_use={
         't1': frozenset({builders.adapter('a1')}),
         't2': frozenset(),
@@ -77,6 +88,13 @@
             ('main', 'other'),
         ),
         _messages.Want('t1', builders.adapter('a1'), 3, 1.5, -0.5),
+        _messages.Want(
+            't1', builders.adapter('a1'), 3, 1.5, -0.5, 0, 'acme', 9190
+        ),
+        _messages.Reserve('t1', builders.adapter('a1'), 3, 9190, 0.5, True),
+        _messages.Reserve(
+            't1', builders.adapter('a1'), 3, 9190, 0.5, True, 2, 'acme'
+        ),
         _messages.Wanted(True),
         _messages.Wanted(False),
         _messages.Subscription(True),
@@ -104,6 +122,20 @@
     assert _message_codec.decode(_message_codec.encode(message)) == message
 
 
+def test_requests_of_older_nodes_have_the_default_priority():
+    """Guards against requests that an upgrade would serve first or last."""
+    adapter = builders.adapter('a1')
+    fields = {'target': 't1', 'adapter': str(adapter)}
+    for kind in ('want', 'reserve'):
+        message = schema.load('gateway').PeerMessage.new_message(
+            **{kind: fields}
+        )
+        data = message.to_bytes_packed()
+        decoded = _message_codec.decode(data).body
+        assert type(decoded).__name__.lower() == kind
+        assert (decoded.priority, decoded.account) == (5, '')
+
+
 @pytest.mark.parametrize('data', [b'', b'\xff' * 40])
 def test_invalid_message_is_rejected(data):
     with pytest.raises(ValueError, match='invalid message'):
@@ -118,6 +150,7 @@
         self.received_levels = {}
         self.evidence = self.own_evidence = _crashes.Evidence()
         self.limits = self.own_limits = {}
+        self.is_cut_off = False
         self.vm = _centres.Vm(
             vm, '127.0.0.1', free_ports.find(1)[0], data_centre, capacity
         )
@@ -159,6 +192,7 @@
             (),
             crash_evidence=self.own_evidence,
             target_limits=self.own_limits,
+            is_cut_off=self.is_cut_off,
         )
 
     @property
@@ -417,3 +451,21 @@
                 for node in nodes
             ):
                 await trio.sleep(0.02)
+
+
+# Nodes that do not know who reaches no target look for a helper at random.
+async def test_nodes_learn_which_others_reach_no_target():
+    nodes = make_fleet('ab', 3)
+    names = [node.vm.vm for node in nodes]
+    async with running(*nodes):
+        for cut_off in (set(names[1:5]), {names[5]}, set()):
+            for node in nodes:
+                node.is_cut_off = node.vm.vm in cut_off
+
+            def all_know(cut_off=cut_off):
+                return all(
+                    node.membership.cut_off == cut_off - {node.vm.vm}
+                    for node in nodes
+                )
+
+            await wait_until(all_know)
