--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _event_stream
 from mustardlb_gateway import _jobs
 from mustardlb_gateway import _messages
@@ -45,7 +46,11 @@
 
 
 class Exchange:
-    """Forwards calls to targets and their responses to clients."""
+    """Forwards calls to targets and their responses to clients.
+
+    `may_send` returns whether a call, with a permit until some time or None,
+    may be sent to a target now, as far as that depends on cold targets.
+    """
 
     def __init__(
         self,
@@ -70,7 +75,18 @@
         record_response_time: abc.Callable[
             [domain.Target, str, float, float], object
         ] = lambda target, route, seconds, usual: None,
+        clock: abc.Callable[[], float] = trio.current_time,
+        buffers: _buffers.Buffers | None = None,
+        may_send: abc.Callable[
+            [domain.Target, float | None], bool
+        ] = lambda target, send_by: True,
+        confirm_targets: abc.Callable[
+            [], abc.Awaitable[None]
+        ] = trio.lowlevel.cancel_shielded_checkpoint,
     ) -> None:
+        self._may_send = may_send
+        self._clock = clock
+        self._confirm_targets = confirm_targets
         self._translation = translation
         self._ensure_current = ensure_current
         self._pool = pool
@@ -84,6 +100,7 @@
         self._tell_rest = tell_rest
         self._record_origin = record_origin
         self._record_response_time = record_response_time
+        self._buffers = buffers or _buffers.Buffers(lambda: 0.0)
 
     async def run(
         self,
@@ -122,9 +139,13 @@
                         / _prefill_queue.PREFILL_TOKENS_PER_SECOND,
                     )
 
+        job.held = self._buffers.open()
+        # The encoded request, besides the body that was received.
+        job.held.add(len(job.call.body))
         try:
             await self._send_and_receive(job, attempt, choice, record_prefill)
         finally:
+            job.held.close()
             if not is_prefilled:
                 self._targets.finish_prefill(target.target_id, prefill_tokens)
             self._targets.end_request(target.target_id, job.call.adapter)
@@ -145,13 +166,28 @@
                 connection = await self._links.acquire(
                     target, job.call.request_id
                 )
+                if job.software is not None:
+                    # A target that has restarted with other software since
+                    # this node last heard of it must not go on with a stream.
+                    await self._confirm_targets()
                 await self._ensure_current()
-                if self._states.rest(
-                    target
-                ) or not self._targets.takes_requests(target):
-                    # It has asked for rest, or has left or restarted, or
-                    # its data centre was evacuated, while the connection was
-                    # opened or this process was paused.
+                if self._clock() > job.expires_at:
+                    # The machine was suspended, which trio's deadline does
+                    # not count. The client has left.
+                    job.deadline = trio.current_time()
+                    attempt.is_withheld = True
+                    raise http_client.ExchangeFailed(
+                        'the deadline was during a suspension', was_sent=False
+                    )
+                if (
+                    self._states.rest(target)
+                    or not self._targets.takes_requests(target)
+                    or self._clock() > attempt.permitted_until
+                    or not self._may_send(target, attempt.send_by)
+                ):
+                    # It has asked for rest, left, restarted or become cold,
+                    # its data centre was evacuated, or a permit has expired,
+                    # while the connection was opened or this process paused.
                     attempt.is_withheld = True
                     raise http_client.ExchangeFailed(
                         'the target takes no requests for now', was_sent=False
@@ -276,7 +312,9 @@
             )
             return
         with self._response_timeout(job) as scope:
-            body = await connection.receive_body(MAX_BUFFERED_RESPONSE_BYTES)
+            body = await connection.receive_body(
+                MAX_BUFFERED_RESPONSE_BYTES, job.hold
+            )
         if scope.cancelled_caught:
             raise http_client.ExchangeFailed(
                 'the target stopped sending the response'
@@ -326,7 +364,9 @@
 
     def _response_timeout(self, job: _jobs.Job) -> trio.CancelScope:
         """Return a scope for receiving data, with the response timeout."""
-        deadline = _response_deadline(job, self._response_timeout_seconds(job))
+        deadline = _response_deadline(
+            job, self._response_timeout_seconds(job), trio.current_time()
+        )
         return trio.CancelScope(deadline=deadline)
 
     async def _watch_link(
@@ -384,9 +424,7 @@
             # cannot follow; the stream is truncated.
             return
         job.first_byte = trio.current_time()
-        await job.reply.send_response(
-            response.status, response.headers, response.body
-        )
+        await job.send_response(response)
 
     async def _forward_stream(
         self,
@@ -403,8 +441,10 @@
             job.splitter.discard_partial()
         timeout = self._response_timeout_seconds(job)
         is_recorded = False
+        # Bytes that complete no event are no progress.
+        event_at = trio.current_time()
         while True:
-            data = await _receive_data(connection, job, timeout)
+            data = await _receive_data(connection, job, timeout, event_at)
             now = trio.current_time()
             if (
                 data is None
@@ -435,11 +475,13 @@
                 complete = job.splitter.feed(data)
             except ValueError as error:
                 raise http_client.ExchangeFailed(str(error)) from error
+            job.hold_event(len(job.splitter.partial))
             if complete:
                 if job.first_byte is None:
                     job.first_byte = now
                 await self._begin_stream(job, target, head)
                 await job.reply.send(complete)
+                event_at = job.event_at = trio.current_time()
         if job.splitter.partial:
             raise http_client.ExchangeFailed('the last event is incomplete')
         if not is_recorded and attempt.output_at is not None:
@@ -484,10 +526,16 @@
 
 
 async def _receive_data(
-    connection: http_client.Connection, job: _jobs.Job, timeout: float
+    connection: http_client.Connection,
+    job: _jobs.Job,
+    timeout: float,
+    event_at: float,
 ) -> bytes | None:
-    """Return the next part of a stream; raises ExchangeFailed."""
-    deadline = _response_deadline(job, timeout)
+    """Return the next part of a stream; raises ExchangeFailed.
+
+    :param event_at: when the last event was complete, trio time
+    """
+    deadline = _response_deadline(job, timeout, event_at)
     if deadline == math.inf:
         return await connection.receive_data()
     with trio.CancelScope(deadline=deadline):
@@ -496,16 +544,15 @@
     raise http_client.ExchangeFailed('the target stopped sending the stream')
 
 
-def _response_deadline(job: _jobs.Job, timeout: float) -> float:
-    """Return when to give up on a target, in trio time.
+def _response_deadline(job: _jobs.Job, timeout: float, since: float) -> float:
+    """Return when to give up on a target that was silent since a trio time.
 
-    The deadline is infinite if too little time would be left for another
-    target.
+    It is when the client abandons the stream, or infinite, if too little time
+    would be left for another target.
     """
-    now = trio.current_time()
-    if now + timeout + timeout / 2 < job.deadline:
-        return now + timeout
-    return math.inf
+    if since + timeout + timeout / 2 < job.deadline:
+        return min(since + timeout, job.abandoned_at)
+    return job.abandoned_at
 
 
 def _expected_silence_seconds(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
@@ -28,6 +28,10 @@
             'mustardlb_slow_targets',
             'Targets that report to take at least twice the usual time.',
         )
+        self.warming_targets = metrics.add_gauge(
+            'mustardlb_warming_targets',
+            'Targets with a window of requests after a start or failures.',
+        )
         self.lost_targets = metrics.add_gauge(
             'mustardlb_targets_out_of_reach',
             'Targets to which this node cannot connect itself, while others '
@@ -37,10 +41,23 @@
             'mustardlb_relayed_connections',
             'Connections to targets that this node relays for others.',
         )
+        self.cold_targets = metrics.add_gauge(
+            'mustardlb_cold_targets',
+            'Targets that get few requests since they are cold.',
+        )
         self.evacuated_centres = metrics.add_gauge(
             'mustardlb_evacuated_data_centres',
             'Data centres whose targets get no requests.',
         )
+        self.buffered_bytes = metrics.add_gauge(
+            'mustardlb_buffered_bytes',
+            'Data that is buffered for clients and targets.',
+        )
+        self.slow_clients = metrics.add_gauge(
+            'mustardlb_slow_clients',
+            'Clients that were disconnected because of what was buffered for '
+            'them, since the start.',
+        )
         self.stream_origins = metrics.add_gauge(
             'mustardlb_stream_origins',
             'Streams of the last minute whose beginning this node knows.',
--- a/packages/mustardlb-gateway/mustardlb_gateway/_sockets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_sockets.py
@@ -15,6 +15,31 @@
 USER_TIMEOUT_MS = 3000
 
 
+# Unsent data that the system holds for a peer, if memory is bounded.
+MAX_UNSENT_BYTES = 131_072
+
+# A peer of a slower transfer sends or reads a byte now and then.
+MIN_BYTES_PER_SECOND = 4096
+
+
+class Progress:
+    """Deadline of a transfer, which progress postpones.
+
+    :ivar deadline: trio time, at most `timeout` seconds ahead
+    """
+
+    def __init__(self, timeout: float) -> None:
+        self._timeout = timeout
+        self.deadline = trio.current_time() + timeout
+
+    def record(self, byte_count: int) -> None:
+        """Postpone the deadline by the time that these bytes may take."""
+        self.deadline = min(
+            self.deadline + byte_count / MIN_BYTES_PER_SECOND,
+            trio.current_time() + self._timeout,
+        )
+
+
 def set_tcp_options(stream: trio.SocketStream) -> None:
     """Disable Nagle's algorithm and enable dead-peer detection."""
     socket = trio.socket
@@ -54,6 +79,15 @@
     return stream
 
 
+def limit_unsent(stream: trio.SocketStream) -> None:
+    """Limit what the system buffers beyond the data in transit."""
+    stream.setsockopt(
+        trio.socket.IPPROTO_TCP,
+        trio.socket.TCP_NOTSENT_LOWAT,
+        MAX_UNSENT_BYTES,
+    )
+
+
 def is_readable(sock: trio.socket.SocketType) -> bool:
     """Return whether data, the end or a new connection can be received."""
     poll = select.poll()
@@ -61,7 +95,16 @@
     return bool(poll.poll(0))
 
 
-def write_available(stream: trio.SocketStream, data: bytes) -> int:
+async def wait_writable(stream: trio.SocketStream) -> None:
+    """Wait until the socket takes data; raises trio.ClosedResourceError."""
+    if stream.socket.fileno() < 0:
+        raise trio.ClosedResourceError
+    await trio.lowlevel.wait_writable(stream.socket)
+
+
+def write_available(
+    stream: trio.SocketStream, data: bytes | memoryview
+) -> int:
     """Write what the socket's buffer takes and return the number of bytes.
 
     No other task may be sending on the stream. Raises
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -7,6 +7,7 @@
 import trio
 
 from mustardlb import clock as clocks
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _charging
 from mustardlb_gateway import _crashes
@@ -87,6 +88,7 @@
         self._nursery: trio.Nursery | None = None
         self.is_stopping = False
         self._counts_changed = trio.Event()
+        self._buffers = _buffers.Buffers(lambda: self.settings.memory_mb)
         self._retry_budgets_by_service: dict[
             str, _retry_budget.RetryBudget
         ] = {}
@@ -124,6 +126,7 @@
             lambda: self.peers,
             lambda: self.is_stopping,
             clock,
+            self._buffers,
         )
         self.quarantine = self._target_parts.quarantine
         self.peers = _peers.Peers(
@@ -152,11 +155,23 @@
             clock,
         )
         self._trials = _wiring_targets.make_trials(
-            settings, self._target_parts, self.peers, clock
+            settings,
+            self._target_parts,
+            self.peers,
+            clock,
+            self._pauses.is_settled,
         )
         self._permits = _wiring_targets.make_permits(
             settings, self._target_parts, self.peers, clock
         )
+        self._cold_permits = _wiring_targets.make_cold_permits(
+            lambda: self.settings,
+            state,
+            self._target_parts,
+            self.membership,
+            self.peers,
+            clock,
+        )
         self._stream_origins = self._make_stream_origins(state.targets_mirror)
         engines = _wiring_engines.make(
             lambda: self.settings,
@@ -180,13 +195,21 @@
             self._target_parts,
             engines,
             self._permits,
+            self._cold_permits,
             self._prefix_index,
             self.membership,
             self.peers,
             self._acquire_retry,
             self._stream_origins.record,
             self._pauses.ensure_current,
+            clock,
+            self._buffers,
+            _mirror.Confirmer(
+                state.targets_mirror, store, clock, CONFIRM_TIMEOUT_SECONDS
+            ).confirm,
+            self.metrics,
         )
+        self._waiting = dispatcher.waiting
         self._gateway = _gateway.Gateway(
             translation,
             dispatcher,
@@ -200,6 +223,7 @@
             self._trials.permit,
             self._stream_origins.find,
             clock,
+            lambda: self._buffers.is_full,
         )
         self._client_server = self._make_client_server()
         self.targets.on_removed(self._on_target_removed)
@@ -258,7 +282,9 @@
         max_connections = max(
             100, self.settings.max_descriptors - RESERVED_DESCRIPTORS
         )
-        return http_server.Server(self._handle, limits, max_connections)
+        return http_server.Server(
+            self._handle, limits, max_connections, self._buffers
+        )
 
     async def _handle(
         self, request: http_server.Request, reply: http_server.Reply
@@ -289,18 +315,28 @@
 
     def _make_digest(self) -> _messages.Digest:
         slowdowns = self._target_parts.reported_loads.to_tell()
+        windows = self._target_parts.warm_up.to_tell()
         usages = tuple(
             _messages.TargetUsage(
                 target_id,
                 usage.in_flight,
                 usage.prefill_tokens,
                 tuple(usage.by_adapter),
-                slowdowns.pop(target_id, 0),
+                slowdowns.get(target_id, 0),
+                windows.get(target_id),
             )
             for target_id, usage in self.targets.usage_by_id.items()
         ) + tuple(
-            _messages.TargetUsage(target_id, 0, 0, (), slowdown)
-            for target_id, slowdown in slowdowns.items()
+            _messages.TargetUsage(
+                target_id,
+                0,
+                0,
+                (),
+                slowdowns.get(target_id, 0),
+                windows.get(target_id),
+            )
+            for target_id in (slowdowns | windows).keys()
+            - self.targets.usage_by_id.keys()
         )
         return _messages.Digest(
             self.settings.host,
@@ -337,6 +373,7 @@
         self._gauges.live_nodes.set(len(self.membership.live))
         self.targets.centres_by_name = view
         self.engine_manager.apply_fleet_view(view)
+        self._waiting.notify_changed()
         now = self._clock()
         for name, centre in view.items():
             if self.fleet.is_fresh(name):
@@ -390,6 +427,12 @@
                 )
             case _messages.Permit():
                 return self._permits.handle_permit(message.body)
+            case _messages.ColdPermit():
+                return _messages.Permitted(
+                    self._cold_permits.handle(message.vm, message.body)
+                )
+            case _messages.ColdNotice():
+                self._cold_permits.handle_notice(message.vm, message.body)
             case _messages.TellOrigins():
                 return self._stream_origins.handle_told(message.body)
             case _messages.FindOrigin():
@@ -400,6 +443,10 @@
                     message.body.incarnation,
                     message.body.seconds,
                 )
+            case _messages.Observed():
+                self._target_parts.warm_up.handle_observed(
+                    message.vm, message.body
+                )
             case _messages.Refund():
                 self._charging.handle_refund(message.body)
         return None
@@ -481,8 +528,11 @@
             self.quarantine.refresh_if_due()
             self._target_parts.limits.remove_gone()
             self._permits.remove_gone()
+            self._target_parts.cold.remove_gone()
+            self._cold_permits.remove_gone()
             self._target_parts.states.remove_expired()
             self._target_parts.reported_loads.remove_expired()
+            self._target_parts.warm_up.update()
             self._update_gauges()
 
     def _update_gauges(self) -> None:
@@ -491,9 +541,13 @@
         gauges.crash_reports.set(len(quarantine.evidence.report_by_key))
         gauges.stream_origins.set(self._stream_origins.size)
         gauges.suspended_targets.set(self.targets.suspended_count)
+        gauges.warming_targets.set(self._target_parts.warm_up.count)
         gauges.slow_targets.set(self._target_parts.reported_loads.slow_count)
         gauges.lost_targets.set(self._target_parts.reachability.lost_count)
+        gauges.cold_targets.set(self._target_parts.cold.count)
         gauges.evacuated_centres.set(len(self._evacuations.since_by_centre))
+        gauges.buffered_bytes.set(self._buffers.held)
+        gauges.slow_clients.set(self._buffers.evictions)
         gauges.relayed_connections.set(self._target_parts.relay_server.count)
 
     def reload(self, settings: gateway_settings.Settings) -> None:
@@ -535,11 +589,7 @@
         unfinished = self._client_server.requests_in_flight
         self._client_server.end_reading()
         self._gateway.end_calls()
-        latest = trio.current_time() + LAST_RESPONSES_SECONDS
-        while trio.current_time() < latest:
-            if not self._client_server.has_clients:
-                break
-            await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
+        await self._client_server.wait_for_clients(LAST_RESPONSES_SECONDS)
         log.info(
             'MLB-6015',
             in_flight=unfinished,
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -8,7 +8,10 @@
 import scripted
 import trio
 
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _charging
+from mustardlb_gateway import _cold_permits
+from mustardlb_gateway import _cold_targets
 from mustardlb_gateway import _dispatch
 from mustardlb_gateway import _evacuations
 from mustardlb_gateway import _exchange
@@ -60,8 +63,8 @@
     Requests have `x-id`, `x-key`, `x-wait` (client timeout in seconds),
     `x-adapter`, `last-event-id` and `x-resumed` (the request that is
     resumed); responses have `x-id`, `x-signed`, `x-not-run`, `x-limit`,
-    `x-rest`, `x-leaving`, `x-brittle` and `x-load` (running requests and
-    slowdown).
+    `x-rest`, `x-leaving`, `x-brittle`, `x-cold` and `x-load` (running requests
+    and slowdown).
     """
 
     def read_target(self, name, spec):
@@ -113,6 +116,7 @@
             rest=_number(values.get(b'x-rest')),
             is_leaving=b'x-leaving' in values,
             max_rejections=_number(values.get(b'x-brittle')),
+            cold_remaining=_number(values.get(b'x-cold')),
         )
 
     def response_headers(self, headers):
@@ -134,10 +138,19 @@
     :ivar failures: target, and whether its connection broke, of each failure
         without lasting output
     :ivar permits_trials: whether calls in quarantine are tried
+    :ivar buffers: all buffered data, bounded if `memory_mb` is not 0
     :ivar reservations: responses to reservations, None if nobody decides
     """
 
-    def __init__(self, route, accounts=None, retries_left=100, engine=False):
+    def __init__(
+        self,
+        route,
+        accounts=None,
+        retries_left=100,
+        engine=False,
+        memory_mb=0.0,
+    ):
+        self.buffers = _buffers.Buffers(lambda: memory_mb)
         self.service = builders.make_service(engine=engine)
         self.configuration = builders.make_configuration(
             routes=[route], accounts=accounts, services=[self.service]
@@ -155,13 +168,33 @@
         self.mirror = mirror
         clock = trio.current_time
         self.evacuations = _mirror.Mirror('evacuations')
+        evacuations = _evacuations.Evacuations(
+            self.evacuations, clock, lambda: 0.0
+        )
         self.targets = _targets.TargetTable(
             mirror,
             translation,
             clock,
-            _evacuations.Evacuations(
-                self.evacuations, clock, lambda: 0.0
-            ).is_evacuated,
+            evacuations.is_evacuated,
+        )
+        self.cold = _cold_targets.ColdTargets(
+            mirror,
+            self.targets,
+            lambda name: self.service,
+            evacuations,
+            lambda target, remaining: None,
+            clock,
+        )
+        self.cold_permits = _cold_permits.ColdPermits(
+            'vm1',
+            self.cold,
+            self.targets.is_evacuated,
+            None,
+            lambda vm, body: None,
+            frozenset,
+            frozenset,
+            lambda per_second: per_second * 1.5 + 5,
+            clock,
         )
         prefix_index = _prefix_index.PrefixIndex(clock)
         self.quota = _quota.Quota(lambda: _quota.Tolerance(0.0, 10.0))
@@ -201,6 +234,7 @@
             self.targets.own_in_flight,
             self.targets.record_leaving,
             record_load=self.reported_loads.record,
+            record_cold=self.cold.record_response,
         )
         pool = http_client.Pool(0.5)
         self.reachability = _reachability.Reachability(clock)
@@ -228,6 +262,8 @@
                 self.stream_origins.record,
                 self._ensure_current,
                 self.reported_loads.record_response_time,
+                buffers=self.buffers,
+                may_send=self.cold_permits.may_send,
             ),
             self.targets,
             _placement.Placement(
@@ -240,6 +276,7 @@
                 lambda: self.load_age,
                 is_adopted=self.software_history.is_adopted,
                 reported_loads=self.reported_loads,
+                is_cold=self.cold_permits.is_cold,
             ),
             lambda adapter: self.versions,
             self._load,
@@ -249,6 +286,8 @@
             self._record_failure,
             self.permits,
             self.states,
+            self.cold_permits,
+            self.cold.record_broken,
         )
         charging = _charging.Charging(
             'vm1', 'a', self.quota, None, None, frozenset, None, clock
@@ -266,9 +305,10 @@
             self._permit_trial,
             self.stream_origins.find,
             clock,
+            lambda: self.buffers.is_full,
         )
         self.server = http_server.Server(
-            self.gateway.handle, domain.RequestLimits, 50
+            self.gateway.handle, domain.RequestLimits, 50, self.buffers
         )
 
     async def _load(self, request):
--- a/tests/mustardlb_gateway/test_app.py
+++ b/tests/mustardlb_gateway/test_app.py
@@ -26,7 +26,9 @@
         return builders.make_configuration(
             spec['version'],
             [builders.make_route(**spec['route'])],
-            services=[builders.make_service(engine=False)],
+            services=[
+                builders.make_service(engine=False, **spec.get('service', {}))
+            ],
         )
 
     def read_target(self, name, spec):
@@ -37,6 +39,8 @@
             resident=(),
             software=spec.get('software', ''),
             data_centre=spec.get('data_centre', 'a'),
+            incarnation=spec.get('incarnation', 1),
+            cold_remaining=spec.get('cold_remaining', 0.0),
         )
 
     def read_version(self, spec):
@@ -69,9 +73,10 @@
         self.nodes = []
         self.store_views = []
 
-    def put_configuration(self, version=1, **route):
+    def put_configuration(self, version=1, service=None, **route):
         route = {'kind': 'non_idempotent'} | route
-        self.store.put('config', 'main', {'version': version, 'route': route})
+        spec = {'version': version, 'route': route, 'service': service or {}}
+        self.store.put('config', 'main', spec)
 
     def put_target(self, state='ready'):
         spec = {'port': self.target.port, 'state': state}
@@ -149,6 +154,7 @@
         assert (await send_request(node.settings.front_port)).status == 200
         metrics = await send_request(node.settings.metrics_port)
         assert b'mustardlb_requests_total' in metrics.body
+        assert b'mustardlb_wait_seconds_count' in metrics.body
 
 
 async def test_changes_take_effect_within_seconds():
@@ -254,6 +260,46 @@
         await wait_until(reports_nodes)
 
 
+async def test_nodes_tell_each_other_slowdowns_and_windows():
+    async def respond(connection, head, body):
+        await connection.send(
+            scripted.response(scripted.request_id(head), extra=b'x-load: 1,4')
+        )
+
+    cluster = Cluster(respond)
+    cluster.put_configuration()
+    async with cluster.running(nodes=2):
+        cluster.put_target()
+        await wait_until(lambda: are_all_connected(cluster))
+        first, other = cluster.nodes
+
+        async def knows_slowdown():
+            await send_request(first.settings.front_port)
+            [target] = other.targets.by_id.values() or [None]
+            slowdown = other._target_parts.reported_loads.slowdown(target)
+            return slowdown is not None and slowdown > 2
+
+        await wait_until(lambda: is_ready(other))
+        await wait_until(knows_slowdown)
+        # A target that has just started gets a window at both nodes.
+        spec = {'port': cluster.target.port, 'state': 'ready'}
+        cluster.store.put('servers', 't2', spec)
+
+        async def have_windows():
+            await trio.lowlevel.checkpoint()
+            return all(
+                node._target_parts.warm_up.count == 1
+                and 't2' in node.targets.told_windows()
+                for node in cluster.nodes
+                if not node._target_parts.warm_up.to_tell()
+            )
+
+        await wait_until(have_windows)
+        assert any(
+            node._target_parts.warm_up.to_tell() for node in cluster.nodes
+        )
+
+
 async def are_all_connected(cluster):
     await trio.lowlevel.checkpoint()
     others = len(cluster.nodes) - 1
