--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -47,6 +47,7 @@
         lambda: membership.load_age,
         settings.data_centre,
         target_parts.software_history.is_adopted,
+        target_parts.reported_loads,
     )
 
     def tell_rest(helper: str, target: domain.Target, seconds: float) -> None:
@@ -65,6 +66,7 @@
         tell_rest,
         record_origin,
         ensure_current,
+        target_parts.reported_loads.record_response_time,
     )
     return _dispatch.Dispatcher(
         exchange,
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -111,6 +111,7 @@
                 settings.link_capacity,
             ),
             clock,
+            self._pauses.is_settled,
         )
         self.fleet = _fleet.Fleet(
             self.membership, incarnation, self._make_digest, clock
@@ -287,14 +288,19 @@
         self._target_parts.crash_watch.handle_removal(target)
 
     def _make_digest(self) -> _messages.Digest:
+        slowdowns = self._target_parts.reported_loads.to_tell()
         usages = tuple(
             _messages.TargetUsage(
                 target_id,
                 usage.in_flight,
                 usage.prefill_tokens,
                 tuple(usage.by_adapter),
+                slowdowns.pop(target_id, 0),
             )
             for target_id, usage in self.targets.usage_by_id.items()
+        ) + tuple(
+            _messages.TargetUsage(target_id, 0, 0, (), slowdown)
+            for target_id, slowdown in slowdowns.items()
         )
         return _messages.Digest(
             self.settings.host,
@@ -476,6 +482,7 @@
             self._target_parts.limits.remove_gone()
             self._permits.remove_gone()
             self._target_parts.states.remove_expired()
+            self._target_parts.reported_loads.remove_expired()
             self._update_gauges()
 
     def _update_gauges(self) -> None:
@@ -484,6 +491,7 @@
         gauges.crash_reports.set(len(quarantine.evidence.report_by_key))
         gauges.stream_origins.set(self._stream_origins.size)
         gauges.suspended_targets.set(self.targets.suspended_count)
+        gauges.slow_targets.set(self._target_parts.reported_loads.slow_count)
         gauges.lost_targets.set(self._target_parts.reachability.lost_count)
         gauges.evacuated_centres.set(len(self._evacuations.since_by_centre))
         gauges.relayed_connections.set(self._target_parts.relay_server.count)
@@ -527,9 +535,11 @@
         unfinished = self._client_server.requests_in_flight
         self._client_server.end_reading()
         self._gateway.end_calls()
-        with trio.move_on_after(LAST_RESPONSES_SECONDS):
-            while self._client_server.has_clients:
-                await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
+        latest = trio.current_time() + LAST_RESPONSES_SECONDS
+        while trio.current_time() < latest:
+            if not self._client_server.has_clients:
+                break
+            await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
         log.info(
             'MLB-6015',
             in_flight=unfinished,
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from mustardlb import schema
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _crashes
 from mustardlb_gateway import _fleet
@@ -38,7 +39,9 @@
     is_leaving=False,
     revisions={'config': 7},
     admitted={'acme': 12.5},
-    usages=(_messages.TargetUsage('t1', 2, 300, (builders.adapter('a1'),)),),
+    usages=(
+        _messages.TargetUsage('t1', 2, 300, (builders.adapter('a1'),), 418),
+    ),
     holdings=(
         _centres.Holding('t1', 4, 99, True, {builders.adapter('a1'): 2}, -1),
     ),
@@ -59,7 +62,11 @@
     ),
     removed_members=('vm3',),
     admitted={'acme': 12.5},
-    loads={'t1': _centres.Load(2, 300), 't2': _centres.NO_LOAD},
+    loads={
+        't1': _centres.Load(2, 300, 418),
+        't2': _centres.NO_LOAD,
+        't3': _centres.Load(0, 0, 100),
+    },
     adapters_in_use={
         't1': frozenset({builders.adapter('a1')}),
         't2': frozenset(),
@@ -81,6 +88,13 @@
             ('main', 'other'),
         ),
         _messages.Want('t1', builders.adapter('a1'), 3, 1.5, -0.5),
+        _messages.Want(
+            't1', builders.adapter('a1'), 3, 1.5, -0.5, 0, 'acme', 9190
+        ),
+        _messages.Reserve('t1', builders.adapter('a1'), 3, 9190, 0.5, True),
+        _messages.Reserve(
+            't1', builders.adapter('a1'), 3, 9190, 0.5, True, 2, 'acme'
+        ),
         _messages.Wanted(True),
         _messages.Wanted(False),
         _messages.Subscription(True),
@@ -108,6 +122,20 @@
     assert _message_codec.decode(_message_codec.encode(message)) == message
 
 
+def test_requests_of_older_nodes_have_the_default_priority():
+    """Guards against requests that an upgrade would serve first or last."""
+    adapter = builders.adapter('a1')
+    fields = {'target': 't1', 'adapter': str(adapter)}
+    for kind in ('want', 'reserve'):
+        message = schema.load('gateway').PeerMessage.new_message(
+            **{kind: fields}
+        )
+        data = message.to_bytes_packed()
+        decoded = _message_codec.decode(data).body
+        assert type(decoded).__name__.lower() == kind
+        assert (decoded.priority, decoded.account) == (5, '')
+
+
 @pytest.mark.parametrize('data', [b'', b'\xff' * 40])
 def test_invalid_message_is_rejected(data):
     with pytest.raises(ValueError, match='invalid message'):
