--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -16,6 +16,7 @@
 from mustardlb_gateway import _metrics
 from mustardlb_gateway import _outcomes
 from mustardlb_gateway import _quarantine
+from mustardlb_gateway import _trials
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_server
 from mustardlb_gateway import ports
@@ -49,6 +50,7 @@
     :ivar is_trial: whether the call is sent although it is in quarantine
     :ivar software: version of the software that began the stream that the
         call resumes, or None
+    :ivar trial_until: until when a trial may be sent, clock seconds
     """
 
     call: domain.Call
@@ -58,6 +60,7 @@
     charge: _charging.Decision | None
     is_trial: bool
     software: str | None
+    trial_until: float
 
     @property
     def cost(self) -> float:
@@ -122,6 +125,7 @@
             abc.Awaitable[_messages.Origin | None],
         ],
         clock: abc.Callable[[], float],
+        is_memory_full: abc.Callable[[], bool] = lambda: False,
     ) -> None:
         self._translation = translation
         self._dispatcher = dispatcher
@@ -135,6 +139,7 @@
         self._permit_trial = permit_trial
         self._find_origin = find_origin
         self._clock = clock
+        self._is_memory_full = is_memory_full
         self._in_flight = 0
         self._running: set[_RunningCall] = set()
         self._stop_schedule: StopSchedule | None = None
@@ -206,6 +211,7 @@
                 )
         self._check_time_left(call, route)
         is_trial = await self._check_quarantine(call)
+        trial_until = self._clock() + _trials.START_SECONDS
         if self._in_flight > MAX_IN_FLIGHT_REQUESTS:
             raise _outcomes.rejection(
                 errors.Code.OVERLOADED,
@@ -213,6 +219,13 @@
                 step,
                 START_RETRY_AFTER_SECONDS,
             )
+        if self._is_memory_full():
+            raise _outcomes.rejection(
+                errors.Code.OVERLOADED,
+                'no memory is left for another request',
+                step,
+                START_RETRY_AFTER_SECONDS,
+            )
         origin = await self._find_stream(call, route)
         name = _choose_service(route.services)
         if origin is not None and origin.service in route.service_names:
@@ -229,6 +242,7 @@
             charge,
             is_trial,
             origin.software if origin is not None else None,
+            trial_until,
         )
 
     async def _find_stream(
@@ -331,8 +345,10 @@
             reply,
             is_trial=admitted.is_trial,
             software=admitted.software,
+            trial_until=admitted.trial_until,
         )
         running.job = job
+        job.expires_at = self._clock() + job.deadline - trio.current_time()
         self._count_request(admitted.service.name)
         outcome = 'client_gone'
         try:
@@ -356,11 +372,7 @@
         except _jobs.TargetErrorResponse as target_error:
             if job.reply.has_begun:
                 return
-            await job.reply.send_response(
-                target_error.response.status,
-                target_error.response.headers,
-                target_error.response.body,
-            )
+            await job.send_response(target_error.response)
 
     def _log_call(self, job: _jobs.Job, outcome: str, cost: float) -> None:
         now = trio.current_time()
@@ -373,6 +385,7 @@
             first_byte - job.arrived,
             now - job.arrived,
         )
+        self._metrics.observe_wait(job.service.name, job.priority, job.waited)
         log.info(
             'MLB-6601',
             request=job.call.request_id,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -1,12 +1,22 @@
 """State of a call that the gateway is processing."""
 
 import dataclasses
+import http
+import math
 
+from mustardlb import errors
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _event_stream
 from mustardlb_gateway import _outcomes
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_server
 
+# Clients abandon a stream after the longest of these pauses: a fixed one, and
+# ratios of the latency objective and of the gap objective.
+CLIENT_GAP_SECONDS = 2.0
+CLIENT_GAP_PER_LATENCY = 4.0
+CLIENT_GAP_PER_GAP = 8.0
+
 
 @dataclasses.dataclass(slots=True)
 class Job:
@@ -15,6 +25,9 @@
     :ivar priority: effective rank, 0 first
     :ivar arrived: when the request arrived
     :ivar deadline: when the client gets an error at the latest
+    :ivar event_at: when the last event was forwarded, None before the first
+    :ivar held: what the current attempt buffers of request and response
+    :ivar expires_at: the deadline on the clock that counts suspensions
     :ivar splitter: splits the stream that is forwarded to the client into
         events, None before the stream begins
     :ivar first_byte: when the first byte was sent to the client
@@ -23,10 +36,17 @@
     :ivar reserved_queue: queue of the engine that accepted the reservation,
         seconds; None without a reservation
     :ivar is_trial: whether it is sent once although it is in quarantine
+    :ivar trial_until: until when, seconds on the clock that counts suspensions
     :ivar software: version of the software at which the stream goes on, None
         before it begins
+    :ivar turn: estimated seconds at least until the engine that was asked
+        last starts to load the adapter, None if it gave no estimate
+    :ivar late_turns: such estimates of the engines that would load it too
+        late for the call, by target
     :ivar permitted_until: until when the call may be sent to a target with a
         limit
+    :ivar cold_permits: until when the call may be sent to a cold target,
+        clock seconds
     """
 
     call: domain.Call
@@ -46,6 +66,44 @@
     is_trial: bool = False
     software: str | None = None
     permitted_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    cold_permits: dict[str, float] = dataclasses.field(default_factory=dict)
+    turn: float | None = None
+    late_turns: dict[str, float] = dataclasses.field(default_factory=dict)
+    trial_until: float = math.inf
+    expires_at: float = math.inf
+    event_at: float | None = None
+    held: _buffers.Holding | None = None
+
+    def hold(self, byte_count: int) -> bool:
+        """Record data of a response; return whether there is room for it."""
+        if self.held is None:
+            return True
+        self.held.add(byte_count)
+        return self.held.has_room
+
+    def hold_event(self, byte_count: int) -> None:
+        """Record the size of the incomplete event of a stream."""
+        if self.held is not None:
+            self.held.set(len(self.call.body) + byte_count)
+
+    @property
+    def abandoned_at(self) -> float:
+        """Return when the client abandons a stream without further events.
+
+        Infinite if the route has no gap objective.
+        """
+        route = self.route
+        if (
+            route.kind != domain.RouteKind.STREAM
+            or route.gap_objective is None
+        ):
+            return math.inf
+        since = self.arrived if self.event_at is None else self.event_at
+        return since + max(
+            CLIENT_GAP_SECONDS,
+            CLIENT_GAP_PER_LATENCY * route.latency_objective,
+            CLIENT_GAP_PER_GAP * route.gap_objective,
+        )
 
     @property
     def account_name(self) -> str:
@@ -60,11 +118,36 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether a target may have executed the call."""
-        return any(
+        return self.possible_runs > 0
+
+    @property
+    def possible_runs(self) -> int:
+        """Return the number of targets that may have executed the call."""
+        return sum(
             attempt.was_sent and attempt.outcome != _outcomes.Outcome.NOT_RUN
             for attempt in self.attempts
         )
 
+    async def send_response(
+        self, response: _outcomes.BufferedResponse
+    ) -> None:
+        """Send a target's response to the client.
+
+        The target that rejected the call knows nothing of the others that may
+        have executed it.
+        """
+        is_rejection = response.status in _outcomes.NOT_RUN_STATUSES
+        if is_rejection and self.possible_runs > 1:
+            await self.reply.send_response(
+                http.HTTPStatus.BAD_GATEWAY,
+                [],
+                str(errors.Code.TARGET_FAILED).encode(),
+            )
+            return
+        await self.reply.send_response(
+            response.status, response.headers, response.body
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdapterVersions:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_load_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_load_requests.py
@@ -2,11 +2,13 @@
 
 from collections import abc
 import dataclasses
+import sys
 
 import trio
 
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _served_tokens
+from mustardlb_gateway import _turns
 from mustardlb_gateway import domain
 
 # Half-life of the counts of calls that were in time. An engine of a large
@@ -37,6 +39,7 @@
     :ivar account: account of the call, '' if it is not known
     :ivar tokens: prompt tokens that the target has to process
     :ivar is_counted: whether it was counted as in time or late
+    :ivar rank: rank among the requests, None before they were ordered
     """
 
     adapter: domain.AdapterName
@@ -49,6 +52,7 @@
     done: trio.Event = dataclasses.field(default_factory=trio.Event)
     is_loaded: bool = False
     is_counted: bool = False
+    rank: _turns.Rank | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +109,20 @@
 # come first since the call is late or its priority is served better than more
 # urgent ones; its priority; whether it is late; and the rank of its account.
 _Rank = tuple[bool, bool, int, bool, int]
+_LAST_RANK: _Rank = (True, True, sys.maxsize, True, sys.maxsize)
+
+
+@dataclasses.dataclass(slots=True)
+class _Group:
+    """The requests for one adapter.
+
+    :ivar loaded_at: when the adapter can be loaded
+    :ivar rank: the first rank of the requests
+    """
+
+    loaded_at: float
+    rank: _Rank
+    requests: list[LoadRequest] = dataclasses.field(default_factory=list)
 
 
 class LoadRequests:
@@ -115,6 +133,10 @@
         self._served = _served_tokens.ServedTokens()
         self._shares = InTimeShares()
         self._started = 0
+        self._turns = _turns.Turns()
+        self._in_excess: set[str] = set()
+        self._favoured: set[int] = set()
+        self._is_mixed = False
 
     def __len__(self) -> int:
         return len(self._requests)
@@ -154,6 +176,8 @@
                 if not request.is_counted:
                     is_in_time = now < request.objective_at
                     self._shares.record(request.priority, is_in_time, now)
+                if request.rank is not None:
+                    self._turns.record_served(request.rank)
             elif now < request.deadline:
                 continue
             else:
@@ -176,6 +200,20 @@
         """Record the start of a load."""
         self._started += 1
 
+    def turn(self, priority: int, account: str, slack: float) -> float | None:
+        """Return in how many seconds a request may get its turn.
+
+        None if that is not known, or if all requests have one priority and no
+        known account.
+
+        :param slack: seconds until the call misses its objective
+        """
+        if not self._is_mixed:
+            return None
+        is_excess = account in self._in_excess
+        in_time = is_excess, priority in self._favoured, priority
+        return self._turns.seconds(in_time, (is_excess, True, priority), slack)
+
     def by_priority(
         self,
         loading: abc.Container[domain.AdapterName],
@@ -194,71 +232,69 @@
         objective, and be served whenever the urgent ones have become late.
         Requests of accounts that were served far more than usual come last.
         """
-        by_adapter: dict[domain.AdapterName, list[LoadRequest]] = {}
-        for request in self._requests:
-            if request.adapter not in loading:
-                by_adapter.setdefault(request.adapter, []).append(request)
-            if not request.is_counted and now >= request.objective_at:
-                request.is_counted = True
-                self._shares.record(request.priority, False, now)
-        favoured = self._shares.favoured(now)
-        in_excess = self._served.in_excess(now)
-        rank_by_account = {
+        self._favoured = self._shares.favoured(now)
+        self._in_excess = self._served.in_excess(now)
+        account_ranks = {
             account: self._served.rank(account, now)
             for account in {request.account for request in self._requests}
         }
-
-        def rank(requests: list[LoadRequest]) -> _Rank:
-            loaded_at = now + load_seconds(requests[0].adapter)
-            return min(
-                (
-                    each.account in in_excess,
-                    loaded_at >= each.objective_at
-                    or each.priority in favoured,
-                    each.priority,
-                    loaded_at >= each.objective_at,
-                    rank_by_account[each.account],
-                )
-                for each in requests
+        # Requests of one priority and of no known account keep their order.
+        priorities = {request.priority for request in self._requests}
+        self._is_mixed = len(priorities) > 1 or any(account_ranks)
+        by_adapter: dict[domain.AdapterName, _Group] = {}
+        for request in self._requests:
+            is_late = now >= request.objective_at
+            if is_late and not request.is_counted:
+                request.is_counted = True
+                self._shares.record(request.priority, False, now)
+            is_excess = request.account in self._in_excess
+            is_last = request.priority in self._favoured
+            request.rank = is_excess, is_last or is_late, request.priority
+            group = by_adapter.get(request.adapter)
+            if group is None:
+                loaded_at = now + load_seconds(request.adapter)
+                group = _Group(loaded_at, _LAST_RANK)
+                by_adapter[request.adapter] = group
+            is_late = group.loaded_at >= request.objective_at
+            rank = (
+                is_excess,
+                is_last or is_late,
+                request.priority,
+                is_late,
+                account_ranks[request.account],
             )
-
-        ranked = sorted(
-            ((rank(requests), requests) for requests in by_adapter.values()),
-            key=lambda each: (each[0], -len(each[1])),
+            group.rank = min(group.rank, rank)
+            group.requests.append(request)
+        self._turns.advance(
+            [each.rank for each in self._requests if each.rank], now
         )
-        if self._is_oldest_due():
-            _move_oldest_to_front(ranked)
+        groups = sorted(
+            (
+                group
+                for adapter, group in by_adapter.items()
+                if adapter not in loading
+            ),
+            key=lambda group: (group.rank, -len(group.requests)),
+        )
+        if self._is_mixed and not (self._started + 1) % OLDEST_FIRST_INTERVAL:
+            _move_oldest_to_front(groups)
         return [
             DueLoad(
-                requests[0].adapter,
-                requests[0].version,
-                min(each.priority for each in requests),
+                group.requests[0].adapter,
+                group.requests[0].version,
+                min(each.priority for each in group.requests),
             )
-            for _, requests in ranked
+            for group in groups
         ]
 
-    def _is_oldest_due(self) -> bool:
-        """Return whether the next load is for the oldest leading request.
-
-        Requests of one priority and of no known account keep their order.
-        """
-        if (self._started + 1) % OLDEST_FIRST_INTERVAL:
-            return False
-        return (
-            len({request.priority for request in self._requests}) > 1
-            or len({request.account for request in self._requests} | {''}) > 1
-        )
-
 
-def _move_oldest_to_front(
-    ranked: list[tuple[_Rank, list[LoadRequest]]],
-) -> None:
+def _move_oldest_to_front(groups: list[_Group]) -> None:
     """Move the leading adapter with the nearest objective to the front."""
-    leading = [each for each in ranked if each[0] == ranked[0][0]]
+    leading = [each for each in groups if each.rank == groups[0].rank]
     if leading:
         oldest = min(
             leading,
-            key=lambda each: min(item.objective_at for item in each[1]),
+            key=lambda each: min(item.objective_at for item in each.requests),
         )
-        ranked.remove(oldest)
-        ranked.insert(0, oldest)
+        groups.remove(oldest)
+        groups.insert(0, oldest)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -18,6 +18,7 @@
     :ivar unread_tokens: prompt tokens that the target has yet to process
     :ivar slowdown: that the target reported to the sender lately, in percent,
         0 for none
+    :ivar window: of which the sender is the owner
     """
 
     target_id: str
@@ -25,6 +26,7 @@
     unread_tokens: int
     adapters: tuple[domain.AdapterName, ...]
     slowdown: int = 0
+    window: _centres.Window | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,6 +129,7 @@
     :ivar is_load: whether the sender will have the adapter loaded first
     :ivar priority: priority of the call, 0 is the most urgent
     :ivar account: account of the call, '' if it is not known
+    :ivar slack: time left to meet the latency objective, seconds
     """
 
     target_id: str
@@ -137,6 +140,7 @@
     is_load: bool
     priority: int = DEFAULT_PRIORITY
     account: str = ''
+    slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -146,12 +150,15 @@
     :ivar is_decided: False if the node does not control the target
     :ivar is_resident: whether the adapter is loaded or will be
     :ivar queue: seconds until the target can prefill another prompt
+    :ivar turn: seconds at least until a load of the adapter is started, None
+        if that is not known
     """
 
     is_decided: bool
     is_accepted: bool = False
     is_resident: bool = False
     queue: float = 0.0
+    turn: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -209,6 +216,29 @@
     wait: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdPermit:
+    """A request for a permit for a cold target; the response is Permitted.
+
+    :ivar seconds: for which the target has said that it is cold, or 0
+    :ivar ranked: nodes of the highest ranks that the sender knows
+    """
+
+    target_id: str
+    incarnation: int
+    seconds: float
+    ranked: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdNotice:
+    """Tells a node for how long a target is cold. Has no response."""
+
+    target_id: str
+    incarnation: int
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Trial:
     """A request to try a quarantined suspect, sent to its owner."""
@@ -301,6 +331,23 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observed:
+    """Tells the owner of a target how it answered. Has no response.
+
+    :ivar fast: responses as fast as those of other targets
+    :ivar failed: requests that failed or were rejected
+    :ivar is_suspended: the sender has suspended the target
+    """
+
+    target_id: str
+    incarnation: int
+    fast: int
+    slow: int
+    failed: int
+    is_suspended: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Subscription:
     """Starts updates on this connection with a full one, or ends them."""
@@ -342,6 +389,8 @@
     | Refund
     | Permit
     | Permitted
+    | ColdPermit
+    | ColdNotice
     | Trial
     | Tried
     | TellOrigins
@@ -351,6 +400,7 @@
     | Relay
     | RelayResult
     | Rest
+    | Observed
     | Subscription
     | Update
 )
@@ -363,10 +413,13 @@
     Charge,
     Refund,
     Permit,
+    ColdPermit,
+    ColdNotice,
     Trial,
     TellOrigins,
     FindOrigin,
     Rest,
+    Observed,
 )
 
 RESPONSES = (
--- a/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_outcomes.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from mustardlb import errors
 from mustardlb import steps
@@ -11,6 +12,9 @@
 # Largest Retry-After as a ratio of the time that the client still waits.
 MAX_RETRY_AFTER_RATIO = 1 / 3
 
+# To a client, these statuses guarantee that its request has not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class Outcome(enum.StrEnum):
     """Outcome of one attempt at a target.
@@ -46,6 +50,10 @@
     :ivar is_link_failure: whether only a link to the target failed, which
         says nothing of the target
     :ivar is_withheld: not sent, since the target takes no requests for now
+    :ivar send_by: end of its permit for a cold target, clock seconds; None
+        without one
+    :ivar permitted_until: until when it may be sent, seconds on the clock that
+        counts suspensions
     :ivar output_at: trio time of the first part of the response body, None
         if none was received
     :ivar response: error response that is forwarded to the client if no
@@ -63,7 +71,9 @@
     helper: str = ''
     is_link_failure: bool = False
     is_withheld: bool = False
+    send_by: float | None = None
     output_at: float | None = None
+    permitted_until: float = math.inf
 
     def describe(self, now: float) -> dict[str, object]:
         """Return the fields of a log event; `fate` is the outcome."""
--- a/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
@@ -57,6 +57,10 @@
 # one and is still chosen, since bytes between data centres are charged.
 LOCAL_TARGET_ADVANTAGE = 0.2
 
+# Part of the slots up to which local targets that report a slowdown are fully
+# preferred. Full ones are not preferred at all.
+LOCAL_PREFERENCE_FULLNESS = 0.6
+
 # If loads are older, two random plain targets are compared instead of all,
 # since all nodes would choose the one that looks idle until the next update.
 MAX_LOAD_AGE_SECONDS = 0.25
@@ -78,6 +82,13 @@
 # of failed requests.
 FAILURE_PENALTY_SECONDS = 2.0
 
+# A cold target has few requests in flight since it gets few, which does not
+# make it the least loaded one. A plain target counts as if it had only this
+# part of its slots. An engine gets a penalty of about the time between two
+# requests to it, which is below the cost of a copy of an adapter.
+COLD_SLOTS_RATIO = 0.25
+COLD_PENALTY_SECONDS = 0.15
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
@@ -147,7 +158,9 @@
         data_centre: str = '',
         is_adopted: abc.Callable[[domain.Target], bool] = lambda _: True,
         reported_loads: _reported_loads.ReportedLoads | None = None,
+        is_cold: abc.Callable[[domain.Target], bool] = lambda _: False,
     ) -> None:
+        self._is_cold = is_cold
         self._targets = targets
         self._prefix_index = prefix_index
         self._resident = resident
@@ -185,6 +198,22 @@
             )
         return self._choose_engine(request, candidates)
 
+    def has_free_slot(
+        self, request: PlacementRequest, asked: abc.Container[str]
+    ) -> bool:
+        """Return whether another engine than those asked has a free slot."""
+        adapter = request.call.adapter
+        model = domain.AdapterName(adapter.model) if adapter else None
+        return any(
+            target.target_id not in asked
+            and target.target_id not in request.denied
+            and not self._targets.is_suspended(target.target_id)
+            and self._is_controlled(target.target_id)
+            and self._free_slots(target.target_id) > 0
+            and model in self._resident(target)
+            for target in self._with_software(request)
+        )
+
     def _with_software(self, request: PlacementRequest) -> list[domain.Target]:
         """Return the ready targets with software that may serve a call.
 
@@ -205,31 +234,18 @@
     ) -> list[domain.Target]:
         """Return the plain targets to compare, among them a local one.
 
-        Targets that report a slowdown are drawn by the parts that they should
-        get. All nodes are told the same of them, so that the best one of two
-        would get the requests of all nodes until the next update.
+        If they report a slowdown, one is drawn and not compared. All nodes
+        are told the same, so that the best one of two would get the requests
+        of all nodes until the next update.
         """
         if len(candidates) <= COMPARED_TARGETS:
             return candidates
         slowdowns = [self._slowdown(target) for target in candidates]
         if any(slowdowns):
-            weights = capacity_shares(
-                [
-                    ReportedCapacity(
-                        target.slots,
-                        slowdown or 1.0,
-                        self._requests(target),
-                    )
-                    for target, slowdown in zip(
-                        candidates, slowdowns, strict=True
-                    )
-                ]
-            )
-            sample = random.choices(candidates, weights)
-        elif self._load_age() <= MAX_LOAD_AGE_SECONDS:
+            return [self._draw(candidates, slowdowns)]
+        if self._load_age() <= MAX_LOAD_AGE_SECONDS:
             return candidates
-        else:
-            sample = random.sample(candidates, COMPARED_TARGETS)
+        sample = random.sample(candidates, COMPARED_TARGETS)
         local = [
             target
             for target in candidates
@@ -237,11 +253,51 @@
         ]
         return [random.choice(local), *sample] if local else sample
 
+    def _draw(
+        self,
+        candidates: list[domain.Target],
+        slowdowns: list[float | None],
+    ) -> domain.Target:
+        """Return a plain target, drawn by the part that it should get.
+
+        A local target is preferred as long as its data centre sends it no
+        more than that, and the less the fuller it is.
+        """
+        reported = [
+            ReportedCapacity(
+                target.slots, slowdown or 1.0, self._requests(target)
+            )
+            for target, slowdown in zip(candidates, slowdowns, strict=True)
+        ]
+        shares = capacity_shares(reported)
+        local = [
+            n
+            for n, target in enumerate(candidates)
+            if target.data_centre == self._data_centre
+        ]
+        local_share = sum(shares[n] for n in local)
+        if local_share > 0:
+            centres = len({target.data_centre for target in candidates})
+            slots = sum(reported[n].slots for n in local)
+            requests = sum(reported[n].requests for n in local)
+            preference = (1 - requests / max(1, slots)) / (
+                1 - LOCAL_PREFERENCE_FULLNESS
+            )
+            if random.random() < min(1.0, local_share * centres, preference):
+                return random.choices(
+                    [candidates[n] for n in local],
+                    [shares[n] for n in local],
+                )[0]
+        return random.choices(candidates, shares)[0]
+
     def _plain_choice(self, target: domain.Target) -> Choice:
         """Return a plain target with its load ratio as the cost."""
         running = self._requests(target)
         health = self._targets.health(target.target_id)
-        fullness = (running + random.random()) / max(1, target.slots)
+        slots = max(1.0, target.slots)
+        if self._is_cold(target):
+            slots *= COLD_SLOTS_RATIO
+        fullness = (running + random.random()) / slots
         slowdown = self._slowdown(target)
         if slowdown is not None:
             # A request takes one usual time, and the wait at a full target.
@@ -445,6 +501,8 @@
             + fullness
             + FAILURE_PENALTY_SECONDS * health.failure_share
         )
+        if self._is_cold(target):
+            cost += COLD_PENALTY_SECONDS
         if first_token_in > ON_TIME_SHARE * request.time_to_objective > 0:
             cost += LATE_PENALTY_SECONDS
         return cost
@@ -477,7 +535,7 @@
     ... )
     [1.0, 0.0]
     >>> capacity_shares(
-    ...     [ReportedCapacity(6, 1.0, 12), ReportedCapacity(6, 4.0, 0)]
+    ...     [ReportedCapacity(6, 1.0, 24), ReportedCapacity(6, 4.0, 0)]
     ... )
     [0.5, 0.5]
     """
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -3,6 +3,9 @@
 from collections import abc
 import dataclasses
 
+from mustardlb_gateway import _buffers
+from mustardlb_gateway import _cold_permits
+from mustardlb_gateway import _cold_targets
 from mustardlb_gateway import _crash_watch
 from mustardlb_gateway import _membership
 from mustardlb_gateway import _messages
@@ -19,6 +22,7 @@
 from mustardlb_gateway import _target_permits
 from mustardlb_gateway import _target_states
 from mustardlb_gateway import _trials
+from mustardlb_gateway import _warm_up
 from mustardlb_gateway import _wiring_state
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_client
@@ -40,6 +44,8 @@
     relay_server: _relay.RelayServer
     crash_watch: _crash_watch.CrashWatch
     reported_loads: _reported_loads.ReportedLoads
+    warm_up: _warm_up.WarmUp
+    cold: _cold_targets.ColdTargets
 
 
 def make(
@@ -50,6 +56,7 @@
     peers: abc.Callable[[], _peers.Peers],
     is_stopping: abc.Callable[[], bool],
     clock: abc.Callable[[], float],
+    buffers: _buffers.Buffers,
 ) -> TargetParts:
     """Return the parts that know and reach the targets."""
     targets = state.targets
@@ -65,6 +72,33 @@
         targets.told_slowdowns,
         lambda: len(membership.live) + 1,
     )
+
+    def is_warmed_up(name: str) -> bool:
+        service = state.config.service(name)
+        is_cold = service is not None and service.cold_start > 0
+        return is_cold or reported_loads.is_reported(name)
+
+    warm_up = _warm_up.WarmUp(
+        settings.vm,
+        lambda: membership.live,
+        targets.own_in_flight,
+        targets.in_flight,
+        targets.told_windows,
+        lambda target_id: targets.by_id.get(target_id),
+        is_warmed_up,
+        lambda vm, observed: peers().notify(vm, observed),
+        clock,
+    )
+    targets.on_registered(warm_up.record_target)
+    targets.on_failure(warm_up.record_failure)
+    cold = _cold_targets.ColdTargets(
+        state.targets_mirror,
+        targets,
+        state.config.service,
+        state.evacuations,
+        lambda target, seconds: tell_cold(peers(), target, seconds),
+        clock,
+    )
     states = _target_states.TargetStates(
         clock,
         limits,
@@ -73,6 +107,8 @@
         targets.own_in_flight,
         targets.record_leaving,
         record_load=reported_loads.record,
+        warm_up=warm_up,
+        record_cold=cold.record_response,
     )
     pool = http_client.Pool(_target_links.CONNECT_TIMEOUT_SECONDS)
     reachability = _reachability.Reachability(clock)
@@ -96,6 +132,7 @@
         is_stopping,
         targets.is_evacuated,
         lambda target: state.evacuations.is_overdue(target.data_centre),
+        buffers,
     )
     crash_watch = _crash_watch.CrashWatch(
         quarantine,
@@ -114,6 +151,8 @@
         relay_server,
         crash_watch,
         reported_loads,
+        warm_up,
+        cold,
     )
 
 
@@ -122,6 +161,7 @@
     target_parts: TargetParts,
     peers: _peers.Peers,
     clock: abc.Callable[[], float],
+    is_settled: abc.Callable[[], bool],
 ) -> _trials.Trials:
     """Return the permits to send calls that are quarantined."""
     return _trials.Trials(
@@ -130,6 +170,7 @@
         peers.request,
         peers.alive,
         clock,
+        is_settled,
     )
 
 
@@ -149,6 +190,44 @@
     )
 
 
+def make_cold_permits(
+    settings: abc.Callable[[], gateway_settings.Settings],
+    state: _wiring_state.StateParts,
+    target_parts: TargetParts,
+    membership: _membership.Membership,
+    peers: _peers.Peers,
+    clock: abc.Callable[[], float],
+) -> _cold_permits.ColdPermits:
+    """Return the permits to send requests to cold targets."""
+
+    def bound(per_second: float) -> float:
+        ratio = settings().cold_limit_ratio
+        return ratio * per_second + settings().cold_limit_slack
+
+    return _cold_permits.ColdPermits(
+        settings().vm,
+        target_parts.cold,
+        state.targets.is_evacuated,
+        peers.request,
+        peers.notify,
+        lambda: membership.vms_by_name,
+        peers.alive,
+        bound,
+        clock,
+    )
+
+
+def tell_cold(
+    peers: _peers.Peers, target: domain.Target, seconds: float
+) -> None:
+    """Tell all nodes for how many seconds a target is cold."""
+    notice = _messages.ColdNotice(
+        target.target_id, target.incarnation, seconds
+    )
+    for vm in peers.alive():
+        peers.notify(vm, notice)
+
+
 def tell_rest(
     peers: _peers.Peers, helper: str, target: domain.Target, seconds: float
 ) -> None:
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -40,7 +40,14 @@
     revisions={'config': 7},
     admitted={'acme': 12.5},
     usages=(
-        _messages.TargetUsage('t1', 2, 300, (builders.adapter('a1'),), 418),
+        _messages.TargetUsage(
+            't1',
+            2,
+            300,
+            (builders.adapter('a1'),),
+            418,
+            _centres.Window(4, 2**63),
+        ),
     ),
     holdings=(
         _centres.Holding('t1', 4, 99, True, {builders.adapter('a1'): 2}, -1),
@@ -63,7 +70,7 @@
     removed_members=('vm3',),
     admitted={'acme': 12.5},
     loads={
-        't1': _centres.Load(2, 300, 418),
+        't1': _centres.Load(2, 300, 418, _centres.Window(65_535, 9)),
         't2': _centres.NO_LOAD,
         't3': _centres.Load(0, 0, 100),
     },
@@ -93,10 +100,13 @@
         ),
         _messages.Reserve('t1', builders.adapter('a1'), 3, 9190, 0.5, True),
         _messages.Reserve(
-            't1', builders.adapter('a1'), 3, 9190, 0.5, True, 2, 'acme'
+            't1', builders.adapter('a1'), 3, 9190, 0.5, True, 2, 'acme', 0.5
         ),
+        _messages.Reserved(True, True, True, 0.5),
+        _messages.Reserved(True, True, True, 0.5, 2.5),
         _messages.Wanted(True),
         _messages.Wanted(False),
+        _messages.Observed('t1', 2**63, 5, 2, 1, True),
         _messages.Subscription(True),
         _messages.Subscription(False),
         _messages.Update(
@@ -104,6 +114,8 @@
         ),
         _messages.Permit(LIMITS['t1', 99], 2),
         _messages.Permitted(0.25),
+        _messages.ColdPermit('t1', 99, 1.5, ('vm2', 'vm3')),
+        _messages.ColdNotice('t1', 99, 1.5),
         _messages.Trial('p1'),
         _messages.Tried(True),
         _messages.TellOrigins({ORIGIN: (7, 2**64 - 1)}),
