--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -32,6 +32,10 @@
 MIN_STREAM_TIMEOUT_SECONDS = 2.5
 
 
+# Part of a response time that does not depend on the prompt. It only matters
+# for the comparison of cached prompts with others.
+BASE_RESPONSE_SECONDS = 0.05
+
 # The link to a target without data for this time is checked, and again after
 # an interval that doubles each time. A check opens a connection, which targets
 # limit, so the time that the target needs to prefill the prompt is added.
@@ -63,6 +67,9 @@
         ensure_current: abc.Callable[
             [], abc.Awaitable[None]
         ] = trio.lowlevel.cancel_shielded_checkpoint,
+        record_response_time: abc.Callable[
+            [domain.Target, str, float, float], object
+        ] = lambda target, route, seconds, usual: None,
     ) -> None:
         self._translation = translation
         self._ensure_current = ensure_current
@@ -76,6 +83,7 @@
         self._states = states
         self._tell_rest = tell_rest
         self._record_origin = record_origin
+        self._record_response_time = record_response_time
 
     async def run(
         self,
@@ -104,6 +112,15 @@
                 is_prefilled = True
                 self._targets.finish_prefill(target.target_id, prefill_tokens)
                 self._prefix_index.record(target.target_id, job.call)
+                if 200 <= attempt.status < 300:
+                    self._record_response_time(
+                        target,
+                        job.route.name,
+                        trio.current_time() - attempt.started_at,
+                        BASE_RESPONSE_SECONDS
+                        + prefill_tokens
+                        / _prefill_queue.PREFILL_TOKENS_PER_SECOND,
+                    )
 
         try:
             await self._send_and_receive(job, attempt, choice, record_prefill)
