--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -152,7 +152,11 @@
             clock,
         )
         self._trials = _wiring_targets.make_trials(
-            settings, self._target_parts, self.peers, clock
+            settings,
+            self._target_parts,
+            self.peers,
+            clock,
+            self._pauses.is_settled,
         )
         self._permits = _wiring_targets.make_permits(
             settings, self._target_parts, self.peers, clock
@@ -186,7 +190,9 @@
             self._acquire_retry,
             self._stream_origins.record,
             self._pauses.ensure_current,
+            clock,
         )
+        self._waiting = dispatcher.waiting
         self._gateway = _gateway.Gateway(
             translation,
             dispatcher,
@@ -337,6 +343,7 @@
         self._gauges.live_nodes.set(len(self.membership.live))
         self.targets.centres_by_name = view
         self.engine_manager.apply_fleet_view(view)
+        self._waiting.notify_changed()
         now = self._clock()
         for name, centre in view.items():
             if self.fleet.is_fresh(name):
@@ -535,11 +542,7 @@
         unfinished = self._client_server.requests_in_flight
         self._client_server.end_reading()
         self._gateway.end_calls()
-        latest = trio.current_time() + LAST_RESPONSES_SECONDS
-        while trio.current_time() < latest:
-            if not self._client_server.has_clients:
-                break
-            await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
+        await self._client_server.wait_for_clients(LAST_RESPONSES_SECONDS)
         log.info(
             'MLB-6015',
             in_flight=unfinished,
