--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _event_stream
 from mustardlb_gateway import _jobs
 from mustardlb_gateway import _messages
@@ -45,7 +46,11 @@
 
 
 class Exchange:
-    """Forwards calls to targets and their responses to clients."""
+    """Forwards calls to targets and their responses to clients.
+
+    `may_send` returns whether a call, with a permit until some time or None,
+    may be sent to a target now, as far as that depends on cold targets.
+    """
 
     def __init__(
         self,
@@ -71,8 +76,17 @@
             [domain.Target, str, float, float], object
         ] = lambda target, route, seconds, usual: None,
         clock: abc.Callable[[], float] = trio.current_time,
+        buffers: _buffers.Buffers | None = None,
+        may_send: abc.Callable[
+            [domain.Target, float | None], bool
+        ] = lambda target, send_by: True,
+        confirm_targets: abc.Callable[
+            [], abc.Awaitable[None]
+        ] = trio.lowlevel.cancel_shielded_checkpoint,
     ) -> None:
+        self._may_send = may_send
         self._clock = clock
+        self._confirm_targets = confirm_targets
         self._translation = translation
         self._ensure_current = ensure_current
         self._pool = pool
@@ -86,6 +100,7 @@
         self._tell_rest = tell_rest
         self._record_origin = record_origin
         self._record_response_time = record_response_time
+        self._buffers = buffers or _buffers.Buffers(lambda: 0.0)
 
     async def run(
         self,
@@ -124,9 +139,13 @@
                         / _prefill_queue.PREFILL_TOKENS_PER_SECOND,
                     )
 
+        job.held = self._buffers.open()
+        # The encoded request, besides the body that was received.
+        job.held.add(len(job.call.body))
         try:
             await self._send_and_receive(job, attempt, choice, record_prefill)
         finally:
+            job.held.close()
             if not is_prefilled:
                 self._targets.finish_prefill(target.target_id, prefill_tokens)
             self._targets.end_request(target.target_id, job.call.adapter)
@@ -147,15 +166,28 @@
                 connection = await self._links.acquire(
                     target, job.call.request_id
                 )
+                if job.software is not None:
+                    # A target that has restarted with other software since
+                    # this node last heard of it must not go on with a stream.
+                    await self._confirm_targets()
                 await self._ensure_current()
+                if self._clock() > job.expires_at:
+                    # The machine was suspended, which trio's deadline does
+                    # not count. The client has left.
+                    job.deadline = trio.current_time()
+                    attempt.is_withheld = True
+                    raise http_client.ExchangeFailed(
+                        'the deadline was during a suspension', was_sent=False
+                    )
                 if (
                     self._states.rest(target)
                     or not self._targets.takes_requests(target)
                     or self._clock() > attempt.permitted_until
+                    or not self._may_send(target, attempt.send_by)
                 ):
-                    # It has asked for rest, or has left or restarted, its data
-                    # centre was evacuated, or the permit has expired, while
-                    # the connection was opened or this process was paused.
+                    # It has asked for rest, left, restarted or become cold,
+                    # its data centre was evacuated, or a permit has expired,
+                    # while the connection was opened or this process paused.
                     attempt.is_withheld = True
                     raise http_client.ExchangeFailed(
                         'the target takes no requests for now', was_sent=False
@@ -280,7 +312,9 @@
             )
             return
         with self._response_timeout(job) as scope:
-            body = await connection.receive_body(MAX_BUFFERED_RESPONSE_BYTES)
+            body = await connection.receive_body(
+                MAX_BUFFERED_RESPONSE_BYTES, job.hold
+            )
         if scope.cancelled_caught:
             raise http_client.ExchangeFailed(
                 'the target stopped sending the response'
@@ -441,6 +475,7 @@
                 complete = job.splitter.feed(data)
             except ValueError as error:
                 raise http_client.ExchangeFailed(str(error)) from error
+            job.hold_event(len(job.splitter.partial))
             if complete:
                 if job.first_byte is None:
                     job.first_byte = now
--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -125,6 +125,7 @@
             abc.Awaitable[_messages.Origin | None],
         ],
         clock: abc.Callable[[], float],
+        is_memory_full: abc.Callable[[], bool] = lambda: False,
     ) -> None:
         self._translation = translation
         self._dispatcher = dispatcher
@@ -138,6 +139,7 @@
         self._permit_trial = permit_trial
         self._find_origin = find_origin
         self._clock = clock
+        self._is_memory_full = is_memory_full
         self._in_flight = 0
         self._running: set[_RunningCall] = set()
         self._stop_schedule: StopSchedule | None = None
@@ -217,6 +219,13 @@
                 step,
                 START_RETRY_AFTER_SECONDS,
             )
+        if self._is_memory_full():
+            raise _outcomes.rejection(
+                errors.Code.OVERLOADED,
+                'no memory is left for another request',
+                step,
+                START_RETRY_AFTER_SECONDS,
+            )
         origin = await self._find_stream(call, route)
         name = _choose_service(route.services)
         if origin is not None and origin.service in route.service_names:
@@ -339,6 +348,7 @@
             trial_until=admitted.trial_until,
         )
         running.job = job
+        job.expires_at = self._clock() + job.deadline - trio.current_time()
         self._count_request(admitted.service.name)
         outcome = 'client_gone'
         try:
@@ -375,6 +385,7 @@
             first_byte - job.arrived,
             now - job.arrived,
         )
+        self._metrics.observe_wait(job.service.name, job.priority, job.waited)
         log.info(
             'MLB-6601',
             request=job.call.request_id,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -5,6 +5,7 @@
 import math
 
 from mustardlb import errors
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _event_stream
 from mustardlb_gateway import _outcomes
 from mustardlb_gateway import domain
@@ -25,6 +26,8 @@
     :ivar arrived: when the request arrived
     :ivar deadline: when the client gets an error at the latest
     :ivar event_at: when the last event was forwarded, None before the first
+    :ivar held: what the current attempt buffers of request and response
+    :ivar expires_at: the deadline on the clock that counts suspensions
     :ivar splitter: splits the stream that is forwarded to the client into
         events, None before the stream begins
     :ivar first_byte: when the first byte was sent to the client
@@ -36,8 +39,14 @@
     :ivar trial_until: until when, seconds on the clock that counts suspensions
     :ivar software: version of the software at which the stream goes on, None
         before it begins
+    :ivar turn: estimated seconds at least until the engine that was asked
+        last starts to load the adapter, None if it gave no estimate
+    :ivar late_turns: such estimates of the engines that would load it too
+        late for the call, by target
     :ivar permitted_until: until when the call may be sent to a target with a
         limit
+    :ivar cold_permits: until when the call may be sent to a cold target,
+        clock seconds
     """
 
     call: domain.Call
@@ -57,8 +66,25 @@
     is_trial: bool = False
     software: str | None = None
     permitted_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    cold_permits: dict[str, float] = dataclasses.field(default_factory=dict)
+    turn: float | None = None
+    late_turns: dict[str, float] = dataclasses.field(default_factory=dict)
     trial_until: float = math.inf
+    expires_at: float = math.inf
     event_at: float | None = None
+    held: _buffers.Holding | None = None
+
+    def hold(self, byte_count: int) -> bool:
+        """Record data of a response; return whether there is room for it."""
+        if self.held is None:
+            return True
+        self.held.add(byte_count)
+        return self.held.has_room
+
+    def hold_event(self, byte_count: int) -> None:
+        """Record the size of the incomplete event of a stream."""
+        if self.held is not None:
+            self.held.set(len(self.call.body) + byte_count)
 
     @property
     def abandoned_at(self) -> float:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
@@ -13,6 +13,7 @@
 import trio
 
 from mustardlb import frames
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _message_codec
 from mustardlb_gateway import _messages
@@ -139,6 +140,7 @@
         is_stopping: abc.Callable[[], bool],
         is_evacuated: abc.Callable[[domain.Target], bool] = lambda _: False,
         is_overdue: abc.Callable[[domain.Target], bool] = lambda _: False,
+        buffers: _buffers.Buffers | None = None,
     ) -> None:
         self._links = links
         self._targets = targets
@@ -146,6 +148,7 @@
         self._is_stopping = is_stopping
         self._is_evacuated = is_evacuated
         self._is_overdue = is_overdue
+        self._buffers = buffers or _buffers.Buffers(lambda: 0.0)
         self.count = 0
 
     async def serve(
@@ -166,7 +169,12 @@
                 client, self._encode(_messages.RelayResult(outcome), 0)
             )
             if server is not None:
-                await _copy_both(client, server, lambda: self._may_send(relay))
+                await _copy_both(
+                    client,
+                    server,
+                    lambda: self._may_send(relay),
+                    self._buffers,
+                )
         except _peer_channel.CONNECTION_ERRORS as error:
             log.info('MLB-6305', peer=vm, problem=repr(error))
         finally:
@@ -183,7 +191,11 @@
             return _reachability.RelayOutcome.UNKNOWN, None
         if self._is_evacuated(target):
             return _reachability.RelayOutcome.RESTING, None
-        if self.count > MAX_CONNECTIONS or self._is_stopping():
+        if (
+            self.count > MAX_CONNECTIONS
+            or self._is_stopping()
+            or self._buffers.is_full
+        ):
             return _reachability.RelayOutcome.BUSY, None
         return await self._links.connect_for_other(
             target, CONNECT_TIMEOUT_SECONDS
@@ -199,19 +211,31 @@
     client: trio.SocketStream,
     server: http_client.Stream,
     may_send: abc.Callable[[], bool],
+    buffers: _buffers.Buffers,
 ) -> None:
     """Copy bytes both ways until either side ends."""
+    held, request_held = buffers.open(), buffers.open()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(
-            _copy, client, server, nursery.cancel_scope, may_send
+            _copy,
+            client,
+            server,
+            nursery.cancel_scope,
+            may_send,
+            request_held,
         )
         try:
             while data := await server.receive_some(MAX_READ_BYTES):
+                held.set(len(data))
                 await frames.send(client, bytes(data))
+                held.close()
             await frames.send(client, b'')
             await client.send_eof()
         except _LOST as error:
             log.info('MLB-6309', problem=repr(error))
+        finally:
+            held.close()
+            request_held.close()
         nursery.cancel_scope.cancel()
 
 
@@ -220,13 +244,16 @@
     sink: http_client.Stream,
     scope: trio.CancelScope,
     may_send: abc.Callable[[], bool],
+    held: _buffers.Holding,
 ) -> None:
     try:
         while data := await source.receive_some(MAX_READ_BYTES):
             if not may_send():
                 log.info('MLB-6309', problem='the target is evacuated')
                 break
+            held.set(len(data))
             await sink.send_all(data)
+            held.close()
     except _LOST as error:
         log.info('MLB-6309', problem=repr(error))
     scope.cancel()
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -2,10 +2,13 @@
 
 from collections import abc
 
+from mustardlb_gateway import _buffers
+from mustardlb_gateway import _cold_permits
 from mustardlb_gateway import _dispatch
 from mustardlb_gateway import _exchange
 from mustardlb_gateway import _membership
 from mustardlb_gateway import _messages
+from mustardlb_gateway import _metrics
 from mustardlb_gateway import _peers
 from mustardlb_gateway import _placement
 from mustardlb_gateway import _prefix_index
@@ -25,6 +28,7 @@
     target_parts: _wiring_targets.TargetParts,
     engines: _wiring_engines.EngineParts,
     permits: _target_permits.TargetPermits,
+    cold_permits: _cold_permits.ColdPermits,
     prefix_index: _prefix_index.PrefixIndex,
     membership: _membership.Membership,
     peers: _peers.Peers,
@@ -34,6 +38,9 @@
     ],
     ensure_current: abc.Callable[[], abc.Awaitable[None]],
     clock: abc.Callable[[], float],
+    buffers: _buffers.Buffers,
+    confirm_targets: abc.Callable[[], abc.Awaitable[None]],
+    metrics: _metrics.Metrics,
 ) -> _dispatch.Dispatcher:
     """Return the dispatcher with the choice of targets and the exchange."""
     targets = state.targets
@@ -49,11 +56,20 @@
         settings.data_centre,
         target_parts.software_history.is_adopted,
         target_parts.reported_loads,
+        cold_permits.is_cold,
     )
 
     def tell_rest(helper: str, target: domain.Target, seconds: float) -> None:
         _wiring_targets.tell_rest(peers, helper, target, seconds)
 
+    def record_response_time(
+        target: domain.Target, route: str, seconds: float, usual: float
+    ) -> None:
+        ratio = target_parts.reported_loads.record_response_time(
+            target, route, seconds, usual
+        )
+        target_parts.warm_up.record_response(target, ratio)
+
     exchange = _exchange.Exchange(
         translation,
         target_parts.pool,
@@ -67,8 +83,11 @@
         tell_rest,
         record_origin,
         ensure_current,
-        target_parts.reported_loads.record_response_time,
+        record_response_time,
         clock,
+        buffers,
+        cold_permits.may_send,
+        confirm_targets,
     )
     dispatcher = _dispatch.Dispatcher(
         exchange,
@@ -82,6 +101,10 @@
         target_parts.crash_watch.record_failure,
         permits,
         target_parts.states,
+        cold_permits,
+        target_parts.cold.record_broken,
+        metrics.count_rejection,
     )
+    metrics.count_waiting = dispatcher.waiting.counts
     state.targets_mirror.on_change(dispatcher.waiting.notify_changed)
     return dispatcher
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -32,6 +32,9 @@
     relay @23 :Relay;       # this connection to a target
     relayResult @24 :UInt8; # response to `relay`: RelayOutcome
     rest @25 :Rest;         # for the receiver, at a target that it relayed to
+    observed @26 :Observed; # for the owner of a target; has no response
+    coldPermit @27 :Cold;   # its response is `permitted`
+    coldNotice @28 :Cold;   # has no response
   }
 }
 
@@ -41,6 +44,22 @@
   seconds @2 :Float64;
 }
 
+struct Observed {
+  target @0 :Text;
+  incarnation @1 :UInt64;   # of the target
+  fast @2 :UInt32;          # responses, in comparison with other targets
+  slow @3 :UInt32;
+  failed @4 :UInt32;        # requests that failed or were rejected
+  isSuspended @5 :Bool;     # the sender has suspended the target
+}
+
+struct Cold {
+  target @0 :Text;
+  incarnation @1 :UInt64;   # of the target
+  seconds @2 :Float64;      # for which it is cold, 0 if it did not say so
+  ranked @3 :List(Text);    # nodes of the highest ranks, in `coldPermit` only
+}
+
 struct Relay {
   target @0 :Text;
   incarnation @1 :UInt64;   # of the target
@@ -90,7 +109,8 @@
   crashEvidence @4 :CrashEvidence;  # known to the sender, not sent before
   targetLimits @5 :List(LimitNotice); # known to the sender, not sent before
   cutOff @6 :List(Text);    # changed members that reach no target
-  slowdowns @7 :Data;       # percent, of targets in `changes`, MessagePack
+  reports @7 :Data;         # slowdowns and windows of targets in `changes`,
+                            # MessagePack
 }
 
 struct CrashEvidence {
@@ -138,6 +158,8 @@
   unreadTokens @2 :UInt32;  # prompt tokens to be processed
   adapters @3 :List(Text);  # adapters in use
   slowdown @4 :UInt16;      # reported to the sender lately, percent, or 0
+  window @5 :UInt16;        # of which the sender is the owner, or 0
+  windowOf @6 :UInt64;      # incarnation of the target with that window
 }
 
 struct Holding {
@@ -188,6 +210,7 @@
   isLoad @5 :Bool;          # whether the adapter will be loaded first
   priority @6 :UInt8 = 5;   # 0 is the most urgent
   account @7 :Text;         # '' if it is not known
+  slack @8 :Float64;        # time to the latency objective, seconds
 }
 
 struct Reserved {
@@ -195,4 +218,5 @@
   isAccepted @1 :Bool;
   isResident @2 :Bool;      # whether the adapter is loaded
   queue @3 :Float64;        # queue of prompts, seconds
+  turn @4 :Float64;         # seconds until a load starts, 0 if not known
 }
--- a/tests/mustardlb_gateway/test_app.py
+++ b/tests/mustardlb_gateway/test_app.py
@@ -26,7 +26,9 @@
         return builders.make_configuration(
             spec['version'],
             [builders.make_route(**spec['route'])],
-            services=[builders.make_service(engine=False)],
+            services=[
+                builders.make_service(engine=False, **spec.get('service', {}))
+            ],
         )
 
     def read_target(self, name, spec):
@@ -37,6 +39,8 @@
             resident=(),
             software=spec.get('software', ''),
             data_centre=spec.get('data_centre', 'a'),
+            incarnation=spec.get('incarnation', 1),
+            cold_remaining=spec.get('cold_remaining', 0.0),
         )
 
     def read_version(self, spec):
@@ -69,9 +73,10 @@
         self.nodes = []
         self.store_views = []
 
-    def put_configuration(self, version=1, **route):
+    def put_configuration(self, version=1, service=None, **route):
         route = {'kind': 'non_idempotent'} | route
-        self.store.put('config', 'main', {'version': version, 'route': route})
+        spec = {'version': version, 'route': route, 'service': service or {}}
+        self.store.put('config', 'main', spec)
 
     def put_target(self, state='ready'):
         spec = {'port': self.target.port, 'state': state}
@@ -149,6 +154,7 @@
         assert (await send_request(node.settings.front_port)).status == 200
         metrics = await send_request(node.settings.metrics_port)
         assert b'mustardlb_requests_total' in metrics.body
+        assert b'mustardlb_wait_seconds_count' in metrics.body
 
 
 async def test_changes_take_effect_within_seconds():
--- a/tests/mustardlb_gateway/test_pauses.py
+++ b/tests/mustardlb_gateway/test_pauses.py
@@ -21,6 +21,7 @@
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _pauses
 from mustardlb_gateway import domain
+from mustardlb_gateway import http_client
 
 
 class Clock:
@@ -100,6 +101,62 @@
     assert pauses.is_confirmed()
 
 
+# A node whose event loop is blocked for a second and more all the time would
+# go by the view of before the first time for ever.
+async def test_slow_node_is_settled_after_some_pauses(autojump_clock, nursery):
+    clock = Clock()
+
+    async def refresh():
+        await trio.lowlevel.checkpoint()
+        return True
+
+    pauses = _pauses.Pauses(clock, refresh)
+    nursery.start_soon(pauses.run)
+    await trio.sleep(1)
+    settled = []
+    for _ in range(6):
+        clock.suspended += 1.5
+        settled.append(pauses.is_settled())
+        await trio.sleep(0.1)
+    assert settled == [False] * 3 + [True] * 3
+    # A single pause later counts again.
+    await trio.sleep(5)
+    clock.suspended += 1.5
+    assert not pauses.is_settled()
+
+
+# trio's clock does not count how long a connection rested in a suspension.
+async def test_idle_connections_are_closed_at_a_pause(autojump_clock, nursery):
+    closed = []
+    clock = Clock()
+
+    async def refresh():
+        await trio.lowlevel.checkpoint()
+        return True
+
+    class Connection:
+        def __init__(self, name):
+            self.name = name
+
+        def mark_unused(self):
+            pass
+
+        def close(self):
+            closed.append(self.name)
+
+    pool = http_client.Pool(0.5)
+    pool.add_idle('t1', Connection('t1'))
+    pool.add_idle('t2', Connection('t2'))
+    pauses = _pauses.Pauses(clock, refresh)
+    pauses.on_pause(pool.close_idle)
+    nursery.start_soon(pauses.run)
+    await trio.sleep(1)
+    clock.suspended += 10
+    await pauses.ensure_current()
+    assert closed == ['t1', 't2']
+    assert pool.take_idle('t1') is None
+
+
 # A target left or restarted between its choice and the request.
 @pytest.mark.parametrize('change', ['removed', 'draining', 'restarted'])
 async def test_target_that_left_during_a_pause_gets_no_request(change):
@@ -129,9 +186,9 @@
 # half a minute ago was used.
 @pytest.mark.parametrize('seconds', [0.5, 2.0, 30.0])
 async def test_permit_expires_during_a_suspension(seconds, monkeypatch):
-    harness = gateway_harness.Harness(builders.make_route())
+    harness = gateway_harness.Harness(builders.make_route(timeout=60.0))
     clock = Clock()
-    harness.permits._clock = clock
+    harness.permits._clock = harness.gateway._clock = clock
     harness.dispatcher._exchange._clock = clock
     asked = []
 
@@ -150,7 +207,7 @@
         target = harness.targets.by_id['t0']
         harness.target_limits.record_response(target, 5.0, 0.0)
         harness.on_send = on_send
-        response = await harness.send_request()
+        response = await harness.send_request(b'x-wait: 60\r\n')
     assert response.status == 200
     assert len(asked) == (1 if seconds < 1 else 2)
 
@@ -159,9 +216,9 @@
 # been sent yet.
 @pytest.mark.parametrize('seconds', [2.0, 10.0, 30.0])
 async def test_trial_expires_during_a_suspension(seconds):
-    harness = gateway_harness.Harness(builders.make_route())
+    harness = gateway_harness.Harness(builders.make_route(timeout=60.0))
     clock = Clock()
-    harness.permits._clock = clock
+    harness.permits._clock = harness.gateway._clock = clock
     harness.dispatcher._exchange._clock = clock
     harness.permits_trials = True
 
@@ -171,7 +228,28 @@
     async with harness.running(test_app.respond_ok) as harness:
         test_dispatch.quarantine_calls(harness)
         harness.on_send = on_send
-        response = await harness.send_request()
+        response = await harness.send_request(b'x-wait: 60\r\n')
+        assert response.status == (200 if seconds < 5 else 503)
+        assert harness.request_count == (1 if seconds < 5 else 0)
+
+
+# trio's deadline came late by the suspension, so that a request was run whose
+# client had left long before.
+@pytest.mark.parametrize('seconds', [2.0, 10.0, 30.0])
+async def test_deadline_counts_a_suspension(seconds):
+    harness = gateway_harness.Harness(builders.make_route(timeout=5.0))
+    clock = Clock()
+    harness.gateway._clock = clock
+    harness.dispatcher._exchange._clock = clock
+
+    def on_send():
+        clock.suspended += seconds
+
+    async with harness.running(test_app.respond_ok) as harness:
+        harness.on_send = on_send
+        started_at = trio.current_time()
+        response = await harness.send_request(b'x-wait: 5\r\n')
+        assert trio.current_time() - started_at < 1
         assert response.status == (200 if seconds < 5 else 503)
         assert harness.request_count == (1 if seconds < 5 else 0)
 
--- a/tests/mustardlb_gateway/test_planned_stop.py
+++ b/tests/mustardlb_gateway/test_planned_stop.py
@@ -6,11 +6,13 @@
 
 import contextlib
 import socket
+import sys
 import time
 
 import gateway_harness
 import pytest
 import test_app
+import test_unreachable_targets
 import trio
 
 from mustardlb_gateway import app
@@ -242,6 +244,51 @@
         assert response.status == 200
 
 
+PROCESS = """
+import os
+import signal
+
+import trio
+
+from mustardlb_gateway import app
+
+
+class Node:
+    is_stopping = False
+
+    def __init__(self):
+        self.ended = trio.Event()
+
+    async def run(self):
+        for _ in range(3):
+            os.kill(os.getpid(), signal.SIGTERM)
+            await trio.sleep(0.1)
+        await self.ended.wait()
+
+    async def stop(self):
+        await trio.sleep(0.5)
+        self.ended.set()
+
+
+async def main():
+    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+        await app.run_node(
+            Node(), signals, frozenset({signal.SIGTERM}), lambda: None
+        )
+
+
+trio.run(main)
+"""
+
+
+# The exit status was that of a process killed by SIGTERM.
+async def test_process_survives_further_signals():
+    ended = await trio.run_process(
+        [sys.executable, '-c', PROCESS], check=False
+    )
+    assert ended.returncode == 0
+
+
 async def test_request_on_a_connection_that_was_kept_alive_is_served(
     short_drain,
 ):
@@ -257,6 +304,31 @@
         assert response.headers[b'connection'] == b'close'
 
 
+# The node that stops relays the connection for another one.
+async def test_relayed_request_is_finished(short_drain):
+    async def slow(connection, head, body):
+        await trio.sleep(1.2)
+        await test_app.respond_ok(connection, head, body)
+
+    site = test_unreachable_targets.Site(slow, kind='non_idempotent')
+    async with site.running(nodes=2, targets=1):
+        await site.cut(0, 'reset')
+        statuses = []
+
+        async def send():
+            port = site.cluster.nodes[0].settings.front_port
+            response = await test_app.send_request(port, request_id='r1')
+            statuses.append(response.status)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            while not site.targets[0].requests:
+                await trio.sleep(0.02)
+            assert site.cluster.nodes[1]._target_parts.relay_server.count
+            await site.cluster.nodes[1].stop()
+        assert statuses == [200]
+
+
 # Clients that know nothing of the stop connect and send until the node
 # refuses connections.
 async def test_each_accepted_request_gets_a_response(short_drain):
