Targets that fail and report a slowdown get fewer requests

Cause: plain targets that report a slowdown are drawn by speed and are not compared, so that the penalty for failed requests had no effect there: one of three targets that failed half of its requests kept its third. Change: failures count as slowness in the draw.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
@@ -64,7 +64,7 @@
 # If loads are older, two random plain targets are compared instead of all,
 # since all nodes would choose the one that looks idle until the next update.
 MAX_LOAD_AGE_SECONDS = 0.25
-
+COMPARED_TARGETS = 2
 
 # Plain targets whose slowdowns differ by less share requests by their speed.
 # Slower ones get requests only once the faster ones have this part of the
@@ -76,7 +76,10 @@
 # Most requests for each slot before slower targets get some, whatever they
 # report. A false report must not fill the queues of all other targets.
 MAX_FILL = 2.0
-COMPARED_TARGETS = 2
+
+# A target all of whose requests fail counts as if they took this many times as
+# long in addition. One failure alone does not make it a slower one.
+FAILED_SLOWDOWN_RATIO = 2.0
 
 # Penalty for a target all of whose requests fail. It is scaled by the share
 # of failed requests.
@@ -265,7 +268,9 @@
         """
         reported = [
             ReportedCapacity(
-                target.slots, slowdown or 1.0, self._requests(target)
+                target.slots,
+                (slowdown or 1.0) * self._failure_slowdown(target),
+                self._requests(target),
             )
             for target, slowdown in zip(candidates, slowdowns, strict=True)
         ]
@@ -313,6 +318,11 @@
             return None
         return self._reported_loads.slowdown(target)
 
+    def _failure_slowdown(self, target: domain.Target) -> float:
+        """Return a ratio by which a target counts as slower as it fails."""
+        health = self._targets.health(target.target_id)
+        return 1 + FAILED_SLOWDOWN_RATIO * health.failure_share
+
     def _requests(self, target: domain.Target) -> int:
         """Return the running and waiting requests of a target."""
         in_flight = self._targets.in_flight(target.target_id)
--- a/tests/mustardlb_gateway/test_placement.py
+++ b/tests/mustardlb_gateway/test_placement.py
@@ -298,3 +298,17 @@
     )
     assert choice.must_load
     assert choice.max_queue == float('inf')
+
+
+def test_failing_target_that_reports_a_slowdown_gets_few_requests():
+    """Guards against a draw by speed alone, which takes no notice of failures.
+
+    A third of the requests would go on failing at one of three targets.
+    """
+    names = ['t0', 't1', 't2']
+    harness = Harness(*map(builders.make_target, names), engine=False)
+    harness.reports.slowdowns = dict.fromkeys(names, 1.0)
+    harness.table.health('t0').failure_share = 0.5
+    chosen = [harness.choose()[0] for _ in range(300)]
+    assert chosen.count('t0') < 30
+    assert min(chosen.count('t1'), chosen.count('t2')) > 100
