--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -16,6 +16,7 @@
 from mustardlb_gateway import _metrics
 from mustardlb_gateway import _outcomes
 from mustardlb_gateway import _quarantine
+from mustardlb_gateway import _trials
 from mustardlb_gateway import domain
 from mustardlb_gateway import http_server
 from mustardlb_gateway import ports
@@ -49,6 +50,7 @@
     :ivar is_trial: whether the call is sent although it is in quarantine
     :ivar software: version of the software that began the stream that the
         call resumes, or None
+    :ivar trial_until: until when a trial may be sent, clock seconds
     """
 
     call: domain.Call
@@ -58,6 +60,7 @@
     charge: _charging.Decision | None
     is_trial: bool
     software: str | None
+    trial_until: float
 
     @property
     def cost(self) -> float:
@@ -78,6 +81,30 @@
     deadline: float
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _RunningCall:
+    """A call that is handled; `job` is set once it is admitted."""
+
+    scope: trio.CancelScope
+    job: _jobs.Job | None = None
+
+    def stopped_error(self) -> errors.Error:
+        """Return the error of a call that a stopping node has ended."""
+        if self.job is None or not self.job.may_have_run:
+            return _outcomes.rejection(
+                errors.Code.NODE_STOPPING,
+                'the node is stopping',
+                steps.Step.STOP,
+                STOP_RETRY_AFTER_SECONDS,
+            )
+        return errors.Error(
+            errors.Code.TARGET_TIMEOUT,
+            'no response before the node stopped',
+            steps.Step.STOP,
+            self.job.attempts[-1].target_id,
+        )
+
+
 class Gateway:
     """Handles the requests of clients."""
 
@@ -98,6 +125,7 @@
             abc.Awaitable[_messages.Origin | None],
         ],
         clock: abc.Callable[[], float],
+        is_memory_full: abc.Callable[[], bool] = lambda: False,
     ) -> None:
         self._translation = translation
         self._dispatcher = dispatcher
@@ -111,7 +139,9 @@
         self._permit_trial = permit_trial
         self._find_origin = find_origin
         self._clock = clock
+        self._is_memory_full = is_memory_full
         self._in_flight = 0
+        self._running: set[_RunningCall] = set()
         self._stop_schedule: StopSchedule | None = None
 
     async def handle(
@@ -133,11 +163,16 @@
         client_timeout = call.client_timeout or DEFAULT_CLIENT_TIMEOUT_SECONDS
         client_deadline = request.arrived + client_timeout
         self._in_flight += 1
+        running = _RunningCall(trio.CancelScope())
+        self._running.add(running)
         try:
-            admitted = await self._admit(call)
-            await self._run_call(
-                admitted, request.arrived, client_timeout, reply
-            )
+            with running.scope:
+                admitted = await self._admit(call)
+                await self._run_call(
+                    admitted, request.arrived, client_timeout, reply, running
+                )
+            if running.scope.cancelled_caught and not reply.has_begun:
+                raise running.stopped_error()
         except errors.Error as error:
             time_left = client_deadline - trio.current_time()
             await self._send_error(
@@ -145,6 +180,7 @@
             )
         finally:
             self._in_flight -= 1
+            self._running.discard(running)
 
     async def _admit(self, call: domain.Call) -> _AdmittedCall:
         """Check a call and charge it to its account's limit.
@@ -175,6 +211,7 @@
                 )
         self._check_time_left(call, route)
         is_trial = await self._check_quarantine(call)
+        trial_until = self._clock() + _trials.START_SECONDS
         if self._in_flight > MAX_IN_FLIGHT_REQUESTS:
             raise _outcomes.rejection(
                 errors.Code.OVERLOADED,
@@ -182,6 +219,13 @@
                 step,
                 START_RETRY_AFTER_SECONDS,
             )
+        if self._is_memory_full():
+            raise _outcomes.rejection(
+                errors.Code.OVERLOADED,
+                'no memory is left for another request',
+                step,
+                START_RETRY_AFTER_SECONDS,
+            )
         origin = await self._find_stream(call, route)
         name = _choose_service(route.services)
         if origin is not None and origin.service in route.service_names:
@@ -198,6 +242,7 @@
             charge,
             is_trial,
             origin.software if origin is not None else None,
+            trial_until,
         )
 
     async def _find_stream(
@@ -234,6 +279,11 @@
         """Reject calls that may not be finished before the node stops."""
         self._stop_schedule = schedule
 
+    def end_calls(self) -> None:
+        """End all calls; those without a response get an error."""
+        for running in self._running:
+            running.scope.cancel()
+
     def _check_time_left(self, call: domain.Call, route: domain.Route) -> None:
         schedule, now = self._stop_schedule, trio.current_time()
         if schedule is None or now < schedule.admit_all_until:
@@ -278,6 +328,7 @@
         arrived: float,
         client_timeout: float,
         reply: http_server.Reply,
+        running: _RunningCall,
     ) -> None:
         route, account = admitted.route, admitted.account
         priority = route.priority
@@ -294,7 +345,10 @@
             reply,
             is_trial=admitted.is_trial,
             software=admitted.software,
+            trial_until=admitted.trial_until,
         )
+        running.job = job
+        job.expires_at = self._clock() + job.deadline - trio.current_time()
         self._count_request(admitted.service.name)
         outcome = 'client_gone'
         try:
@@ -318,11 +372,7 @@
         except _jobs.TargetErrorResponse as target_error:
             if job.reply.has_begun:
                 return
-            await job.reply.send_response(
-                target_error.response.status,
-                target_error.response.headers,
-                target_error.response.body,
-            )
+            await job.send_response(target_error.response)
 
     def _log_call(self, job: _jobs.Job, outcome: str, cost: float) -> None:
         now = trio.current_time()
@@ -335,6 +385,7 @@
             first_byte - job.arrived,
             now - job.arrived,
         )
+        self._metrics.observe_wait(job.service.name, job.priority, job.waited)
         log.info(
             'MLB-6601',
             request=job.call.request_id,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -54,6 +54,9 @@
                 'version': body.version,
                 'patience': body.patience,
                 'slack': body.slack,
+                'priority': _encode_priority(body.priority),
+                'account': body.account,
+                'tokens': body.tokens,
             }
         case _messages.Wanted():
             return 'wanted', body.is_there
@@ -65,6 +68,9 @@
                 'tokens': body.tokens,
                 'maxQueue': body.max_queue,
                 'isLoad': body.is_load,
+                'priority': _encode_priority(body.priority),
+                'account': body.account,
+                'slack': body.slack,
             }
         case _messages.Reserved():
             return 'reserved', {
@@ -72,6 +78,7 @@
                 'isAccepted': body.is_accepted,
                 'isResident': body.is_resident,
                 'queue': body.queue,
+                'turn': body.turn or 0.0,
             }
         case _messages.Charge():
             return 'charge', _charge_fields(body)
@@ -90,6 +97,12 @@
             }
         case _messages.Permitted():
             return 'permitted', body.wait
+        case _messages.ColdPermit():
+            return 'coldPermit', _cold_fields(body) | {
+                'ranked': list(body.ranked)
+            }
+        case _messages.ColdNotice():
+            return 'coldNotice', _cold_fields(body)
         case _messages.Trial():
             return 'trial', body.suspect
         case _messages.Tried():
@@ -118,6 +131,15 @@
                 'incarnation': body.incarnation,
                 'seconds': body.seconds,
             }
+        case _messages.Observed():
+            return 'observed', {
+                'target': body.target_id,
+                'incarnation': body.incarnation,
+                'fast': body.fast,
+                'slow': body.slow,
+                'failed': body.failed,
+                'isSuspended': body.is_suspended,
+            }
         case _messages.Subscription():
             return 'subscription', body.is_wanted
         case _messages.Update():
@@ -126,6 +148,7 @@
                 'revisions': _encode_numbers(body.revisions),
                 'changes': _encode_changes(body.changes),
                 'cutOff': _cut_off_members(body.changes),
+                'reports': _encode_reports(body.changes),
                 'levels': _encode_amounts(body.levels),
                 'crashEvidence': _target_observation_codec.encode_evidence(
                     body.crash_evidence
@@ -136,6 +159,10 @@
             }
 
 
+def _encode_priority(priority: int) -> int:
+    return max(0, min(priority, 255))
+
+
 def _charge_fields(charge: _messages.Charge) -> dict[str, Any]:
     return {
         'account': charge.account,
@@ -165,6 +192,9 @@
                 'running': usage.running,
                 'unreadTokens': usage.unread_tokens,
                 'adapters': [str(adapter) for adapter in usage.adapters],
+                'slowdown': usage.slowdown,
+                'window': usage.window.size if usage.window else 0,
+                'windowOf': usage.window.incarnation if usage.window else 0,
             }
             for usage in digest.usages
         ],
@@ -211,6 +241,14 @@
     list[tuple[str, str]],
 ]
 _changes_decoder = msgspec.msgpack.Decoder(list[_WireChange])
+# By data centre: the slowdown of each target in `loads`, in their order, and
+# windows by target with the incarnation. A byte for each slowdown, since loads
+# are most of what hubs send.
+_WireReport = tuple[bytes, dict[str, tuple[int, int]]]
+_WireReports = dict[str, _WireReport]
+_SLOWDOWN_BYTE_OF_1 = 128
+_NO_REPORT: _WireReport = (b'', {})
+_reports_decoder = msgspec.msgpack.Decoder(_WireReports)
 
 
 def _cut_off_members(changes: tuple[_centres.CentreDelta, ...]) -> list[str]:
@@ -231,6 +269,45 @@
     return msgspec.msgpack.encode([_encode_change(each) for each in changes])
 
 
+def _encode_reports(changes: tuple[_centres.CentreDelta, ...]) -> bytes:
+    """Return the slowdowns and windows of targets, by data centre.
+
+    They are not a part of the changes, which nodes of an earlier release
+    could not decode then. Empty if there are none.
+    """
+    reports: _WireReports = {
+        change.data_centre: (
+            bytes(_slowdown_byte(load) for load in change.loads.values()),
+            {
+                target_id: (load.window.size, load.window.incarnation)
+                for target_id, load in change.loads.items()
+                if load.window
+            },
+        )
+        for change in changes
+        if any(each.slowdown or each.window for each in change.loads.values())
+    }
+    if not reports:
+        return b''
+    return msgspec.msgpack.encode(reports)
+
+
+def _slowdown_byte(load: _centres.Load) -> int:
+    """Return the steps of a slowdown from 1 as a byte, 0 for none."""
+    if not load.slowdown:
+        return 0
+    steps = _centres.told_steps(load.slowdown / 100)
+    return min(255, max(1, _SLOWDOWN_BYTE_OF_1 + steps))
+
+
+def _slowdown_of(byte: int) -> int:
+    """Return a slowdown in percent, from its byte."""
+    if not byte:
+        return 0
+    slowdown = _centres.TOLD_STEP ** (byte - _SLOWDOWN_BYTE_OF_1)
+    return _centres.told_percent(slowdown)
+
+
 def _encode_change(change: _centres.CentreDelta) -> _WireChange:
     return (
         change.data_centre,
@@ -306,7 +383,14 @@
             want = decoded.want
             adapter = domain.AdapterName.parse(want.adapter)
             return _messages.Want(
-                want.target, adapter, want.version, want.patience, want.slack
+                want.target,
+                adapter,
+                want.version,
+                want.patience,
+                want.slack,
+                want.priority,
+                want.account,
+                want.tokens,
             )
         case 'reserve':
             reserve = decoded.reserve
@@ -317,6 +401,9 @@
                 reserve.tokens,
                 reserve.maxQueue,
                 reserve.isLoad,
+                reserve.priority,
+                reserve.account,
+                reserve.slack,
             )
         case 'reserved':
             reserved = decoded.reserved
@@ -325,6 +412,7 @@
                 reserved.isAccepted,
                 reserved.isResident,
                 reserved.queue,
+                reserved.turn or None,
             )
         case 'charge':
             return _decode_charge(decoded.charge)
@@ -343,6 +431,19 @@
             )
         case 'permitted':
             return _messages.Permitted(decoded.permitted)
+        case 'coldPermit':
+            cold = decoded.coldPermit
+            return _messages.ColdPermit(
+                cold.target,
+                cold.incarnation,
+                cold.seconds,
+                tuple(cold.ranked),
+            )
+        case 'coldNotice':
+            cold = decoded.coldNotice
+            return _messages.ColdNotice(
+                cold.target, cold.incarnation, cold.seconds
+            )
         case 'trial':
             return _messages.Trial(decoded.trial)
         case 'tried':
@@ -367,6 +468,16 @@
         case 'rest':
             rest = decoded.rest
             return _messages.Rest(rest.target, rest.incarnation, rest.seconds)
+        case 'observed':
+            observed = decoded.observed
+            return _messages.Observed(
+                observed.target,
+                observed.incarnation,
+                observed.fast,
+                observed.slow,
+                observed.failed,
+                observed.isSuspended,
+            )
         case 'subscription':
             return _messages.Subscription(decoded.subscription)
         case 'update':
@@ -375,10 +486,7 @@
             return _messages.Update(
                 update.isFull,
                 {each.name: each.number for each in update.revisions},
-                tuple(
-                    _decode_change(each, cut_off)
-                    for each in _changes_decoder.decode(update.changes)
-                ),
+                _decode_changes(update.changes, update.reports, cut_off),
                 {each.name: each.amount for each in update.levels},
                 _target_observation_codec.decode_evidence(
                     update.crashEvidence
@@ -389,6 +497,16 @@
             return _messages.Wanted(decoded.wanted)
 
 
+def _cold_fields(
+    body: _messages.ColdPermit | _messages.ColdNotice,
+) -> dict[str, Any]:
+    return {
+        'target': body.target_id,
+        'incarnation': body.incarnation,
+        'seconds': body.seconds,
+    }
+
+
 def _decode_charge(charge: Any) -> _messages.Charge:
     """Decode a charge; raises ValueError if its cost is no amount."""
     if not 0 <= charge.cost < float('inf'):
@@ -413,6 +531,8 @@
                 each.running,
                 each.unreadTokens,
                 tuple(parse(adapter) for adapter in each.adapters),
+                each.slowdown,
+                _decode_window(each.window, each.windowOf),
             )
             for each in digest.usages
         ),
@@ -436,8 +556,22 @@
     )
 
 
+def _decode_window(size: int, incarnation: int) -> _centres.Window | None:
+    return _centres.Window(size, incarnation) if size else None
+
+
+def _decode_changes(
+    changes: bytes, reports: bytes, cut_off: frozenset[str]
+) -> tuple[_centres.CentreDelta, ...]:
+    by_centre = _reports_decoder.decode(reports) if reports else {}
+    return tuple(
+        _decode_change(each, by_centre.get(each[0], _NO_REPORT), cut_off)
+        for each in _changes_decoder.decode(changes)
+    )
+
+
 def _decode_change(
-    wire: _WireChange, cut_off: frozenset[str]
+    wire: _WireChange, report: _WireReport, cut_off: frozenset[str]
 ) -> _centres.CentreDelta:
     parse = domain.AdapterName.parse
     (
@@ -452,6 +586,8 @@
         holdings,
         removed_holdings,
     ) = wire
+    slowdowns, windows = report
+    slowdowns = slowdowns or bytes(len(loads))
     return _centres.CentreDelta(
         centre,
         lost_count,
@@ -467,7 +603,14 @@
         ),
         tuple(removed_members),
         admitted,
-        {key: _centres.Load(*load) for key, load in loads.items()},
+        {
+            key: _centres.Load(
+                *load,
+                _slowdown_of(byte),
+                _decode_window(*windows.get(key, (0, 0))),
+            )
+            for (key, load), byte in zip(loads.items(), slowdowns, strict=True)
+        },
         {
             key: frozenset(map(parse, names))
             for key, names in adapters_in_use.items()
--- a/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_placement.py
@@ -14,6 +14,7 @@
 from mustardlb_gateway import _leases
 from mustardlb_gateway import _prefill_queue
 from mustardlb_gateway import _prefix_index
+from mustardlb_gateway import _reported_loads
 from mustardlb_gateway import _targets
 from mustardlb_gateway import domain
 
@@ -56,15 +57,38 @@
 # one and is still chosen, since bytes between data centres are charged.
 LOCAL_TARGET_ADVANTAGE = 0.2
 
+# Part of the slots up to which local targets that report a slowdown are fully
+# preferred. Full ones are not preferred at all.
+LOCAL_PREFERENCE_FULLNESS = 0.6
+
 # If loads are older, two random plain targets are compared instead of all,
 # since all nodes would choose the one that looks idle until the next update.
 MAX_LOAD_AGE_SECONDS = 0.25
+
+
+# Plain targets whose slowdowns differ by less share requests by their speed.
+# Slower ones get requests only once the faster ones have this part of the
+# ratio of their slowdowns in requests for each slot: an idle target that takes
+# four times as long is used once two requests wait for each slot elsewhere.
+SIMILAR_SLOWDOWN_RATIO = 1.5
+FILL_RATIO = 0.5
+
+# Most requests for each slot before slower targets get some, whatever they
+# report. A false report must not fill the queues of all other targets.
+MAX_FILL = 2.0
 COMPARED_TARGETS = 2
 
 # Penalty for a target all of whose requests fail. It is scaled by the share
 # of failed requests.
 FAILURE_PENALTY_SECONDS = 2.0
 
+# A cold target has few requests in flight since it gets few, which does not
+# make it the least loaded one. A plain target counts as if it had only this
+# part of its slots. An engine gets a penalty of about the time between two
+# requests to it, which is below the cost of a copy of an adapter.
+COLD_SLOTS_RATIO = 0.25
+COLD_PENALTY_SECONDS = 0.15
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
@@ -133,7 +157,10 @@
         load_age: abc.Callable[[], float] = lambda: 0.0,
         data_centre: str = '',
         is_adopted: abc.Callable[[domain.Target], bool] = lambda _: True,
+        reported_loads: _reported_loads.ReportedLoads | None = None,
+        is_cold: abc.Callable[[domain.Target], bool] = lambda _: False,
     ) -> None:
+        self._is_cold = is_cold
         self._targets = targets
         self._prefix_index = prefix_index
         self._resident = resident
@@ -143,6 +170,7 @@
         self._load_age = load_age
         self._data_centre = data_centre
         self._is_adopted = is_adopted
+        self._reported_loads = reported_loads
 
     def choose(self, request: PlacementRequest) -> Choice | None:
         """Return the target of lowest cost, or None if none is suitable."""
@@ -170,6 +198,22 @@
             )
         return self._choose_engine(request, candidates)
 
+    def has_free_slot(
+        self, request: PlacementRequest, asked: abc.Container[str]
+    ) -> bool:
+        """Return whether another engine than those asked has a free slot."""
+        adapter = request.call.adapter
+        model = domain.AdapterName(adapter.model) if adapter else None
+        return any(
+            target.target_id not in asked
+            and target.target_id not in request.denied
+            and not self._targets.is_suspended(target.target_id)
+            and self._is_controlled(target.target_id)
+            and self._free_slots(target.target_id) > 0
+            and model in self._resident(target)
+            for target in self._with_software(request)
+        )
+
     def _with_software(self, request: PlacementRequest) -> list[domain.Target]:
         """Return the ready targets with software that may serve a call.
 
@@ -188,11 +232,18 @@
     def _compared_targets(
         self, candidates: list[domain.Target]
     ) -> list[domain.Target]:
-        """Return the plain targets to compare, among them a local one."""
-        if (
-            self._load_age() <= MAX_LOAD_AGE_SECONDS
-            or len(candidates) <= COMPARED_TARGETS
-        ):
+        """Return the plain targets to compare, among them a local one.
+
+        If they report a slowdown, one is drawn and not compared. All nodes
+        are told the same, so that the best one of two would get the requests
+        of all nodes until the next update.
+        """
+        if len(candidates) <= COMPARED_TARGETS:
+            return candidates
+        slowdowns = [self._slowdown(target) for target in candidates]
+        if any(slowdowns):
+            return [self._draw(candidates, slowdowns)]
+        if self._load_age() <= MAX_LOAD_AGE_SECONDS:
             return candidates
         sample = random.sample(candidates, COMPARED_TARGETS)
         local = [
@@ -202,16 +253,73 @@
         ]
         return [random.choice(local), *sample] if local else sample
 
+    def _draw(
+        self,
+        candidates: list[domain.Target],
+        slowdowns: list[float | None],
+    ) -> domain.Target:
+        """Return a plain target, drawn by the part that it should get.
+
+        A local target is preferred as long as its data centre sends it no
+        more than that, and the less the fuller it is.
+        """
+        reported = [
+            ReportedCapacity(
+                target.slots, slowdown or 1.0, self._requests(target)
+            )
+            for target, slowdown in zip(candidates, slowdowns, strict=True)
+        ]
+        shares = capacity_shares(reported)
+        local = [
+            n
+            for n, target in enumerate(candidates)
+            if target.data_centre == self._data_centre
+        ]
+        local_share = sum(shares[n] for n in local)
+        if local_share > 0:
+            centres = len({target.data_centre for target in candidates})
+            slots = sum(reported[n].slots for n in local)
+            requests = sum(reported[n].requests for n in local)
+            preference = (1 - requests / max(1, slots)) / (
+                1 - LOCAL_PREFERENCE_FULLNESS
+            )
+            if random.random() < min(1.0, local_share * centres, preference):
+                return random.choices(
+                    [candidates[n] for n in local],
+                    [shares[n] for n in local],
+                )[0]
+        return random.choices(candidates, shares)[0]
+
     def _plain_choice(self, target: domain.Target) -> Choice:
         """Return a plain target with its load ratio as the cost."""
-        running = self._targets.in_flight(target.target_id)
+        running = self._requests(target)
         health = self._targets.health(target.target_id)
-        fullness = (running + random.random()) / max(1, target.slots)
+        slots = max(1.0, target.slots)
+        if self._is_cold(target):
+            slots *= COLD_SLOTS_RATIO
+        fullness = (running + random.random()) / slots
+        slowdown = self._slowdown(target)
+        if slowdown is not None:
+            # A request takes one usual time, and the wait at a full target.
+            fullness = (1 + fullness) * slowdown - 1
         cost = fullness + FAILURE_PENALTY_SECONDS * health.failure_share
         if target.data_centre != self._data_centre:
             cost += LOCAL_TARGET_ADVANTAGE
         return Choice(target, False, 0, cost)
 
+    def _slowdown(self, target: domain.Target) -> float | None:
+        """Return the slowdown of a target, None if it reports none."""
+        if self._reported_loads is None:
+            return None
+        return self._reported_loads.slowdown(target)
+
+    def _requests(self, target: domain.Target) -> int:
+        """Return the running and waiting requests of a target."""
+        in_flight = self._targets.in_flight(target.target_id)
+        if self._reported_loads is None:
+            return in_flight
+        return self._reported_loads.requests(target, in_flight)
+
     def _choose_engine(
         self, request: PlacementRequest, candidates: list[domain.Target]
     ) -> Choice | None:
@@ -323,9 +431,10 @@
         prefill_tokens = self._prefix_index.uncached_tokens(
             target.target_id, request.call
         )
-        queue = self._prefill_queue_seconds(request, target)
-        first_token_in = (
-            queue + prefill_tokens / _prefill_queue.PREFILL_TOKENS_PER_SECOND
+        slowdown = self._slowdown(target) or 1.0
+        queue = self._prefill_queue_seconds(request, target, slowdown)
+        first_token_in = queue + slowdown * (
+            prefill_tokens / _prefill_queue.PREFILL_TOKENS_PER_SECOND
         )
         cost = self._cost(request, target, first_token_in)
         return Choice(target, False, prefill_tokens, cost, queue)
@@ -344,14 +453,14 @@
                 1 - weight[0] / 255
             )
         missing_slots = max(0, 1 - self._free_slots(target.target_id))
+        slowdown = self._slowdown(target) or 1.0
         # The engine prefills other prompts while it loads the adapter.
         ready_in = max(
-            self._prefill_queue_seconds(request, target),
+            self._prefill_queue_seconds(request, target, slowdown),
             load_seconds + missing_slots * FULL_ENGINE_WAIT_SECONDS,
         )
-        first_token_in = (
-            ready_in
-            + prefill_tokens / _prefill_queue.PREFILL_TOKENS_PER_SECOND
+        first_token_in = ready_in + slowdown * (
+            prefill_tokens / _prefill_queue.PREFILL_TOKENS_PER_SECOND
         )
         if self._free_slots(target.target_id) < MIN_SPARE_SLOTS:
             penalty += LATE_PENALTY_SECONDS
@@ -359,14 +468,21 @@
         return Choice(target, True, prefill_tokens, cost, ready_in)
 
     def _prefill_queue_seconds(
-        self, request: PlacementRequest, target: domain.Target
+        self,
+        request: PlacementRequest,
+        target: domain.Target,
+        slowdown: float,
     ) -> float:
-        """Return the seconds until the engine can start another prefill."""
+        """Return the seconds until the engine can start another prefill.
+
+        What controllers have told includes the slowdown.
+        """
         known = request.queue_seconds.get(target.target_id)
         if known is not None:
             return known
         return (
-            self._targets.pending_prefill_tokens(target.target_id)
+            slowdown
+            * self._targets.pending_prefill_tokens(target.target_id)
             / _prefill_queue.PREFILL_TOKENS_PER_SECOND
         )
 
@@ -377,7 +493,7 @@
         first_token_in: float,
     ) -> float:
         """Return the cost, in seconds, of an engine for a request."""
-        running = self._targets.in_flight(target.target_id)
+        running = self._requests(target)
         health = self._targets.health(target.target_id)
         fullness = max(0.0, running / max(1, target.slots) - 0.8)
         cost = (
@@ -385,6 +501,60 @@
             + fullness
             + FAILURE_PENALTY_SECONDS * health.failure_share
         )
+        if self._is_cold(target):
+            cost += COLD_PENALTY_SECONDS
         if first_token_in > ON_TIME_SHARE * request.time_to_objective > 0:
             cost += LATE_PENALTY_SECONDS
         return cost
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedCapacity:
+    """Slots, slowdown, and running and waiting requests of a target."""
+
+    slots: int
+    slowdown: float
+    requests: int
+
+    @property
+    def weight(self) -> float:
+        """Return the speed, reduced while more requests than slots wait."""
+        free = min(1.0, self.slots / max(1, self.requests))
+        return max(1, self.slots) / self.slowdown * free
+
+
+def capacity_shares(reported: list[ReportedCapacity]) -> list[float]:
+    """Return the parts of the requests that plain targets should get.
+
+    Slower targets get what the faster ones have no room for, which are filled
+    up to a part of their slots. The work in progress at the slower ones does
+    not count, so that a queue there does not attract requests.
+
+    >>> capacity_shares(
+    ...     [ReportedCapacity(6, 1.0, 3), ReportedCapacity(6, 4.0, 20)]
+    ... )
+    [1.0, 0.0]
+    >>> capacity_shares(
+    ...     [ReportedCapacity(6, 1.0, 24), ReportedCapacity(6, 4.0, 0)]
+    ... )
+    [0.5, 0.5]
+    """
+    left = 1.0
+    shares = [0.0] * len(reported)
+    rest = sorted(range(len(reported)), key=lambda n: reported[n].slowdown)
+    while rest:
+        slowest = SIMILAR_SLOWDOWN_RATIO * reported[rest[0]].slowdown
+        similar = [n for n in rest if reported[n].slowdown <= slowest]
+        rest = rest[len(similar) :]
+        slots = sum(reported[n].slots for n in similar)
+        requests = sum(reported[n].requests for n in similar)
+        used = left
+        if rest:
+            ratio = reported[rest[0]].slowdown / reported[similar[-1]].slowdown
+            fill = min(MAX_FILL, max(1.0, FILL_RATIO * ratio))
+            used *= min(1.0, fill * slots / max(1, requests))
+        left -= used
+        weights = [reported[n].weight for n in similar]
+        for n, weight in zip(similar, weights, strict=True):
+            shares[n] = used * weight / sum(weights)
+    return shares
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -7,6 +7,7 @@
 import trio
 
 from mustardlb import clock as clocks
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _charging
 from mustardlb_gateway import _crashes
@@ -17,7 +18,10 @@
 from mustardlb_gateway import _metrics
 from mustardlb_gateway import _mirror
 from mustardlb_gateway import _node_gauges
+from mustardlb_gateway import _pauses
+from mustardlb_gateway import _peer_requests
 from mustardlb_gateway import _peers
+from mustardlb_gateway import _planned_stop
 from mustardlb_gateway import _prefix_index
 from mustardlb_gateway import _quota
 from mustardlb_gateway import _registration
@@ -41,13 +45,6 @@
 # Interval at which the quota is updated and idle connections are closed.
 MAINTENANCE_INTERVAL_SECONDS = 0.25
 
-# A stopping node still admits all requests for this time, since the load
-# balancer removes it after two failed readiness checks, one per second.
-DRAIN_DELAY_SECONDS = 2.7
-
-# Unfinished responses are cut off this long before the stop timeout.
-STOP_MARGIN_SECONDS = 0.5
-
 # File descriptors that are not available for client connections.
 RESERVED_DESCRIPTORS = 1500
 
@@ -79,6 +76,7 @@
         self._nursery: trio.Nursery | None = None
         self.is_stopping = False
         self._counts_changed = trio.Event()
+        self._buffers = _buffers.Buffers(lambda: self.settings.memory_mb)
         self._retry_budgets_by_service: dict[
             str, _retry_budget.RetryBudget
         ] = {}
@@ -86,6 +84,7 @@
         state = _wiring_state.make(translation, clock, lambda: self.settings)
         self._mirrors = state.mirrors
         self._peer_sync = state.peer_sync
+        self._pauses = _pauses.Pauses(clock, self._refresh_mirrors)
         self.state = state.config
         self._evacuations = state.evacuations
         self.targets = state.targets
@@ -102,6 +101,7 @@
                 settings.link_capacity,
             ),
             clock,
+            self._pauses.is_settled,
         )
         self.fleet = _fleet.Fleet(
             self.membership, incarnation, self._make_digest, clock
@@ -114,6 +114,7 @@
             lambda: self.peers,
             lambda: self.is_stopping,
             clock,
+            self._buffers,
         )
         self.quarantine = self._target_parts.quarantine
         self.peers = _peers.Peers(
@@ -142,11 +143,23 @@
             clock,
         )
         self._trials = _wiring_targets.make_trials(
-            settings, self._target_parts, self.peers, clock
+            settings,
+            self._target_parts,
+            self.peers,
+            clock,
+            self._pauses.is_settled,
         )
         self._permits = _wiring_targets.make_permits(
             settings, self._target_parts, self.peers, clock
         )
+        self._cold_permits = _wiring_targets.make_cold_permits(
+            lambda: self.settings,
+            state,
+            self._target_parts,
+            self.membership,
+            self.peers,
+            clock,
+        )
         self._stream_origins = self._make_stream_origins(state.targets_mirror)
         engines = _wiring_engines.make(
             lambda: self.settings,
@@ -170,12 +183,21 @@
             self._target_parts,
             engines,
             self._permits,
+            self._cold_permits,
             self._prefix_index,
             self.membership,
             self.peers,
             self._acquire_retry,
             self._stream_origins.record,
+            self._pauses.ensure_current,
+            clock,
+            self._buffers,
+            _mirror.Confirmer(
+                state.targets_mirror, store, clock, CONFIRM_TIMEOUT_SECONDS
+            ).confirm,
+            self.metrics,
         )
+        self._waiting = dispatcher.waiting
         self._gateway = _gateway.Gateway(
             translation,
             dispatcher,
@@ -189,9 +211,22 @@
             self._trials.permit,
             self._stream_origins.find,
             clock,
+            lambda: self._buffers.is_full,
+        )
+        self._request_handlers = _peer_requests.Handlers(
+            self._peer_sync,
+            self.engine_manager,
+            self._charging,
+            self._trials,
+            self._permits,
+            self._cold_permits,
+            self._stream_origins,
+            self._target_parts.states,
+            self._target_parts.warm_up,
         )
         self._client_server = self._make_client_server()
         self.targets.on_removed(self._on_target_removed)
+        self._pauses.on_pause(self._target_parts.pool.close_idle)
 
     def _make_stream_origins(
         self, targets_mirror: _mirror.Mirror
@@ -203,7 +238,10 @@
             self.peers.alive,
             self.membership.data_centre_of,
             self.fleet.incarnations,
-            lambda: self.targets.age <= _software_history.ADOPTION_SECONDS,
+            lambda: (
+                self.targets.age <= _software_history.ADOPTION_SECONDS
+                and self._pauses.is_confirmed()
+            ),
             lambda: _mirror.confirm(
                 targets_mirror,
                 self._store,
@@ -213,6 +251,22 @@
             self._clock,
         )
 
+    async def _refresh_mirrors(self) -> bool:
+        """Ask the store for what has changed; return whether it answered."""
+        confirmed: list[bool] = []
+
+        async def confirm(mirror: _mirror.Mirror) -> None:
+            confirmed.append(
+                await _mirror.confirm(
+                    mirror, self._store, self._clock, CONFIRM_TIMEOUT_SECONDS
+                )
+            )
+
+        async with trio.open_nursery() as nursery:
+            for mirror in self._mirrors:
+                nursery.start_soon(confirm, mirror)
+        return all(confirmed)
+
     def _acquire_retry(self, service: str) -> bool:
         """Return whether a call may be sent to another target."""
         return self._get_retry_budget(service).try_acquire(self._clock())
@@ -228,9 +282,16 @@
             100, self.settings.max_descriptors - RESERVED_DESCRIPTORS
         )
         return http_server.Server(
-            self._gateway.handle, limits, max_connections
+            self._handle, limits, max_connections, self._buffers
         )
 
+    async def _handle(
+        self, request: http_server.Request, reply: http_server.Reply
+    ) -> None:
+        """Respond to a client by the configuration in force."""
+        await self._pauses.ensure_current()
+        await self._gateway.handle(request, reply)
+
     def _get_retry_budget(self, service: str) -> _retry_budget.RetryBudget:
         budget = self._retry_budgets_by_service.get(service)
         if budget is None:
@@ -252,14 +313,29 @@
         self._target_parts.crash_watch.handle_removal(target)
 
     def _make_digest(self) -> _messages.Digest:
+        slowdowns = self._target_parts.reported_loads.to_tell()
+        windows = self._target_parts.warm_up.to_tell()
         usages = tuple(
             _messages.TargetUsage(
                 target_id,
                 usage.in_flight,
                 usage.prefill_tokens,
                 tuple(usage.by_adapter),
+                slowdowns.get(target_id, 0),
+                windows.get(target_id),
             )
             for target_id, usage in self.targets.usage_by_id.items()
+        ) + tuple(
+            _messages.TargetUsage(
+                target_id,
+                0,
+                0,
+                (),
+                slowdowns.get(target_id, 0),
+                windows.get(target_id),
+            )
+            for target_id in (slowdowns | windows).keys()
+            - self.targets.usage_by_id.keys()
         )
         return _messages.Digest(
             self.settings.host,
@@ -296,6 +372,7 @@
         self._gauges.live_nodes.set(len(self.membership.live))
         self.targets.centres_by_name = view
         self.engine_manager.apply_fleet_view(view)
+        self._waiting.notify_changed()
         now = self._clock()
         for name, centre in view.items():
             if self.fleet.is_fresh(name):
@@ -330,38 +407,7 @@
     async def _handle_peer_request(
         self, message: _messages.Message
     ) -> _messages.Body | None:
-        match message.body:
-            case _messages.SnapshotRequest():
-                return self._peer_sync.snapshot(
-                    message.body.kind, message.body.since
-                )
-            case _messages.Want():
-                return await self.engine_manager.handle_load_request(
-                    message.body
-                )
-            case _messages.Reserve():
-                return self.engine_manager.handle_reserve(message.body)
-            case _messages.Charge():
-                return self._charging.handle_charge(message.body)
-            case _messages.Trial():
-                return _messages.Tried(
-                    self._trials.grant(message.body.suspect)
-                )
-            case _messages.Permit():
-                return self._permits.handle_permit(message.body)
-            case _messages.TellOrigins():
-                return self._stream_origins.handle_told(message.body)
-            case _messages.FindOrigin():
-                return self._stream_origins.handle_find(message.body)
-            case _messages.Rest():
-                self._target_parts.states.record_rest(
-                    message.body.target_id,
-                    message.body.incarnation,
-                    message.body.seconds,
-                )
-            case _messages.Refund():
-                self._charging.handle_refund(message.body)
-        return None
+        return await _peer_requests.handle(self._request_handlers, message)
 
     def is_ready(self) -> bool:
         """Return whether the node can serve new connections."""
@@ -399,6 +445,7 @@
             )
             nursery.start_soon(self.engine_manager.run, nursery)
             nursery.start_soon(self._run_maintenance)
+            nursery.start_soon(self._pauses.run)
             nursery.start_soon(self._publish_counts)
             nursery.start_soon(self._target_parts.crash_watch.run)
             nursery.start_soon(self._target_parts.links.run)
@@ -435,22 +482,18 @@
                 accounts = (configuration.accounts_by_name or {}).values()
                 self._quota.add_accounts(accounts, now)
             self._quota.charge_assumed_shares(now)
-            self._target_parts.pool.close_expired()
-            self.quarantine.refresh_if_due()
-            self._target_parts.limits.remove_gone()
+            _wiring_targets.refresh(self._target_parts)
             self._permits.remove_gone()
-            self._target_parts.states.remove_expired()
+            self._cold_permits.remove_gone()
             self._update_gauges()
 
     def _update_gauges(self) -> None:
-        gauges, quarantine = self._gauges, self.quarantine
-        gauges.quarantined.set(quarantine.size)
-        gauges.crash_reports.set(len(quarantine.evidence.report_by_key))
+        gauges = self._gauges
+        _wiring_targets.update_gauges(gauges, self._target_parts, self.targets)
         gauges.stream_origins.set(self._stream_origins.size)
-        gauges.suspended_targets.set(self.targets.suspended_count)
-        gauges.lost_targets.set(self._target_parts.reachability.lost_count)
         gauges.evacuated_centres.set(len(self._evacuations.since_by_centre))
-        gauges.relayed_connections.set(self._target_parts.relay_server.count)
+        gauges.buffered_bytes.set(self._buffers.held)
+        gauges.slow_clients.set(self._buffers.evictions)
 
     def reload(self, settings: gateway_settings.Settings) -> None:
         """Apply changed settings while the node runs."""
@@ -458,35 +501,14 @@
         log.info('MLB-6013', stop_timeout=settings.stop_timeout)
 
     async def stop(self) -> None:
-        """Finish the requests in flight, then stop `run`.
-
-        Requests that are unfinished at the stop timeout are cut off.
-        """
-        started_at = trio.current_time()
-        deadline = (
-            started_at + self.settings.stop_timeout - STOP_MARGIN_SECONDS
-        )
+        """Finish the requests in flight, then stop `run`."""
         self.is_stopping = True
-        self._client_server.is_stopping = True
-        drain_delay_ends = min(deadline, started_at + DRAIN_DELAY_SECONDS)
-        self._gateway.schedule_stop(
-            _gateway.StopSchedule(drain_delay_ends, deadline)
-        )
-        self.engine_manager.stop()
-        log.info('MLB-6014', in_flight=self._client_server.requests_in_flight)
-        await trio.sleep_until(drain_delay_ends)
-        while trio.current_time() < deadline:
-            self._client_server.close_idle()
-            if not (
-                self._client_server.requests_in_flight
-                or self._target_parts.relay_server.count
-            ):
-                break
-            await trio.sleep(MAINTENANCE_INTERVAL_SECONDS / 5)
-        log.info(
-            'MLB-6015',
-            in_flight=self._client_server.requests_in_flight,
-            seconds=round(trio.current_time() - started_at, 3),
+        await _planned_stop.finish_requests(
+            self._client_server,
+            self._gateway,
+            lambda: self._target_parts.relay_server.count,
+            self.settings.stop_timeout,
+            self.engine_manager.stop,
         )
         if self._nursery is not None:
             self._nursery.cancel_scope.cancel()
@@ -513,8 +535,13 @@
     stop_signals: frozenset[int],
     reload: abc.Callable[[], None],
 ) -> None:
-    async for number in signals:
-        if number in stop_signals:
-            await node.stop()
-            return
-        reload()
+    async with trio.open_nursery() as nursery:
+        async for number in signals:
+            if number not in stop_signals:
+                reload()
+            elif not node.is_stopping:
+                # Further stop signals are read and ignored: the signal
+                # receiver delivers unread ones again when it is closed, and
+                # they would kill the process.
+                node.is_stopping = True
+                nursery.start_soon(node.stop)
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -9,7 +9,6 @@
 from collections import abc
 import dataclasses
 import re
-import select
 from typing import Any
 from typing import Protocol
 
@@ -167,9 +166,7 @@
         self.idle_seconds = now - self._idle_since
         # A readable idle connection was closed by the peer or holds bytes
         # that belong to no request.
-        poll = select.poll()
-        poll.register(self._stream.socket.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not _sockets.is_readable(self._stream.socket)
 
     async def send(
         self,
@@ -281,16 +278,22 @@
             return None
         raise ExchangeFailed('the response body is truncated')
 
-    async def receive_body(self, max_bytes: int) -> bytes:
+    async def receive_body(
+        self, max_bytes: int, hold: abc.Callable[[int], bool] | None = None
+    ) -> bytes:
         """Return the rest of the body.
 
-        Raises ExchangeFailed if it is truncated or exceeds `max_bytes`.
+        `hold` is called with the size of each part that was received, and
+        returns whether there is memory for it. Raises ExchangeFailed if the
+        body is truncated, exceeds `max_bytes` or has no room.
         """
         body = bytearray()
         while (data := await self.receive_data()) is not None:
             body += data
             if len(body) > max_bytes:
                 raise ExchangeFailed('the response body is too large')
+            if hold is not None and not hold(len(data)):
+                raise ExchangeFailed('no memory is left for the response')
         return bytes(body)
 
     async def _next_event(self) -> Any:
@@ -484,6 +487,15 @@
         for connection in self._idle_by_peer.pop(peer, ()):
             connection.close()
 
+    def close_idle(self) -> None:
+        """Close all idle connections.
+
+        How long they have rested is not known after a suspension, which
+        trio's clock does not count.
+        """
+        for peer in list(self._idle_by_peer):
+            self.remove_peer(peer)
+
     def close_direct(self, peer: str) -> None:
         """Close the idle connections to a peer that are not relayed."""
         idle = self._idle_by_peer.pop(peer, [])
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server for clients; each connection has its own task."""
 
+import collections
 from collections import abc
 import dataclasses
 from typing import Any
@@ -8,6 +9,7 @@
 import structlog
 import trio
 
+from mustardlb_gateway import _buffers
 from mustardlb_gateway import _sockets
 from mustardlb_gateway import domain
 
@@ -19,10 +21,13 @@
 # is served.
 MAX_PIPELINED_BYTES = 65_536
 
-# Time that a client may take to read one part of a response.
+# Parts of the buffered output are joined up to this size.
+MIN_WRITE_BYTES = 32_768
+
+# Time for which a client may read nothing of a response.
 WRITE_TIMEOUT_SECONDS = 10.0
 
-# Starts when the headers are complete.
+# Time for which a client may send nothing of a body.
 BODY_TIMEOUT_SECONDS = 10.0
 
 # Idle connections are closed this long after the configured idle timeout, so
@@ -30,6 +35,9 @@
 # server closes.
 IDLE_TIMEOUT_MARGIN_SECONDS = 1.0
 
+# A stopping server gives a client this time to send its next request.
+IDLE_GRACE_SECONDS = 0.3
+
 _UNIQUE_HEADERS = (b'host', b'content-length')
 
 
@@ -113,11 +121,16 @@
         handler: Handler,
         limits: abc.Callable[[], domain.RequestLimits],
         max_connections: int,
+        buffers: _buffers.Buffers | None = None,
     ) -> None:
         self._handler = handler
+        self.buffers = buffers or _buffers.Buffers(lambda: 0.0)
         self.limits = limits
         self._max_connections = max_connections
         self._connections: set[_ClientConnection] = set()
+        self._listeners: list[trio.SocketListener] = []
+        self._accept_scope = trio.CancelScope()
+        self._is_empty = trio.Event()
         self.is_stopping = False
         self.requests_in_flight = 0
 
@@ -127,14 +140,20 @@
         port: int,
         task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Accept clients until cancelled.
+        """Accept clients until cancelled or `stop_accepting`.
 
         Reports the bound port through `task_status`.
         """
-        listeners = await trio.open_tcp_listeners(port, host=host)
-        bound_port = listeners[0].socket.getsockname()[1]
+        self._listeners = await trio.open_tcp_listeners(port, host=host)
+        bound_port = self._listeners[0].socket.getsockname()[1]
         task_status.started(bound_port)
-        await trio.serve_listeners(self._serve_client, listeners)
+        async with trio.open_nursery() as nursery:
+            with self._accept_scope:
+                await trio.serve_listeners(
+                    self._serve_client,
+                    self._listeners,
+                    handler_nursery=nursery,
+                )
 
     async def _serve_client(self, stream: trio.SocketStream) -> None:
         if len(self._connections) >= self._max_connections:
@@ -148,19 +167,60 @@
         except ClientDisconnected:
             connection.abort()
         finally:
+            connection.release_buffers()
             self._connections.discard(connection)
+            if not self._connections:
+                self._is_empty.set()
+
+    @property
+    def has_clients(self) -> bool:
+        """Return whether a client is connected."""
+        return bool(self._connections)
+
+    @property
+    def is_accepting(self) -> bool:
+        """Return whether new clients are accepted."""
+        return bool(self._listeners)
+
+    def stop_accepting(self) -> None:
+        """Close the listening sockets, unless a client waits there.
+
+        A client that the system has accepted and this process has not would
+        be disconnected.
+        """
+        if any(_sockets.is_readable(each.socket) for each in self._listeners):
+            return
+        self._accept_scope.cancel()
+        for listener in self._listeners:
+            listener.socket.close()
+        self._listeners = []
 
     def close_idle(self) -> None:
-        """Close the connections on which no request has begun."""
+        """Close the connections that have no request and had none lately."""
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    async def wait_for_clients(self, seconds: float) -> None:
+        """Wait until no client is connected, for some time at most."""
+        if not self._connections:
+            return
+        self._is_empty = trio.Event()
+        with trio.move_on_after(seconds):
+            await self._is_empty.wait()
+
+    def end_reading(self) -> None:
+        """Reject the requests that are incomplete, as not run."""
+        for connection in list(self._connections):
+            connection.end_reading()
+
 
 class _ClientConnection:
     """A client connection; serves one request at a time.
 
     :ivar _pipelined: data received while the current request is served
     :ivar _client_closed: the client closed its side of the connection
+    :ivar _output: data that is sent while the request is served, unless it is
+        sent directly
     """
 
     def __init__(
@@ -177,12 +237,35 @@
         self._pipelined = bytearray()
         self._client_closed = False
         self._idle_scope: trio.CancelScope | None = None
+        self._idle_since = 0.0
+        self._reading_scope: trio.CancelScope | None = None
+        self._buffers = server.buffers
+        self._input_held = self._buffers.open()
+        self._output_held = self._buffers.open(self.abort)
+        self._output: collections.deque[bytes] = collections.deque()
+        self._is_output_buffered = False
+        self._output_changed = trio.Event()
+        self._output_sent = trio.Event()
+
+    def release_buffers(self) -> None:
+        """Record that the connection holds no data any more."""
+        self._input_held.close()
+        self._output_held.close()
 
     def close_if_idle(self) -> None:
-        """Close the connection if no byte of a next request was received."""
-        if self._idle_scope is not None and not self._pipelined:
+        """Close the connection if no byte of a next request has arrived."""
+        if self._idle_scope is None or self._pipelined:
+            return
+        if trio.current_time() < self._idle_since + IDLE_GRACE_SECONDS:
+            return
+        if not _sockets.is_readable(self._stream.socket):
             self._idle_scope.cancel()
 
+    def end_reading(self) -> None:
+        """Reject the request if it is incomplete."""
+        if self._reading_scope is not None:
+            self._reading_scope.cancel()
+
     def abort(self) -> None:
         """Close the socket without ending the response.
 
@@ -193,6 +276,8 @@
     async def run(self) -> None:
         """Serve requests until the client or the server closes."""
         _sockets.set_tcp_options(self._stream)
+        if self._buffers.is_bounded:
+            _sockets.limit_unsent(self._stream)
         while True:
             try:
                 request = await self._read_request()
@@ -221,6 +306,7 @@
                 )
         finally:
             self._server.requests_in_flight -= 1
+            self._input_held.set(len(self._pipelined))
         if not reply.is_complete:
             self.abort()
             return False
@@ -236,12 +322,76 @@
             nursery.start_soon(
                 self._watch_for_disconnect, nursery.cancel_scope
             )
+            if self._buffers.is_bounded:
+                self._is_output_buffered = True
+                nursery.start_soon(self._send_output, nursery.cancel_scope)
             try:
                 await self._handler(request, reply)
+                if self._output:
+                    self._output_sent = trio.Event()
+                    await self._output_sent.wait()
             except ClientDisconnected:
                 # No further request is read from this connection.
                 self._client_closed = True
             nursery.cancel_scope.cancel()
+        self._is_output_buffered = False
+
+    async def _send_output(self, scope: trio.CancelScope) -> None:
+        """Send the buffered output; cancel the handler if that fails."""
+        try:
+            while True:
+                await self._output_changed.wait()
+                await self._send_buffered()
+                self._output_changed = trio.Event()
+        except trio.TooSlowError:
+            self._buffers.evict(self._output_held, 'stalled')
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        self._client_closed = True
+        self._output_held.close()
+        self.abort()
+        scope.cancel()
+
+    async def _send_buffered(self) -> None:
+        progress = _sockets.Progress(WRITE_TIMEOUT_SECONDS)
+        while self._output:
+            with trio.fail_at(progress.deadline):
+                await _sockets.wait_writable(self._stream)
+            data = self._output.popleft()
+            while self._output and len(data) < MIN_WRITE_BYTES:
+                data += self._output.popleft()
+            sent = _sockets.write_available(self._stream, data)
+            if sent < len(data):
+                self._output.appendleft(data[sent:])
+            self._output_held.remove(sent)
+            progress.record(sent)
+        self._output_sent.set()
+
+    def _buffer_output(self, data: bytes, is_whole: bool) -> None:
+        """Send what the socket takes and buffer the rest.
+
+        A client that is too far behind a stream is disconnected, so that the
+        target's data is always read.
+        """
+        if not self._output:
+            try:
+                sent = _sockets.write_available(self._stream, data)
+            except (
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+            ) as error:
+                raise ClientDisconnected from error
+            data = data[sent:]
+        if not data:
+            return
+        self._output.append(bytes(data))
+        self._output_held.add(len(data))
+        self._output_changed.set()
+        if not is_whole and (
+            self._output_held.size > self._buffers.client_limit
+        ):
+            self._buffers.evict(self._output_held, 'behind')
+            raise ClientDisconnected
 
     async def _watch_for_disconnect(self, scope: trio.CancelScope) -> None:
         while len(self._pipelined) < MAX_PIPELINED_BYTES:
@@ -254,6 +404,7 @@
                 scope.cancel()
                 return
             self._pipelined += data
+            self._input_held.add(len(data))
 
     async def _read_request(self) -> Request | None:
         """Return the next request, or None to close the connection.
@@ -261,25 +412,39 @@
         Returns None after the idle timeout or when the client has closed.
         Raises BadRequest.
         """
+        self._idle_since = trio.current_time()
         self._idle_scope = trio.CancelScope(
-            deadline=trio.current_time()
+            deadline=self._idle_since
             + self._limits.idle_timeout
             + IDLE_TIMEOUT_MARGIN_SECONDS
         )
         if not self._pipelined and not self._has_buffered_data():
             with self._idle_scope:
                 await self._receive()
-            if self._idle_scope.cancelled_caught:
+            if self._idle_scope.cancelled_caught and not _sockets.is_readable(
+                self._stream.socket
+            ):
                 return None
         self._idle_scope = None
+        request = None
+        with trio.CancelScope() as self._reading_scope:
+            request = await self._read_complete_request()
+        is_ended = self._reading_scope.cancelled_caught
+        self._reading_scope = None
+        if is_ended:
+            raise BadRequest(503, 'the node is stopping')
+        return request
+
+    async def _read_complete_request(self) -> Request | None:
         with trio.move_on_after(self._limits.header_timeout) as scope:
             head = await self._next_event()
         if scope.cancelled_caught:
             raise BadRequest(408, 'timed out reading the headers')
         if head is None:
             return None
-        with trio.move_on_after(BODY_TIMEOUT_SECONDS):
-            return await self._read_body(head)
+        progress = _sockets.Progress(BODY_TIMEOUT_SECONDS)
+        with trio.CancelScope(deadline=progress.deadline) as scope:
+            return await self._read_body(head, progress, scope)
         raise BadRequest(408, 'timed out reading the body')
 
     def _has_buffered_data(self) -> bool:
@@ -318,7 +483,12 @@
                 return None
             return event
 
-    async def _read_body(self, head: h11.Event) -> Request | None:
+    async def _read_body(
+        self,
+        head: h11.Event,
+        progress: _sockets.Progress,
+        scope: trio.CancelScope,
+    ) -> Request | None:
         if not isinstance(head, h11.Request):
             raise BadRequest(400, 'expected a request')
         self._check_headers(head)
@@ -330,6 +500,11 @@
         body = bytearray()
         while isinstance(event := await self._next_event(), h11.Data):
             body += event.data
+            self._input_held.add(len(event.data))
+            if self._buffers.is_exceeded:
+                raise BadRequest(503, 'no memory is left for the body')
+            progress.record(len(event.data))
+            scope.deadline = progress.deadline
             if len(body) > self._limits.max_body_bytes:
                 raise BadRequest(413, 'the body is too large')
         if not isinstance(event, h11.EndOfMessage):
@@ -410,22 +585,34 @@
             encoded += self._h11.send(h11.Data(data=data)) or b''
         if is_last:
             encoded += self._h11.send(h11.EndOfMessage()) or b''
-        await self._write(encoded)
+        await self._write(encoded, is_last)
 
     async def write(self, event: h11.Event) -> None:
         """Send a part of the body or the end of the message."""
         await self._write(self._h11.send(event) or b'')
 
-    async def _write(self, data: bytes) -> None:
-        """Send data; a client that keeps up costs no wait for its socket."""
+    async def _write(self, data: bytes, is_whole: bool = False) -> None:
+        """Send data; a client that keeps up costs no wait for its socket.
+
+        :param is_whole: no further data of the response follows
+        """
         if not data:
             return
+        if self._is_output_buffered:
+            self._buffer_output(data, is_whole)
+            return
         try:
-            data = data[_sockets.write_available(self._stream, data) :]
-            if not data:
+            sent = _sockets.write_available(self._stream, data)
+            if sent == len(data):
                 return
-            with trio.fail_after(WRITE_TIMEOUT_SECONDS):
-                await self._stream.send_all(data)
+            unsent = memoryview(data)[sent:]
+            progress = _sockets.Progress(WRITE_TIMEOUT_SECONDS)
+            while unsent:
+                with trio.fail_at(progress.deadline):
+                    await _sockets.wait_writable(self._stream)
+                sent = _sockets.write_available(self._stream, unsent)
+                progress.record(sent)
+                unsent = unsent[sent:]
         except (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
--- a/tests/mustardlb_gateway/test_app.py
+++ b/tests/mustardlb_gateway/test_app.py
@@ -26,7 +26,9 @@
         return builders.make_configuration(
             spec['version'],
             [builders.make_route(**spec['route'])],
-            services=[builders.make_service(engine=False)],
+            services=[
+                builders.make_service(engine=False, **spec.get('service', {}))
+            ],
         )
 
     def read_target(self, name, spec):
@@ -37,12 +39,29 @@
             resident=(),
             software=spec.get('software', ''),
             data_centre=spec.get('data_centre', 'a'),
+            incarnation=spec.get('incarnation', 1),
+            cold_remaining=spec.get('cold_remaining', 0.0),
         )
 
     def read_version(self, spec):
         return spec
 
 
+def make_settings(vm='vm0', **changes):
+    front, ready, peer, metrics = free_ports.find(4)
+    fields = {
+        'vm': vm,
+        'data_centre': 'a',
+        'host': '127.0.0.1',
+        'front_port': front,
+        'ready_port': ready,
+        'peer_port': peer,
+        'metrics_port': metrics,
+        'stop_timeout': 4.0,
+    }
+    return gateway_settings.Settings(**(fields | changes))
+
+
 class Cluster:
     """A store, one target and the nodes that serve it."""
 
@@ -54,9 +73,10 @@
         self.nodes = []
         self.store_views = []
 
-    def put_configuration(self, version=1, **route):
+    def put_configuration(self, version=1, service=None, **route):
         route = {'kind': 'non_idempotent'} | route
-        self.store.put('config', 'main', {'version': version, 'route': route})
+        spec = {'version': version, 'route': route, 'service': service or {}}
+        self.store.put('config', 'main', spec)
 
     def put_target(self, state='ready'):
         spec = {'port': self.target.port, 'state': state}
@@ -66,18 +86,7 @@
     async def running(self, nodes=1, **changes):
         async with self.target.running(), trio.open_nursery() as nursery:
             for number in range(nodes):
-                front, ready, peer, metrics = free_ports.find(4)
-                settings = gateway_settings.Settings(
-                    vm=f'vm{number}',
-                    data_centre='a',
-                    host='127.0.0.1',
-                    front_port=front,
-                    ready_port=ready,
-                    peer_port=peer,
-                    metrics_port=metrics,
-                    stop_timeout=4.0,
-                    **changes,
-                )
+                settings = make_settings(f'vm{number}', **changes)
                 store = (
                     self.store_views.pop(0) if self.store_views else self.store
                 )
@@ -145,6 +154,7 @@
         assert (await send_request(node.settings.front_port)).status == 200
         metrics = await send_request(node.settings.metrics_port)
         assert b'mustardlb_requests_total' in metrics.body
+        assert b'mustardlb_wait_seconds_count' in metrics.body
 
 
 async def test_changes_take_effect_within_seconds():
@@ -250,6 +260,46 @@
         await wait_until(reports_nodes)
 
 
+async def test_nodes_tell_each_other_slowdowns_and_windows():
+    async def respond(connection, head, body):
+        await connection.send(
+            scripted.response(scripted.request_id(head), extra=b'x-load: 1,4')
+        )
+
+    cluster = Cluster(respond)
+    cluster.put_configuration()
+    async with cluster.running(nodes=2):
+        cluster.put_target()
+        await wait_until(lambda: are_all_connected(cluster))
+        first, other = cluster.nodes
+
+        async def knows_slowdown():
+            await send_request(first.settings.front_port)
+            [target] = other.targets.by_id.values() or [None]
+            slowdown = other._target_parts.reported_loads.slowdown(target)
+            return slowdown is not None and slowdown > 2
+
+        await wait_until(lambda: is_ready(other))
+        await wait_until(knows_slowdown)
+        # A target that has just started gets a window at both nodes.
+        spec = {'port': cluster.target.port, 'state': 'ready'}
+        cluster.store.put('servers', 't2', spec)
+
+        async def have_windows():
+            await trio.lowlevel.checkpoint()
+            return all(
+                node._target_parts.warm_up.count == 1
+                and 't2' in node.targets.told_windows()
+                for node in cluster.nodes
+                if not node._target_parts.warm_up.to_tell()
+            )
+
+        await wait_until(have_windows)
+        assert any(
+            node._target_parts.warm_up.to_tell() for node in cluster.nodes
+        )
+
+
 async def are_all_connected(cluster):
     await trio.lowlevel.checkpoint()
     others = len(cluster.nodes) - 1
