Log what proves a copy of the store's objects, and its revision

Cause: the logs of the incident could not tell which node had which revision, from which source, or that a list was dropped. Result: no change of behaviour; tests of the copies pass.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_metrics.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_metrics.py
@@ -114,10 +114,12 @@
         """Count a request that was rejected or failed."""
         self._refusals.labels(code).inc()
 
-    def add_gauge(self, name: str, text: str) -> prometheus_client.Gauge:
+    def add_gauge(
+        self, name: str, text: str, labels: abc.Sequence[str] = ()
+    ) -> prometheus_client.Gauge:
         """Register and return a gauge; `text` is its help text."""
         return prometheus_client.Gauge(
-            name, text, registry=self._gauge_registry
+            name, text, labels, registry=self._gauge_registry
         )
 
     async def serve(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
@@ -1,6 +1,7 @@
 """Local copies of the store's objects, which never go back in revision."""
 
 from collections import abc
+import math
 import random
 
 import structlog
@@ -25,6 +26,10 @@
 FIRST_RETRY_SECONDS = 0.15
 MAX_RETRY_SECONDS = 0.8
 
+# Sources of a change, for the log; a peer's snapshot has the peer's name.
+LIST_SOURCE = 'list'
+WATCH_SOURCE = 'watch'
+
 ChangeCallback = abc.Callable[[], None]
 
 
@@ -56,17 +61,28 @@
         self._callbacks.append(callback)
 
     def replace_all(
-        self, objects: abc.Iterable[ports.StoredObject], revision: int
+        self,
+        objects: abc.Iterable[ports.StoredObject],
+        revision: int,
+        source: str = LIST_SOURCE,
     ) -> bool:
         """Replace all objects; return False if they are not newer."""
         if revision <= self.revision:
+            if revision < self.revision:
+                log.info(
+                    'MLB-6107',
+                    kind=self.kind,
+                    revision=revision,
+                    current=self.revision,
+                    source=source,
+                )
             return False
         new = {each.name: each for each in objects}
         is_changed = new != self.objects_by_name or not self.changed_revision
         self.objects_by_name = new
         self.revision = revision
         if is_changed:
-            self._notify_change(revision)
+            self._notify_change(revision, source)
         return True
 
     def merge(
@@ -74,11 +90,12 @@
         objects: abc.Iterable[ports.StoredObject],
         names: abc.Iterable[str],
         revision: int,
+        source: str,
     ) -> bool:
         """Merge changed objects and remove those not in `names`."""
         merged = self.objects_by_name | {each.name: each for each in objects}
         present = [merged[name] for name in names if name in merged]
-        return self.replace_all(present, revision)
+        return self.replace_all(present, revision, source)
 
     def apply(self, changes: ports.Changes) -> None:
         """Apply changes, skipping those that are not newer."""
@@ -99,9 +116,17 @@
             )
         self.revision = changes.revision
         if is_changed:
-            self._notify_change(changes.revision)
-
-    def _notify_change(self, revision: int) -> None:
+            self._notify_change(changes.revision, WATCH_SOURCE)
+
+    def _notify_change(self, revision: int, source: str) -> None:
+        log.info(
+            'MLB-6106',
+            kind=self.kind,
+            revision=revision,
+            before=self.changed_revision,
+            objects=len(self.objects_by_name),
+            source=source,
+        )
         self.changed_revision = max(self.changed_revision, revision)
         for callback in self._callbacks:
             callback()
@@ -150,7 +175,13 @@
         if not mirror.is_connected:
             mirror.is_connected = True
             mirror.connected_at = clock()
-            log.info('MLB-6103', kind=mirror.kind, revision=mirror.revision)
+            age = clock() - mirror.confirmed_at
+            log.info(
+                'MLB-6103',
+                kind=mirror.kind,
+                revision=mirror.revision,
+                age=round(age, 3) if math.isfinite(age) else None,
+            )
         mirror.confirmed_at = clock()
         await _timers.sleep(WATCH_INTERVAL_SECONDS)
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
@@ -1,6 +1,9 @@
 """The gauges of a node's state."""
 
+from collections import abc
+
 from mustardlb_gateway import _metrics
+from mustardlb_gateway import _mirror
 
 
 class NodeGauges:
@@ -62,3 +65,22 @@
             'mustardlb_stream_origins',
             'Streams of the last minute whose beginning this node knows.',
         )
+        self._copy_age = metrics.add_gauge(
+            'mustardlb_store_copy_age_seconds',
+            'Time since the copy of the kind was confirmed, -1 before.',
+            ['kind'],
+        )
+        self._copy_revision = metrics.add_gauge(
+            'mustardlb_store_copy_revision',
+            'Revision of the store of which the copy of the kind is.',
+            ['kind'],
+        )
+
+    def set_copies(
+        self, mirrors: abc.Iterable[_mirror.Mirror], now: float
+    ) -> None:
+        """Set the gauges of the copies of the store's objects."""
+        for mirror in mirrors:
+            age = now - mirror.confirmed_at if mirror.revision else -1.0
+            self._copy_age.labels(mirror.kind).set(age)
+            self._copy_revision.labels(mirror.kind).set(mirror.revision)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peer_sync.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peer_sync.py
@@ -86,7 +86,7 @@
         if not isinstance(response, _messages.Snapshot):
             return
         is_newer = mirror.merge(
-            response.objects, response.names, response.revision
+            response.objects, response.names, response.revision, vm
         )
         log.debug(
             'MLB-6104',
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -490,6 +490,7 @@
     def _update_gauges(self) -> None:
         gauges = self._gauges
         _wiring_targets.update_gauges(gauges, self._target_parts, self.targets)
+        gauges.set_copies(self._mirrors, self._clock())
         gauges.stream_origins.set(self._stream_origins.size)
         gauges.evacuated_centres.set(len(self._evacuations.since_by_centre))
         gauges.buffered_bytes.set(self._buffers.held)
