Reproduce changes that are not in force while kept connections are silent

Change: a copy of the store's objects over real connections, through a proxy whose kept connections pass nothing more while new ones do. The simulated store can continue from a copy and drop its history.

--- /dev/null
+++ b/tests/mustardlb_platform/test_store_view.py
@@ -0,0 +1,60 @@
+"""Copies of the store's objects over real connections to a simulated store."""
+
+import contextlib
+
+import pytest
+import soak_proxy
+import soak_store
+import trio
+
+from mustardlb_gateway import _mirror
+from mustardlb_platform import _store
+
+KIND = 'config'
+
+# Time within which an acknowledged change is in force.
+IN_FORCE_SECONDS = 2.0
+
+
+@contextlib.asynccontextmanager
+async def running_copy():
+    """Yield a store, the proxy before it, and a copy that follows it."""
+    store = soak_store.HttpStore()
+    store.put(KIND, 'main', 'first')
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(store.server.running())
+        proxy = soak_proxy.Proxy(store.server.port)
+        await stack.enter_async_context(proxy.running())
+        mirror = _mirror.Mirror(KIND)
+        client = _store.Store('127.0.0.1', proxy.port)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                _mirror.sync_mirror, mirror, client, trio.current_time
+            )
+            await until_equal(mirror, 'first')
+            yield store, proxy, mirror
+            nursery.cancel_scope.cancel()
+
+
+async def until_equal(mirror, spec, timeout=IN_FORCE_SECONDS):
+    """Wait until the copy has an object; raises trio.TooSlowError."""
+    with trio.fail_after(timeout):
+        while True:
+            stored = mirror.objects_by_name.get('main')
+            if stored is not None and stored.spec == spec:
+                return
+            await trio.sleep(0.01)
+
+
+@pytest.mark.parametrize('changed_before', [0.0, 0.3, 0.9])
+async def test_change_is_in_force_though_kept_connections_are_silent(
+    changed_before,
+):
+    """Guards against a silent watch that is taken for one without news."""
+    async with running_copy() as (store, proxy, mirror):
+        store.put(KIND, 'main', 'second')
+        await until_equal(mirror, 'second')
+        await trio.sleep(changed_before)
+        proxy.silence()
+        store.put(KIND, 'main', 'third')
+        await until_equal(mirror, 'third')
--- a/tests/soak/soak_proxy.py
+++ b/tests/soak/soak_proxy.py
@@ -19,6 +19,7 @@
         self._server_port = port
         self.port = 0
         self._streams = set()
+        self._silent = set()
 
     @contextlib.asynccontextmanager
     async def running(self):
@@ -35,6 +36,13 @@
             for stream in list(self._streams):
                 stream.socket.close()
 
+    def silence(self):
+        """Let the open connections pass nothing more, without a reset.
+
+        New connections work, as after a firewall has forgotten the old ones.
+        """
+        self._silent |= self._streams
+
     async def _serve(self, client):
         if self.mode == 'reset':
             client.socket.close()
@@ -56,6 +64,7 @@
                     self._forward, server, client, nursery, True
                 )
         self._streams -= {client, server}
+        self._silent -= {client, server}
         client.socket.close()
         server.socket.close()
 
@@ -64,8 +73,10 @@
             while data := await source.receive_some(65536):
                 if self.mode == 'delay':
                     await trio.sleep(DELAY_SECONDS)
-                while self.mode == 'stall' or (
-                    self.mode == 'stall_responses' and is_response
+                while (
+                    source in self._silent
+                    or self.mode == 'stall'
+                    or (self.mode == 'stall_responses' and is_response)
                 ):
                     await trio.sleep(0.05)
                 await sink.send_all(data)
--- a/tests/soak/soak_store.py
+++ b/tests/soak/soak_store.py
@@ -1,5 +1,6 @@
 """A simulated store with the HTTP protocol that the platform publishes."""
 
+import copy
 import json
 import urllib.parse
 
@@ -13,10 +14,15 @@
     :ivar is_down: every call gets status 503
     :ivar loses_responses: writes are committed, then the connection is reset
         without a response
+    :ivar era: rises each time the store continues from a copy
+    :ivar calls: number of calls so far
     """
 
     def __init__(self):
         self.revision = 1
+        self.era = 1
+        self.calls = 0
+        self._oldest_revision = 0
         self.objects_by_kind = {}
         self.events = []
         self.is_down = False
@@ -49,15 +55,33 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def copy(self):
+        """Return what `restore` takes."""
+        return self.revision, copy.deepcopy(self.objects_by_kind)
+
+    def restore(self, saved):
+        """Continue from a copy, as a store does after a disaster."""
+        self.revision, self.objects_by_kind = copy.deepcopy(saved)
+        self.era += 1
+        self.drop_history()
+
+    def drop_history(self):
+        """Answer watches from earlier revisions with status 410."""
+        self.events.clear()
+        self._oldest_revision = self.revision
+        self._changed.set()
+        self._changed = trio.Event()
+
     async def _serve(self, connection, head, body):
+        self.calls += 1
         status, fields = await self._respond(head, body)
         if status is None:
             await connection.reset()
             return
         payload = json.dumps(fields).encode()
         await connection.send(
-            b'HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n'
-            % (status, len(payload))
+            b'HTTP/1.1 %d X\r\nstore-era: %d\r\ncontent-length: %d\r\n\r\n'
+            % (status, self.era, len(payload))
             + payload
         )
 
@@ -88,13 +112,18 @@
     async def _watch(self, kind, query):
         since = int(query['watch'])
         with trio.move_on_after(int(query['wait_ms']) / 1000):
-            while not self._events_since(kind, since):
+            while self._has(since) and not self._events_since(kind, since):
                 await self._changed.wait()
+        if not self._has(since):
+            return 410, {}
         return 200, {
             'events': self._events_since(kind, since),
             'current_rev': self.revision,
         }
 
+    def _has(self, revision):
+        return self._oldest_revision <= revision <= self.revision
+
     def _events_since(self, kind, since):
         return [
             event
