--- a/tests/mustardlb_platform/test_store_view.py
+++ b/tests/mustardlb_platform/test_store_view.py
@@ -58,3 +58,35 @@
         proxy.silence()
         store.put(KIND, 'main', 'third')
         await until_equal(mirror, 'third')
+
+
+@pytest.mark.parametrize('more_changes', [0, 3, 30])
+async def test_change_is_in_force_after_the_store_continues_from_a_copy(
+    more_changes,
+):
+    """Guards against dropping all of a store whose revisions went back."""
+    async with running_copy() as (store, _, mirror):
+        saved = store.copy()
+        for number in range(20):
+            store.put(KIND, 'main', number)
+        await until_equal(mirror, 19)
+        store.restore(saved)
+        for number in range(more_changes):
+            store.put('other', 'name', number)
+        store.put(KIND, 'main', 'restored')
+        await until_equal(mirror, 'restored')
+        store.put(KIND, 'main', 'next')
+        await until_equal(mirror, 'next')
+
+
+async def test_change_is_in_force_though_its_revision_was_given_out_before():
+    """Guards against a watch across two histories of the store."""
+    async with running_copy() as (store, proxy, mirror):
+        saved = store.copy()
+        store.put(KIND, 'main', 'lost')
+        await until_equal(mirror, 'lost')
+        proxy.set_mode('reset')
+        store.restore(saved)
+        store.put(KIND, 'main', 'restored')
+        proxy.set_mode('pass')
+        await until_equal(mirror, 'restored')
