Follow the store into a new epoch, in which its revisions go back

Callers got what an old configuration allows, and targets that had left got requests, without end and on all nodes. Cause: after the store continues from a copy, its revisions go back. Each list was dropped since its revision was not higher than that of the copy, which counted as confirmed all the same; peers compared revisions of two histories. Copies are ordered by epoch and revision, a later epoch begins with a list, nodes tell each other the epoch, and a list that is older than the copy does not confirm it. Nodes of an earlier release tell none; theirs count until another epoch begins.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -46,6 +46,7 @@
                 'revision': body.revision,
                 'objects': msgspec.json.encode(body.objects),
                 'names': list(body.names),
+                'epoch': body.epoch,
             }
         case _messages.Want():
             return 'want', {
@@ -156,6 +157,7 @@
                 'targetLimits': _target_observation_codec.encode_limits(
                     body.target_limits
                 ),
+                'epoch': body.epoch,
             }
 
 
@@ -210,6 +212,7 @@
             digest.target_limits
         ),
         'isCutOff': digest.is_cut_off,
+        'epoch': digest.epoch,
     }
 
 
@@ -378,6 +381,7 @@
                 decoded.snapshot.revision,
                 objects,
                 tuple(decoded.snapshot.names),
+                decoded.snapshot.epoch,
             )
         case 'want':
             want = decoded.want
@@ -492,6 +496,7 @@
                     update.crashEvidence
                 ),
                 _target_observation_codec.decode_limits(update.targetLimits),
+                update.epoch,
             )
         case _:
             return _messages.Wanted(decoded.wanted)
@@ -541,6 +546,7 @@
         _target_observation_codec.decode_evidence(digest.crashEvidence),
         _target_observation_codec.decode_limits(digest.targetLimits),
         digest.isCutOff,
+        digest.epoch,
     )
 
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -41,6 +41,8 @@
     :ivar crash_evidence: found by the sender
     :ivar target_limits: that targets have told the sender
     :ivar is_cut_off: whether the sender reaches no target
+    :ivar epoch: epoch of the store that the revisions are of, 0 if the sender
+        does not know it
     """
 
     host: str
@@ -59,6 +61,7 @@
         default_factory=dict
     )
     is_cut_off: bool = False
+    epoch: int = 0
 
     def vm(self, name: str) -> _centres.Vm:
         """Return the sender, whose name is given in the message."""
@@ -77,12 +80,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
-    """Changed objects of a kind as of a revision, and all names."""
+    """Changed objects of a kind as of a revision, and all names.
+
+    :ivar epoch: epoch of the revision, 0 if the sender does not know it
+    """
 
     kind: str
     revision: int
     objects: tuple[ports.StoredObject, ...]
     names: tuple[str, ...]
+    epoch: int = 0
 
 
 # Priority of requests from nodes that do not state it.
@@ -364,6 +371,8 @@
     :ivar levels: level of each account's bucket, in a full update only
     :ivar crash_evidence: known to the hub and not sent before
     :ivar target_limits: known to the hub and not sent before
+    :ivar epoch: epoch of the store that the revisions are of, 0 if the hub
+        does not know it
     """
 
     is_full: bool
@@ -374,6 +383,7 @@
     target_limits: _target_limits.NoticesByKey = dataclasses.field(
         default_factory=dict
     )
+    epoch: int = 0
 
 
 Body = (
--- a/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
@@ -27,6 +27,8 @@
     :ivar freshness: returns the time, in seconds, within which a change has
         to be in force
     :ivar revision: revision of the store, 0 before the first list
+    :ivar epoch: epoch of the store that the revision belongs to
+    :ivar is_in_first_epoch: whether no later epoch has begun since the start
     :ivar changed_revision: revision of the last change
     :ivar confirmed_at: time of the store's last successful response
     :ivar is_connected: whether the last call succeeded
@@ -42,6 +44,8 @@
         self.freshness = freshness
         self.objects_by_name: dict[str, ports.StoredObject] = {}
         self.revision = 0
+        self.epoch = 0
+        self.is_in_first_epoch = True
         self.changed_revision = 0
         self.confirmed_at = float('-inf')
         self.is_connected = False
@@ -56,43 +60,80 @@
         self,
         objects: abc.Iterable[ports.StoredObject],
         revision: int,
+        epoch: int = 0,
         source: str = LIST_SOURCE,
     ) -> bool:
-        """Replace all objects; return False if they are not newer."""
-        if revision <= self.revision:
-            if revision < self.revision:
+        """Replace all objects; return False if they are not newer.
+
+        Of two revisions of different epochs, that of the later epoch is newer.
+        """
+        if (epoch, revision) <= (self.epoch, self.revision):
+            if (epoch, revision) < (self.epoch, self.revision):
                 log.info(
                     'MLB-6107',
                     kind=self.kind,
                     revision=revision,
+                    epoch=epoch,
                     current=self.revision,
+                    current_epoch=self.epoch,
                     source=source,
                 )
             return False
         new = {each.name: each for each in objects}
         is_changed = new != self.objects_by_name or not self.changed_revision
+        if epoch != self.epoch:
+            self._begin_epoch(epoch, revision)
+            is_changed = True
         self.objects_by_name = new
         self.revision = revision
         if is_changed:
             self._notify_change(revision, source)
         return True
 
+    def _begin_epoch(self, epoch: int, revision: int) -> None:
+        if self.revision:
+            self.is_in_first_epoch = False
+            log.warning(
+                'MLB-6108',
+                kind=self.kind,
+                revision=revision,
+                epoch=epoch,
+                before=self.revision,
+                epoch_before=self.epoch,
+            )
+        self.epoch = epoch
+        self.changed_revision = 0
+
     def merge(
         self,
         objects: abc.Iterable[ports.StoredObject],
         names: abc.Iterable[str],
         revision: int,
+        epoch: int,
         source: str,
     ) -> bool:
-        """Merge changed objects and remove those not in `names`."""
-        merged = self.objects_by_name | {each.name: each for each in objects}
+        """Merge changed objects and remove those not in `names`.
+
+        Returns False if they are not newer, or do not include all objects of
+        another epoch.
+        """
+        merged = {each.name: each for each in objects}
+        if epoch == self.epoch:
+            merged = self.objects_by_name | merged
+        elif not merged.keys() >= set(names):
+            return False
         present = [merged[name] for name in names if name in merged]
-        return self.replace_all(present, revision, source)
+        return self.replace_all(present, revision, epoch, source)
 
-    def apply(self, changes: ports.Changes) -> None:
-        """Apply changes, skipping those that are not newer."""
+    def apply(self, changes: ports.Changes) -> bool:
+        """Apply changes, skipping those that are not newer.
+
+        Returns False if they are of a later epoch, which begins with a list.
+        """
+        if changes.epoch != self.epoch:
+            return changes.epoch < self.epoch
         if changes.revision <= self.revision:
-            return
+            return True
         is_changed = False
         for change in changes.changes:
             current = self.objects_by_name.get(change.name)
@@ -109,12 +150,14 @@
         self.revision = changes.revision
         if is_changed:
             self._notify_change(changes.revision, WATCH_SOURCE)
+        return True
 
     def _notify_change(self, revision: int, source: str) -> None:
         log.info(
             'MLB-6106',
             kind=self.kind,
             revision=revision,
+            epoch=self.epoch,
             before=self.changed_revision,
             objects=len(self.objects_by_name),
             source=source,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peer_sync.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peer_sync.py
@@ -30,21 +30,34 @@
     ) -> None:
         self._mirrors_by_kind = {mirror.kind: mirror for mirror in mirrors}
         self._clock = clock
-        # By kind: the latest revision of any peer, and the time since which
-        # this node is behind it.
-        self._latest_revision: dict[str, int] = {}
+        # By kind: the latest epoch and revision of any peer, and the time
+        # since which this node is behind it.
+        self._latest: dict[str, tuple[int, int]] = {}
         self._behind_since: dict[str, float] = {}
         self._fetched_at: dict[str, float] = {}
 
+    @property
+    def epoch(self) -> int:
+        """Return the latest epoch of the store that any copy is of."""
+        return max(each.epoch for each in self._mirrors_by_kind.values())
+
     def revisions(self) -> dict[str, int]:
-        """Return the revision of the last change of each kind."""
+        """Return the revision of the last change of each kind.
+
+        Kinds of which the copy is of an earlier epoch are left out.
+        """
+        epoch = self.epoch
         return {
             kind: mirror.changed_revision
             for kind, mirror in self._mirrors_by_kind.items()
+            if mirror.epoch == epoch
         }
 
     def stale_kinds(
-        self, peer_revisions: dict[str, int], is_watching: bool = True
+        self,
+        peer_revisions: dict[str, int],
+        is_watching: bool = True,
+        epoch: int = 0,
     ) -> list[str]:
         """Return the kinds to fetch from a peer now.
 
@@ -56,15 +69,15 @@
             mirror = self._mirrors_by_kind.get(kind)
             if mirror is None:
                 continue
-            if mirror.revision >= self._latest_revision.get(kind, 0):
+            told = (_epoch_of(epoch, mirror), revision)
+            current = (mirror.epoch, mirror.revision)
+            if current >= self._latest.get(kind, (0, 0)):
                 # A peer's older revision does not clear this, since that
                 # peer may be behind as well.
                 self._behind_since.pop(kind, None)
-            if mirror.revision >= revision:
+            if current >= told:
                 continue
-            self._latest_revision[kind] = max(
-                revision, self._latest_revision.get(kind, 0)
-            )
+            self._latest[kind] = max(told, self._latest.get(kind, (0, 0)))
             since = self._behind_since.setdefault(kind, now)
             fetched_at = self._fetched_at.get(kind)
             if (
@@ -80,13 +93,20 @@
     async def fetch(self, peers: _peers.Peers, vm: str, kind: str) -> None:
         """Fetch the changed objects of a kind from a peer."""
         mirror = self._mirrors_by_kind[kind]
+        since = mirror.revision
+        if self._latest.get(kind, (0, 0))[0] > mirror.epoch:
+            since = 0
         response = await peers.request(
-            vm, _messages.SnapshotRequest(kind, mirror.revision)
+            vm, _messages.SnapshotRequest(kind, since)
         )
         if not isinstance(response, _messages.Snapshot):
             return
         is_newer = mirror.merge(
-            response.objects, response.names, response.revision, vm
+            response.objects,
+            response.names,
+            response.revision,
+            _epoch_of(response.epoch, mirror),
+            vm,
         )
         log.debug(
             'MLB-6104',
@@ -113,4 +133,16 @@
                 if each.revision > since
             ),
             tuple(mirror.objects_by_name),
+            mirror.epoch,
         )
+
+
+def _epoch_of(told: int, mirror: _mirror.Mirror) -> int:
+    """Return the epoch of a peer's copy.
+
+    Peers of an earlier release do not tell it. Theirs counts as earlier once
+    another epoch has begun, since they keep the copy of the epoch before.
+    """
+    if told or not mirror.is_in_first_epoch:
+        return told
+    return mirror.epoch
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
@@ -33,7 +33,8 @@
     """The other nodes of the fleet.
 
     `on_view_refresh` is called after each refresh of the fleet's view and
-    `on_revisions` with the revisions of a node's copies of the store.
+    `on_revisions` with the revisions of a node's copies of the store and
+    their epoch.
     `get_levels` returns the levels of the accounts' buckets, and
     `on_levels` is called with those of another node. `get_evidence` and
     `get_limits` return what is known about crashes and limits of targets;
@@ -49,7 +50,7 @@
         make_digest: abc.Callable[[], _messages.Digest],
         handle_request: _peer_channel.RequestHandler,
         on_view_refresh: abc.Callable[[], None],
-        on_revisions: abc.Callable[[str, dict[str, int]], None],
+        on_revisions: abc.Callable[[str, dict[str, int], int], None],
         get_levels: abc.Callable[[], dict[str, float]],
         on_levels: abc.Callable[[dict[str, float]], None],
         get_evidence: abc.Callable[[], _crashes.Evidence],
@@ -219,7 +220,9 @@
             case _messages.Digest():
                 channel.vm = message.vm
                 self.fleet.receive_digest(message, message.body)
-                self._on_revisions(message.vm, message.body.revisions)
+                self._on_revisions(
+                    message.vm, message.body.revisions, message.body.epoch
+                )
                 self._on_target_observations(
                     message.body.crash_evidence, message.body.target_limits
                 )
@@ -253,7 +256,7 @@
             return
         if update.is_full:
             self._on_levels(update.levels)
-        self._on_revisions(message.vm, update.revisions)
+        self._on_revisions(message.vm, update.revisions, update.epoch)
 
     def _notify_changed(self) -> None:
         self._changed.set()
@@ -304,7 +307,7 @@
         """Send changes until the subscription is replaced or ended."""
         sent: dict[str, _centres.CentreState] = {}
         sent_at = float('-inf')
-        revisions: dict[str, int] = {}
+        sent_revisions: tuple[dict[str, int], int] = {}, 0
         sent_evidence = _crashes.Evidence()
         sent_limits: _target_limits.NoticesByKey = {}
         is_full = True
@@ -312,13 +315,16 @@
             changed = self._changed
             current = self.fleet.state_for(channel.vm)
             evidence, limits = self._get_evidence(), self._get_limits()
+            digest = self._make_digest()
+            revisions = digest.revisions, digest.epoch
             update = _messages.Update(
                 is_full,
-                self._make_digest().revisions,
+                digest.revisions,
                 self._diff_states(sent, current),
                 self._get_levels() if is_full else {},
                 _crashes.unsent(sent_evidence, evidence),
                 _target_limits.unsent(sent_limits, limits),
+                digest.epoch,
             )
             now = trio.current_time()
             heartbeat_seconds = (
@@ -328,12 +334,12 @@
                 update.changes
                 or update.crash_evidence
                 or update.target_limits
-                or update.revisions != revisions
+                or revisions != sent_revisions
                 or now - sent_at >= heartbeat_seconds
             ):
                 await self._send(channel, self.encode(update))
                 sent, sent_at, is_full = current, now, False
-                revisions = update.revisions
+                sent_revisions = revisions
                 sent_evidence, sent_limits = evidence, limits
             await _timers.sleep(self.membership.batch_delay)
             with trio.move_on_after(self.membership.base_interval):
--- a/packages/mustardlb-gateway/mustardlb_gateway/_registration.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_registration.py
@@ -28,7 +28,7 @@
     while True:
         try:
             await _write(store, vm.vm, spec)
-            others, _ = await store.list_objects(KIND)
+            others = (await store.list_objects(KIND)).objects
         except ports.StoreUnavailable as error:
             log.info('MLB-6012', problem=str(error))
             await trio.sleep(RETRY_SECONDS)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
@@ -78,17 +78,19 @@
         timeout, before = 0.0, mirror.changed_revision
         try:
             if must_list:
-                objects, revision = await store.list_objects(mirror.kind)
-                mirror.replace_all(objects, revision)
+                await _replace_from_list(mirror, store)
                 must_list = False
             else:
                 # After an outage, the first call must return at once.
                 if mirror.is_connected:
                     timeout = watch_seconds(mirror.freshness(), spread())
                     timeout = max(0.0, timeout - rested)
-                mirror.apply(
-                    await store.watch(mirror.kind, mirror.revision, timeout)
+                changes = await store.watch(
+                    mirror.kind, mirror.revision, timeout
                 )
+                if not mirror.apply(changes):
+                    must_list = True
+                    continue
         except ports.RevisionCompacted:
             log.info('MLB-6101', kind=mirror.kind, revision=mirror.revision)
             must_list = True
@@ -127,15 +129,45 @@
     problem = 'no response in time'
     with trio.move_on_after(timeout):
         try:
-            mirror.apply(await store.watch(mirror.kind, mirror.revision, 0.0))
+            await _catch_up(mirror, store)
             mirror.confirmed_at = max(mirror.confirmed_at, asked_at)
             return True
-        except (ports.StoreUnavailable, ports.RevisionCompacted) as error:
+        except ports.StoreUnavailable as error:
             problem = repr(error)
     log.info('MLB-6105', kind=mirror.kind, problem=problem)
     return False
 
 
+async def _catch_up(mirror: _mirror.Mirror, store: ports.Store) -> None:
+    """Apply what has changed by now; raises StoreUnavailable."""
+    try:
+        changes = await store.watch(mirror.kind, mirror.revision, 0.0)
+        is_applied = mirror.apply(changes)
+    except ports.RevisionCompacted:
+        is_applied = False
+    if not is_applied:
+        await _replace_from_list(mirror, store)
+
+
+async def _replace_from_list(
+    mirror: _mirror.Mirror, store: ports.Store
+) -> None:
+    """Replace a copy by a list; raises StoreUnavailable if it is older.
+
+    A peer may have sent a later copy while the store sent the list, but what
+    the copy had before the call is in the list, unless revisions went back
+    within an epoch.
+    """
+    epoch, revision = mirror.epoch, mirror.revision
+    listing = await store.list_objects(mirror.kind)
+    if (listing.epoch, listing.revision) < (epoch, revision):
+        raise ports.StoreUnavailable(
+            f'the list is of revision {listing.revision}, epoch '
+            f'{listing.epoch}, before that of the copy'
+        )
+    mirror.replace_all(listing.objects, listing.revision, listing.epoch)
+
+
 class Confirmer:
     """Brings a mirror up to date, once for all that ask at the same time."""
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -354,6 +354,7 @@
             self.quarantine.own_evidence,
             self._target_parts.limits.own_notice_by_key,
             self._target_parts.reachability.is_cut_off,
+            self._peer_sync.epoch,
         )
 
     def _handle_target_observations(
@@ -387,11 +388,11 @@
                 )
 
     def _fetch_missing_snapshots(
-        self, vm: str, revisions: dict[str, int]
+        self, vm: str, revisions: dict[str, int], epoch: int
     ) -> None:
         """Fetch the snapshots of which another node has newer revisions."""
         must_watch = self.fleet.must_watch()
-        for kind in self._peer_sync.stale_kinds(revisions, must_watch):
+        for kind in self._peer_sync.stale_kinds(revisions, must_watch, epoch):
             if self._nursery is not None:
                 self._nursery.start_soon(
                     self._peer_sync.fetch, self.peers, vm, kind
--- a/packages/mustardlb-gateway/mustardlb_gateway/ports.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/ports.py
@@ -55,17 +55,31 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
-    """Changes up to a revision of the store."""
+    """Changes up to a revision of the store.
+
+    :ivar epoch: rises when the store continues from a copy, after which it
+        gives out revisions again; 0 if it is not known
+    """
 
     changes: tuple[Change, ...]
     revision: int
+    epoch: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """All objects of a kind as of a revision of the store in an epoch."""
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+    epoch: int = 0
 
 
 class Store(Protocol):
     """The platform's object store. All calls raise StoreUnavailable."""
 
-    async def list_objects(self, kind: str) -> tuple[list[StoredObject], int]:
-        """Return all objects of a kind and the revision of the list."""
+    async def list_objects(self, kind: str) -> Listing:
+        """Return all objects of a kind."""
 
     async def watch(self, kind: str, revision: int, timeout: float) -> Changes:
         """Wait for changes after a revision and return them.
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -99,6 +99,7 @@
   crashEvidence @11 :CrashEvidence; # found by the sender
   targetLimits @12 :List(LimitNotice);
   isCutOff @13 :Bool;       # whether the sender reaches no target
+  epoch @14 :UInt64;        # of the store, to which the revisions belong
 }
 
 struct Update {
@@ -111,6 +112,7 @@
   cutOff @6 :List(Text);    # changed members that reach no target
   reports @7 :Data;         # slowdowns and windows of targets in `changes`,
                             # MessagePack
+  epoch @8 :UInt64;         # of the store, to which the revisions belong
 }
 
 struct CrashEvidence {
@@ -176,6 +178,7 @@
   revision @1 :UInt64;
   objects @2 :Data;         # JSON
   names @3 :List(Text);     # names of all objects, unchanged ones too
+  epoch @4 :UInt64;         # of the store, to which the revision belongs
 }
 
 struct Want {
--- a/tests/mustardlb_gateway/simulated_store.py
+++ b/tests/mustardlb_gateway/simulated_store.py
@@ -62,7 +62,8 @@
 
     async def list_objects(self, kind):
         await self._begin_call()
-        return list(self.objects_by_kind.get(kind, {}).values()), self.revision
+        objects = self.objects_by_kind.get(kind, {}).values()
+        return ports.Listing(tuple(objects), self.revision)
 
     async def watch(self, kind, revision, wait):
         await self._begin_call()
--- a/tests/mustardlb_gateway/test_mirror.py
+++ b/tests/mustardlb_gateway/test_mirror.py
@@ -176,3 +176,57 @@
     assert found
     local_mirror.replace_all([], 9)
     assert sync.stale_kinds({KIND: 9}) == []
+
+
+def make_peer(objects, revision, epoch):
+    mirror = _mirror.Mirror(KIND)
+    mirror.replace_all(objects, revision, epoch)
+    return mirror, _peer_sync.PeerSync([mirror], lambda: 0.0)
+
+
+async def test_peer_of_an_earlier_epoch_does_not_bring_its_objects_back():
+    """Guards against the copy of a peer that missed the store's new epoch."""
+    old = ports.StoredObject('a', 90, 'old')
+    new = ports.StoredObject('a', 7, 'new')
+    mirror, sync = make_peer([new], 7, 2)
+    _, peer = make_peer([old], 90, 1)
+    assert sync.stale_kinds({KIND: 90}, False, 1) == []
+    await sync.fetch(PeersStub(peer), 'vm2', KIND)
+    assert mirror.objects_by_name == {'a': new}
+
+
+async def test_peer_of_a_later_epoch_brings_all_objects():
+    """Guards against comparing revisions of two histories of the store."""
+    kept = ports.StoredObject('kept', 3, 'kept')
+    lost = ports.StoredObject('lost', 90, 'lost')
+    new = ports.StoredObject('new', 7, 'new')
+    mirror, sync = make_peer([kept, lost], 90, 1)
+    _, peer = make_peer([kept, new], 7, 2)
+    assert sync.stale_kinds({KIND: 7}, False, 2) == [KIND]
+    await sync.fetch(PeersStub(peer), 'vm2', KIND)
+    assert mirror.objects_by_name == {'kept': kept, 'new': new}
+    assert (mirror.epoch, mirror.revision) == (2, 7)
+    assert sync.revisions() == {KIND: 7}
+
+
+async def test_peer_of_an_earlier_release_counts_until_the_epoch_changes():
+    """Guards against a peer that does not tell its epoch."""
+    old = ports.StoredObject('a', 90, 'old')
+    new = ports.StoredObject('a', 7, 'new')
+    mirror, sync = make_peer([], 5, 1)
+    assert sync.stale_kinds({KIND: 90}, False) == [KIND]
+    mirror.replace_all([new], 7, 2)
+    _, peer = make_peer([old], 90, 0)
+    await sync.fetch(PeersStub(peer), 'vm2', KIND)
+    assert mirror.objects_by_name == {'a': new}
+
+
+def test_watch_of_a_later_epoch_requires_a_list():
+    """Guards against revisions that were given out before."""
+    mirror = _mirror.Mirror(KIND)
+    mirror.replace_all([ports.StoredObject('a', 9, 'old')], 10, 1)
+    change = ports.Change('b', 12, 'new')
+    assert not mirror.apply(ports.Changes((change,), 12, 2))
+    assert mirror.revision == 10
+    assert mirror.apply(ports.Changes((change,), 12, 0))
+    assert names(mirror) == {'a'}
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -177,7 +177,7 @@
             self.digest,
             handle_request or self.handle_request,
             lambda: None,
-            lambda vm, revisions: self.revision_senders.append(vm),
+            lambda vm, revisions, epoch: self.revision_senders.append(vm),
             lambda: {'acme': 7.0},
             self.received_levels.update,
             lambda: self.evidence,
--- a/tests/mustardlb_platform/test_store.py
+++ b/tests/mustardlb_platform/test_store.py
@@ -60,11 +60,11 @@
             },
         ),
     ]
-    (objects, revision), requests = await call_store(
+    listing, requests = await call_store(
         pages, lambda store: store.list_objects('servers')
     )
-    assert [each.name for each in objects] == ['a', 'b', 'c']
-    assert revision == 9
+    assert [each.name for each in listing.objects] == ['a', 'b', 'c']
+    assert listing.revision == 9
     assert [head.target for head, _ in requests] == [
         b'/-/objects/servers',
         b'/-/objects/servers?after=b',
