Watch the store when the peers that were followed fall silent

Callers in large fleets could get what an old configuration allows. Cause: a node that follows its hubs counted its copies as confirmed at each moment, as long as the last state of a data centre that said so had not expired (2.4 s and more), and did not notice that a newer copy could not be fetched. Change: a copy is as old as what peers last said; a node watches the store itself once an update is overdue, or once a newer copy of a peer could not be fetched for half a second, and its first call returns at once. Result: test_node_watches_store_itself_when_hubs_are_silent, test_copy_is_as_old_as_what_peers_last_said and the test of overdue copies failed before and pass since.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_fleet.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_fleet.py
@@ -298,14 +298,30 @@
         return any(centre.is_watching for centre in self.view.values())
 
     def must_watch(self) -> bool:
-        """Whether this node has to watch the store itself.
+        """Whether this node has to watch the store itself."""
+        return self.followed_at() is None
 
-        In a small fleet every node does, because a node whose watch has
-        stalled notices late that the store responds only to other nodes.
+    def followed_at(self) -> float | None:
+        """Return when this node last heard of a node that watches the store.
+
+        Returns None if it has to watch the store itself, since it is a hub or
+        has heard of no such node for longer than updates may take. In a small
+        fleet every node does, because a node whose watch has stalled notices
+        late that the store responds only to other nodes.
         """
         if self._membership.is_hub() or self._membership.is_small:
-            return True
-        return not any(centre.is_watching for centre in self.view.values())
+            return None
+        heard_at = max(
+            (
+                at
+                for state, at in self._received_by_centre.values()
+                if state.is_watching
+            ),
+            default=float('-inf'),
+        )
+        if self._clock() - heard_at > self._membership.update_timeout:
+            return None
+        return heard_at
 
     def spread_time(self) -> float:
         """Return the seconds until a change is known to all who follow.
--- a/packages/mustardlb-gateway/mustardlb_gateway/_membership.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_membership.py
@@ -120,6 +120,12 @@
             len(self.vms_by_name) * BATCH_DELAY_SECONDS_PER_NODE,
         )
 
+    @property
+    def update_timeout(self) -> float:
+        """Return the seconds after which a hub's next update is overdue."""
+        heartbeat_seconds = HEARTBEAT_INTERVALS * self.base_interval
+        return heartbeat_seconds + self.base_interval + 2 * self.batch_delay
+
     @property
     def load_age(self) -> float:
         """Return how old the loads that nodes tell are, in seconds.
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peer_sync.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peer_sync.py
@@ -19,6 +19,10 @@
 # succession are fetched together.
 FETCH_INTERVAL_SECONDS = 0.15
 
+# A node that follows a peer asks the store itself for what it could not fetch
+# from that peer for this time.
+OVERDUE_SECONDS = 0.5
+
 
 class PeerSync:
     """The mirrors of this node, compared with those of its peers."""
@@ -90,6 +94,14 @@
                 self._fetched_at[kind] = now
         return found
 
+    def is_overdue(self, kind: str) -> bool:
+        """Whether a peer's newer copy of a kind was not fetched for long."""
+        mirror = self._mirrors_by_kind[kind]
+        if (mirror.epoch, mirror.revision) >= self._latest.get(kind, (0, 0)):
+            return False
+        since = self._behind_since.get(kind, self._clock())
+        return self._clock() - since > OVERDUE_SECONDS
+
     async def fetch(self, peers: _peers.Peers, vm: str, kind: str) -> None:
         """Fetch the changed objects of a kind from a peer."""
         mirror = self._mirrors_by_kind[kind]
--- a/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
@@ -34,6 +34,9 @@
 # a change has to become active, which is two seconds.
 WATCH_INTERVAL_SECONDS = 0.6
 
+# A node that follows its peers looks at this interval whether it still does.
+FOLLOW_INTERVAL_SECONDS = 0.25
+
 # Backoff delays after a failure.
 FIRST_RETRY_SECONDS = 0.15
 MAX_RETRY_SECONDS = 0.8
@@ -56,24 +59,26 @@
     mirror: _mirror.Mirror,
     store: ports.Store,
     clock: abc.Callable[[], float],
-    must_watch: abc.Callable[[], bool] = lambda: True,
+    followed_at: abc.Callable[[], float | None] = lambda: None,
     spread: abc.Callable[[], float] = lambda: 0.0,
 ) -> None:
     """Keep a mirror up to date from the store until cancelled.
 
-    While this node does not have to watch, its peers send the changes.
-    `spread` returns the seconds that those which follow it need for one.
+    While peers send the changes, `followed_at` returns when they last said
+    that they watch the store. `spread` returns the seconds that nodes which
+    follow this one need for a change.
     """
     retry_seconds = FIRST_RETRY_SECONDS
-    must_list = True
+    must_list, is_following = True, False
     # Time since the last response that a watch may still take.
     rested = 0.0
     while True:
-        if mirror.revision and not must_watch():
-            must_list = False
+        heard_at = followed_at() if mirror.revision else None
+        if heard_at is not None:
+            must_list, is_following = False, True
             mirror.is_connected = True
-            mirror.confirmed_at = clock()
-            await _timers.sleep(WATCH_INTERVAL_SECONDS)
+            mirror.confirmed_at = max(mirror.confirmed_at, heard_at)
+            await _timers.sleep(FOLLOW_INTERVAL_SECONDS)
             continue
         timeout, before = 0.0, mirror.changed_revision
         try:
@@ -81,8 +86,9 @@
                 await _replace_from_list(mirror, store)
                 must_list = False
             else:
-                # After an outage, the first call must return at once.
-                if mirror.is_connected:
+                # After an outage, or when peers are silent, the first call
+                # must return at once.
+                if mirror.is_connected and not is_following:
                     timeout = watch_seconds(mirror.freshness(), spread())
                     timeout = max(0.0, timeout - rested)
                 changes = await store.watch(
@@ -100,7 +106,7 @@
             await trio.sleep(retry_seconds * random.uniform(0.5, 1.0))
             retry_seconds = min(2 * retry_seconds, MAX_RETRY_SECONDS)
             continue
-        retry_seconds = FIRST_RETRY_SECONDS
+        retry_seconds, is_following = FIRST_RETRY_SECONDS, False
         if not mirror.is_connected:
             mirror.is_connected = True
             mirror.connected_at = clock()
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -1,6 +1,7 @@
 """A gateway node; this module wires its components together."""
 
 from collections import abc
+import functools
 import os
 
 import structlog
@@ -387,6 +388,12 @@
                     centre.lost_count,
                 )
 
+    def _followed_at(self, kind: str) -> float | None:
+        """Return when peers were last heard that keep a copy up to date."""
+        if self._peer_sync.is_overdue(kind):
+            return None
+        return self.fleet.followed_at()
+
     def _fetch_missing_snapshots(
         self, vm: str, revisions: dict[str, int], epoch: int
     ) -> None:
@@ -440,7 +447,7 @@
                     mirror,
                     self._store,
                     self._clock,
-                    self.fleet.must_watch,
+                    functools.partial(self._followed_at, mirror.kind),
                     self.fleet.spread_time,
                 )
             nursery.start_soon(
--- a/tests/mustardlb_gateway/test_fleet.py
+++ b/tests/mustardlb_gateway/test_fleet.py
@@ -394,6 +394,21 @@
     assert watching == {'a0', 'a1', 'b0', 'b1'}
 
 
+@pytest.mark.parametrize('per_centre', [10, 38, 100])
+def test_node_watches_store_itself_when_hubs_are_silent(per_centre):
+    """Guards against following hubs whose connections are silent."""
+    network = Network('ab', per_centre)
+    network.run(4)
+    node = network.nodes['a9']
+    assert not node.fleet.must_watch()
+    # Half of the time in which a change has to be in force in a fleet of this
+    # size; the other half is for the call to the store.
+    network.now += 1.0 if per_centre < 100 else 2.0
+    network.now += node.membership.batch_delay
+    node.refresh_view()
+    assert node.fleet.must_watch()
+
+
 def test_all_nodes_of_a_small_fleet_watch_the_store():
     network = Network('ab', 4)
     network.run(4)
--- a/tests/mustardlb_gateway/test_mirror.py
+++ b/tests/mustardlb_gateway/test_mirror.py
@@ -150,7 +150,7 @@
             mirror,
             store,
             trio.current_time,
-            lambda: not peers_watch,
+            lambda: trio.current_time() if peers_watch else None,
         )
         await trio.sleep(20)
         assert store.calls == 1
@@ -230,3 +230,35 @@
     assert mirror.revision == 10
     assert mirror.apply(ports.Changes((change,), 12, 0))
     assert names(mirror) == {'a'}
+
+
+async def test_copy_is_as_old_as_what_peers_last_said(autojump_clock):
+    """Guards against a copy that counts as confirmed without any call."""
+    store = simulated_store.SimulatedStore()
+    store.put(KIND, 'a', {})
+    mirror = _mirror.Mirror(KIND)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            _store_watch.sync_mirror,
+            mirror,
+            store,
+            trio.current_time,
+            lambda: 3.0,
+        )
+        await trio.sleep(20)
+        assert mirror.confirmed_at == 3.0
+        nursery.cancel_scope.cancel()
+
+
+def test_copy_that_peers_do_not_send_is_overdue():
+    """Guards against waiting for a peer that does not send its copy."""
+    clock = [0.0]
+    mirror = _mirror.Mirror(KIND)
+    mirror.replace_all([], 5)
+    sync = _peer_sync.PeerSync([mirror], lambda: clock[0])
+    assert sync.stale_kinds({KIND: 9}, is_watching=False) == [KIND]
+    assert not sync.is_overdue(KIND)
+    clock[0] = 2 * _peer_sync.OVERDUE_SECONDS
+    assert sync.is_overdue(KIND)
+    mirror.replace_all([], 9)
+    assert not sync.is_overdue(KIND)
