Refuse no route or key by a configuration that may be old

Callers got 404 or 401 for routes and keys that had been added. Cause: a node refused by the configuration that it had, however old it was. Change: before a 404 or 401, a node whose configuration was not confirmed within the time allowed asks the store, and rejects with 503 and Retry-After if the store does not answer. A copy is confirmed as of when a call was sent or its wait ended, not as of when the response was read.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -105,8 +105,50 @@
         )
 
 
+async def _is_fresh() -> bool:
+    return True
+
+
+def _not_current(problem: str) -> errors.Error:
+    return _outcomes.rejection(
+        errors.Code.NODE_NOT_CURRENT,
+        problem,
+        steps.Step.ADMISSION,
+        START_RETRY_AFTER_SECONDS,
+    )
+
+
+def _find_route(
+    configuration: domain.Configuration, call: domain.Call
+) -> tuple[domain.Route, domain.Account | None]:
+    """Return the route and the account of a call.
+
+    The account is None if the route needs no API key. Raises errors.Error if
+    there is no route, or no account with the key.
+    """
+    path = call.path.split(b'?', 1)[0].decode('latin-1')
+    route = configuration.find_route(call.host, path)
+    step = steps.Step.ADMISSION
+    if route is None:
+        raise _outcomes.rejection(
+            errors.Code.ROUTE_NOT_FOUND, 'no route matches', step
+        )
+    if configuration.accounts_by_name is None or route.is_public:
+        return route, None
+    account = configuration.account_by_key.get(call.key or '')
+    if account is None:
+        raise _outcomes.rejection(
+            errors.Code.UNAUTHENTICATED, 'unknown API key', step
+        )
+    return route, account
+
+
 class Gateway:
-    """Handles the requests of clients."""
+    """Handles the requests of clients.
+
+    `is_configuration_fresh` returns whether all that must be in force is in
+    the configuration, for which it may ask the store.
+    """
 
     def __init__(
         self,
@@ -126,7 +168,11 @@
         ],
         clock: abc.Callable[[], float],
         is_memory_full: abc.Callable[[], bool] = lambda: False,
+        is_configuration_fresh: abc.Callable[
+            [], abc.Awaitable[bool]
+        ] = _is_fresh,
     ) -> None:
+        self._is_configuration_fresh = is_configuration_fresh
         self._translation = translation
         self._dispatcher = dispatcher
         self._charging = charging
@@ -187,28 +233,20 @@
 
         Raises errors.Error if the call is rejected.
         """
-        configuration = self._configuration()
         step = steps.Step.ADMISSION
+        configuration = self._configuration()
         if configuration is None:
-            raise _outcomes.rejection(
-                errors.Code.NODE_NOT_CURRENT,
-                'no configuration has been received yet',
-                step,
-                START_RETRY_AFTER_SECONDS,
-            )
-        path = call.path.split(b'?', 1)[0].decode('latin-1')
-        route = configuration.find_route(call.host, path)
-        if route is None:
-            raise _outcomes.rejection(
-                errors.Code.ROUTE_NOT_FOUND, 'no route matches', step
-            )
-        account = None
-        if configuration.accounts_by_name is not None and not route.is_public:
-            account = configuration.account_by_key.get(call.key or '')
-            if account is None:
-                raise _outcomes.rejection(
-                    errors.Code.UNAUTHENTICATED, 'unknown API key', step
-                )
+            raise _not_current('no configuration has been received yet')
+        try:
+            route, account = _find_route(configuration, call)
+        except errors.Error as error:
+            # The operator may have added the route or the key since.
+            if not await self._is_configuration_fresh():
+                raise _not_current(
+                    'the store does not confirm the configuration'
+                ) from error
+            configuration = self._configuration() or configuration
+            route, account = _find_route(configuration, call)
         self._check_time_left(call, route)
         is_trial = await self._check_quarantine(call)
         trial_until = self._clock() + _trials.START_SECONDS
--- a/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
@@ -21,8 +21,7 @@
 class Mirror:
     """All objects of a kind as of a revision.
 
-    While this node does not have to watch, the objects count as confirmed and
-    the store as connected.
+    While this node follows its peers, the store counts as connected.
 
     :ivar freshness: returns the time, in seconds, within which a change has
         to be in force
@@ -30,7 +29,7 @@
     :ivar epoch: epoch of the store that the revision belongs to
     :ivar is_in_first_epoch: whether no later epoch has begun since the start
     :ivar changed_revision: revision of the last change
-    :ivar confirmed_at: time of the store's last successful response
+    :ivar confirmed_at: time as of which all changes are known
     :ivar is_connected: whether the last call succeeded
     :ivar connected_at: time since which calls succeed
     """
@@ -128,10 +127,10 @@
     def apply(self, changes: ports.Changes) -> bool:
         """Apply changes, skipping those that are not newer.
 
-        Returns False if they are of a later epoch, which begins with a list.
+        Returns False if they are of another epoch, which begins with a list.
         """
         if changes.epoch != self.epoch:
-            return changes.epoch < self.epoch
+            return False
         if changes.revision <= self.revision:
             return True
         is_changed = False
--- a/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
@@ -80,23 +80,19 @@
             mirror.confirmed_at = max(mirror.confirmed_at, heard_at)
             await _timers.sleep(FOLLOW_INTERVAL_SECONDS)
             continue
-        timeout, before = 0.0, mirror.changed_revision
+        # After an outage, or when peers are silent, the first call must return
+        # at once.
+        timeout = 0.0
+        if mirror.is_connected and not is_following:
+            timeout = watch_seconds(mirror.freshness(), spread()) - rested
+        before = mirror.changed_revision
         try:
             if must_list:
-                await _replace_from_list(mirror, store)
-                must_list = False
+                current_at = await _replace_from_list(mirror, store, clock)
             else:
-                # After an outage, or when peers are silent, the first call
-                # must return at once.
-                if mirror.is_connected and not is_following:
-                    timeout = watch_seconds(mirror.freshness(), spread())
-                    timeout = max(0.0, timeout - rested)
-                changes = await store.watch(
-                    mirror.kind, mirror.revision, timeout
+                current_at = await _apply_changes(
+                    mirror, store, clock, max(0.0, timeout)
                 )
-                if not mirror.apply(changes):
-                    must_list = True
-                    continue
         except ports.RevisionCompacted:
             log.info('MLB-6101', kind=mirror.kind, revision=mirror.revision)
             must_list = True
@@ -106,64 +102,50 @@
             await trio.sleep(retry_seconds * random.uniform(0.5, 1.0))
             retry_seconds = min(2 * retry_seconds, MAX_RETRY_SECONDS)
             continue
-        retry_seconds, is_following = FIRST_RETRY_SECONDS, False
-        if not mirror.is_connected:
-            mirror.is_connected = True
-            mirror.connected_at = clock()
-            age = clock() - mirror.confirmed_at
-            log.info(
-                'MLB-6103',
-                kind=mirror.kind,
-                revision=mirror.revision,
-                age=round(age, 3) if math.isfinite(age) else None,
-            )
-        mirror.confirmed_at = clock()
+        retry_seconds = FIRST_RETRY_SECONDS
+        must_list, is_following = False, False
+        _mark_connected(mirror, clock())
+        mirror.confirmed_at = max(mirror.confirmed_at, current_at)
         rested = 0.0
-        if not timeout or mirror.changed_revision != before:
+        if timeout <= 0.0 or mirror.changed_revision != before:
             rested = WATCH_INTERVAL_SECONDS
             await _timers.sleep(WATCH_INTERVAL_SECONDS)
 
 
-async def confirm(
+async def _apply_changes(
     mirror: _mirror.Mirror,
     store: ports.Store,
     clock: abc.Callable[[], float],
     timeout: float,
-) -> bool:
-    """Bring a mirror up to date at once; return whether that succeeded."""
-    asked_at = clock()
-    problem = 'no response in time'
-    with trio.move_on_after(timeout):
-        try:
-            await _catch_up(mirror, store)
-            mirror.confirmed_at = max(mirror.confirmed_at, asked_at)
-            return True
-        except ports.StoreUnavailable as error:
-            problem = repr(error)
-    log.info('MLB-6105', kind=mirror.kind, problem=problem)
-    return False
-
+) -> float:
+    """Apply the changes that a watch returns; return as of when all are.
 
-async def _catch_up(mirror: _mirror.Mirror, store: ports.Store) -> None:
-    """Apply what has changed by now; raises StoreUnavailable."""
-    try:
-        changes = await store.watch(mirror.kind, mirror.revision, 0.0)
-        is_applied = mirror.apply(changes)
-    except ports.RevisionCompacted:
-        is_applied = False
-    if not is_applied:
-        await _replace_from_list(mirror, store)
+    Raises StoreUnavailable, or RevisionCompacted if a list is required.
+    """
+    sent_at, before = clock(), mirror.changed_revision
+    changes = await store.watch(mirror.kind, mirror.revision, timeout)
+    if changes.epoch < mirror.epoch:
+        raise ports.StoreUnavailable('the response is of an earlier epoch')
+    if not mirror.apply(changes):
+        raise ports.RevisionCompacted
+    if mirror.changed_revision != before:
+        return sent_at
+    # The response may have waited for this process since its timeout.
+    return min(clock(), sent_at + timeout)
 
 
 async def _replace_from_list(
-    mirror: _mirror.Mirror, store: ports.Store
-) -> None:
-    """Replace a copy by a list; raises StoreUnavailable if it is older.
+    mirror: _mirror.Mirror,
+    store: ports.Store,
+    clock: abc.Callable[[], float],
+) -> float:
+    """Replace a copy by a list; return as of when it is.
 
     A peer may have sent a later copy while the store sent the list, but what
     the copy had before the call is in the list, unless revisions went back
-    within an epoch.
+    within an epoch. Raises StoreUnavailable in that case.
     """
+    sent_at = clock()
     epoch, revision = mirror.epoch, mirror.revision
     listing = await store.list_objects(mirror.kind)
     if (listing.epoch, listing.revision) < (epoch, revision):
@@ -172,6 +154,41 @@
             f'{listing.epoch}, before that of the copy'
         )
     mirror.replace_all(listing.objects, listing.revision, listing.epoch)
+    return sent_at
+
+
+async def confirm(
+    mirror: _mirror.Mirror,
+    store: ports.Store,
+    clock: abc.Callable[[], float],
+    timeout: float,
+) -> bool:
+    """Bring a mirror up to date at once; return whether that succeeded."""
+    problem = 'no response in time'
+    with trio.move_on_after(timeout):
+        try:
+            current_at = await _catch_up(mirror, store, clock)
+            mirror.confirmed_at = max(mirror.confirmed_at, current_at)
+            return True
+        except ports.StoreUnavailable as error:
+            problem = repr(error)
+    log.info('MLB-6105', kind=mirror.kind, problem=problem)
+    return False
+
+
+async def _catch_up(
+    mirror: _mirror.Mirror,
+    store: ports.Store,
+    clock: abc.Callable[[], float],
+) -> float:
+    """Apply what has changed by now; return as of when the copy is.
+
+    Raises StoreUnavailable.
+    """
+    try:
+        return await _apply_changes(mirror, store, clock, 0.0)
+    except ports.RevisionCompacted:
+        return await _replace_from_list(mirror, store, clock)
 
 
 class Confirmer:
@@ -191,6 +208,19 @@
         self._lock = trio.Lock()
         self._started_at = float('-inf')
 
+    async def is_fresh(self) -> bool:
+        """Whether all that must be in force is in the copy.
+
+        Asks the store if that was not confirmed lately.
+        """
+        if not self._is_confirmed():
+            await self.confirm()
+        return self._is_confirmed()
+
+    def _is_confirmed(self) -> bool:
+        age = self._clock() - self._mirror.confirmed_at
+        return age <= self._mirror.freshness()
+
     async def confirm(self) -> None:
         """Bring the mirror up to date unless the store is lost anyway."""
         if not self._mirror.is_connected:
@@ -204,6 +234,20 @@
                 )
 
 
+def _mark_connected(mirror: _mirror.Mirror, now: float) -> None:
+    if mirror.is_connected:
+        return
+    mirror.is_connected = True
+    mirror.connected_at = now
+    age = now - mirror.confirmed_at
+    log.info(
+        'MLB-6103',
+        kind=mirror.kind,
+        revision=mirror.revision,
+        age=round(age, 3) if math.isfinite(age) else None,
+    )
+
+
 def _mark_disconnected(
     mirror: _mirror.Mirror, problem: str, now: float
 ) -> None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -214,6 +214,9 @@
             self._stream_origins.find,
             clock,
             lambda: self._buffers.is_full,
+            _store_watch.Confirmer(
+                state.configurations, store, clock, CONFIRM_TIMEOUT_SECONDS
+            ).is_fresh,
         )
         self._request_handlers = _peer_requests.Handlers(
             self._peer_sync,
--- a/tests/mustardlb_gateway/gateway_harness.py
+++ b/tests/mustardlb_gateway/gateway_harness.py
@@ -222,6 +222,8 @@
         )
         self.failures = []
         self.on_send = lambda: None
+        self.is_configuration_fresh = True
+        self.on_confirm = lambda: None
         self.permits_trials = False
         self.reported_loads = _reported_loads.ReportedLoads(
             clock, self.targets.own_in_flight, self.targets.told_slowdowns
@@ -306,11 +308,17 @@
             self.stream_origins.find,
             clock,
             lambda: self.buffers.is_full,
+            self._is_configuration_fresh,
         )
         self.server = http_server.Server(
             self.gateway.handle, domain.RequestLimits, 50, self.buffers
         )
 
+    async def _is_configuration_fresh(self):
+        await trio.lowlevel.checkpoint()
+        self.on_confirm()
+        return self.is_configuration_fresh
+
     async def _load(self, request):
         await trio.lowlevel.checkpoint()
         self.load_requests.append((request.target_id, request.adapter))
--- a/tests/mustardlb_gateway/test_mirror.py
+++ b/tests/mustardlb_gateway/test_mirror.py
@@ -228,7 +228,7 @@
     change = ports.Change('b', 12, 'new')
     assert not mirror.apply(ports.Changes((change,), 12, 2))
     assert mirror.revision == 10
-    assert mirror.apply(ports.Changes((change,), 12, 0))
+    assert not mirror.apply(ports.Changes((change,), 12, 0))
     assert names(mirror) == {'a'}
 
 
