Confirm copies of the store by one call for all kinds

A copy that is about to be too old is confirmed by a call that returns at once; since the store has one counter of revisions, its response confirms all copies of that revision. A watch that did not bring a change, or whose copy cannot be confirmed, is replaced.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
@@ -1,11 +1,12 @@
-"""Keeps the copies of the store's objects up to date by watches.
+"""Keeps the copies of the store's objects up to date, and confirmed.
 
-A watch that does not respond is not told from one without news, so that each
-copy is confirmed several times within the time in which a change has to be in
-force, and a watch that is silent for longer is replaced by another one.
+A watch brings changes at once, but one that is silent cannot be told from one
+without news. Each copy is therefore also confirmed several times within the
+time in which a change has to be in force, by a call that returns at once.
 """
 
 from collections import abc
+import dataclasses
 import math
 import random
 
@@ -18,16 +19,18 @@
 
 log = structlog.get_logger()
 
-# Longest time of a watch. Each call to the store is charged for, which favours
-# a long one.
-MAX_WATCH_SECONDS = 5.0
+# Each call to the store is charged for, which favours a long watch.
+WATCH_SECONDS = 5.5
 
-# Shortest time of a watch, whatever little time changes are allowed.
-MIN_WATCH_SECONDS = 0.7
+# Part of the time allowed for a change after which a copy is confirmed. The
+# rest is for a silent connection to be given up, and for a call on another.
+CONFIRM_RATIO = 0.5
+MIN_CONFIRM_SECONDS = 0.2
+CONFIRM_TIMEOUT_SECONDS = 1.0
 
-# Part of the time allowed for a change that a silent watch may take to be
-# replaced. The rest is for the call that follows on another connection.
-SILENCE_RATIO = 0.75
+# A copy is confirmed up to this time after it is due, so that the process
+# wakes up less often.
+CONFIRM_STEP_SECONDS = 0.05
 
 # Changes in quick succession cost one call because of this delay between a
 # change and the next watch. It is below a third of the shortest time in which
@@ -42,38 +45,61 @@
 MAX_RETRY_SECONDS = 0.8
 
 
-def watch_seconds(freshness: float, spread: float) -> float:
-    """Return after how many seconds a silent watch is given up.
+@dataclasses.dataclass(slots=True, eq=False)
+class _Watch:
+    """The watch of one copy; `scope` ends the one that waits now."""
+
+    mirror: _mirror.Mirror
+    scope: trio.CancelScope = dataclasses.field(
+        default_factory=trio.CancelScope
+    )
+
+
+def confirm_seconds(freshness: float, spread: float) -> float:
+    """Return the age at which a copy is confirmed, in seconds.
 
     :param freshness: time in which a change has to be in force
     :param spread: time that nodes which follow this one need for a change
 
-    >>> [watch_seconds(each, 0.0) for each in (0.5, 2.0, 30.0)]
-    [0.7, 1.5, 5.0]
+    >>> [confirm_seconds(each, 0.1) for each in (0.5, 2.0, 4.0)]
+    [0.2, 0.9, 1.9]
     """
-    timeout = SILENCE_RATIO * freshness - spread
-    return min(MAX_WATCH_SECONDS, max(MIN_WATCH_SECONDS, timeout))
+    return max(MIN_CONFIRM_SECONDS, CONFIRM_RATIO * freshness - spread)
 
 
-async def sync_mirror(
-    mirror: _mirror.Mirror,
+async def sync_mirrors(
+    mirrors: abc.Iterable[_mirror.Mirror],
     store: ports.Store,
     clock: abc.Callable[[], float],
-    followed_at: abc.Callable[[], float | None] = lambda: None,
+    followed_at: abc.Callable[[str], float | None] = lambda kind: None,
     spread: abc.Callable[[], float] = lambda: 0.0,
 ) -> None:
-    """Keep a mirror up to date from the store until cancelled.
+    """Keep mirrors up to date from the store until cancelled.
 
-    While peers send the changes, `followed_at` returns when they last said
-    that they watch the store. `spread` returns the seconds that nodes which
-    follow this one need for a change.
+    While peers send the changes of a kind, `followed_at` returns when they
+    last said that they watch the store. `spread` returns the seconds that
+    nodes which follow this one need for a change.
     """
+    watches = [_Watch(mirror) for mirror in mirrors]
+    async with trio.open_nursery() as nursery:
+        for watch in watches:
+            nursery.start_soon(_run_watch, watch, store, clock, followed_at)
+        nursery.start_soon(
+            _confirm_copies, watches, store, clock, followed_at, spread
+        )
+
+
+async def _run_watch(
+    watch: _Watch,
+    store: ports.Store,
+    clock: abc.Callable[[], float],
+    followed_at: abc.Callable[[str], float | None],
+) -> None:
+    mirror = watch.mirror
     retry_seconds = FIRST_RETRY_SECONDS
     must_list, is_following = True, False
-    # Time since the last response that a watch may still take.
-    rested = 0.0
     while True:
-        heard_at = followed_at() if mirror.revision else None
+        heard_at = followed_at(mirror.kind) if mirror.revision else None
         if heard_at is not None:
             must_list, is_following = False, True
             mirror.is_connected = True
@@ -82,17 +108,16 @@
             continue
         # After an outage, or when peers are silent, the first call must return
         # at once.
-        timeout = 0.0
-        if mirror.is_connected and not is_following:
-            timeout = watch_seconds(mirror.freshness(), spread()) - rested
+        is_waiting = mirror.is_connected and not is_following
         before = mirror.changed_revision
         try:
-            if must_list:
-                current_at = await _replace_from_list(mirror, store, clock)
-            else:
-                current_at = await _apply_changes(
-                    mirror, store, clock, max(0.0, timeout)
-                )
+            with trio.CancelScope() as watch.scope:
+                if must_list:
+                    current_at = await _replace_from_list(mirror, store, clock)
+                else:
+                    current_at = await _apply_changes(
+                        mirror, store, clock, WATCH_SECONDS * is_waiting
+                    )
         except ports.RevisionCompacted:
             log.info('MLB-6101', kind=mirror.kind, revision=mirror.revision)
             must_list = True
@@ -102,16 +127,72 @@
             await trio.sleep(retry_seconds * random.uniform(0.5, 1.0))
             retry_seconds = min(2 * retry_seconds, MAX_RETRY_SECONDS)
             continue
+        if watch.scope.cancelled_caught:
+            continue
         retry_seconds = FIRST_RETRY_SECONDS
         must_list, is_following = False, False
         _mark_connected(mirror, clock())
         mirror.confirmed_at = max(mirror.confirmed_at, current_at)
-        rested = 0.0
-        if timeout <= 0.0 or mirror.changed_revision != before:
-            rested = WATCH_INTERVAL_SECONDS
+        if not is_waiting or mirror.changed_revision != before:
             await _timers.sleep(WATCH_INTERVAL_SECONDS)
 
 
+async def _confirm_copies(
+    watches: list[_Watch],
+    store: ports.Store,
+    clock: abc.Callable[[], float],
+    followed_at: abc.Callable[[str], float | None],
+    spread: abc.Callable[[], float],
+) -> None:
+    """Confirm each copy before it is too old, and replace silent watches."""
+    while True:
+        due_in_by_kind = {
+            watch.mirror.kind: watch.mirror.confirmed_at
+            + confirm_seconds(watch.mirror.freshness(), spread())
+            - clock()
+            for watch in watches
+            if watch.mirror.is_connected
+            and followed_at(watch.mirror.kind) is None
+        }
+        due_in = min(due_in_by_kind.values(), default=math.inf)
+        if due_in > 0:
+            await _timers.sleep(
+                min(MIN_CONFIRM_SECONDS, max(CONFIRM_STEP_SECONDS, due_in))
+            )
+            continue
+        for watch in watches:
+            if due_in_by_kind.get(watch.mirror.kind) == due_in:
+                await _confirm_watch(watch, watches, store, clock)
+                break
+
+
+async def _confirm_watch(
+    watch: _Watch,
+    watches: list[_Watch],
+    store: ports.Store,
+    clock: abc.Callable[[], float],
+) -> None:
+    mirror = watch.mirror
+    before = mirror.changed_revision
+    if not await confirm(mirror, store, clock, CONFIRM_TIMEOUT_SECONDS):
+        _mark_disconnected(mirror, 'the copy is not confirmed', clock())
+        watch.scope.cancel()
+        return
+    if mirror.changed_revision != before:
+        # The watch should have brought the change.
+        log.info('MLB-6109', kind=mirror.kind, revision=mirror.revision)
+        watch.scope.cancel()
+    # The store has one counter of revisions for all kinds.
+    for other in watches:
+        if (other.mirror.epoch, other.mirror.revision) == (
+            mirror.epoch,
+            mirror.revision,
+        ):
+            other.mirror.confirmed_at = max(
+                other.mirror.confirmed_at, mirror.confirmed_at
+            )
+
+
 async def _apply_changes(
     mirror: _mirror.Mirror,
     store: ports.Store,
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -1,7 +1,6 @@
 """A gateway node; this module wires its components together."""
 
 from collections import abc
-import functools
 import os
 
 import structlog
@@ -444,15 +443,14 @@
             self._nursery = nursery
             await self.peers.run(nursery)
             await self._serve(nursery)
-            for mirror in self._mirrors:
-                nursery.start_soon(
-                    _store_watch.sync_mirror,
-                    mirror,
-                    self._store,
-                    self._clock,
-                    functools.partial(self._followed_at, mirror.kind),
-                    self.fleet.spread_time,
-                )
+            nursery.start_soon(
+                _store_watch.sync_mirrors,
+                self._mirrors,
+                self._store,
+                self._clock,
+                self._followed_at,
+                self.fleet.spread_time,
+            )
             nursery.start_soon(
                 _registration.register, self._store, self.membership
             )
