Keep a target's notice of leaving after its registration ends

What callers saw: requests reached a target later than drain_ms after the same node had passed on an answer with the notice that the target leaves. Cause: the notice was dropped when the registration was removed or lapsed, so that the same incarnation counted as ready with its next registration, for example from an older copy of the store. Calls that had chosen a lapsed target were sent without looking at the notice. A registration that had said "draining" could become ready again. Change: departures are kept by target and incarnation, by notice or by registration, in a bounded set; all ways of sending look at it.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -6,6 +6,7 @@
 import structlog
 
 from mustardlb_gateway import _centres
+from mustardlb_gateway import _departures
 from mustardlb_gateway import _mirror
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
@@ -87,7 +88,7 @@
         self._health_by_id: dict[str, Health] = {}
         self.usage_by_id: dict[str, Usage] = {}
         self.centres_by_name: dict[str, _centres.CentreState] = {}
-        self._leaving: set[tuple[str, int]] = set()
+        self._departures = _departures.Departures()
         self._removal_callbacks: list[abc.Callable[[domain.Target], None]] = []
         self._registration_callbacks: list[
             abc.Callable[[domain.Target, bool], None]
@@ -176,25 +177,37 @@
             target = self._translation.read_target(name, stored.spec)
             decoded[name] = (stored, target)
         self._decoded_by_id = decoded
-        return {
-            name: self._with_leaving(target)
+        targets = {
+            name: target
             for name, (_, target) in decoded.items()
             if target is not None
         }
+        for target in targets.values():
+            if target.state == domain.TargetState.DRAINING:
+                self._departures.record(target)
+        return {
+            name: self._with_leaving(target)
+            for name, target in targets.items()
+        }
 
     def _with_leaving(self, target: domain.Target) -> domain.Target:
-        """Return a target as draining if it has said that it leaves."""
-        if (target.target_id, target.incarnation) not in self._leaving:
+        """Return a target as draining if it is known to leave."""
+        if not self._departures.has_left(target):
             return target
+        # What is registered now is dropped last.
+        self._departures.record(target)
         return dataclasses.replace(target, state=domain.TargetState.DRAINING)
 
     def record_leaving(self, target: domain.Target) -> None:
         """Record that a target leaves, before the store says so."""
-        key = target.target_id, target.incarnation
-        if key in self._leaving:
+        if not self._departures.record(target):
             return
-        self._leaving.add(key)
-        log.info('MLB-6220', target=target.target_id)
+        log.info(
+            'MLB-6220',
+            target=target.target_id,
+            incarnation=target.incarnation,
+            is_registered=target.target_id in self.by_id,
+        )
         current = self.by_id.get(target.target_id)
         if current is not None:
             self.by_id[target.target_id] = self._with_leaving(current)
@@ -216,7 +229,6 @@
             revision=self._mirror.revision,
         )
         self._health_by_id.pop(target.target_id, None)
-        self._leaving.discard((target.target_id, target.incarnation))
         for callback in self._removal_callbacks:
             callback(target)
 
@@ -245,7 +257,7 @@
             target
             for target, _ in self._expired_by_id.values()
             if target.service == service
-            and (target.target_id, target.incarnation) not in self._leaving
+            and not self._departures.has_left(target)
             and not self.is_evacuated(target)
         ]
 
@@ -259,6 +271,8 @@
 
     def is_registered(self, target: domain.Target) -> bool:
         """Return whether a target is ready, or may register again."""
+        if self._departures.has_left(target):
+            return False
         current = self.by_id.get(target.target_id)
         if current is None:
             return target.target_id in self._expired_by_id
--- a/tests/mustardlb_gateway/test_targets.py
+++ b/tests/mustardlb_gateway/test_targets.py
@@ -1,8 +1,8 @@
 import builders
 import pytest
+import target_table
 
 from mustardlb_gateway import _centres
-from mustardlb_gateway import _mirror
 from mustardlb_gateway import _targets
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
@@ -10,41 +10,9 @@
 DRAINING = domain.TargetState.DRAINING
 
 
-class TranslationStub:
-    def read_target(self, name, spec):
-        return spec
-
-
-class Harness:
-    def __init__(self):
-        self.now = 100.0
-        self.mirror = _mirror.Mirror('servers')
-        self.mirror.is_connected = True
-        self.table = _targets.TargetTable(
-            self.mirror, TranslationStub(), lambda: self.now
-        )
-        self.removed = []
-        self.table.on_removed(
-            lambda target: self.removed.append(target.target_id)
-        )
-
-    def set_targets(self, *targets):
-        revision = self.mirror.revision + 1
-        self.mirror.replace_all(
-            [
-                ports.StoredObject(each.target_id, revision, each)
-                for each in targets
-            ],
-            revision,
-        )
-
-    def ready(self):
-        return {target.target_id for target in self.table.ready('llm')}
-
-
 @pytest.fixture
 def harness():
-    return Harness()
+    return target_table.Harness()
 
 
 def test_draining_targets_get_no_new_requests(harness):
