Send waiting calls to a lapsed target for a limited time only

Cause: a target whose registration lapsed in an outage stayed usable for calls that had chosen it, also after the time in which it may register again, and for any incarnation under its id. Change: both are checked right before a request is sent.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -275,13 +275,23 @@
             return False
         current = self.by_id.get(target.target_id)
         if current is None:
-            return target.target_id in self._expired_by_id
+            return self._may_return(target)
         return (
             current.state == domain.TargetState.READY
             and current.incarnation == target.incarnation
             and current.software == target.software
         )
 
+    def _may_return(self, target: domain.Target) -> bool:
+        """Return whether a target that lapsed may still register again."""
+        expired = self._expired_by_id.get(target.target_id)
+        if expired is None:
+            return False
+        lapsed, until = expired
+        return lapsed.incarnation == target.incarnation and (
+            until > self._clock()
+        )
+
     def incarnation(self, target_id: str) -> int | None:
         """Return the incarnation of a registered target, else None."""
         target = self.by_id.get(target_id)
--- a/tests/mustardlb_gateway/test_departures.py
+++ b/tests/mustardlb_gateway/test_departures.py
@@ -81,6 +81,21 @@
     assert harness.ready() == {'t1'}
 
 
+@pytest.mark.parametrize('is_same', [True, False])
+def test_lapsed_target_takes_waiting_requests_for_a_limited_time(
+    harness, is_same
+):
+    """Without another choice, a lapsed target stayed usable for ever."""
+    target = builders.make_target('t1')
+    harness.set_targets(target)
+    harness.mirror.connected_at = harness.now
+    harness.set_targets()
+    chosen = target if is_same else builders.make_target('t1', incarnation=2)
+    assert harness.table.takes_requests(chosen) == is_same
+    harness.now += 3.0
+    assert not harness.table.takes_requests(chosen)
+
+
 def test_memory_of_departures_is_bounded():
     """Registered targets that drain are kept when the oldest are dropped."""
     departures = _departures.Departures(max_count=3)
