Take a registration without an incarnation for one that has left

Cause: a registration that lacks the start time of its target counted as another incarnation and undid the notice of leaving; where no registration has one, a target that starts again under its id was never used again. Change: for 60 s after the notice, an unknown incarnation of the target counts as the one that left, and not later.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_departures.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_departures.py
@@ -1,9 +1,17 @@
 """Which targets have left, by what they or the store said."""
 
+from collections import abc
+
 from mustardlb_gateway import domain
 
 # Covers several replacements of all targets of the largest fleet.
-MAX_DEPARTURES = 4096
+MAX_DEPARTURES = 8192
+
+# A registration that does not tell the incarnation is taken for one that has
+# left for this time, longer than targets serve after their notice.
+UNKNOWN_INCARNATION_SECONDS = 60.0
+
+UNKNOWN_INCARNATION = 0
 
 
 class Departures:
@@ -13,21 +21,34 @@
     its registration. The longest unconfirmed departures are dropped first.
     """
 
-    def __init__(self, max_count: int = MAX_DEPARTURES) -> None:
+    def __init__(
+        self,
+        clock: abc.Callable[[], float],
+        max_count: int = MAX_DEPARTURES,
+    ) -> None:
+        self._clock = clock
         self._max_count = max_count
-        # A dictionary used as an ordered set of target ids with incarnations.
-        self._keys: dict[tuple[str, int], None] = {}
+        # By target id and incarnation, the last recorded one at the end.
+        self._recorded_at_by_key: dict[tuple[str, int], float] = {}
 
     def record(self, target: domain.Target) -> bool:
         """Record that a target leaves; return whether that is new."""
-        key = target.target_id, target.incarnation
-        is_new = key not in self._keys
-        self._keys.pop(key, None)
-        self._keys[key] = None
-        if len(self._keys) > self._max_count:
-            del self._keys[next(iter(self._keys))]
+        is_new = not self.has_left(target)
+        for incarnation in {target.incarnation, UNKNOWN_INCARNATION}:
+            key = target.target_id, incarnation
+            self._recorded_at_by_key.pop(key, None)
+            self._recorded_at_by_key[key] = self._clock()
+        while len(self._recorded_at_by_key) > self._max_count:
+            del self._recorded_at_by_key[next(iter(self._recorded_at_by_key))]
         return is_new
 
     def has_left(self, target: domain.Target) -> bool:
         """Return whether this incarnation of a target leaves."""
-        return (target.target_id, target.incarnation) in self._keys
+        recorded_at = self._recorded_at_by_key.get(
+            (target.target_id, target.incarnation)
+        )
+        if recorded_at is None:
+            return False
+        if target.incarnation != UNKNOWN_INCARNATION:
+            return True
+        return self._clock() < recorded_at + UNKNOWN_INCARNATION_SECONDS
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -88,7 +88,7 @@
         self._health_by_id: dict[str, Health] = {}
         self.usage_by_id: dict[str, Usage] = {}
         self.centres_by_name: dict[str, _centres.CentreState] = {}
-        self._departures = _departures.Departures()
+        self._departures = _departures.Departures(clock)
         self._removal_callbacks: list[abc.Callable[[domain.Target], None]] = []
         self._registration_callbacks: list[
             abc.Callable[[domain.Target, bool], None]
@@ -194,8 +194,6 @@
         """Return a target as draining if it is known to leave."""
         if not self._departures.has_left(target):
             return target
-        # What is registered now is dropped last.
-        self._departures.record(target)
         return dataclasses.replace(target, state=domain.TargetState.DRAINING)
 
     def record_leaving(self, target: domain.Target) -> None:
