Take only a refusal with the request's id for the own one

What callers would see: "not run, try again" for a request that a target had run, or a second run of it. Cause: a refusal without a request id counted as the own one on a connection that no other request had used, also after a response to another request had been skipped there. Targets repeat the id, so that one without is of nobody. Change: such a response leaves open whether the request has run, on each connection.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -293,11 +293,9 @@
         is_success = 200 <= head.status < 300
         # Status 421 (Misdirected Request) means that the target did not
         # execute the request, even if no header of the response says so.
-        # Without an id, a rejection on a reused connection may be a late one
-        # of an earlier request.
+        # Without an id, a rejection may be a late one of an earlier request.
         is_rejected = info.not_executed or head.status == 421
-        is_own = info.request_id is not None or not connection.is_reused
-        if is_rejected and is_own:
+        if is_rejected and info.request_id is not None:
             await connection.receive_body(MAX_BUFFERED_RESPONSE_BYTES)
             attempt.outcome = _outcomes.Outcome.NOT_RUN
             attempt.problem = f'rejected with status {head.status}'
