Find a late head's rest also after a response that was skipped

Cause: whether a head consists of parts of two heads was looked at on reused connections only. On a new one, the first bytes of a refusal that came after a skipped response became status or headers of the own response.

--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -206,6 +206,7 @@
         Raises ExchangeFailed.
         """
         informational = 0
+        may_be_late = self.is_reused
         while True:
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
@@ -215,7 +216,7 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise ExchangeFailed('no response was received')
-            if self.is_reused and _has_second_status_line(event):
+            if may_be_late and _has_second_status_line(event):
                 raise ExchangeFailed('a response began within a head')
             names = {name for name, _ in event.headers}
             head = Head(
@@ -227,6 +228,7 @@
             if accept is None or accept(head):
                 return head
             await self._skip_response()
+            may_be_late = True
 
     async def _skip_response(self) -> None:
         """Read and discard the response to another request."""
--- a/tests/mustardlb_gateway/test_late_refusals.py
+++ b/tests/mustardlb_gateway/test_late_refusals.py
@@ -124,6 +124,33 @@
         assert runs
 
 
+@pytest.mark.parametrize('cut', range(1, len(refusal(503))))
+async def test_part_of_a_refusal_is_no_part_of_the_own_head(cut):
+    """A refusal's first bytes came after a late response, on a new link."""
+    late = scripted.response(b'other', b'late') + refusal(503)[:cut]
+
+    async def script(connection, head, body):
+        await connection.send(late + scripted.response(b'r1', b''))
+        await connection.stream.send_eof()
+
+    async with scripted.ScriptedServer(script).running() as server:
+        pool = http_client.Pool(1.0)
+        connection = await pool.acquire('t', '127.0.0.1', server.port)
+        await connection.send(b'GET', b'/', [(b'host', b'h')], b'')
+        try:
+            head = await connection.receive_head(
+                lambda head: dict(head.headers).get(b'x-id') != b'other'
+            )
+        except http_client.ExchangeFailed as error:
+            assert error.was_sent
+        else:
+            names = dict(head.headers)
+            assert b'x-id' not in names or (
+                head.status == 200 and b'x-not-run' not in names
+            )
+        connection.close()
+
+
 async def test_late_refusal_within_a_chunked_stream_ends_it():
     """A refusal between two events was no part of the stream."""
     stream = ROUTES[domain.RouteKind.STREAM]
