Go on with a stream only where the next target continues it

What callers would see: the text of an error, events of a second run or an end too early within a stream that had begun. Cause: after a stream had broken off, each signed 2xx of the next target was forwarded as its continuation, also with status 204 or 206, with the type of a document, from the first event again, or with events without an id. Change: a stream goes on with status 200, no other type than that of event streams, and a first event whose id follows the last one; otherwise the call goes on to a further target or the stream is cut. A stream whose events have no ids does not go on.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_event_stream.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_event_stream.py
@@ -1,5 +1,6 @@
 """Splits a stream of server-sent events into complete events."""
 
+from collections import abc
 import re
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
@@ -12,6 +13,30 @@
 MAX_EVENT_BYTES = 1_048_576
 
 
+_COMMENT = re.compile(rb'(?::[^\r\n]*\r?\n)+\r?\n')
+
+_MEDIA_TYPE = b'text/event-stream'
+
+
+def is_event_stream(
+    status: int, headers: abc.Iterable[tuple[bytes, bytes]]
+) -> bool:
+    """Return whether a response's body can be that of an event stream.
+
+    >>> is_event_stream(200, [(b'content-type', b'text/event-stream; q=1')])
+    True
+    >>> is_event_stream(200, [(b'content-type', b'text/html')])
+    False
+    >>> is_event_stream(206, [])
+    False
+    """
+    return status == 200 and all(
+        value.partition(b';')[0].strip().lower() == _MEDIA_TYPE
+        for name, value in headers
+        if name == b'content-type'
+    )
+
+
 class EventSplitter:
     r"""Buffers an incomplete event until its end is received.
 
@@ -30,11 +55,13 @@
     def __init__(self, last_id: str | None = None) -> None:
         self.last_id = last_id
         self.partial = b''
+        self._must_continue = False
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the events that are now complete.
 
-        Raises ValueError if an event is too large.
+        Raises ValueError if an event is too large or does not continue the
+        interrupted stream.
         """
         searched = max(0, len(self.partial) - _EVENT_END_BYTES + 1)
         data = self.partial + data
@@ -45,11 +72,40 @@
         if len(self.partial) > MAX_EVENT_BYTES:
             raise ValueError('event is too large')
         complete = data[:end]
+        if self._must_continue:
+            self._check_continues(complete)
         ids = _ID_FIELD.findall(complete)
         if ids:
             self.last_id = ids[-1].decode('latin-1').strip()
         return complete
 
-    def discard_partial(self) -> None:
-        """Discard the incomplete event after its stream was interrupted."""
+    def restart(self, must_continue: bool) -> None:
+        """Prepare for the response of another target.
+
+        It repeats the incomplete event from its start.
+
+        :param must_continue: the client has received the events up to the
+            last complete one
+        """
         self.partial = b''
+        self._must_continue = must_continue
+
+    def _check_continues(self, complete: bytes) -> None:
+        """Raise ValueError unless the first event follows the last one."""
+        at = 0
+        while comment := _COMMENT.match(complete, at):
+            at = comment.end()
+        found = _EVENT_END.search(complete, at)
+        if found is None:
+            return
+        ids = _ID_FIELD.findall(complete, at, found.end())
+        if not ids or self.last_id is None:
+            raise ValueError('the first event cannot be placed by its id')
+        first_id = ids[-1].decode('latin-1').strip()
+        if first_id == self.last_id or (
+            first_id.isdecimal()
+            and self.last_id.isdecimal()
+            and int(first_id) < int(self.last_id)
+        ):
+            raise ValueError('the first event has been sent before')
+        self._must_continue = False
--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -305,6 +305,12 @@
         if is_success and not info.is_signed:
             raise http_client.ExchangeFailed('the response is not signed')
         if is_success and job.route.kind == domain.RouteKind.STREAM:
+            if job.reply.has_begun and not _event_stream.is_event_stream(
+                head.status, head.headers
+            ):
+                raise http_client.ExchangeFailed(
+                    'the response does not continue the stream'
+                )
             await self._forward_stream(
                 job, attempt, target, connection, head, record_prefill
             )
@@ -435,8 +441,7 @@
     ) -> None:
         """Forward a stream; each event is sent once it is complete."""
         if job.splitter is not None:
-            # The next target repeats the interrupted event from its start.
-            job.splitter.discard_partial()
+            job.splitter.restart(must_continue=job.reply.has_begun)
         timeout = self._response_timeout_seconds(job)
         is_recorded = False
         # Bytes that complete no event are no progress.
