End a stream in which another response begins

What callers would see: head and text of an earlier refusal as events of their stream. Cause: in a stream without a length or chunks, a response that a faulty target writes again is split into events like any other bytes. Change: a line that is the first of a response is part of no event; the stream is cut there or goes on at another target. Result: both cases of test_other_response_within_a_stream_ends_it failed before and pass now.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_event_stream.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_event_stream.py
@@ -13,6 +13,9 @@
 MAX_EVENT_BYTES = 1_048_576
 
 
+# A line of no event, but the first one of another response.
+_STATUS_LINE = re.compile(rb'^HTTP/1\.[01] \d{3}', re.MULTILINE)
+
 _COMMENT = re.compile(rb'(?::[^\r\n]*\r?\n)+\r?\n')
 
 _MEDIA_TYPE = b'text/event-stream'
@@ -60,8 +63,8 @@
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the events that are now complete.
 
-        Raises ValueError if an event is too large or does not continue the
-        interrupted stream.
+        Raises ValueError if an event is too large, holds the first line of
+        another response, or does not continue the interrupted stream.
         """
         searched = max(0, len(self.partial) - _EVENT_END_BYTES + 1)
         data = self.partial + data
@@ -72,6 +75,8 @@
         if len(self.partial) > MAX_EVENT_BYTES:
             raise ValueError('event is too large')
         complete = data[:end]
+        if b'HTTP/1.' in complete and _STATUS_LINE.search(complete):
+            raise ValueError('another response began within the stream')
         if self._must_continue:
             self._check_continues(complete)
         ids = _ID_FIELD.findall(complete)
--- a/tests/mustardlb_gateway/test_stream_errors.py
+++ b/tests/mustardlb_gateway/test_stream_errors.py
@@ -194,3 +194,23 @@
         answer = await harness.send_request()
     assert answer.body.count(b'e0') == 1
     assert not answer.is_complete
+
+
+# A stream without a length or chunks may have such bytes, too.
+@pytest.mark.parametrize('numbers', [(0, 1), ()])
+async def test_other_response_within_a_stream_ends_it(numbers):
+    """An earlier refusal, written again within a stream, was forwarded."""
+    events = b''.join(b'id: %d\ndata: e%d\n\n' % (n, n) for n in numbers)
+    late = response(503, b'broken', extra=b'x-not-run: 1')
+
+    async def script(connection, head, body):
+        await connection.send(UNFRAMED_HEAD + events + late + events)
+        await connection.stream.aclose()
+
+    harness = gateway_harness.Harness(make_route(False, 1))
+    async with harness.running(script):
+        answer = await harness.send_request()
+    assert b'HTTP/' not in answer.body
+    assert b'broken' not in answer.body
+    assert not (answer.status == 200 and answer.is_complete)
+    assert answer.status in (200, 502)
