Reset the connection of a cut response that has no chunks

What callers would see: an HTTP/1.0 client took a stream that broke off for complete, since its end is that of the connection. Change: such a connection is reset. Clients of HTTP/1.1 see the missing last chunk as before.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_sockets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_sockets.py
@@ -2,6 +2,7 @@
 
 import os
 import select
+import struct
 
 import trio
 
@@ -22,6 +23,10 @@
 MIN_BYTES_PER_SECOND = 4096
 
 
+# The value of SO_LINGER for no time to send what is left.
+_RESET_WHEN_CLOSED = struct.pack('ii', 1, 0)
+
+
 class Progress:
     """Deadline of a transfer, which progress postpones.
 
@@ -95,6 +100,17 @@
     return bool(poll.poll(0))
 
 
+def reset(stream: trio.SocketStream) -> None:
+    """Close a connection with a reset; data that is not sent is dropped."""
+    if stream.socket.fileno() >= 0:
+        stream.setsockopt(
+            trio.socket.SOL_SOCKET,
+            trio.socket.SO_LINGER,
+            _RESET_WHEN_CLOSED,
+        )
+        stream.socket.close()
+
+
 async def wait_writable(stream: trio.SocketStream) -> None:
     """Wait until the socket takes data; raises trio.ClosedResourceError."""
     if stream.socket.fileno() < 0:
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
@@ -269,8 +269,12 @@
     def abort(self) -> None:
         """Close the socket without ending the response.
 
-        A truncated response must not look complete to the client.
+        A truncated response must not look complete to the client. Without
+        chunks, its end is that of the connection, which is reset instead.
         """
+        if self._h11.their_http_version == b'1.0':
+            _sockets.reset(self._stream)
+            return
         self._stream.socket.close()
 
     async def run(self) -> None:
--- a/tests/mustardlb_gateway/test_stream_errors.py
+++ b/tests/mustardlb_gateway/test_stream_errors.py
@@ -214,3 +214,40 @@
     assert b'broken' not in answer.body
     assert not (answer.status == 200 and answer.is_complete)
     assert answer.status in (200, 502)
+
+
+@pytest.mark.parametrize('memory_mb', [0.0, 100.0])
+async def test_cut_stream_is_reset_for_a_client_that_knows_no_chunks(
+    memory_mb,
+):
+    """To an HTTP/1.0 client, a closed connection ends a stream as complete."""
+    harness = gateway_harness.Harness(
+        make_route(False, 1), memory_mb=memory_mb
+    )
+    request = b'POST /x/ HTTP/1.0\r\nhost: h\r\nx-id: r1\r\n\r\n'
+    async with harness.running(begin(b'')):
+        client = await trio.open_tcp_stream('127.0.0.1', harness.port)
+        await client.send_all(request)
+        with pytest.raises(trio.BrokenResourceError), trio.fail_after(5):
+            while await client.receive_some():
+                pass
+        await client.aclose()
+
+
+async def test_whole_stream_ends_normally_for_a_client_without_chunks():
+    """The connection's end is the end of the stream."""
+
+    async def run(connection, head, body):
+        await connection.send(stream(b'id: 0\ndata: e0\n\n'))
+
+    harness = gateway_harness.Harness(make_route(False, 1))
+    request = b'POST /x/ HTTP/1.0\r\nhost: h\r\nx-id: r1\r\n\r\n'
+    async with harness.running(run):
+        client = await trio.open_tcp_stream('127.0.0.1', harness.port)
+        await client.send_all(request)
+        data = b''
+        with trio.fail_after(5):
+            while more := await client.receive_some():
+                data += more
+        await client.aclose()
+    assert data.endswith(b'id: 0\ndata: e0\n\n')
