--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -293,11 +293,9 @@
         is_success = 200 <= head.status < 300
         # Status 421 (Misdirected Request) means that the target did not
         # execute the request, even if no header of the response says so.
-        # Without an id, a rejection on a reused connection may be a late one
-        # of an earlier request.
+        # Without an id, a rejection may be a late one of an earlier request.
         is_rejected = info.not_executed or head.status == 421
-        is_own = info.request_id is not None or not connection.is_reused
-        if is_rejected and is_own:
+        if is_rejected and info.request_id is not None:
             await connection.receive_body(MAX_BUFFERED_RESPONSE_BYTES)
             attempt.outcome = _outcomes.Outcome.NOT_RUN
             attempt.problem = f'rejected with status {head.status}'
@@ -307,6 +305,12 @@
         if is_success and not info.is_signed:
             raise http_client.ExchangeFailed('the response is not signed')
         if is_success and job.route.kind == domain.RouteKind.STREAM:
+            if job.reply.has_begun and not _event_stream.is_event_stream(
+                head.status, head.headers
+            ):
+                raise http_client.ExchangeFailed(
+                    'the response does not continue the stream'
+                )
             await self._forward_stream(
                 job, attempt, target, connection, head, record_prefill
             )
@@ -437,8 +441,7 @@
     ) -> None:
         """Forward a stream; each event is sent once it is complete."""
         if job.splitter is not None:
-            # The next target repeats the interrupted event from its start.
-            job.splitter.discard_partial()
+            job.splitter.restart(must_continue=job.reply.has_begun)
         timeout = self._response_timeout_seconds(job)
         is_recorded = False
         # Bytes that complete no event are no progress.
