--- a/tests/soak/soak_store.py
+++ b/tests/soak/soak_store.py
@@ -25,6 +25,7 @@
         self._oldest_revision = 0
         self.objects_by_kind = {}
         self.events = []
+        self._raw_by_placeholder = {}
         self.is_down = False
         self.loses_responses = False
         self._changed = trio.Event()
@@ -42,6 +43,20 @@
         self._record_event(kind, fields, False)
         return fields
 
+    def put_raw(self, kind, name, spec, raw_name=None):
+        """Write an object whose specification is sent as these bytes.
+
+        So is its name, if `raw_name` is given.
+        """
+        placeholder = f'raw {len(self._raw_by_placeholder)}'
+        self._raw_by_placeholder[placeholder] = spec
+        fields = self.put(kind, name, placeholder)
+        if raw_name is not None:
+            placeholder = f'raw {len(self._raw_by_placeholder)}'
+            self._raw_by_placeholder[placeholder] = raw_name
+            fields['metadata']['name'] = placeholder
+        return fields
+
     def remove(self, kind, name):
         """Remove an object."""
         fields = self.objects_by_kind.get(kind, {}).pop(name, None)
@@ -79,6 +94,8 @@
             await connection.reset()
             return
         payload = json.dumps(fields).encode()
+        for placeholder, raw in self._raw_by_placeholder.items():
+            payload = payload.replace(json.dumps(placeholder).encode(), raw)
         await connection.send(
             b'HTTP/1.1 %d X\r\nstore-era: %d\r\ncontent-length: %d\r\n\r\n'
             % (status, self.era, len(payload))
