Close only the connection by a damaged or odd message of a node

A message whose sender's name cannot be read, a message of an unknown kind and an object that is nested too deeply raised KjException or RecursionError, which nothing catches: the process ended. A member with port 99999, or a host that has no form for the resolver, ended it with OverflowError or UnicodeError when it was connected to. An amount that is not a number was added to sums.

All text is decoded where errors are turned into ValueError, which closes the connection (CONNECTION_ERRORS is unchanged); ports and amounts are checked; _sockets.connect raises OSError for an impossible address.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -1,11 +1,13 @@
 """Encodes and decodes the messages between nodes."""
 
+from typing import Annotated
 from typing import Any
 
 import capnp
 import msgspec
 
 from mustardlb import schema
+from mustardlb_gateway import _amounts
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _origin_codec
@@ -229,7 +231,8 @@
 
 # The changes of an update are many small entries. Encoding them as structs of
 # the schema takes a hub three times as long as MessagePack.
-_WireMember = tuple[str, str, int, float, int, bool]
+_WirePort = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+_WireMember = tuple[str, str, _WirePort, float, int, bool]
 _WireHolding = tuple[str, str, int, int, bool, dict[str, int], int]
 _WireChange = tuple[
     str,
@@ -358,11 +361,17 @@
     try:
         decoded = schema.load('gateway').PeerMessage.from_bytes_packed(data)
         body = _decode_body(decoded)
-    except (capnp.KjException, msgspec.MsgspecError) as error:
+        # A text is not decoded before it is read.
+        return _messages.Message(
+            decoded.vm, decoded.incarnation, decoded.request, body
+        )
+    except (
+        capnp.KjException,
+        msgspec.MsgspecError,
+        RecursionError,
+        ValueError,
+    ) as error:
         raise ValueError(f'invalid message: {error}') from error
-    return _messages.Message(
-        decoded.vm, decoded.incarnation, decoded.request, body
-    )
 
 
 def _decode_body(decoded: Any) -> _messages.Body:
@@ -390,8 +399,8 @@
                 want.target,
                 adapter,
                 want.version,
-                want.patience,
-                want.slack,
+                _amounts.checked(want.patience),
+                _amounts.checked(want.slack),
                 want.priority,
                 want.account,
                 want.tokens,
@@ -403,11 +412,11 @@
                 domain.AdapterName.parse(reserve.adapter),
                 reserve.version,
                 reserve.tokens,
-                reserve.maxQueue,
+                _amounts.checked(reserve.maxQueue),
                 reserve.isLoad,
                 reserve.priority,
                 reserve.account,
-                reserve.slack,
+                _amounts.checked(reserve.slack),
             )
         case 'reserved':
             reserved = decoded.reserved
@@ -415,15 +424,17 @@
                 reserved.isDecided,
                 reserved.isAccepted,
                 reserved.isResident,
-                reserved.queue,
-                reserved.turn or None,
+                _amounts.checked(reserved.queue),
+                _amounts.checked(reserved.turn) or None,
             )
         case 'charge':
             return _decode_charge(decoded.charge)
         case 'charged':
             charged = decoded.charged
             return _messages.Charged(
-                charged.isDecided, charged.wait, charged.level
+                charged.isDecided,
+                _amounts.checked(charged.wait),
+                _amounts.checked(charged.level),
             )
         case 'refund':
             return _messages.Refund(_decode_charge(decoded.refund))
@@ -434,19 +445,19 @@
                 permit.rank,
             )
         case 'permitted':
-            return _messages.Permitted(decoded.permitted)
+            return _messages.Permitted(_amounts.checked(decoded.permitted))
         case 'coldPermit':
             cold = decoded.coldPermit
             return _messages.ColdPermit(
                 cold.target,
                 cold.incarnation,
-                cold.seconds,
+                _amounts.checked(cold.seconds),
                 tuple(cold.ranked),
             )
         case 'coldNotice':
             cold = decoded.coldNotice
             return _messages.ColdNotice(
-                cold.target, cold.incarnation, cold.seconds
+                cold.target, cold.incarnation, _amounts.checked(cold.seconds)
             )
         case 'trial':
             return _messages.Trial(decoded.trial)
@@ -471,7 +482,9 @@
             )
         case 'rest':
             rest = decoded.rest
-            return _messages.Rest(rest.target, rest.incarnation, rest.seconds)
+            return _messages.Rest(
+                rest.target, rest.incarnation, _amounts.checked(rest.seconds)
+            )
         case 'observed':
             observed = decoded.observed
             return _messages.Observed(
@@ -491,7 +504,7 @@
                 update.isFull,
                 {each.name: each.number for each in update.revisions},
                 _decode_changes(update.changes, update.reports, cut_off),
-                {each.name: each.amount for each in update.levels},
+                _decode_amounts(update.levels),
                 _target_observation_codec.decode_evidence(
                     update.crashEvidence
                 ),
@@ -519,17 +532,23 @@
     return _messages.Charge(charge.account, charge.cost, charge.dataCentre)
 
 
+def _decode_amounts(amounts: Any) -> dict[str, float]:
+    return _amounts.checked_by_name(
+        {each.name: each.amount for each in amounts}
+    )
+
+
 def _decode_digest(digest: Any) -> _messages.Digest:
     parse = domain.AdapterName.parse
     return _messages.Digest(
         digest.host,
         digest.port,
         digest.dataCentre,
-        digest.capacity,
+        _amounts.checked(digest.capacity),
         digest.isWatching,
         digest.isLeaving,
         {each.name: each.number for each in digest.revisions},
-        {each.name: each.amount for each in digest.admitted},
+        _decode_amounts(digest.admitted),
         tuple(
             _messages.TargetUsage(
                 each.target,
@@ -600,7 +619,9 @@
         is_watching,
         tuple(
             _centres.Member(
-                _centres.Vm(vm, host, port, centre, capacity),
+                _centres.Vm(
+                    vm, host, port, centre, _amounts.checked(capacity)
+                ),
                 incarnation,
                 can_claim,
                 vm in cut_off,
@@ -608,7 +629,7 @@
             for vm, host, port, capacity, incarnation, can_claim in members
         ),
         tuple(removed_members),
-        admitted,
+        _amounts.checked_by_name(admitted),
         {
             key: _centres.Load(
                 *load,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_sockets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_sockets.py
@@ -60,7 +60,8 @@
 async def connect(host: str, port: int, timeout: float) -> trio.SocketStream:
     """Open a connection.
 
-    Raises OSError if it fails, TimeoutError after `timeout` seconds.
+    Raises OSError if it fails, also if there can be no such address, and
+    TimeoutError after `timeout` seconds.
     """
     sock = trio.socket.socket()
     try:
@@ -71,6 +72,10 @@
         raise TimeoutError(
             f'connection timed out after {timeout} s'
         ) from error
+    except (OverflowError, ValueError) as error:
+        # The port is out of range, or the host has no form for the resolver.
+        sock.close()
+        raise OSError(f'impossible address: {error}') from error
     except BaseException:
         sock.close()
         raise
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_observation_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_observation_codec.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from mustardlb_gateway import _amounts
 from mustardlb_gateway import _crashes
 from mustardlb_gateway import _target_limits
 
@@ -57,9 +58,9 @@
     return _target_limits.LimitNotice(
         notice.target,
         notice.incarnation,
-        notice.limit if notice.isLimited else None,
-        notice.at,
-        notice.maxRejections if notice.isBrittle else None,
+        _amounts.checked(notice.limit) if notice.isLimited else None,
+        _amounts.checked(notice.at),
+        _amounts.checked(notice.maxRejections) if notice.isBrittle else None,
     )
 
 
@@ -69,14 +70,16 @@
         _crashes.CrashReport(
             each.target,
             each.incarnation,
-            each.at,
+            _amounts.checked(each.at),
             dict(zip(each.suspects, _sent_at(each), strict=True)),
         )
         for each in evidence.reports
     ]
     return _crashes.Evidence(
         {report.key: report for report in reports},
-        {each.name: each.amount for each in evidence.outputs},
+        _amounts.checked_by_name(
+            {each.name: each.amount for each in evidence.outputs}
+        ),
     )
 
 
@@ -85,4 +88,5 @@
 
     Nodes of an earlier release do not tell them.
     """
-    return list(report.sentAt) or [_crashes.UNKNOWN] * len(report.suspects)
+    sent_at = [_amounts.checked(at) for at in report.sentAt]
+    return sent_at or [_crashes.UNKNOWN] * len(report.suspects)
