Refuse odd records of other writers in the store

The record of a node with port 99999 or a capacity that is no number, a saved version with a time of 400 digits and saved evidence with an incarnation beyond 64 bits ended the process or were sent on.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_crash_records.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_crash_records.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from mustardlb_gateway import _amounts
 from mustardlb_gateway import _crashes
 from mustardlb_gateway import _saved_object
 from mustardlb_gateway import ports
@@ -44,18 +45,19 @@
         reports = [
             _crashes.CrashReport(
                 str(each['target']),
-                int(each['incarnation']),
-                float(each['at']),
+                _amounts.identifier(each['incarnation']),
+                _amounts.finite(each['at']),
                 {
-                    str(suspect): float(
-                        each.get('sent_at', {}).get(suspect, _crashes.UNKNOWN)
-                    )
+                    str(suspect): _sent_at(each.get('sent_at', {}), suspect)
                     for suspect in each['suspects']
                 },
             )
             for each in spec['reports']
         ]
-        outputs = {str(key): float(at) for key, at in spec['outputs'].items()}
+        outputs = {
+            str(key): _amounts.finite(at)
+            for key, at in spec['outputs'].items()
+        }
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         log.warning('MLB-6208', problem=repr(error))
         return _crashes.Evidence()
@@ -64,6 +66,13 @@
     )
 
 
+def _sent_at(sent_at_by_suspect: Any, suspect: Any) -> float:
+    """Return when a suspect was sent; earlier releases do not save it."""
+    if suspect not in sent_at_by_suspect:
+        return _crashes.UNKNOWN
+    return _amounts.finite(sent_at_by_suspect[suspect])
+
+
 async def load(store: ports.Store) -> _crashes.Evidence:
     """Return the saved evidence, as soon as the store answers."""
     spec = await _saved_object.load(store, KIND)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
@@ -13,9 +13,11 @@
 import dataclasses
 import hashlib
 import time
+from typing import Any
 
 import structlog
 
+from mustardlb_gateway import _amounts
 from mustardlb_gateway import ports
 
 log = structlog.get_logger()
@@ -36,6 +38,13 @@
 # store answers other nodes.
 UNCONFIRMED_SECONDS = 2.0
 
+# Targets and other programs may read fencing tokens as signed integers.
+MAX_FENCE = 2**63 - 1
+
+
+class _UnreadableLease(Exception):
+    """A stored lease does not tell which fencing tokens were given out."""
+
 
 @dataclasses.dataclass(slots=True)
 class Lease:
@@ -57,6 +66,24 @@
     unconfirmed_since: float | None = None
 
 
+def _readable_spec(stored: ports.StoredObject) -> dict[str, Any]:
+    """Return a lease that has a fencing token; raises _UnreadableLease.
+
+    Without it, the next token may be lower than one that engines have seen.
+    """
+    spec = stored.spec
+    fence = spec.get('fence') if isinstance(spec, dict) else None
+    if (
+        isinstance(fence, bool)
+        or not isinstance(fence, int)
+        or not 0 <= fence < MAX_FENCE
+    ):
+        raise _UnreadableLease(
+            f'revision {stored.revision} has no fencing token'
+        )
+    return spec
+
+
 class Leases:
     """The leases held by this node."""
 
@@ -93,6 +120,9 @@
             # The next attempt reads the outcome of the write.
             log.info('MLB-6503', target=target_id, problem=str(error))
             return None
+        except _UnreadableLease as error:
+            log.error('MLB-6113', target=target_id, problem=str(error))
+            return None
         self.by_target[target_id] = lease
         log.info(
             'MLB-6501',
@@ -106,13 +136,10 @@
     async def _write(
         self, target_id: str, stored: ports.StoredObject | None
     ) -> Lease:
-        spec = stored.spec if stored and isinstance(stored.spec, dict) else {}
-        fence = int(spec.get('fence', 0)) + 1
+        spec = {} if stored is None else _readable_spec(stored)
+        fence = spec['fence'] + 1 if stored else 1
         is_taken_over = stored is not None and spec.get('holder') != self._vm
-        taken_at = spec.get('takenAt')
-        if not isinstance(taken_at, int | float):
-            # Written by an earlier release.
-            taken_at = 0.0
+        taken_at = self._taken_at(spec)
         if is_taken_over:
             taken_at = self._wall_clock()
             self._unacknowledged.add(target_id)
@@ -147,6 +174,17 @@
             now,
         )
 
+    def _taken_at(self, spec: dict[str, Any]) -> float:
+        """Return when a lease was taken over, Unix seconds."""
+        if spec.get('takenAt') is None:
+            # Written by an earlier release.
+            return 0.0
+        try:
+            return _amounts.finite(spec['takenAt'])
+        except ValueError:
+            # The handover may have begun only just now.
+            return self._wall_clock()
+
     async def verify(self, lease: Lease) -> bool:
         """Return whether the store confirms that a lease is still held."""
         requested_at = self._clock()
--- a/packages/mustardlb-gateway/mustardlb_gateway/_registration.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_registration.py
@@ -1,8 +1,11 @@
 """Registers a node in the store and finds the other nodes there."""
 
+from typing import Any
+
 import structlog
 import trio
 
+from mustardlb_gateway import _amounts
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _membership
 from mustardlb_gateway import ports
@@ -13,6 +16,8 @@
 
 RETRY_SECONDS = 0.5
 
+MAX_PORT = 65_535
+
 
 async def register(
     store: ports.Store, membership: _membership.Membership
@@ -57,17 +62,22 @@
 def _add_member(
     membership: _membership.Membership, stored: ports.StoredObject
 ) -> None:
-    spec = stored.spec
-    if not isinstance(spec, dict):
-        return
-    host, port = spec.get('host'), spec.get('port')
-    if isinstance(host, str) and isinstance(port, int):
-        membership.add(
-            _centres.Vm(
-                stored.name,
-                host,
-                port,
-                str(spec.get('data_centre', '')),
-                float(spec.get('capacity', 0.0)),
-            )
-        )
+    try:
+        membership.add(_decode(stored.name, stored.spec))
+    except ValueError as error:
+        log.warning('MLB-6114', vm=stored.name, problem=str(error))
+
+
+def _decode(name: str, spec: Any) -> _centres.Vm:
+    """Return a registered node; raises ValueError if its record is odd."""
+    fields = spec if isinstance(spec, dict) else {}
+    host, port = fields.get('host'), _amounts.identifier(fields.get('port'))
+    if not isinstance(host, str) or not host:
+        raise ValueError('the host is no text')
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f'port {port} is out of range')
+    data_centre = fields.get('data_centre', '')
+    if not isinstance(data_centre, str):
+        raise ValueError('the data centre is no text')
+    capacity = _amounts.finite(fields.get('capacity', 0.0))
+    return _centres.Vm(name, host, port, data_centre, capacity)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_software_history.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_software_history.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from mustardlb_gateway import _amounts
 from mustardlb_gateway import domain
 
 log = structlog.get_logger()
@@ -278,6 +279,6 @@
             times = dict.fromkeys(softwares)
         for software, left_at in times.items():
             record[str(service), str(software)] = (
-                None if left_at is None else float(left_at)
+                None if left_at is None else _amounts.finite(left_at)
             )
     return record
