Limit the numbers in headers of clients and targets

A client's X-Mustardlb-Token-Usage of '-1460,80' gave its account tokens back, and a count above 32 bits, or of 400 digits, raised where it was sent to other nodes or added up. A deadline of 400 digits raised OverflowError; one of 5,000 digits, and such a part of a prompt, rejected the request. A target could name a slowdown or a pause of 1e300, or slots of 400 digits.

Counts consist of digits; larger ones than 999,999,999 count as that, so that a request is not charged less than it states.

--- a/tests/mustardlb_platform/test_odd_values.py
+++ b/tests/mustardlb_platform/test_odd_values.py
@@ -187,3 +187,74 @@
     path.write_text(json.dumps(SETTINGS | changes))
     with pytest.raises(ValueError, match='settings.json'):
         _settings.read(path)
+
+
+REQUEST = [(b'x-mustardlb-request-id', b'r1'), (b'host', b'h')]
+
+
+@pytest.mark.parametrize(
+    ('value', 'tokens'),
+    [
+        (b'1460,80', (1460, 80)),
+        (b'1460', (1460, 0)),
+        (b' 1460 , 80 ', (1460, 80)),
+        (b'-1460,80', None),
+        (b'1460,-80', None),
+        (b'1_0,8', None),
+        (b'+1,8', None),
+        (b'\xb2,8', None),
+        (b'1e3,8', None),
+        (b'nan,8', None),
+        (b'7' * 400 + b',80', (999_999_999, 80)),
+        (b'80,' + b'7' * 5_000, (80, 999_999_999)),
+        (b'4294967296,0', (999_999_999, 0)),
+    ],
+)
+def test_token_counts_of_a_request_are_within_their_range(value, tokens):
+    """Guards against requests that earn tokens, or that end the process."""
+    headers = [*REQUEST, (b'x-mustardlb-token-usage', value)]
+    assert translation.read_call(b'GET', b'/', headers, b'').tokens == tokens
+
+
+@pytest.mark.parametrize('digits', [400, 5_000])
+def test_long_numbers_of_a_request_are_no_error(digits):
+    """Guards against a client whose header ends the process."""
+    headers = [
+        *REQUEST,
+        (b'x-mustardlb-deadline-ms', b'7' * digits),
+        (b'x-mustardlb-prompt-prefix', b'a:1,b:' + b'7' * digits),
+    ]
+    call = translation.read_call(b'GET', b'/', headers, b'')
+    assert call.client_timeout > 1e5
+    assert [part.tokens for part in call.prompt_parts] == [1, 999_999_999]
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'7' * 400 + b',0,8',
+        b'3,' + b'7' * 5_000 + b',8',
+        b'3,0,8,1e300',
+        b'1_0,0,8',
+        b'3,0,4294967296',
+    ],
+)
+def test_load_out_of_range_counts_as_none(value):
+    """Guards against a target whose figures end the process."""
+    info = translation.read_response([(b'x-mustardlb-server-load', value)])
+    assert info.load is None
+
+
+@pytest.mark.parametrize('value', [b'1e300', b'7' * 400, b'1_0', b'\xff'])
+def test_amounts_out_of_range_count_as_absent(value):
+    """Guards against a target that asks for a pause without an end."""
+    info = translation.read_response(
+        [
+            (b'retry-after', value),
+            (b'server-limit', value),
+            (b'server-brittle', value),
+            (b'x-mustardlb-cold-ms', value),
+        ]
+    )
+    assert (info.rest, info.request_limit) == (None, None)
+    assert (info.max_rejections, info.cold_remaining) == (None, None)
