Limit counts to the range of the messages between nodes

Windows, rooms, running requests and unread tokens beyond the 16 or 32 bits of their fields (slots of 70,000 in a registration, sums of many requests) raised KjException or OverflowError in the task that sends digests, which ended the process. They are sent as the largest value now.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -16,6 +16,9 @@
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
 
+# The room of a holding has 16 bits.
+MAX_ROOM = 32_767
+
 
 def encode(message: _messages.Message) -> bytes:
     """Encode a message."""
@@ -59,7 +62,7 @@
                 'slack': body.slack,
                 'priority': _encode_priority(body.priority),
                 'account': body.account,
-                'tokens': body.tokens,
+                'tokens': _limited(body.tokens, 32),
             }
         case _messages.Wanted():
             return 'wanted', body.is_there
@@ -68,7 +71,7 @@
                 'target': body.target_id,
                 'adapter': str(body.adapter),
                 'version': body.version,
-                'tokens': body.tokens,
+                'tokens': _limited(body.tokens, 32),
                 'maxQueue': body.max_queue,
                 'isLoad': body.is_load,
                 'priority': _encode_priority(body.priority),
@@ -96,7 +99,7 @@
         case _messages.Permit():
             return 'permit', {
                 'notice': _target_observation_codec.encode_notice(body.notice),
-                'rank': body.rank,
+                'rank': _limited(body.rank, 16),
             }
         case _messages.Permitted():
             return 'permitted', body.wait
@@ -138,9 +141,9 @@
             return 'observed', {
                 'target': body.target_id,
                 'incarnation': body.incarnation,
-                'fast': body.fast,
-                'slow': body.slow,
-                'failed': body.failed,
+                'fast': _limited(body.fast, 32),
+                'slow': _limited(body.slow, 32),
+                'failed': _limited(body.failed, 32),
                 'isSuspended': body.is_suspended,
             }
         case _messages.Subscription():
@@ -163,6 +166,11 @@
             }
 
 
+def _limited(count: int, bits: int) -> int:
+    """Return a count as it fits into an unsigned integer of some bits."""
+    return max(0, min(count, 2**bits - 1))
+
+
 def _encode_priority(priority: int) -> int:
     return max(0, min(priority, 255))
 
@@ -193,11 +201,13 @@
         'usages': [
             {
                 'target': usage.target_id,
-                'running': usage.running,
-                'unreadTokens': usage.unread_tokens,
+                'running': _limited(usage.running, 32),
+                'unreadTokens': _limited(usage.unread_tokens, 32),
                 'adapters': [str(adapter) for adapter in usage.adapters],
-                'slowdown': usage.slowdown,
-                'window': usage.window.size if usage.window else 0,
+                'slowdown': _limited(usage.slowdown, 16),
+                'window': _limited(usage.window.size, 16)
+                if usage.window
+                else 0,
                 'windowOf': usage.window.incarnation if usage.window else 0,
             }
             for usage in digest.usages
@@ -225,7 +235,7 @@
         'incarnation': holding.incarnation,
         'isActing': holding.is_acting,
         'resident': _encode_numbers(holding.resident),
-        'room': holding.room,
+        'room': max(-MAX_ROOM, min(holding.room, MAX_ROOM)),
     }
 
 
--- a/tests/mustardlb_gateway/test_codec_fuzz.py
+++ b/tests/mustardlb_gateway/test_codec_fuzz.py
@@ -256,3 +256,28 @@
     assert raised.group_contains(_peer_channel.CONNECTION_ERRORS)
     assert not channel.is_open
     far.close()
+
+
+@pytest.mark.parametrize('count', [2**16, 2**32, 2**70])
+def test_sums_beyond_the_range_of_a_message_are_sent(count):
+    """Guards against load that ends the process that tells others of it."""
+    window = _centres.Window(count, 9)
+    usage = _messages.TargetUsage('t1', count, count, (), count, window)
+    holding = _centres.Holding('t1', 4, 99, True, {}, count)
+    digest = dataclasses.replace(DIGEST, usages=(usage,), holdings=(holding,))
+    adapter = builders.adapter('a1')
+    for body in (
+        digest,
+        _messages.Want('t1', adapter, 3, 1.0, 1.0, count, 'acme', count),
+        _messages.Reserve('t1', adapter, 3, count, 0.5, True, -count),
+        _messages.Observed('t1', 9, count, count, count, True),
+        _messages.Permit(LIMITS['t1', 99], count),
+    ):
+        data = _message_codec.encode(_messages.Message('vm1', 1, 1, body))
+        assert type(_message_codec.decode(data).body) is type(body)
+    data = _message_codec.encode(_messages.Message('vm1', 1, 1, digest))
+    decoded = _message_codec.decode(data).body
+    assert decoded.usages[0].running == min(count, 2**32 - 1)
+    assert decoded.usages[0].unread_tokens == min(count, 2**32 - 1)
+    assert decoded.usages[0].window.size == 2**16 - 1
+    assert decoded.holdings[0].room == 2**15 - 1
