--- a/tests/mustardlb_platform/test_unreadable_objects.py
+++ b/tests/mustardlb_platform/test_unreadable_objects.py
@@ -7,10 +7,13 @@
 import structlog
 import trio
 
+from mustardlb_gateway import _leases
 from mustardlb_gateway import _message_codec
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _mirror
+from mustardlb_gateway import _saved_object
 from mustardlb_gateway import _store_watch
+from mustardlb_gateway import ports
 from mustardlb_platform import _pages
 from mustardlb_platform import _store
 
@@ -225,3 +228,53 @@
         'has_more': False,
         'current_rev': 9,
     }
+
+
+@pytest.mark.parametrize('name', UNREADABLE_SPECS)
+async def test_single_unreadable_object_exists_without_specification(name):
+    """Guards against a record that is asked for without an end."""
+    store = soak_store.HttpStore()
+    stored = store.put_raw(KIND, 'odd', UNREADABLE_SPECS[name])
+    revision = stored['metadata']['revision']
+    odd = ports.StoredObject('odd', revision, None)
+    with structlog.testing.capture_logs() as logs:
+        async with store.server.running():
+            client = _store.Store('127.0.0.1', store.server.port)
+            assert await client.get(KIND, 'odd') == odd
+            with pytest.raises(ports.Conflict) as raised:
+                await client.create(KIND, 'odd', {})
+            assert raised.value.current == odd
+            await client.replace(KIND, 'odd', {'a': 1}, revision)
+            replaced = await client.get(KIND, 'odd')
+    assert replaced.spec == {'a': 1}
+    assert [each['event'] for each in logs] == ['MLB-7010']
+
+
+async def test_lease_that_cannot_be_read_is_not_claimed():
+    """Guards against fencing tokens that start again from 1."""
+    store = soak_store.HttpStore()
+    store.put_raw(_leases.LEASE_KIND, 't1', UNREADABLE_SPECS['digits'])
+    async with store.server.running():
+        leases = _leases.Leases(
+            'vm1',
+            1,
+            _store.Store('127.0.0.1', store.server.port),
+            trio.current_time,
+            lambda: 3.0,
+            lambda: True,
+        )
+        with structlog.testing.capture_logs() as logs:
+            assert await leases.claim('t1') is None
+    assert [each['event'] for each in logs] == ['MLB-7010', 'MLB-6113']
+
+
+async def test_saved_record_that_cannot_be_read_is_replaced():
+    """Guards against nodes that wait for a record for ever."""
+    store = soak_store.HttpStore()
+    store.put_raw(KIND, _saved_object.NAME, UNREADABLE_SPECS['nested'])
+    async with store.server.running():
+        client = _store.Store('127.0.0.1', store.server.port)
+        with trio.fail_after(IN_FORCE_SECONDS):
+            assert await _saved_object.load(client, KIND) is None
+            await _saved_object.change(client, KIND, lambda _: {'a': 1})
+            assert await _saved_object.load(client, KIND) == {'a': 1}
