--- a/tests/mustardlb_platform/test_unreadable_objects.py
+++ b/tests/mustardlb_platform/test_unreadable_objects.py
@@ -278,3 +278,17 @@
             assert await _saved_object.load(client, KIND) is None
             await _saved_object.change(client, KIND, lambda _: {'a': 1})
             assert await _saved_object.load(client, KIND) == {'a': 1}
+
+
+async def test_changes_of_an_object_without_a_name_cost_no_lists():
+    """Guards against a list for each change of an object that is not used."""
+    store = soak_store.HttpStore()
+    store.put(KIND, 'other', 0)
+    async with running_copy(store) as mirror:
+        await until_equal(mirror, 'other', 0)
+        for number in range(1, 4):
+            store.put_raw(KIND, 'odd', b'{}', b'"\xff"')
+            store.put(KIND, 'other', number)
+            await until_equal(mirror, 'other', number)
+    targets = [head.target for head, _ in store.server.requests]
+    assert len([each for each in targets if b'watch' not in each]) == 1
