Start soak nodes from a module of their own, with any repository's code

Change: soak_nodes.py with the root of the code as a field; the exchange of a request is a function. No change of behaviour.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,24 +5,14 @@
 """
 
 import contextlib
-import dataclasses
-import json
-import os
-import pathlib
 import signal
-import socket
-import subprocess
-import sys
 
 import soak_clients
-import soak_proxy
+import soak_nodes
 import soak_store
 import soak_targets
 import trio
 
-ROOT = pathlib.Path(__file__).parent.parent.parent
-PATHS = ('packages/mustardlb', 'packages/mustardlb-gateway', 'platform')
-
 # A node without faults rejects a withdrawn key this long after the withdrawal
 # was acknowledged.
 WITHDRAWAL_SECONDS = 2.0
@@ -30,76 +20,6 @@
 # A node counts as faulty for this long after the end of a fault.
 RECOVERY_SECONDS = 3.0
 
-START_TIMEOUT_SECONDS = 30.0
-STOP_GRACE_SECONDS = 4.0
-
-
-@dataclasses.dataclass
-class Node:
-    """One gateway process.
-
-    :ivar faulty_until: end of its last fault, infinite during a fault
-    """
-
-    name: str
-    host: str
-    front_port: int
-    ready_port: int
-    peer_port: int
-    proxy: soak_proxy.Proxy
-    folder: pathlib.Path
-    process: subprocess.Popen | None = None
-    faulty_until: float = 0.0
-
-    def start(self):
-        """Start the process unless another fault has; append to its log."""
-        if self.process is not None and self.process.poll() is None:
-            return
-        path = self.folder / f'{self.name}.json'
-        path.write_text(json.dumps(self._settings()))
-        environment = os.environ | {
-            'MUSTARDLB_BOOT': str(path),
-            'PYTHONPATH': os.pathsep.join(str(ROOT / p) for p in PATHS),
-        }
-        log = (self.folder / f'{self.name}.log').open('ab')
-        with log:
-            self.process = subprocess.Popen(
-                [sys.executable, '-m', 'mustardlb_platform'],
-                env=environment,
-                stdout=log,
-                stderr=log,
-            )
-
-    def _settings(self):
-        return {
-            'node': self.name,
-            'zone': 'a',
-            'listen': {
-                'front': f'{self.host}:{self.front_port}',
-                'ready': f'{self.host}:{self.ready_port}',
-            },
-            'port_range': [self.peer_port, self.peer_port],
-            'limits': {'max_fds': 1000, 'link_mbps': 100},
-            'bounds': {
-                'grace_s': STOP_GRACE_SECONDS,
-                'lease_ms': 1000,
-                'fencing': True,
-            },
-            'platform': {'address': f'127.0.0.1:{self.proxy.port}'},
-        }
-
-    def signal(self, number):
-        """Send a signal to the process if it runs."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
-
-    def kill(self):
-        """Kill the process, paused or not, and wait for its exit."""
-        self.signal(signal.SIGCONT)
-        self.signal(signal.SIGKILL)
-        if self.process is not None:
-            self.process.wait()
-
 
 class Soak:
     """One run with one seed.
@@ -158,15 +78,10 @@
         return violations
 
     async def _add_node(self, stack, number):
-        proxy = soak_proxy.Proxy(self.store.server.port)
-        await stack.enter_async_context(proxy.running())
-        # Runs at the same time on one machine need different addresses.
-        pid = os.getpid()
-        host = f'127.{1 + pid // 250 % 250}.{1 + pid % 250}.{10 + number}'
-        ports = _free_ports(host, 3)
-        self.nodes.append(
-            Node(f'vm{number}', host, *ports, proxy, self._folder)
+        node = await soak_nodes.add(
+            stack, number, self.store.server.port, self._folder
         )
+        self.nodes.append(node)
 
     def _register_targets(self):
         for target in self.targets:
@@ -205,7 +120,7 @@
     async def _run_clients(self, seconds):
         async with trio.open_nursery() as nursery:
             for node in self.nodes:
-                await _until_ready(node)
+                await soak_nodes.until_ready(node)
             for number in range(self._client_count):
                 client = soak_clients.Client(
                     f's{self.seed}c{number}',
@@ -261,7 +176,7 @@
         node = self._rng.choice(self.nodes)
         with self._mark_faulty(node):
             node.signal(signal.SIGTERM)
-            with trio.move_on_after(STOP_GRACE_SECONDS):
+            with trio.move_on_after(soak_nodes.STOP_GRACE_SECONDS):
                 while node.process.poll() is None:
                     await trio.sleep(0.1)
             node.kill()
@@ -324,18 +239,6 @@
         return None
 
 
-async def _until_ready(node):
-    request = b'GET /-/ready HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n'
-    with trio.fail_after(START_TIMEOUT_SECONDS):
-        while True:
-            with contextlib.suppress(OSError, trio.BrokenResourceError):
-                stream = await trio.open_tcp_stream(node.host, node.ready_port)
-                await stream.send_all(request)
-                if b' 200 ' in await stream.receive_some(100):
-                    return
-            await trio.sleep(0.1)
-
-
 def _route(name, kind, service, attempts):
     return {
         'name': name,
@@ -348,11 +251,3 @@
         'max_attempts': attempts,
         'resumable': kind == 'streaming',
     }
-
-
-def _free_ports(host, count):
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for free in sockets:
-            free.bind((host, 0))
-        return [free.getsockname()[1] for free in sockets]
--- a/tests/soak/soak_clients.py
+++ b/tests/soak/soak_clients.py
@@ -66,7 +66,8 @@
         for _ in range(self._rng.randint(1, 6)):
             outcome = self._draw_request(node)
             with trio.move_on_after(TIMEOUT_SECONDS + 1):
-                await self._exchange(connection, stream, outcome)
+                extra = self._extra_headers(outcome.kind)
+                await exchange(connection, stream, outcome, extra)
             if connection.states != {
                 h11.CLIENT: h11.DONE,
                 h11.SERVER: h11.DONE,
@@ -87,76 +88,82 @@
         self._outcomes.append(outcome)
         return outcome
 
-    async def _exchange(self, connection, stream, outcome):
-        await stream.send_all(self._request(connection, outcome))
-        headers, body = {}, b''
-        while True:
-            try:
-                event = connection.next_event()
-                if event is h11.NEED_DATA:
-                    data = await stream.receive_some(65536)
-                    connection.receive_data(data)
-                    continue
-            except h11.RemoteProtocolError as error:
-                outcome.problem = str(error)
-                break
-            if isinstance(event, h11.Response):
-                outcome.status = event.status_code
-                headers = {k.decode(): v for k, v in event.headers}
-            elif isinstance(event, h11.Data):
-                body += event.data
-            elif isinstance(event, h11.EndOfMessage):
-                outcome.is_complete = True
-                break
-            else:
-                break
-        if 200 <= outcome.status < 300:
-            outcome.problem = self._find_problem(outcome, headers, body)
-
-    def _request(self, connection, outcome):
-        headers = [
-            ('host', 'h'),
-            ('x-mustardlb-request-id', outcome.request_id),
-            ('x-mustardlb-deadline-ms', str(int(TIMEOUT_SECONDS * 1000))),
-            ('x-mustardlb-key', outcome.key),
-        ]
-        if outcome.kind == 'stream':
-            adapter = f'a{min(9, int(self._rng.expovariate(0.4)))}'
-            headers.append(
-                ('x-mustardlb-model', f'{soak_targets.MODEL}/{adapter}')
-            )
-        method = 'GET' if outcome.kind == 'get' else 'POST'
-        body = b'' if outcome.kind == 'get' else b'x' * 100
-        if body:
-            headers.append(('content-length', str(len(body))))
-        data = connection.send(
-            h11.Request(
-                method=method, target=f'/{outcome.kind}/x', headers=headers
-            )
-        )
-        if body:
-            data += connection.send(h11.Data(data=body))
-        return data + connection.send(h11.EndOfMessage())
-
-    def _find_problem(self, outcome, headers, body):
-        """Return the error in a successful response, or an empty string."""
-        stamp = headers.get('x-mustardlb-server-stamp', b'.').decode()
-        target_id, _, signature = stamp.rpartition('.')
-        if signature != soak_targets.sign(target_id, outcome.request_id):
-            return 'the signature is wrong for this request'
-        if outcome.kind != 'stream':
-            if outcome.is_complete and body != signature.encode():
-                return 'the body differs from that of the target'
-            return ''
-        expected = b''.join(
-            soak_targets.stream_event(outcome.request_id, number)
-            for number in range(1, soak_targets.EVENT_COUNT + 1)
+    def _extra_headers(self, kind):
+        if kind != 'stream':
+            return []
+        adapter = f'a{min(9, int(self._rng.expovariate(0.4)))}'
+        return [('x-mustardlb-model', f'{soak_targets.MODEL}/{adapter}')]
+
+
+async def exchange(connection, stream, outcome, extra_headers=()):
+    """Send the request of an outcome and complete the outcome."""
+    await stream.send_all(_request(connection, outcome, extra_headers))
+    headers, body = {}, b''
+    while True:
+        try:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                data = await stream.receive_some(65536)
+                connection.receive_data(data)
+                continue
+        except h11.RemoteProtocolError as error:
+            outcome.problem = str(error)
+            break
+        if isinstance(event, h11.Response):
+            outcome.status = event.status_code
+            headers = {k.decode(): v for k, v in event.headers}
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            outcome.is_complete = True
+            break
+        else:
+            break
+    if 200 <= outcome.status < 300:
+        outcome.problem = _find_problem(outcome, headers, body)
+
+
+def _request(connection, outcome, extra_headers):
+    headers = [
+        ('host', 'h'),
+        ('x-mustardlb-request-id', outcome.request_id),
+        ('x-mustardlb-deadline-ms', str(int(TIMEOUT_SECONDS * 1000))),
+        ('x-mustardlb-key', outcome.key),
+        *extra_headers,
+    ]
+    method = 'GET' if outcome.kind == 'get' else 'POST'
+    body = b'' if outcome.kind == 'get' else b'x' * 100
+    if body:
+        headers.append(('content-length', str(len(body))))
+    data = connection.send(
+        h11.Request(
+            method=method, target=f'/{outcome.kind}/x', headers=headers
         )
-        if outcome.is_complete and body != expected:
-            return 'the stream ended normally without all events'
-        if not expected.startswith(body):
-            return 'the stream differs from that of the target'
+    )
+    if body:
+        data += connection.send(h11.Data(data=body))
+    return data + connection.send(h11.EndOfMessage())
+
+
+def _find_problem(outcome, headers, body):
+    """Return the error in a successful response, or an empty string."""
+    stamp = headers.get('x-mustardlb-server-stamp', b'.').decode()
+    target_id, _, signature = stamp.rpartition('.')
+    if signature != soak_targets.sign(target_id, outcome.request_id):
+        return 'the signature is wrong for this request'
+    if outcome.kind != 'stream':
+        if outcome.is_complete and body != signature.encode():
+            return 'the body differs from that of the target'
         return ''
+    expected = b''.join(
+        soak_targets.stream_event(outcome.request_id, number)
+        for number in range(1, soak_targets.EVENT_COUNT + 1)
+    )
+    if outcome.is_complete and body != expected:
+        return 'the stream ended normally without all events'
+    if not expected.startswith(body):
+        return 'the stream differs from that of the target'
+    return ''
 
 
 def find_violations(outcomes, record, withdrawn_since):
