--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -85,10 +85,7 @@
 
     def _register_targets(self):
         for target in self.targets:
-            service = target.target_id.partition('-')[0]
-            self.store.put(
-                'servers', target.target_id, target.registration(service)
-            )
+            self.store.put('servers', target.target_id, target.registration())
 
     def _write_configuration(self):
         self._version += self._rng.randint(1, 3)
--- a/tests/soak/soak_clients.py
+++ b/tests/soak/soak_clients.py
@@ -19,6 +19,7 @@
 
     :ivar status: status of the response, 0 without one
     :ivar is_complete: whether the response ended normally
+    :ivar ended_at: end of the response or of the connection
     :ivar problem: error in the response, '' without one
     """
 
@@ -29,6 +30,7 @@
     sent_at: float
     status: int = 0
     is_complete: bool = False
+    ended_at: float = float('inf')
     problem: str = ''
 
 
@@ -119,6 +121,7 @@
             break
         else:
             break
+    outcome.ended_at = trio.current_time()
     if 200 <= outcome.status < 300:
         outcome.problem = _find_problem(outcome, headers, body)
 
--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -1,6 +1,7 @@
 """Simulated targets of the platform that record what they run."""
 
 import collections
+import dataclasses
 import hashlib
 import json
 import random
@@ -24,12 +25,27 @@
     return hashlib.blake2b(text, digest_size=8).hexdigest()
 
 
+def service_of(target_id):
+    """Return the service of a target."""
+    return target_id.partition('-')[0]
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request that reached a target."""
+
+    request_id: str
+    target_id: str
+    at: float
+
+
 class RunRecord:
     """Requests run by all targets, and the violations that they saw."""
 
     def __init__(self):
         self.runs_by_id = collections.Counter()
         self.accounts_by_id = {}
+        self.arrivals = []
         self.violations = []
 
 
@@ -53,10 +69,10 @@
         self._holder = ''
         self.server = scripted.ScriptedServer(self._serve)
 
-    def registration(self, service, state='ready'):
+    def registration(self, state='ready'):
         """Return the object with which the target registers in the store."""
         fields = {
-            'service': service,
+            'service': service_of(self.target_id),
             'address': f'127.0.0.1:{self.server.port}',
             'zone': 'a',
             'version': 'v1',
@@ -141,6 +157,9 @@
         if self.is_engine and adapter not in self._loaded:
             await connection.send(_response(421, b'', request_id))
             return
+        self.record.arrivals.append(
+            Arrival(request_id, self.target_id, trio.current_time())
+        )
         draw = self._rng.random()
         if draw < self.fault_rate / 3:
             not_executed = b'x-mustardlb-not-executed: 1\r\n'
