Judge all clauses on configuration and leaving targets in the soak

The soak did not see that changes were not in force: it checked withdrawn keys only, and a node that had met a fault was faulty for long. Change: an operator adds, drops and moves routes, changes keys and timeouts; targets leave and return; each response is compared with the configurations that may be in force at a node in touch (3 s after its last fault), with what the node had shown before (250 ms), with its route's timeout (0.5 s). A process that ends by itself is a violation. Faults come in overlapping series between calm times. New: kept connections that fall silent, dropped history, a store that continues from a copy, stale lists, watches that end early, stalled targets; entries that cannot be read are off by default.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,39 +5,56 @@
 """
 
 import contextlib
-import signal
 
 import soak_clients
+import soak_configuration
+import soak_faults
 import soak_nodes
+import soak_operator
 import soak_store
 import soak_targets
 import trio
 
-# A node without faults rejects a withdrawn key this long after the withdrawal
-# was acknowledged.
-WITHDRAWAL_SECONDS = 2.0
+TARGET_COUNTS = {'llm': 3, 'desk': 3, 'shop': 3}
 
-# A node counts as faulty for this long after the end of a fault.
-RECOVERY_SECONDS = 3.0
+# Faults come in series, between which nodes are in touch again.
+MAX_SERIES_SECONDS = 2.0
+CALM_SECONDS = soak_nodes.STABILITY_SECONDS + 2.0
+
+# A process that ends by itself is noticed and started again in this time.
+SUPERVISION_SECONDS = 0.05
 
 
 class Soak:
     """One run with one seed.
 
-    `checks_withdrawals` also checks that withdrawn keys are rejected in time,
-    which requires a machine with idle processors.
+    `odd_entries` also writes entries of `servers` that no target writes. The
+    nodes run the code in the folder `root`.
+
+    :ivar judged_count: requests at nodes that were in touch
+    :ivar trace: when each fault and event began
     """
 
     def __init__(
-        self, seed, folder, nodes=3, clients=6, checks_withdrawals=True
+        self,
+        seed,
+        folder,
+        nodes=3,
+        clients=10,
+        odd_entries=False,
+        root=soak_nodes.ROOT,
     ):
-        self._checks_withdrawals = checks_withdrawals
         self.seed = seed
         self._folder = folder
         self._node_count = nodes
         self._client_count = clients
-        self._rng = soak_targets.make_rng(seed, 'faults')
+        self._odd_entries = odd_entries
+        self._root = root
+        self.rng = soak_targets.make_rng(seed, 'faults')
         self.store = soak_store.HttpStore()
+        self.operator = soak_operator.Operator(
+            self.store, soak_targets.make_rng(seed, 'operator')
+        )
         self.record = soak_targets.RunRecord()
         self.targets = [
             soak_targets.Target(
@@ -46,15 +63,15 @@
                 service == 'llm',
                 soak_targets.make_rng(seed, f'{service}{number}'),
             )
-            for service in ('llm', 'desk')
-            for number in range(3)
+            for service, count in TARGET_COUNTS.items()
+            for number in range(count)
         ]
         self.nodes = []
         self.outcomes = []
-        self.faults = []
-        self._version = 0
-        self._keys = ['key-0', 'key-1']
-        self._withdrawn_at = {}
+        self.leavings = []
+        self.trace = []
+        self.judged_count = 0
+        self._own_ends = []
 
     async def run(self, seconds):
         """Run for `seconds` and return the violations found."""
@@ -63,188 +80,134 @@
             for server in servers:
                 await stack.enter_async_context(server.running())
             for number in range(self._node_count):
-                await self._add_node(stack, number)
-            self._register_targets()
-            self._write_configuration()
+                self.nodes.append(
+                    await soak_nodes.add(
+                        stack,
+                        number,
+                        self.store.server.port,
+                        self._folder,
+                        self._root,
+                    )
+                )
+            self.register_targets()
+            self.operator.write()
             for node in self.nodes:
                 stack.callback(node.kill)
                 node.start()
             await self._run_clients(seconds)
-        violations = soak_clients.find_violations(
-            self.outcomes, self.record, self._withdrawn_since
-        )
-        if not any(outcome.status == 200 for outcome in self.outcomes):
-            violations.append('no request was served')
-        return violations
+            ended_at = trio.current_time()
+        return self._find_violations(ended_at)
 
-    async def _add_node(self, stack, number):
-        node = await soak_nodes.add(
-            stack, number, self.store.server.port, self._folder
-        )
-        self.nodes.append(node)
+    def note(self, text):
+        """Add a line to the trace."""
+        self.trace.append(f'{trio.current_time():.2f} {text}')
 
-    def _register_targets(self):
-        for target in self.targets:
-            self.store.put('servers', target.target_id, target.registration())
+    def draw_node(self):
+        """Return a random node and note it in the trace."""
+        node = self.rng.choice(self.nodes)
+        self.note(node.name)
+        return node
 
-    def _write_configuration(self):
-        self._version += self._rng.randint(1, 3)
-        self.store.put('config', 'main', self._configuration())
+    def register_targets(self):
+        """Write the entries of all targets."""
+        for target in self.targets:
+            self.register(target)
 
-    def _configuration(self):
-        routes = [
-            _route('get', 'idempotent', 'desk', 2),
-            _route('post', 'non_idempotent', 'desk', 2),
-            _route('stream', 'streaming', 'llm', 2),
-        ]
-        engine = {
-            'slots': 16,
-            'models': [{'name': soak_targets.MODEL, 'weights_mb': 1.0}],
-            'weights_mb': 10.0,
-            'adapter_slots': soak_targets.ADAPTER_SLOTS,
-            'loads_per_s': 10.0,
-        }
-        return {
-            'version': self._version,
-            'routes': routes,
-            'services': [
-                {'name': 'llm', 'engine': engine},
-                {'name': 'desk'},
-            ],
-            'tenants': [{'name': 'acme', 'api_keys': self._keys}],
-        }
+    def register(self, target):
+        """Write a target's entry, or remove that of a removed one."""
+        if target.state == 'removed':
+            self.store.remove('servers', target.target_id)
+            return
+        fields = target.registration(target.state)
+        self.store.put('servers', target.target_id, fields)
 
     async def _run_clients(self, seconds):
         async with trio.open_nursery() as nursery:
             for node in self.nodes:
                 await soak_nodes.until_ready(node)
+            nursery.start_soon(self._supervise)
             for number in range(self._client_count):
                 client = soak_clients.Client(
                     f's{self.seed}c{number}',
                     self.nodes,
-                    lambda: [*self._keys, *self._withdrawn_at][:4],
+                    self.operator,
                     soak_targets.make_rng(self.seed, f'client{number}'),
                     self.outcomes,
                 )
                 nursery.start_soon(client.run)
             with trio.move_on_after(seconds):
-                await self._inject_faults()
+                events = soak_faults.EVENTS
+                if self._odd_entries:
+                    events += (soak_faults.write_odd_entry,) * 2
+                nursery.start_soon(self._inject, events, 0.8)
+                while True:
+                    await self._inject_series()
+                    self.note('calm')
+                    await trio.sleep(CALM_SECONDS)
             nursery.cancel_scope.cancel()
 
-    async def _inject_faults(self):
-        """Start random faults at random intervals; faults may overlap."""
-        kinds = (
-            self._kill_node,
-            self._stop_node,
-            self._pause_node,
-            self._disrupt_connections,
-            self._store_outage,
-            self._lose_responses,
-            self._target_faults,
-            self._change_configuration,
-            self._withdraw_key,
-            self._reload_settings,
-        )
+    async def _inject_series(self):
+        """Start overlapping faults, all of which end with the series."""
+        with trio.move_on_after(self.rng.uniform(0.5, 1) * MAX_SERIES_SECONDS):
+            await self._inject(soak_faults.FAULTS, 0.5)
+
+    async def _inject(self, kinds, max_interval):
+        """Start random kinds at random intervals until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                await trio.sleep(self._rng.uniform(0.2, 1.2))
-                fault = self._rng.choice(kinds)
-                self.faults.append((trio.current_time(), fault.__name__))
-                nursery.start_soon(fault)
-
-    @contextlib.contextmanager
-    def _mark_faulty(self, *nodes):
-        for node in nodes:
-            node.faulty_until = float('inf')
-        try:
-            yield
-        finally:
-            for node in nodes:
-                node.faulty_until = trio.current_time()
-
-    async def _kill_node(self):
-        node = self._rng.choice(self.nodes)
-        with self._mark_faulty(node):
-            node.kill()
-            await trio.sleep(self._rng.uniform(0.1, 1.5))
-            node.start()
-
-    async def _stop_node(self):
-        node = self._rng.choice(self.nodes)
-        with self._mark_faulty(node):
-            node.signal(signal.SIGTERM)
-            with trio.move_on_after(soak_nodes.STOP_GRACE_SECONDS):
-                while node.process.poll() is None:
-                    await trio.sleep(0.1)
-            node.kill()
-            node.start()
-
-    async def _pause_node(self):
-        node = self._rng.choice(self.nodes)
-        with self._mark_faulty(node):
-            node.signal(signal.SIGSTOP)
-            await trio.sleep(self._rng.uniform(0.3, 3.0))
-            node.signal(signal.SIGCONT)
-
-    async def _reload_settings(self):
-        self._rng.choice(self.nodes).signal(signal.SIGHUP)
-
-    async def _disrupt_connections(self):
-        node = self._rng.choice(self.nodes)
-        mode = self._rng.choice(['delay', 'reset', 'stall', 'stall_responses'])
-        with self._mark_faulty(node):
-            node.proxy.set_mode(mode)
-            await trio.sleep(self._rng.uniform(0.5, 3.0))
-            node.proxy.set_mode('pass')
-
-    async def _store_outage(self):
-        with self._mark_faulty(*self.nodes):
-            self.store.is_down = True
-            await trio.sleep(self._rng.uniform(0.5, 2.5))
-            self.store.is_down = False
-
-    async def _lose_responses(self):
-        with self._mark_faulty(*self.nodes):
-            self.store.loses_responses = True
-            await trio.sleep(self._rng.uniform(0.3, 1.5))
-            self.store.loses_responses = False
-
-    async def _target_faults(self):
-        target = self._rng.choice(self.targets)
-        target.fault_rate = self._rng.uniform(0.1, 0.6)
-        await trio.sleep(self._rng.uniform(0.5, 3.0))
-        target.fault_rate = soak_targets.BASE_FAULT_RATE
-
-    async def _change_configuration(self):
-        self._write_configuration()
-
-    async def _withdraw_key(self):
-        key = self._keys.pop(0)
-        self._keys.append(f'key-{len(self._withdrawn_at) + 2}')
-        self._write_configuration()
-        self._withdrawn_at[key] = trio.current_time()
-
-    def _withdrawn_since(self, outcome):
-        """Return when the key was withdrawn if the node had to reject it."""
-        at = self._withdrawn_at.get(outcome.key)
-        if at is None or not self._checks_withdrawals:
-            return None
-        node = next(n for n in self.nodes if n.name == outcome.node)
-        checked_from = max(at, node.faulty_until + RECOVERY_SECONDS)
-        if outcome.sent_at > checked_from + WITHDRAWAL_SECONDS:
-            return at
-        return None
-
-
-def _route(name, kind, service, attempts):
-    return {
-        'name': name,
-        'host': 'h',
-        'path_prefix': f'/{name}/',
-        'route_type': kind,
-        'service': service,
-        'timeout_ms': 2500,
-        'target_latency_ms': 500,
-        'max_attempts': attempts,
-        'resumable': kind == 'streaming',
-    }
+                await trio.sleep(self.rng.uniform(0.05, max_interval))
+                kind = self.rng.choice(kinds)
+                self.note(kind.__name__)
+                nursery.start_soon(kind, self)
+
+    async def _supervise(self):
+        while True:
+            for node in self.nodes:
+                if not node.stop_count and node.process.poll() is not None:
+                    self.note(f'{node.name} ended')
+                    self._own_ends.append(
+                        f'{node.name} ended by itself with status '
+                        f'{node.process.returncode}'
+                    )
+                    node.start()
+            await trio.sleep(SUPERVISION_SECONDS)
+
+    def _find_violations(self, ended_at):
+        nodes_by_name = {each.name: each for each in self.nodes}
+
+        def is_in_touch(outcome, until):
+            return nodes_by_name[outcome.node].is_in_touch(
+                outcome.sent_at, until
+            )
+
+        self.judged_count = sum(
+            is_in_touch(each, each.sent_at) for each in self.outcomes
+        )
+        arrivals = self.record.arrivals
+        history = self.operator.history
+        found = soak_configuration.evidence(self.outcomes, arrivals)
+        violations = [
+            *self._own_ends,
+            *soak_clients.find_violations(self.outcomes, self.record),
+            *soak_configuration.find_stale(history, found, is_in_touch),
+            *soak_configuration.find_regressions(
+                history,
+                found,
+                lambda node, at: nodes_by_name[node].incarnation(at),
+            ),
+            *soak_configuration.find_late_arrivals(
+                self.leavings, self.outcomes, arrivals, is_in_touch
+            ),
+            *soak_configuration.find_overdue(
+                history, self.outcomes, ended_at, is_in_touch
+            ),
+            *soak_configuration.find_unserved_routes(
+                history,
+                self.outcomes,
+                [each.name for each in soak_operator.FIRST_ROUTES],
+                is_in_touch,
+            ),
+        ]
+        if not any(outcome.status == 200 for outcome in self.outcomes):
+            violations.append('no request was served')
+        return violations
--- a/tests/soak/soak_clients.py
+++ b/tests/soak/soak_clients.py
@@ -9,7 +9,11 @@
 
 TIMEOUT_SECONDS = 3.0
 
-# A post request that gets one of these must not have run at a target.
+# The routes whose requests may run more than once.
+REPEATABLE_KINDS = ('get', 'stream')
+
+# A request that may run only once and gets one of these must not have run at
+# a target.
 REJECTION_STATUSES = (408, 421, 429, 503)
 
 
@@ -17,6 +21,7 @@
 class Outcome:
     """The result of one request.
 
+    :ivar kind: name of the route
     :ivar status: status of the response, 0 without one
     :ivar is_complete: whether the response ended normally
     :ivar ended_at: end of the response or of the connection
@@ -37,10 +42,10 @@
 class Client:
     """Opens one connection at a time and sends several requests on each."""
 
-    def __init__(self, name, nodes, keys, rng, outcomes):
+    def __init__(self, name, nodes, operator, rng, outcomes):
         self._name = name
         self._nodes = nodes
-        self._keys = keys
+        self._operator = operator
         self._rng = rng
         self._outcomes = outcomes
         self._count = 0
@@ -80,10 +85,11 @@
 
     def _draw_request(self, node):
         self._count += 1
+        route, key = self._operator.draw_request(self._rng)
         outcome = Outcome(
             f'{self._name}-{self._count}',
-            self._rng.choice(['get', 'post', 'stream']),
-            self._rng.choice(self._keys()),
+            route,
+            key,
             node.name,
             trio.current_time(),
         )
@@ -99,6 +105,13 @@
 
 async def exchange(connection, stream, outcome, extra_headers=()):
     """Send the request of an outcome and complete the outcome."""
+    try:
+        await _exchange(connection, stream, outcome, extra_headers)
+    finally:
+        outcome.ended_at = trio.current_time()
+
+
+async def _exchange(connection, stream, outcome, extra_headers):
     await stream.send_all(_request(connection, outcome, extra_headers))
     headers, body = {}, b''
     while True:
@@ -121,7 +134,6 @@
             break
         else:
             break
-    outcome.ended_at = trio.current_time()
     if 200 <= outcome.status < 300:
         outcome.problem = _find_problem(outcome, headers, body)
 
@@ -169,19 +181,15 @@
     return ''
 
 
-def find_violations(outcomes, record, withdrawn_since):
-    """Return a description of each violation.
-
-    `withdrawn_since` returns when the key of an outcome was withdrawn if its
-    node had to reject the key, else None.
-    """
+def find_violations(outcomes, record):
+    """Return a description of each wrong response."""
     violations = list(record.violations)
     for each in outcomes:
         label = f'{each.kind} {each.request_id}'
         runs = record.runs_by_id[each.request_id]
         if each.problem and 200 <= each.status < 300:
             violations.append(f'{label}: {each.problem}')
-        if each.kind != 'post':
+        if each.kind in REPEATABLE_KINDS:
             continue
         if runs > 1:
             violations.append(f'{label} ran {runs} times')
@@ -189,11 +197,4 @@
             violations.append(
                 f'{label} ran and its client received {each.status}'
             )
-    for each in outcomes:
-        withdrawn_at = withdrawn_since(each)
-        if withdrawn_at is not None and record.runs_by_id[each.request_id]:
-            violations.append(
-                f'{each.request_id} ran at {each.node} with a key that was '
-                f'withdrawn {each.sent_at - withdrawn_at:.1f} s before'
-            )
     return violations
--- a/tests/soak/soak_configuration.py
+++ b/tests/soak/soak_configuration.py
@@ -15,6 +15,14 @@
 
 REFUSAL_STATUSES = (401, 404)
 
+# A request gets a final answer this long after its route's timeout.
+OVERDUE_SECONDS = 0.5
+
+# From this number of requests on, routes that were added later are served at
+# least this part as often as the first ones.
+MIN_ADDED_REQUESTS = 20
+MIN_SERVED_RATIO = 0.25
+
 
 @dataclasses.dataclass(frozen=True)
 class Route:
@@ -133,11 +141,19 @@
         allowed = set().union(
             *(c.results(outcome.kind, outcome.key) for c in current)
         )
-        if each.result in allowed or not is_in_touch(outcome, each.at):
+        if each.result in allowed:
+            continue
+        # What each configuration allows is refused by no node.
+        is_never_refused = not any(
+            each.result in c.results(outcome.kind, outcome.key)
+            for c in history
+        )
+        if not (is_never_refused or is_in_touch(outcome, each.at)):
             continue
         since = outcome.sent_at - current[0].acknowledged_at
         violations.append(
-            f'CONFIG: {outcome.request_id} /{outcome.kind}/ {outcome.key} got '
+            f'CONFIG: {outcome.sent_at:.2f} {outcome.request_id} '
+            f'/{outcome.kind}/ {outcome.key} got '
             f'{each.result} at {outcome.node}, {since:.2f} s after version '
             f'{current[0].version} was acknowledged'
         )
@@ -153,7 +169,8 @@
         versions = [
             c.version
             for c in history
-            if each.result in c.results(outcome.kind, outcome.key)
+            if c.acknowledged_at <= each.at
+            and each.result in c.results(outcome.kind, outcome.key)
         ]
         if not versions:
             continue
@@ -169,7 +186,8 @@
         if max(versions) < shown:
             violations.append(
                 f'CONFIG: {outcome.node} went back from version {shown} to '
-                f'{max(versions)} with {outcome.request_id}'
+                f'{max(versions)} with {outcome.request_id} at '
+                f'{outcome.sent_at:.2f}'
             )
         known = max((v for _, v in shown_by_node[node]), default=0)
         if min(versions) > known:
@@ -188,11 +206,59 @@
         outcome = outcomes_by_id[each.request_id]
         for leaving in leavings_by_id[each.target_id]:
             since = outcome.sent_at - leaving.acknowledged_at
-            is_late = since > IN_FORCE_SECONDS and each.at < leaving.ends_at
-            if is_late and is_in_touch(outcome, each.at):
-                violations.append(
-                    f'DRAIN: {each.request_id} of {outcome.node} reached '
-                    f'{each.target_id} {since:.2f} s after its leaving was '
-                    'acknowledged'
-                )
+            if since <= IN_FORCE_SECONDS or each.at >= leaving.ends_at:
+                continue
+            if not is_in_touch(outcome, each.at):
+                continue
+            violations.append(
+                f'DRAIN: {outcome.sent_at:.2f} {each.request_id} of '
+                f'{outcome.node} reached {each.target_id} {since:.2f} s '
+                'after its leaving was acknowledged'
+            )
+    return violations
+
+
+def find_overdue(history, outcomes, ended_at, is_in_touch):
+    """Return the requests without an answer in time after the timeout."""
+    violations = []
+    for each in outcomes:
+        answered_at = min(each.ended_at, ended_at)
+        current = may_be_in_force(history, each.sent_at, answered_at)
+        timeouts_ms = [
+            c.routes_by_name[each.kind].timeout_ms
+            for c in current
+            if each.kind in c.routes_by_name
+        ]
+        if not timeouts_ms:
+            continue
+        due_at = each.sent_at + max(timeouts_ms) / 1000 + OVERDUE_SECONDS
+        if answered_at > due_at and is_in_touch(each, due_at):
+            violations.append(
+                f'CONFIG: {each.sent_at:.2f} {each.request_id} /{each.kind}/ '
+                f'has no answer from {each.node} {OVERDUE_SECONDS} s after '
+                f'the timeout of {max(timeouts_ms)} ms'
+            )
     return violations
+
+
+def find_unserved_routes(history, outcomes, first_routes, is_in_touch):
+    """Return a violation if added routes are served too seldom."""
+    statuses_by_group = collections.defaultdict(list)
+    for each in outcomes:
+        current = may_be_in_force(history, each.sent_at, each.ended_at)
+        is_allowed = not any(
+            set(REFUSAL_STATUSES) & c.results(each.kind, each.key)
+            for c in current
+        )
+        if is_allowed and is_in_touch(each, each.sent_at):
+            is_added = each.kind not in first_routes
+            statuses_by_group[is_added].append(each.status == 200)
+    added, first = statuses_by_group[True], statuses_by_group[False]
+    if len(added) < MIN_ADDED_REQUESTS or not first:
+        return []
+    shares = sum(added) / len(added), sum(first) / len(first)
+    if shares[0] >= MIN_SERVED_RATIO * shares[1]:
+        return []
+    return [
+        f'CONFIG: of added routes {shares[0]:.2f}, of first {shares[1]:.2f}'
+    ]
--- /dev/null
+++ b/tests/soak/soak_faults.py
@@ -0,0 +1,228 @@
+"""Faults and events that a soak injects; each ends when it is cancelled."""
+
+import contextlib
+import dataclasses
+import signal
+
+import soak_configuration
+import soak_nodes
+import soak_targets
+import trio
+
+# Entries of `servers` that no target writes; the store's marks stand for what
+# `json` does not write.
+ODD_SPECS = (
+    {'service': 'desk', 'address': '127.0.0.1:99999', 'state': 'ready'},
+    {'service': 'desk', 'address': '127.0.0.1:9', 'slots': '@slots@'},
+    {'service': 'desk', 'address': '127.0.0.1:9', 'born': '@digits@'},
+    {'service': 'desk', 'address': '@bytes@'},
+    {'service': '@deep@'},
+)
+
+# A target that has reported its leaving serves on for this long at least.
+LEAVING_SECONDS = 2.5
+
+
+@contextlib.contextmanager
+def _faulty(run, *nodes):
+    intervals = [[trio.current_time(), float('inf')] for _ in nodes]
+    for node, interval in zip(nodes, intervals, strict=True):
+        node.faults.append(interval)
+    try:
+        yield
+    finally:
+        for interval in intervals:
+            interval[1] = trio.current_time()
+
+
+@contextlib.contextmanager
+def _restarted(run, node):
+    """Expect the end of the process; start it at the end."""
+    with _faulty(run, node):
+        node.stop_count += 1
+        try:
+            yield
+        finally:
+            node.kill()
+            node.stop_count -= 1
+            node.start()
+
+
+async def kill_node(run):
+    node = run.draw_node()
+    with _restarted(run, node):
+        node.kill()
+        await trio.sleep(run.rng.uniform(0.1, 1.5))
+
+
+async def stop_node(run):
+    node = run.draw_node()
+    with _restarted(run, node):
+        node.signal(signal.SIGTERM)
+        with trio.move_on_after(soak_nodes.STOP_GRACE_SECONDS):
+            while node.process.poll() is None:
+                await trio.sleep(0.1)
+
+
+async def pause_node(run):
+    node = run.draw_node()
+    with _faulty(run, node):
+        node.signal(signal.SIGSTOP)
+        try:
+            await trio.sleep(run.rng.uniform(0.3, 3.0))
+        finally:
+            node.signal(signal.SIGCONT)
+
+
+async def disrupt_connections(run):
+    node = run.draw_node()
+    mode = run.rng.choice(['delay', 'reset', 'stall', 'stall_responses'])
+    with _faulty(run, node):
+        node.proxy.set_mode(mode)
+        try:
+            await trio.sleep(run.rng.uniform(0.5, 3.0))
+        finally:
+            # The kept connections need not outlast the fault.
+            if run.rng.random() < 0.5:
+                node.proxy.silence()
+            node.proxy.set_mode('pass')
+
+
+async def silence_connections(run):
+    with _faulty(run, *run.nodes):
+        for node in run.nodes:
+            node.proxy.silence()
+
+
+async def disrupt_store(run):
+    """Let the store be down, lose responses or return stale lists."""
+    name = run.rng.choice(['is_down', 'loses_responses', 'stale_copy'])
+    value = run.store.copy()[1] if name == 'stale_copy' else True
+    with _faulty(run, *run.nodes):
+        setattr(run.store, name, value)
+        try:
+            await trio.sleep(run.rng.uniform(0.3, 2.5))
+        finally:
+            setattr(run.store, name, None)
+
+
+async def drop_history(run):
+    with _faulty(run, *run.nodes):
+        run.store.drop_history()
+
+
+async def restore_store(run):
+    """Continue from a copy; operator and targets write what it lacks."""
+    saved = run.store.copy()
+    with _faulty(run, *run.nodes):
+        try:
+            await trio.sleep(run.rng.uniform(0.2, 1.0))
+        finally:
+            run.store.restore(saved)
+            run.operator.write()
+            run.register_targets()
+
+
+async def reload_settings(run):
+    run.draw_node().signal(signal.SIGHUP)
+
+
+async def fail_target(run):
+    target = run.rng.choice(run.targets)
+    target.fault_rate = run.rng.uniform(0.1, 0.6)
+    try:
+        await trio.sleep(run.rng.uniform(0.5, 3.0))
+    finally:
+        target.fault_rate = soak_targets.BASE_FAULT_RATE
+
+
+async def stall_target(run):
+    target = run.rng.choice(run.targets)
+    target.stall_rate = run.rng.uniform(0.2, 0.8)
+    try:
+        await trio.sleep(run.rng.uniform(0.3, 1.0))
+    finally:
+        target.stall_rate = 0.0
+
+
+async def change_configuration(run):
+    run.note(run.operator.change())
+
+
+async def change_configuration_beside_silence(run):
+    """Let kept connections pass nothing more right before a change."""
+    for node in run.nodes:
+        node.proxy.silence()
+    run.note(run.operator.change())
+
+
+async def end_watches(run):
+    run.store.watch_seconds = run.rng.uniform(0.0, 0.3)
+    try:
+        await trio.sleep(run.rng.uniform(0.3, 1.5))
+    finally:
+        run.store.watch_seconds = None
+
+
+async def drain_target(run):
+    """Let a target leave and return, one of a service at a time."""
+    ready = [each for each in run.targets if each.state == 'ready']
+    services = [soak_targets.service_of(each.target_id) for each in ready]
+    free = [
+        each
+        for each in ready
+        if services.count(soak_targets.service_of(each.target_id)) > 2
+    ]
+    if not free:
+        return
+    target = run.rng.choice(free)
+    target.state = run.rng.choice(['draining', 'removed'])
+    run.register(target)
+    leaving = soak_configuration.Leaving(target.target_id, trio.current_time())
+    run.note(f'{target.target_id} {target.state}')
+    try:
+        await trio.sleep(LEAVING_SECONDS + run.rng.uniform(0.0, 1.0))
+    finally:
+        run.leavings.append(
+            dataclasses.replace(leaving, ends_at=trio.current_time())
+        )
+        target.state = 'ready'
+        target.born += 1
+        run.register(target)
+        run.note(f'{target.target_id} is back')
+
+
+async def write_odd_entry(run):
+    name = f'odd-{run.rng.randint(0, 99)}'
+    number = run.rng.randrange(len(ODD_SPECS))
+    run.note(f'odd entry {number}')
+    run.store.put('servers', name, ODD_SPECS[number])
+    try:
+        await trio.sleep(run.rng.uniform(0.3, 2.5))
+    finally:
+        run.store.remove('servers', name)
+
+
+# Faults of nodes, links and store, after which a node is not in touch.
+FAULTS = (
+    kill_node,
+    stop_node,
+    pause_node,
+    disrupt_connections,
+    silence_connections,
+    disrupt_store,
+    drop_history,
+    restore_store,
+)
+
+# What all rules hold beside.
+EVENTS = (
+    change_configuration,
+    change_configuration,
+    change_configuration_beside_silence,
+    end_watches,
+    drain_target,
+    fail_target,
+    stall_target,
+    reload_settings,
+)
--- a/tests/soak/soak_links.py
+++ b/tests/soak/soak_links.py
@@ -37,15 +37,13 @@
 JUDGED_SECONDS = 2.0
 CUT_SECONDS = 3.0
 
-# A node is in touch again this long after the end of a fault.
-STABILITY_SECONDS = 3.0
-
 
 @dataclasses.dataclass
 class Site:
     """A store, nodes and targets that fail no request.
 
     :ivar healed_at: end of the last fault of the links
+    :ivar ended_at: end of the probes, which cuts the last ones off
     """
 
     store: soak_store.HttpStore
@@ -56,6 +54,7 @@
     history: list = dataclasses.field(default_factory=list)
     leavings: list = dataclasses.field(default_factory=list)
     healed_at: float = 0.0
+    ended_at: float = 0.0
 
     def write(self, services_by_route, keys):
         """Write the next version of the configuration."""
@@ -188,6 +187,7 @@
             await trio.sleep(SETTLE_SECONDS)
             await CASES_BY_NAME[name](site)
             await trio.sleep_until(_judged_from(site) + JUDGED_SECONDS)
+            site.ended_at = trio.current_time()
             nursery.cancel_scope.cancel()
         return _report(site)
 
@@ -196,7 +196,7 @@
     changed_at = site.history[-1].acknowledged_at
     return max(
         changed_at + soak_configuration.IN_FORCE_SECONDS,
-        site.healed_at + STABILITY_SECONDS,
+        site.healed_at + soak_nodes.STABILITY_SECONDS,
     )
 
 
@@ -219,7 +219,7 @@
     judged = [
         each
         for each in site.outcomes
-        if is_judged(each, None) and each.ended_at < float('inf')
+        if is_judged(each, None) and each.ended_at < site.ended_at
     ]
     unserved = [each for each in judged if each.request_id not in proved_ids]
     violations = [
--- a/tests/soak/soak_nodes.py
+++ b/tests/soak/soak_nodes.py
@@ -1,5 +1,6 @@
 """Gateway processes, each behind a proxy of its own."""
 
+import bisect
 import contextlib
 import dataclasses
 import json
@@ -19,13 +20,18 @@
 START_TIMEOUT_SECONDS = 30.0
 STOP_GRACE_SECONDS = 4.0
 
+# A node is in touch again this long after the end of a fault.
+STABILITY_SECONDS = 3.0
+
 
 @dataclasses.dataclass
 class Node:
     """One gateway process.
 
     :ivar root: folder of the repository whose code it runs
-    :ivar faulty_until: end of its last fault, infinite during a fault
+    :ivar faults: start and end of each fault, the end infinite during it
+    :ivar starts: when its processes were started
+    :ivar stop_count: number of faults that keep it stopped
     """
 
     name: str
@@ -37,12 +43,16 @@
     folder: pathlib.Path
     root: pathlib.Path = ROOT
     process: subprocess.Popen | None = None
-    faulty_until: float = 0.0
+    faults: list = dataclasses.field(default_factory=list)
+    starts: list = dataclasses.field(default_factory=list)
+    stop_count: int = 0
 
     def start(self):
         """Start the process unless another fault has; append to its log."""
-        if self.process is not None and self.process.poll() is None:
+        is_running = self.process is not None and self.process.poll() is None
+        if is_running or self.stop_count:
             return
+        self.starts.append(trio.current_time())
         path = self.folder / f'{self.name}.json'
         path.write_text(json.dumps(self._settings()))
         environment = os.environ | {
@@ -76,6 +86,17 @@
             'platform': {'address': f'127.0.0.1:{self.proxy.port}'},
         }
 
+    def is_in_touch(self, since, until):
+        """Whether no fault was there in this time and shortly before."""
+        return all(
+            end + STABILITY_SECONDS < since or start > until
+            for start, end in self.faults
+        )
+
+    def incarnation(self, at):
+        """Return the number of the process that ran at this time."""
+        return bisect.bisect(self.starts, at)
+
     def signal(self, number):
         """Send a signal to the process if it runs."""
         if self.process is not None and self.process.poll() is None:
--- a/tests/soak/soak_store.py
+++ b/tests/soak/soak_store.py
@@ -7,6 +7,17 @@
 import scripted
 import trio
 
+# What strings of odd entries stand for in responses.
+RAW_BY_MARK = {
+    b'"@deep@"': b'[' * 100_000 + b']' * 100_000,
+    b'"@digits@"': b'9' * 5_000,
+    b'"@bytes@"': b'"\xff\xfe"',
+    b'"@slots@"': b'1' + b'0' * 400,
+}
+
+# Only what the nodes mirror is read stale; the rest is linearizable.
+STALE_KINDS = ('config', 'servers')
+
 
 class HttpStore:
     """Objects by kind, with revisions, conditional writes and watches.
@@ -14,6 +25,9 @@
     :ivar is_down: every call gets status 503
     :ivar loses_responses: writes are committed, then the connection is reset
         without a response
+    :ivar stale_copy: objects by kind that lists contain instead, or None
+    :ivar watch_seconds: longest time of a watch, or None; every other one that
+        it ends is reset
     :ivar era: rises each time the store continues from a copy
     :ivar calls: number of calls so far
     """
@@ -27,6 +41,9 @@
         self.events = []
         self.is_down = False
         self.loses_responses = False
+        self.stale_copy = None
+        self.watch_seconds = None
+        self._ended_watch_count = 0
         self._changed = trio.Event()
         self.server = scripted.ScriptedServer(self._serve)
 
@@ -79,6 +96,8 @@
             await connection.reset()
             return
         payload = json.dumps(fields).encode()
+        for mark, replacement in RAW_BY_MARK.items():
+            payload = payload.replace(mark, replacement)
         await connection.send(
             b'HTTP/1.1 %d X\r\nstore-era: %d\r\ncontent-length: %d\r\n\r\n'
             % (status, self.era, len(payload))
@@ -103,6 +122,8 @@
             return (200, found) if found else (404, {})
         if 'watch' in query:
             return await self._watch(kind, query)
+        if self.stale_copy is not None and kind in STALE_KINDS:
+            objects = self.stale_copy.get(kind, {})
         return 200, {
             'items': list(objects.values()),
             'has_more': False,
@@ -111,9 +132,17 @@
 
     async def _watch(self, kind, query):
         since = int(query['watch'])
-        with trio.move_on_after(int(query['wait_ms']) / 1000):
+        wait = int(query['wait_ms']) / 1000
+        is_ended = self.watch_seconds is not None and self.watch_seconds < wait
+        if is_ended:
+            wait = self.watch_seconds
+        with trio.move_on_after(wait) as scope:
             while self._has(since) and not self._events_since(kind, since):
                 await self._changed.wait()
+        if is_ended and scope.cancelled_caught:
+            self._ended_watch_count += 1
+            if self._ended_watch_count % 2:
+                return None, None
         if not self._has(since):
             return 410, {}
         return 200, {
--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -12,6 +12,7 @@
 MODEL = 'base'
 ADAPTER_SLOTS = 4
 LOAD_SECONDS = 0.1
+STALL_SECONDS = 2.0
 EVENT_COUNT = 12
 EVENT_INTERVAL_SECONDS = 0.03
 
@@ -53,6 +54,9 @@
     """A plain target or an engine.
 
     :ivar fault_rate: share of requests that are reset or rejected
+    :ivar stall_rate: share of requests that are answered late
+    :ivar state: 'ready', 'draining' or 'removed'
+    :ivar born: number of its incarnation
     """
 
     def __init__(self, target_id, record, is_engine, rng):
@@ -60,6 +64,9 @@
         self.record = record
         self.is_engine = is_engine
         self.fault_rate = BASE_FAULT_RATE
+        self.stall_rate = 0.0
+        self.state = 'ready'
+        self.born = 1
         self._rng = rng
         self._loaded = set()
         self._loading = {}
@@ -78,7 +85,7 @@
             'version': 'v1',
             'slots': 16,
             'state': state,
-            'born': 1,
+            'born': self.born,
             'sequence': 1,
         }
         if self.is_engine:
@@ -176,7 +183,10 @@
         if self.is_engine:
             await self._stream(connection, headers, adapter)
             return
-        await trio.sleep(self._rng.uniform(0.005, 0.04))
+        is_stalled = self._rng.random() < self.stall_rate
+        await trio.sleep(
+            STALL_SECONDS if is_stalled else self._rng.uniform(0.005, 0.04)
+        )
         await connection.send(self._complete_response(request_id))
 
     def _complete_response(self, request_id):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,5 +11,5 @@
 
 @pytest.mark.parametrize('seed', SEEDS)
 async def test_promises_hold_under_faults(seed, tmp_path):
-    run = soak.Soak(seed, tmp_path, checks_withdrawals=False)
+    run = soak.Soak(seed, tmp_path)
     assert await run.run(SECONDS) == []
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -16,25 +16,40 @@
 import soak as soaks  # noqa: E402
 
 
-def main(seed: int = 1, count: int = 1, seconds: float = 20.0) -> None:
-    """Print the result of each seed; exit with 1 if any check failed."""
+def main(
+    seed: int = 1,
+    count: int = 1,
+    seconds: float = 20.0,
+    odd: bool = False,
+    root: str = str(ROOT),
+) -> None:
+    """Print the result of each seed; exit with 1 if any check failed.
+
+    `odd` also writes entries of targets that cannot be read. The nodes run the
+    code in the folder `root`.
+    """
     # The default action of SIGTERM would leave the gateway processes running.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     has_violations = False
     for run_seed in range(seed, seed + count):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{run_seed}-'))
-        run = soaks.Soak(run_seed, folder)
+        run = soaks.Soak(
+            run_seed, folder, odd_entries=odd, root=pathlib.Path(root)
+        )
         violations = trio.run(run.run, seconds)
         statuses = collections.Counter(
             outcome.status for outcome in run.outcomes
         )
         print(
             f'seed {run_seed}: {len(run.outcomes)} requests, '
-            f'{dict(sorted(statuses.items()))}, {len(run.faults)} faults, '
+            f'{run.judged_count} at nodes in touch, '
+            f'{dict(sorted(statuses.items()))}, {len(run.trace)} events, '
             f'{len(violations)} violations, logs in {folder}'
         )
         for line in violations[:20]:
             print(f'  {line}')
+        if violations:
+            (folder / 'trace').write_text('\n'.join(run.trace))
         has_violations |= bool(violations)
     sys.exit(has_violations)
 
