--- a/tests/mustardlb_platform/test_unreadable_objects.py
+++ b/tests/mustardlb_platform/test_unreadable_objects.py
@@ -45,7 +45,7 @@
         mirror = _mirror.Mirror(KIND)
         client = _store.Store('127.0.0.1', store.server.port)
         nursery.start_soon(
-            _store_watch.sync_mirror, mirror, client, trio.current_time
+            _store_watch.sync_mirrors, [mirror], client, trio.current_time
         )
         yield mirror
         nursery.cancel_scope.cancel()
