Pause after a watch that the store answers at once without a change

Cause: a quiet watch is renewed without a delay, also if the store does not wait, so that a node called without end. Change: after a response that comes early, as after a change, the next watch waits for the usual interval. Result: the test of a store that does not wait failed before and passes since.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
@@ -109,7 +109,7 @@
         # After an outage, or when peers are silent, the first call must return
         # at once.
         is_waiting = mirror.is_connected and not is_following
-        before = mirror.changed_revision
+        before, sent_at = mirror.changed_revision, clock()
         try:
             with trio.CancelScope() as watch.scope:
                 if must_list:
@@ -133,7 +133,9 @@
         must_list, is_following = False, False
         _mark_connected(mirror, clock())
         mirror.confirmed_at = max(mirror.confirmed_at, current_at)
-        if not is_waiting or mirror.changed_revision != before:
+        # The store may answer a watch at once although nothing has changed.
+        is_early = clock() - sent_at < WATCH_INTERVAL_SECONDS
+        if is_early or mirror.changed_revision != before:
             await _timers.sleep(WATCH_INTERVAL_SECONDS)
 
 
--- a/tests/mustardlb_gateway/test_mirror.py
+++ b/tests/mustardlb_gateway/test_mirror.py
@@ -262,3 +262,23 @@
     assert sync.is_overdue(KIND)
     mirror.replace_all([], 9)
     assert not sync.is_overdue(KIND)
+
+
+async def test_watches_that_end_at_once_are_not_repeated_at_once(
+    autojump_clock,
+):
+    """Guards against calls without end to a store that does not wait."""
+
+    class HastyStore(simulated_store.SimulatedStore):
+        async def watch(self, kind, revision, timeout):
+            await trio.sleep(0.001)
+            return await super().watch(kind, revision, 0.0)
+
+    store = HastyStore()
+    store.put(KIND, 'a', {})
+
+    async def check():
+        await trio.sleep(10)
+        assert store.calls < 40
+
+    await run_sync(store, _mirror.Mirror(KIND), check)
