Give up on a refusal whose body does not come

What callers would see: a request that may be repeated ended with 504 at its deadline though another target was free. Cause: the response timeout applied to the heads of all responses and to the bodies of others, but not to those of refusals.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -296,7 +296,7 @@
         # Without an id, a rejection may be a late one of an earlier request.
         is_rejected = info.not_executed or head.status == 421
         if is_rejected and info.request_id is not None:
-            await connection.receive_body(MAX_BUFFERED_RESPONSE_BYTES)
+            await self._receive_body(job, connection)
             attempt.outcome = _outcomes.Outcome.NOT_RUN
             attempt.problem = f'rejected with status {head.status}'
             return
@@ -315,14 +315,7 @@
                 job, attempt, target, connection, head, record_prefill
             )
             return
-        with self._response_timeout(job) as scope:
-            body = await connection.receive_body(
-                MAX_BUFFERED_RESPONSE_BYTES, job.hold
-            )
-        if scope.cancelled_caught:
-            raise http_client.ExchangeFailed(
-                'the target stopped sending the response'
-            )
+        body = await self._receive_body(job, connection, job.hold)
         record_prefill()
         attempt.output_at = trio.current_time()
         if is_success:
@@ -337,6 +330,22 @@
             return
         await self.forward(job, response)
 
+    async def _receive_body(
+        self,
+        job: _jobs.Job,
+        connection: http_client.Connection,
+        hold: abc.Callable[[int], bool] | None = None,
+    ) -> bytes:
+        """Return the body of a response; raises ExchangeFailed."""
+        with self._response_timeout(job):
+            return await connection.receive_body(
+                MAX_BUFFERED_RESPONSE_BYTES, hold
+            )
+        # Reached only after the timeout.
+        raise http_client.ExchangeFailed(
+            'the target stopped sending the response'
+        )
+
     def _record_state(
         self,
         target: domain.Target,
--- a/tests/mustardlb_gateway/test_unframed_responses.py
+++ b/tests/mustardlb_gateway/test_unframed_responses.py
@@ -168,3 +168,38 @@
         assert len(late) == 1
         # The repetition is the only request too many.
         assert harness.request_count == 31
+
+
+@pytest.mark.parametrize('sent', [0, 3])
+async def test_refusal_that_falls_silent_is_not_awaited_to_the_deadline(sent):
+    """A refusal whose body never came held the call until its deadline."""
+
+    async def fall_silent(connection, head, body):
+        whole = scripted.response(
+            scripted.request_id(head), b'refused', 503, b'x-not-run: 1'
+        )
+        await connection.send(whole[: len(whole) - len(b'refused') + sent])
+        await trio.sleep_forever()
+
+    harness = gateway_harness.Harness(IDEMPOTENT)
+    async with harness.running(respond, respond):
+        test_lost_responses.use_in_turn(harness, (fall_silent, respond))
+        answer = await harness.send_request()
+        assert (answer.status, answer.body) == (200, b'second')
+
+
+async def test_unfinished_refusal_does_not_say_that_a_request_has_not_run():
+    """Its rest may be that of another response."""
+
+    async def fall_silent(connection, head, body):
+        whole = scripted.response(
+            scripted.request_id(head), b'refused', 503, b'x-not-run: 1'
+        )
+        await connection.send(whole[:-3])
+        await trio.sleep_forever()
+
+    harness = gateway_harness.Harness(NON_IDEMPOTENT)
+    async with harness.running(fall_silent, fall_silent):
+        answer = await harness.send_request(b'x-wait: 0.5\r\n')
+        assert answer.status in (502, 504)
+        assert harness.request_count == 1
