Tell a node that relays a connection that the target leaves

What was seen: a node that had passed on an answer with the notice that the target leaves sent requests of its own there. Cause: a node that relays copies bytes unread, so that it did not know of the notice in them. Change: the node that reads the answer tells the one that relayed it, in the message that tells of a target's rest; older versions ignore the new field.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_departures.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_departures.py
@@ -31,11 +31,11 @@
         # By target id and incarnation, the last recorded one at the end.
         self._recorded_at_by_key: dict[tuple[str, int], float] = {}
 
-    def record(self, target: domain.Target) -> bool:
+    def record(self, target_id: str, incarnation: int) -> bool:
         """Record that a target leaves; return whether that is new."""
-        is_new = not self.has_left(target)
-        for incarnation in {target.incarnation, UNKNOWN_INCARNATION}:
-            key = target.target_id, incarnation
+        is_new = not self._holds(target_id, incarnation)
+        for each in {incarnation, UNKNOWN_INCARNATION}:
+            key = target_id, each
             self._recorded_at_by_key.pop(key, None)
             self._recorded_at_by_key[key] = self._clock()
         while len(self._recorded_at_by_key) > self._max_count:
@@ -44,11 +44,12 @@
 
     def has_left(self, target: domain.Target) -> bool:
         """Return whether this incarnation of a target leaves."""
-        recorded_at = self._recorded_at_by_key.get(
-            (target.target_id, target.incarnation)
-        )
+        return self._holds(target.target_id, target.incarnation)
+
+    def _holds(self, target_id: str, incarnation: int) -> bool:
+        recorded_at = self._recorded_at_by_key.get((target_id, incarnation))
         if recorded_at is None:
             return False
-        if target.incarnation != UNKNOWN_INCARNATION:
+        if incarnation != UNKNOWN_INCARNATION:
             return True
         return self._clock() < recorded_at + UNKNOWN_INCARNATION_SECONDS
--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -65,7 +65,7 @@
             [domain.Target, float | None, float, float | None], None
         ],
         states: _target_states.TargetStates,
-        tell_rest: abc.Callable[[str, domain.Target, float], None],
+        tell_rest: abc.Callable[[str, domain.Target, float, bool], None],
         record_origin: abc.Callable[
             [str, _messages.Origin, tuple[str, ...]], None
         ],
@@ -355,11 +355,12 @@
     ) -> None:
         """Record what a target says of itself.
 
-        It takes a request for one of the node that relayed it.
+        It takes a request for one of the node that relayed it, and that node
+        has passed on the response unread.
         """
         rest = self._states.record_response(target, head.status, info)
-        if rest and connection.helper:
-            self._tell_rest(connection.helper, target, rest)
+        if connection.helper and (rest or info.is_leaving):
+            self._tell_rest(connection.helper, target, rest, info.is_leaving)
 
     @staticmethod
     def _response_timeout_seconds(job: _jobs.Job) -> float:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -131,6 +131,7 @@
                 'target': body.target_id,
                 'incarnation': body.incarnation,
                 'seconds': body.seconds,
+                'isLeaving': body.is_leaving,
             }
         case _messages.Observed():
             return 'observed', {
@@ -471,7 +472,9 @@
             )
         case 'rest':
             rest = decoded.rest
-            return _messages.Rest(rest.target, rest.incarnation, rest.seconds)
+            return _messages.Rest(
+                rest.target, rest.incarnation, rest.seconds, rest.isLeaving
+            )
         case 'observed':
             observed = decoded.observed
             return _messages.Observed(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -328,7 +328,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rest:
-    """Tells a node that a target wants no requests from it.
+    """Tells a node that a target wants no requests from it, or leaves.
 
     Sent by the node for which it relayed the request. Has no response.
     """
@@ -336,6 +336,7 @@
     target_id: str
     incarnation: int
     seconds: float
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peer_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peer_requests.py
@@ -10,6 +10,7 @@
 from mustardlb_gateway import _stream_origins
 from mustardlb_gateway import _target_permits
 from mustardlb_gateway import _target_states
+from mustardlb_gateway import _targets
 from mustardlb_gateway import _trials
 from mustardlb_gateway import _warm_up
 
@@ -26,6 +27,7 @@
     cold_permits: _cold_permits.ColdPermits
     stream_origins: _stream_origins.StreamOrigins
     states: _target_states.TargetStates
+    targets: _targets.TargetTable
     warm_up: _warm_up.WarmUp
 
 
@@ -61,6 +63,10 @@
             handlers.states.record_rest(
                 body.target_id, body.incarnation, body.seconds
             )
+            if body.is_leaving:
+                handlers.targets.record_departure(
+                    body.target_id, body.incarnation
+                )
         case _messages.Observed():
             handlers.warm_up.handle_observed(message.vm, body)
         case _messages.Refund():
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -184,7 +184,7 @@
         }
         for target in targets.values():
             if target.state == domain.TargetState.DRAINING:
-                self._departures.record(target)
+                self._departures.record(target.target_id, target.incarnation)
         return {
             name: self._with_leaving(target)
             for name, target in targets.items()
@@ -198,17 +198,21 @@
 
     def record_leaving(self, target: domain.Target) -> None:
         """Record that a target leaves, before the store says so."""
-        if not self._departures.record(target):
+        self.record_departure(target.target_id, target.incarnation)
+
+    def record_departure(self, target_id: str, incarnation: int) -> None:
+        """Record that an incarnation of a target leaves."""
+        if not self._departures.record(target_id, incarnation):
             return
+        current = self.by_id.get(target_id)
         log.info(
             'MLB-6220',
-            target=target.target_id,
-            incarnation=target.incarnation,
-            is_registered=target.target_id in self.by_id,
+            target=target_id,
+            incarnation=incarnation,
+            is_registered=current is not None,
         )
-        current = self.by_id.get(target.target_id)
         if current is not None:
-            self.by_id[target.target_id] = self._with_leaving(current)
+            self.by_id[target_id] = self._with_leaving(current)
 
     def _handle_removal(self, target: domain.Target, now: float) -> None:
         until = self._mirror.connected_at + REREGISTRATION_SECONDS
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_requests.py
@@ -59,8 +59,10 @@
         cold_permits.is_cold,
     )
 
-    def tell_rest(helper: str, target: domain.Target, seconds: float) -> None:
-        _wiring_targets.tell_rest(peers, helper, target, seconds)
+    def tell_rest(
+        helper: str, target: domain.Target, seconds: float, is_leaving: bool
+    ) -> None:
+        _wiring_targets.tell_rest(peers, helper, target, seconds, is_leaving)
 
     def record_response_time(
         target: domain.Target, route: str, seconds: float, usual: float
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -231,12 +231,18 @@
 
 
 def tell_rest(
-    peers: _peers.Peers, helper: str, target: domain.Target, seconds: float
+    peers: _peers.Peers,
+    helper: str,
+    target: domain.Target,
+    seconds: float,
+    is_leaving: bool,
 ) -> None:
-    """Tell a node that a target has asked it for rest."""
+    """Tell a node that a target has asked it for rest, or leaves."""
     peers.notify(
         helper,
-        _messages.Rest(target.target_id, target.incarnation, seconds),
+        _messages.Rest(
+            target.target_id, target.incarnation, seconds, is_leaving
+        ),
     )
 
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -227,6 +227,7 @@
             self._cold_permits,
             self._stream_origins,
             self._target_parts.states,
+            self.targets,
             self._target_parts.warm_up,
         )
         self._client_server = self._make_client_server()
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -41,7 +41,8 @@
 struct Rest {
   target @0 :Text;
   incarnation @1 :UInt64;   # of the target
-  seconds @2 :Float64;
+  seconds @2 :Float64;      # 0 if it wants none
+  isLeaving @3 :Bool;
 }
 
 struct Observed {
--- a/tests/mustardlb_gateway/test_departures.py
+++ b/tests/mustardlb_gateway/test_departures.py
@@ -114,10 +114,10 @@
     """Registered targets that drain are kept when the oldest are dropped."""
     departures = _departures.Departures(lambda: 0.0, max_count=4)
     kept = builders.make_target('kept')
-    departures.record(kept)
+    departures.record('kept', 1)
     for number in range(10):
-        departures.record(kept)
-        departures.record(builders.make_target(f't{number}'))
+        departures.record('kept', 1)
+        departures.record(f't{number}', 1)
         assert departures.has_left(kept)
     assert departures.has_left(builders.make_target('t9'))
     assert not departures.has_left(builders.make_target('t1'))
