--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -65,7 +65,7 @@
             [domain.Target, float | None, float, float | None], None
         ],
         states: _target_states.TargetStates,
-        tell_rest: abc.Callable[[str, domain.Target, float], None],
+        tell_rest: abc.Callable[[str, domain.Target, float, bool], None],
         record_origin: abc.Callable[
             [str, _messages.Origin, tuple[str, ...]], None
         ],
@@ -296,7 +296,7 @@
         # Without an id, a rejection may be a late one of an earlier request.
         is_rejected = info.not_executed or head.status == 421
         if is_rejected and info.request_id is not None:
-            await connection.receive_body(MAX_BUFFERED_RESPONSE_BYTES)
+            await self._receive_body(job, connection)
             attempt.outcome = _outcomes.Outcome.NOT_RUN
             attempt.problem = f'rejected with status {head.status}'
             return
@@ -315,14 +315,7 @@
                 job, attempt, target, connection, head, record_prefill
             )
             return
-        with self._response_timeout(job) as scope:
-            body = await connection.receive_body(
-                MAX_BUFFERED_RESPONSE_BYTES, job.hold
-            )
-        if scope.cancelled_caught:
-            raise http_client.ExchangeFailed(
-                'the target stopped sending the response'
-            )
+        body = await self._receive_body(job, connection, job.hold)
         record_prefill()
         attempt.output_at = trio.current_time()
         if is_success:
@@ -337,6 +330,22 @@
             return
         await self.forward(job, response)
 
+    async def _receive_body(
+        self,
+        job: _jobs.Job,
+        connection: http_client.Connection,
+        hold: abc.Callable[[int], bool] | None = None,
+    ) -> bytes:
+        """Return the body of a response; raises ExchangeFailed."""
+        with self._response_timeout(job):
+            return await connection.receive_body(
+                MAX_BUFFERED_RESPONSE_BYTES, hold
+            )
+        # Reached only after the timeout.
+        raise http_client.ExchangeFailed(
+            'the target stopped sending the response'
+        )
+
     def _record_state(
         self,
         target: domain.Target,
@@ -346,11 +355,12 @@
     ) -> None:
         """Record what a target says of itself.
 
-        It takes a request for one of the node that relayed it.
+        It takes a request for one of the node that relayed it, and that node
+        has passed on the response unread.
         """
         rest = self._states.record_response(target, head.status, info)
-        if rest and connection.helper:
-            self._tell_rest(connection.helper, target, rest)
+        if connection.helper and (rest or info.is_leaving):
+            self._tell_rest(connection.helper, target, rest, info.is_leaving)
 
     @staticmethod
     def _response_timeout_seconds(job: _jobs.Job) -> float:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -136,6 +136,7 @@
                 'target': body.target_id,
                 'incarnation': body.incarnation,
                 'seconds': body.seconds,
+                'isLeaving': body.is_leaving,
             }
         case _messages.Observed():
             return 'observed', {
@@ -493,7 +494,10 @@
         case 'rest':
             rest = decoded.rest
             return _messages.Rest(
-                rest.target, rest.incarnation, _amounts.checked(rest.seconds)
+                rest.target,
+                rest.incarnation,
+                _amounts.checked(rest.seconds),
+                rest.isLeaving,
             )
         case 'observed':
             observed = decoded.observed
