Verify a lease by its holder and fencing token, not by its revision alone

Two nodes could send commands to one engine after the store continued from a copy. Cause: revisions are given out again, so that a lease of another node may have the revision of the own one. Change: the holder and the fencing token are compared too. Result: the test with a restored store failed before and passes since.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
@@ -204,13 +204,26 @@
             if lease.unconfirmed_since is None:
                 lease.unconfirmed_since = requested_at
             return False
-        if stored is None or stored.revision != lease.revision:
+        if stored is None or not self._is_own(stored, lease):
             self.drop(lease.target_id, 'the store has a newer lease')
             return False
         lease.verified_at = requested_at
         lease.unconfirmed_since = None
         return True
 
+    def _is_own(self, stored: ports.StoredObject, lease: Lease) -> bool:
+        """Return whether a stored lease is the one that this node holds.
+
+        A store that continues from a copy gives out revisions again, so that
+        a lease of another node may have the same one.
+        """
+        spec = stored.spec if isinstance(stored.spec, dict) else {}
+        return (
+            stored.revision == lease.revision
+            and spec.get('holder') == self._vm
+            and spec.get('fence') == lease.fence
+        )
+
     async def may_send_commands(self, lease: Lease, has_quorum: bool) -> bool:
         """Return whether a lease permits commands at this moment."""
         if self.by_target.get(lease.target_id) is not lease:
--- a/tests/mustardlb_gateway/test_leases.py
+++ b/tests/mustardlb_gateway/test_leases.py
@@ -179,3 +179,19 @@
     assert not await leases.may_send_commands(lease, False)
     store.get = get
     assert await leases.may_send_commands(lease, False)
+
+
+async def test_lease_of_another_node_with_the_same_revision_is_not_the_own(
+    autojump_clock,
+):
+    """Guards against a store that gives out revisions again."""
+    store = simulated_store.SimulatedStore()
+    first = make_leases(store, 'vm1')
+    lease = await first.claim('t1')
+    # The store continues from a copy without the lease.
+    store.objects_by_kind.clear()
+    store.revision = lease.revision - 1
+    other = await make_leases(store, 'vm2').claim('t1')
+    assert other.revision == lease.revision
+    await trio.sleep(_leases.VERIFICATION_TTL_SECONDS)
+    assert not await first.may_send_commands(lease, False)
