Replace connections between nodes that have fallen silent

Callers would see quotas exceeded and changes late: a connection that passes nothing more without a reset, while new ones work, stayed in use between nodes until the kernel closed it, for good behind a proxy that acknowledges. Only the hub with the feed was watched, the other one took the node for gone, and each request waited 1.5 s on the dead connection and the next one as well.

Each node now checks the connections that it opened: those to neighbours and those with a request that waits or had no response. Checks are counted, so that a pause of this process closes nothing. Requests on a closed connection end at once. A feed stays with a hub whose connection had worked, for 0.6 s on the new one, since the counters of another hub add nothing at first. A connection opened for a request no longer replaces one to a neighbour opened meanwhile, which would have ended the digests with its idle time.

A connection to a neighbour is checked after two base intervals, which grow with the fleet: at 380 nodes about 3 s until it is replaced, at up to 100 about 1.2 s (by the constants, not by a run at 380).

--- a/packages/mustardlb-gateway/mustardlb_gateway/_fleet.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_fleet.py
@@ -29,6 +29,10 @@
 # In a larger fleet, a feed times out after this many base intervals.
 FEED_TIMEOUT_INTERVALS = 3
 
+# A hub sends the first update on a new connection at once. It has at least
+# this time for it, which includes opening the connection.
+FIRST_UPDATE_SECONDS = 0.6
+
 # The last state of a data centre expires after this many feed timeouts. Its
 # hub has been replaced by then.
 CENTRE_TTL_FEED_TIMEOUTS = 2
@@ -73,6 +77,8 @@
     """Aggregates the digests of nodes and the updates of hubs.
 
     :ivar view: state of each data centre without the local node
+    :ivar asked_hubs: hubs of which it is being found out whether their
+        connections are silent; their feeds are kept meanwhile
     """
 
     def __init__(
@@ -98,6 +104,7 @@
         self._aggregated_at = float('-inf')
         self._other_centres = _centres.CentreState()
         self.view: dict[str, _centres.CentreState] = {}
+        self.asked_hubs: frozenset[str] = frozenset()
 
     def receive_digest(
         self, message: _messages.Message, digest: _messages.Digest
@@ -138,6 +145,15 @@
             self._check_feed(centre)
         return {feed.hub: feed for feed in feeds.values()}
 
+    def extend_feed(self, hub: str) -> None:
+        """Give a hub time for an update on a new connection."""
+        expected_by = self._clock() + FIRST_UPDATE_SECONDS
+        for feed in self._feeds_by_centre.values():
+            if feed.hub == hub:
+                feed.updated_at = max(
+                    feed.updated_at, expected_by - self._feed_timeout()
+                )
+
     def _feed_timeout(self) -> float:
         return max(
             FEED_TIMEOUT_SECONDS,
@@ -148,7 +164,11 @@
         """Select a hub if the feed is new, timed out or lost its hub."""
         now = self._clock()
         feed = self._feeds_by_centre.get(centre)
-        if feed is not None and now - feed.updated_at > self._feed_timeout():
+        if (
+            feed is not None
+            and now - feed.updated_at > self._feed_timeout()
+            and feed.hub not in self.asked_hubs
+        ):
             log.info(
                 'MLB-6306',
                 peer=feed.hub,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peer_channel.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peer_channel.py
@@ -10,6 +10,7 @@
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _message_codec
 from mustardlb_gateway import _messages
+from mustardlb_gateway import _silence
 from mustardlb_gateway import _sockets
 
 log = structlog.get_logger()
@@ -23,6 +24,12 @@
 # node asks each of the others only now and then.
 IDLE_TIMEOUT_SECONDS = 120.0
 
+# A request that every release answers at once and that has no effect.
+PROBE = _messages.TellOrigins({})
+
+# No other request has this id, so that nothing waits for the response.
+PROBE_REQUEST_ID = 0
+
 CONNECTION_ERRORS = (
     OSError,
     ValueError,
@@ -55,6 +62,8 @@
         self, stream: trio.SocketStream, encode: Encoder, vm: str = ''
     ) -> None:
         self._stream = stream
+        self._received = _silence.CountingStream(stream)
+        self._silence = _silence.Silence()
         self._encode = encode
         self.vm = vm
         self.subscriptions = 0
@@ -96,12 +105,47 @@
             with trio.move_on_after(timeout):
                 await self.send(self._encode(body, request_id))
                 return await receive.receive()
+            self._silence.suspect()
+        except trio.EndOfChannel:
+            return None
         except CONNECTION_ERRORS as error:
             log.info('MLB-6305', peer=self.vm, problem=repr(error))
         finally:
             self._pending_by_id.pop(request_id, None)
         return None
 
+    @property
+    def has_received(self) -> bool:
+        """Whether the other node has sent anything."""
+        return self._received.byte_count > 0
+
+    def check(self, checks_until_due: int | None) -> _silence.Action:
+        """Return what to do if a message is due and nothing was received.
+
+        The response to a request is due at the first check.
+        """
+        byte_count = self._received.byte_count
+        action = self._silence.check(
+            byte_count, 1 if self._pending_by_id else checks_until_due
+        )
+        if action is _silence.Action.CLOSE:
+            log.info(
+                'MLB-6310',
+                peer=self.vm,
+                requests=len(self._pending_by_id),
+                received_bytes=byte_count,
+            )
+        return action
+
+    async def ask(self) -> None:
+        """Ask for a response; raises one of CONNECTION_ERRORS."""
+        await self.send(self._encode(PROBE, PROBE_REQUEST_ID))
+
+    async def close(self) -> None:
+        """Close the connection, which ends `run` and all requests."""
+        self.is_open = False
+        await trio.aclose_forcefully(self._stream)
+
     async def run(
         self, handle_message: MessageHandler, handle_request: RequestHandler
     ) -> _messages.Message | None:
@@ -112,13 +156,17 @@
         relay: _messages.Message | None = None
         try:
             async with trio.open_nursery() as nursery:
-                while (data := await frames.receive(self._stream)) is not None:
+                while (
+                    data := await frames.receive(self._received)
+                ) is not None:
                     message = _message_codec.decode(data)
                     if isinstance(message.body, _messages.Relay):
                         relay = message
                         break
                     if isinstance(message.body, _messages.RESPONSES):
                         self._deliver_response(message)
+                    elif message.body == PROBE:
+                        nursery.start_soon(self._answer_probe, message.request)
                     elif isinstance(message.body, _messages.REQUESTS):
                         nursery.start_soon(
                             self._respond, handle_request, message
@@ -128,10 +176,15 @@
                 nursery.cancel_scope.cancel()
         finally:
             self.is_open = False
+            for pending in self._pending_by_id.values():
+                pending.close()
             if relay is None:
                 await trio.aclose_forcefully(self._stream)
         return relay
 
+    async def _answer_probe(self, request: int) -> None:
+        await self.send(self._encode(_messages.ToldOrigins(), request))
+
     def _deliver_response(self, message: _messages.Message) -> None:
         pending = self._pending_by_id.pop(message.request, None)
         if pending is not None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import itertools
+import math
 
 import structlog
 import trio
@@ -15,6 +16,7 @@
 from mustardlb_gateway import _peer_channel
 from mustardlb_gateway import _reachability
 from mustardlb_gateway import _relay
+from mustardlb_gateway import _silence
 from mustardlb_gateway import _sockets
 from mustardlb_gateway import _target_limits
 from mustardlb_gateway import _target_links
@@ -28,6 +30,11 @@
 # Interval at which the needed connections and feeds are checked.
 CONNECTION_CHECK_SECONDS = 0.25
 
+# A connection to a neighbour on which nothing was received for this many base
+# intervals is checked. They grow with the fleet, as does the number of nodes
+# that check a hub.
+QUIET_INTERVALS = 2
+
 
 class Peers:
     """The other nodes of the fleet.
@@ -79,6 +86,9 @@
         self._sequence = itertools.count(1)
         self._changed = trio.Event()
         self._send_requested = trio.Event()
+        # The connections that this node has opened, and the one to use to
+        # each node.
+        self._channels: set[_peer_channel.Channel] = set()
         self._channels_by_vm: dict[str, _peer_channel.Channel] = {}
         self._connected_vms: set[str] = set()
         self._nursery: trio.Nursery | None = None
@@ -128,6 +138,7 @@
     async def _maintain_connections(self, nursery: trio.Nursery) -> None:
         while True:
             self.membership.remove_lost()
+            self._check_channels(nursery)
             feeds = self.fleet.select_feeds()
             for vm in self.membership.neighbours() - self._connected_vms:
                 self._connected_vms.add(vm)
@@ -137,6 +148,49 @@
                     nursery.start_soon(self._subscribe, channel, feeds.get(vm))
             await _timers.sleep(CONNECTION_CHECK_SECONDS)
 
+    def _check_channels(self, nursery: trio.Nursery) -> None:
+        """Replace the connections that are silent though a message is due.
+
+        Neighbours get digests, so that it has to be known whether these
+        arrive. Other connections only carry requests. A hub whose connection
+        has worked keeps its feed, since the counters of another one would
+        add nothing at first.
+        """
+        asked: set[str] = set()
+        quiet_seconds = QUIET_INTERVALS * self.membership.base_interval
+        # The first check finds what was received since the last one.
+        checks_until_due = max(
+            1, math.ceil(quiet_seconds / CONNECTION_CHECK_SECONDS) - 1
+        )
+        neighbours = self.membership.neighbours()
+        for channel in list(self._channels):
+            action = channel.check(
+                checks_until_due if channel.vm in neighbours else None
+            )
+            if action is _silence.Action.NONE:
+                continue
+            if channel.has_received:
+                asked.add(channel.vm)
+            if action is _silence.Action.ASK:
+                nursery.start_soon(self._ask, channel)
+            elif action is _silence.Action.CLOSE:
+                self._remove_channel(channel)
+                if channel.has_received:
+                    self.fleet.extend_feed(channel.vm)
+                nursery.start_soon(channel.close)
+        self.fleet.asked_hubs = frozenset(asked)
+
+    async def _ask(self, channel: _peer_channel.Channel) -> None:
+        try:
+            await channel.ask()
+        except _peer_channel.CONNECTION_ERRORS as error:
+            log.info('MLB-6305', peer=channel.vm, problem=repr(error))
+
+    def _remove_channel(self, channel: _peer_channel.Channel) -> None:
+        self._channels.discard(channel)
+        if self._channels_by_vm.get(channel.vm) is channel:
+            del self._channels_by_vm[channel.vm]
+
     async def _maintain_connection(self, name: str) -> None:
         """Keep a node connected as long as it is a neighbour."""
         while name in self.membership.neighbours():
@@ -148,11 +202,13 @@
                 self.membership.mark_unreachable(name)
                 await trio.sleep(_peer_channel.RECONNECT_DELAY_SECONDS)
                 continue
+            self._channels_by_vm[name] = channel
             self.membership.mark_reachable(name)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._identify, channel)
-                await self._run_channel(channel)
-            await trio.sleep(_peer_channel.RECONNECT_DELAY_SECONDS)
+                is_silent = await self._run_channel(channel)
+            if not is_silent:
+                await trio.sleep(_peer_channel.RECONNECT_DELAY_SECONDS)
         self._connected_vms.discard(name)
 
     async def _identify(self, channel: _peer_channel.Channel) -> None:
@@ -179,10 +235,11 @@
         except OSError as error:
             log.info('MLB-6305', peer=vm.vm, problem=str(error))
             return None
-        self._channels_by_vm[vm.vm] = channel
+        self._channels.add(channel)
         return channel
 
-    async def _run_channel(self, channel: _peer_channel.Channel) -> None:
+    async def _run_channel(self, channel: _peer_channel.Channel) -> bool:
+        """Run until the end; return whether it was closed as silent."""
         try:
             await channel.run(self._handle_message, self._handle_request)
         except* _peer_channel.CONNECTION_ERRORS as errors:
@@ -191,8 +248,9 @@
                 peer=channel.vm,
                 problem=repr(errors.exceptions[0]),
             )
-        if self._channels_by_vm.get(channel.vm) is channel:
-            del self._channels_by_vm[channel.vm]
+        is_silent = channel not in self._channels
+        self._remove_channel(channel)
+        return is_silent
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         _sockets.set_tcp_options(stream)
@@ -395,13 +453,19 @@
     async def _request_channel(self, vm: str) -> _peer_channel.Channel | None:
         """Return a channel to a node, opened if there is none."""
         channel = self._channels_by_vm.get(vm)
-        if channel is not None:
+        if channel is not None and channel.is_open:
             return channel
         found = self.membership.vms_by_name.get(vm)
         if found is None or self._nursery is None:
             return None
         channel = await self._open_channel(found)
         if channel is not None:
+            # A connection to a neighbour, which carries the digests as well,
+            # may have been opened meanwhile. It is not replaced by this one,
+            # which ends when idle.
+            current = self._channels_by_vm.get(vm)
+            if current is None or not current.is_open:
+                self._channels_by_vm[vm] = channel
             self._nursery.start_soon(self._run_until_idle, channel)
         return channel
 
--- a/packages/mustardlb/mustardlb/frames.py
+++ b/packages/mustardlb/mustardlb/frames.py
@@ -21,7 +21,7 @@
     await stream.send_all(_LENGTH.pack(len(message)) + message)
 
 
-async def receive(stream: trio.abc.Stream) -> bytes | None:
+async def receive(stream: trio.abc.ReceiveStream) -> bytes | None:
     """Receive one message, or None at the end of the stream.
 
     Raises BadFrame.
@@ -35,7 +35,9 @@
     return await _receive_exactly(stream, length)
 
 
-async def _receive_exactly(stream: trio.abc.Stream, count: int) -> bytes:
+async def _receive_exactly(
+    stream: trio.abc.ReceiveStream, count: int
+) -> bytes:
     chunks = bytearray()
     while len(chunks) < count:
         chunk = await stream.receive_some(count - len(chunks))
