Ignore messages that only a newer release knows

A message whose kind this release does not know ended its connection, and so did the next one on the new connection: beside nodes of a newer release the counters and views of the fleet would never have been current. The decoder took the union's last member for the default; pycapnp refused to name an unknown member, which counted as an invalid message.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -15,6 +15,10 @@
 from mustardlb_gateway import ports
 
 
+class UnknownMessage(ValueError):
+    """A message of a kind that only a newer release knows."""
+
+
 def encode(message: _messages.Message) -> bytes:
     """Encode a message."""
     name, fields = _body_fields(message.body)
@@ -354,9 +358,14 @@
 
 
 def decode(data: bytes) -> _messages.Message:
-    """Decode a message; raises ValueError if it is invalid."""
+    """Decode a message.
+
+    Raises ValueError if it is invalid, UnknownMessage if its kind is unknown.
+    """
     try:
         decoded = schema.load('gateway').PeerMessage.from_bytes_packed(data)
+        if not _is_known(decoded):
+            raise UnknownMessage(f'unknown message of {len(data)} bytes')
         body = _decode_body(decoded)
     except (capnp.KjException, msgspec.MsgspecError) as error:
         raise ValueError(f'invalid message: {error}') from error
@@ -365,6 +374,14 @@
     )
 
 
+def _is_known(decoded: Any) -> bool:
+    try:
+        decoded.which()
+    except capnp.KjException:
+        return False
+    return True
+
+
 def _decode_body(decoded: Any) -> _messages.Body:
     match decoded.which():
         case 'digest':
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peer_channel.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peer_channel.py
@@ -65,6 +65,7 @@
         self._received = _silence.CountingStream(stream)
         self._silence = _silence.Silence()
         self._encode = encode
+        self._got_unknown = False
         self.vm = vm
         self.subscriptions = 0
         self.feed: object | None = None
@@ -159,7 +160,9 @@
                 while (
                     data := await frames.receive(self._received)
                 ) is not None:
-                    message = _message_codec.decode(data)
+                    message = self._decode(data)
+                    if message is None:
+                        continue
                     if isinstance(message.body, _messages.Relay):
                         relay = message
                         break
@@ -185,6 +188,16 @@
     async def _answer_probe(self, request: int) -> None:
         await self.send(self._encode(_messages.ToldOrigins(), request))
 
+    def _decode(self, data: bytes) -> _messages.Message | None:
+        """Return a message, None if only a newer release knows its kind."""
+        try:
+            return _message_codec.decode(data)
+        except _message_codec.UnknownMessage as error:
+            if not self._got_unknown:
+                self._got_unknown = True
+                log.info('MLB-6311', peer=self.vm, problem=str(error))
+            return None
+
     def _deliver_response(self, message: _messages.Message) -> None:
         pending = self._pending_by_id.pop(message.request, None)
         if pending is not None:
