--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -385,6 +385,8 @@
         return _messages.Message(
             decoded.vm, decoded.incarnation, decoded.request, body
         )
+    except UnknownMessage:
+        raise
     except (
         capnp.KjException,
         msgspec.MsgspecError,
