--- a/tools/soak.py
+++ b/tools/soak.py
@@ -48,8 +48,7 @@
         )
         for line in violations[:20]:
             print(f'  {line}')
-        if violations:
-            (folder / 'trace').write_text('\n'.join(run.trace))
+        (folder / 'trace').write_text('\n'.join(run.trace))
         has_violations |= bool(violations)
     sys.exit(has_violations)
 
