Give out no fencing token again that a node remembers

Cause: after the store continued from a copy without a lease, the next claim began with 1 again. Change: a claim's token is above those that this node had and that others have told in their holdings, also of engines whose registration was lost meanwhile.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_manager.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_manager.py
@@ -281,6 +281,10 @@
         """Return whether an adapter was resident on an engine recently."""
         return self._holders.was_resident(target_id, adapter)
 
+    def highest_fence(self, target_id: str) -> int:
+        """Return the highest fencing token that other nodes have told."""
+        return self._holders.highest_fence(target_id)
+
     def own_holdings(self) -> tuple[_centres.Holding, ...]:
         """Return the engines controlled by this node, for its digest."""
         for target_id, controller in self._by_target.items():
--- a/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
@@ -85,7 +85,11 @@
 
 
 class Leases:
-    """The leases held by this node."""
+    """The leases held by this node.
+
+    `told_fence` returns the highest fencing token for a target that another
+    node had. A store that continues from a copy may have lost that lease.
+    """
 
     def __init__(
         self,
@@ -96,7 +100,9 @@
         handover_time: abc.Callable[[], float],
         fences_checked: abc.Callable[[], bool],
         wall_clock: abc.Callable[[], float] = time.time,
+        told_fence: abc.Callable[[str], int] = lambda target_id: 0,
     ) -> None:
+        self._told_fence = told_fence
         self._vm = vm
         self._incarnation = incarnation
         self._store = store
@@ -107,6 +113,7 @@
         # Targets for which a write over another node's lease had no response.
         self._unacknowledged: set[str] = set()
         self.by_target: dict[str, Lease] = {}
+        self._own_fence_by_target: dict[str, int] = {}
 
     async def claim(self, target_id: str) -> Lease | None:
         """Claim the lease on an engine; return None if that failed."""
@@ -137,7 +144,11 @@
         self, target_id: str, stored: ports.StoredObject | None
     ) -> Lease:
         spec = {} if stored is None else _readable_spec(stored)
-        fence = spec['fence'] + 1 if stored else 1
+        fence = 1 + max(
+            spec['fence'] if stored else 0,
+            self._own_fence_by_target.get(target_id, 0),
+            self._told_fence(target_id),
+        )
         is_taken_over = stored is not None and spec.get('holder') != self._vm
         taken_at = self._taken_at(spec)
         if is_taken_over:
@@ -155,6 +166,7 @@
             written = await self._store.replace(
                 LEASE_KIND, target_id, new_spec, stored.revision
             )
+        self._own_fence_by_target[target_id] = fence
         now = self._clock()
         handover_wait = self._handover_time() + HANDOVER_MARGIN_SECONDS
         if not is_taken_over and target_id not in self._unacknowledged:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_engines.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_engines.py
@@ -42,6 +42,7 @@
         clock,
         lambda: settings().handover_time,
         lambda: settings().fences_checked,
+        told_fence=lambda target_id: manager.highest_fence(target_id),
     )
     manager = _engine_manager.EngineManager(
         vm,
--- a/tests/mustardlb_gateway/test_leases.py
+++ b/tests/mustardlb_gateway/test_leases.py
@@ -2,12 +2,20 @@
 import simulated_store
 import trio
 
+from mustardlb_gateway import _centres
+from mustardlb_gateway import _engine_holders
 from mustardlb_gateway import _leases
 
 HANDOVER_SECONDS = 3.0
 
 
-def make_leases(store, vm, fences_checked=True, incarnation=1):
+def make_leases(
+    store,
+    vm,
+    fences_checked=True,
+    incarnation=1,
+    told_fence=lambda target_id: 0,
+):
     return _leases.Leases(
         vm,
         incarnation,
@@ -16,6 +24,7 @@
         lambda: HANDOVER_SECONDS,
         lambda: fences_checked,
         lambda: 1e9 + trio.current_time(),
+        told_fence,
     )
 
 
@@ -195,3 +204,28 @@
     assert other.revision == lease.revision
     await trio.sleep(_leases.VERIFICATION_TTL_SECONDS)
     assert not await first.may_send_commands(lease, False)
+
+
+async def test_fencing_tokens_rise_though_the_store_has_lost_the_lease(
+    autojump_clock,
+):
+    """Guards against two holders with one token after a restore."""
+    store = simulated_store.SimulatedStore()
+    first = make_leases(store, 'vm1')
+    lease = await first.claim('t1')
+    store.objects_by_kind.clear()
+    second = make_leases(store, 'vm2', told_fence=lambda target_id: 1)
+    assert (await second.claim('t1')).fence == lease.fence + 1
+    store.objects_by_kind.clear()
+    assert (await second.claim('t1')).fence == lease.fence + 2
+
+
+def test_highest_fencing_token_outlives_its_holder():
+    """Guards against forgetting the token of a node that has ended."""
+    holders = _engine_holders.EngineHolders(frozenset)
+    holding = _centres.Holding('t1', 7, 1, True, {}, 0)
+    state = _centres.CentreState(holdings={('vm1', 't1'): holding})
+    holders.apply_fleet_view({'a': state})
+    holders.apply_fleet_view({})
+    holders.discard('t1')
+    assert holders.highest_fence('t1') == 7
