--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -136,16 +136,20 @@
                 )
                 nursery.start_soon(client.run)
             with trio.move_on_after(seconds):
-                events = soak_faults.EVENTS
-                if self._odd_entries:
-                    events += (soak_faults.write_odd_entry,) * 2
-                nursery.start_soon(self._inject, 'events', events, 0.8)
-                for number in itertools.count():
-                    await self._inject_series(f'series {number}')
-                    self.note('calm')
-                    await trio.sleep(CALM_SECONDS)
+                await self.inject_faults(nursery)
             nursery.cancel_scope.cancel()
 
+    async def inject_faults(self, nursery):
+        """Inject series of faults, and events all the time."""
+        events = soak_faults.EVENTS
+        if self._odd_entries:
+            events += (soak_faults.write_odd_entry,) * 2
+        nursery.start_soon(self._inject, 'events', events, 0.8)
+        for number in itertools.count():
+            await self._inject_series(f'series {number}')
+            self.note('calm')
+            await trio.sleep(CALM_SECONDS)
+
     async def _inject_series(self, name):
         """Start overlapping faults, all of which end with the series."""
         rng = soak_targets.make_rng(self.seed, f'length of {name}')
--- a/tests/soak/test_odd_entries.py
+++ b/tests/soak/test_odd_entries.py
@@ -3,7 +3,10 @@
 import json
 
 import soak
+import soak_faults
+import soak_nodes
 import soak_store
+import soak_targets
 import trio
 
 # Time within which a configuration is in force, and entries count.
@@ -49,7 +52,7 @@
     """
 
     def __init__(self, seed, folder):
-        super().__init__(seed, folder, nodes=2, checks_withdrawals=False)
+        super().__init__(seed, folder, nodes=2)
         self.late = []
         self.ended = ['not checked']
         # No request is sent to this address.
@@ -59,7 +62,7 @@
         async with self.trap.server.running():
             return await super().run(seconds)
 
-    async def _inject_faults(self):
+    async def inject_faults(self, nursery):
         address = b'127.0.0.1:%d' % self.trap.server.port
         entries = [ENTRY % (address, field) for field in ODD_FIELDS]
         entries += [ENTRY % (each, b'"slots": 8') for each in ODD_ADDRESSES]
@@ -71,9 +74,11 @@
             self.store.put_raw(kind, 'odd', entries[READABLE_FIELDS])
         await self._check_changes()
         # A process that starts reads them all in its first lists.
-        self.nodes[0].kill()
-        self.nodes[0].start()
-        await soak._until_ready(self.nodes[0])
+        await soak_faults.kill_node(
+            self, soak_targets.make_rng(self.seed, 'kill')
+        )
+        for node in self.nodes:
+            await soak_nodes.until_ready(node)
         await self._check_changes()
         self.ended = [
             node.name for node in self.nodes if node.process.poll() is not None
@@ -81,10 +86,11 @@
 
     async def _check_changes(self):
         """Check that the processes follow configuration and targets."""
-        self._write_configuration()
+        self.operator.write()
+        version = self.operator.history[-1].version
         # Gets no requests.
-        name = f'draining{self._version}'
-        entry = self.targets[-1].registration('desk', 'draining')
+        name = f'draining{version}'
+        entry = self.targets[-1].registration('draining')
         self.store.put('servers', name, entry)
         await trio.sleep(IN_FORCE_SECONDS)
         for node in self.nodes:
@@ -92,7 +98,7 @@
             self.late += [
                 (node.name, event)
                 for event in (
-                    ('MLB-6110', 'version', self._version),
+                    ('MLB-6110', 'version', version),
                     ('MLB-6201', 'target', name),
                 )
                 if event not in events
