--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -39,6 +39,7 @@
     """One gateway process.
 
     :ivar faulty_until: end of its last fault, infinite during a fault
+    :ivar root: folder of the code that it runs when it is started next
     """
 
     name: str
@@ -50,6 +51,7 @@
     folder: pathlib.Path
     process: subprocess.Popen | None = None
     faulty_until: float = 0.0
+    root: pathlib.Path = ROOT
 
     def start(self):
         """Start the process unless another fault has; append to its log."""
@@ -59,7 +61,7 @@
         path.write_text(json.dumps(self._settings()))
         environment = os.environ | {
             'MUSTARDLB_BOOT': str(path),
-            'PYTHONPATH': os.pathsep.join(str(ROOT / p) for p in PATHS),
+            'PYTHONPATH': os.pathsep.join(str(self.root / p) for p in PATHS),
         }
         log = (self.folder / f'{self.name}.log').open('ab')
         with log:
