Wait for the handover of a lease that an earlier release wrote

A node that had taken it over just before it got the present build did not wait for the holder before.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
@@ -111,8 +111,8 @@
         is_taken_over = stored is not None and spec.get('holder') != self._vm
         taken_at = spec.get('takenAt')
         if not isinstance(taken_at, int | float):
-            # Written by an earlier release.
-            taken_at = 0.0
+            # An earlier release may have taken the lease over just now.
+            taken_at = self._wall_clock() if stored is not None else 0.0
         if is_taken_over:
             taken_at = self._wall_clock()
             self._unacknowledged.add(target_id)
