--- a/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
@@ -188,13 +188,13 @@
 
     def _taken_at(self, spec: dict[str, Any]) -> float:
         """Return when a lease was taken over, Unix seconds."""
-        if spec.get('takenAt') is None:
-            # Written by an earlier release.
+        if not spec:
             return 0.0
         try:
-            return _amounts.finite(spec['takenAt'])
+            return _amounts.finite(spec.get('takenAt'))
         except ValueError:
-            # The handover may have begun only just now.
+            # An earlier release does not write it. The handover may have begun
+            # only just now.
             return self._wall_clock()
 
     async def verify(self, lease: Lease) -> bool:
--- a/tests/soak/soak_configuration.py
+++ b/tests/soak/soak_configuration.py
@@ -15,6 +15,11 @@
 
 REFUSAL_STATUSES = (401, 404)
 
+# An account with a usage cap, in requests a second and as a burst.
+CAPPED_KEY = 'key-capped'
+CAP_PER_SECOND = 10.0
+CAP_BURST = 10.0
+
 # A request gets a final answer this long after its route's timeout.
 OVERDUE_SECONDS = 0.5
 
@@ -67,7 +72,15 @@
             'version': self.version,
             'routes': [each.fields() for each in self.routes_by_name.values()],
             'services': list(self.services),
-            'tenants': [{'name': 'acme', 'api_keys': list(self.keys)}],
+            'tenants': [
+                {'name': 'acme', 'api_keys': list(self.keys)},
+                {
+                    'name': 'capped',
+                    'api_keys': [CAPPED_KEY],
+                    'rate_per_s': CAP_PER_SECOND,
+                    'burst': CAP_BURST,
+                },
+            ],
         }
 
     def results(self, route, key):
@@ -76,7 +89,7 @@
         refusals = set()
         if found is None:
             refusals.add(404)
-        if key not in self.keys:
+        if key not in (*self.keys, CAPPED_KEY):
             refusals.add(401)
         return refusals or {found.service}
 
--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -30,7 +30,8 @@
 
 
 @contextlib.contextmanager
-def _faulty(run, *nodes):
+def faulty(*nodes):
+    """Record that nodes are not in touch meanwhile."""
     intervals = [[trio.current_time(), float('inf')] for _ in nodes]
     for node, interval in zip(nodes, intervals, strict=True):
         node.faults.append(interval)
@@ -42,9 +43,9 @@
 
 
 @contextlib.contextmanager
-def _restarted(run, node):
+def restarted(run, node):
     """Expect the end of the process; start it at the end."""
-    with _faulty(run, node):
+    with faulty(node):
         node.stop_count += 1
         try:
             yield
@@ -56,14 +57,14 @@
 
 async def kill_node(run, rng):
     node = run.draw_node(rng)
-    with _restarted(run, node):
+    with restarted(run, node):
         node.kill()
         await trio.sleep(rng.uniform(0.1, 1.5))
 
 
 async def stop_node(run, rng):
     node = run.draw_node(rng)
-    with _restarted(run, node):
+    with restarted(run, node):
         node.signal(signal.SIGTERM)
         with trio.move_on_after(soak_nodes.STOP_GRACE_SECONDS):
             while node.process.poll() is None:
@@ -72,7 +73,7 @@
 
 async def pause_node(run, rng):
     node = run.draw_node(rng)
-    with _faulty(run, node):
+    with faulty(node):
         node.signal(signal.SIGSTOP)
         try:
             await trio.sleep(rng.uniform(0.3, 3.0))
@@ -83,7 +84,7 @@
 async def disrupt_connections(run, rng):
     node = run.draw_node(rng)
     mode = rng.choice(['delay', 'reset', 'stall', 'stall_responses'])
-    with _faulty(run, node):
+    with faulty(node):
         node.proxy.set_mode(mode)
         try:
             await trio.sleep(rng.uniform(0.5, 3.0))
@@ -95,7 +96,7 @@
 
 
 async def silence_connections(run, rng):
-    with _faulty(run, *run.nodes):
+    with faulty(*run.nodes):
         for node in run.nodes:
             node.proxy.silence()
 
@@ -104,7 +105,7 @@
     """Let the store be down, lose responses or return stale lists."""
     name = rng.choice(['is_down', 'loses_responses', 'stale_copy'])
     value = run.store.copy()[1] if name == 'stale_copy' else True
-    with _faulty(run, *run.nodes):
+    with faulty(*run.nodes):
         setattr(run.store, name, value)
         try:
             await trio.sleep(rng.uniform(0.3, 2.5))
@@ -113,14 +114,14 @@
 
 
 async def drop_history(run, rng):
-    with _faulty(run, *run.nodes):
+    with faulty(*run.nodes):
         run.store.drop_history()
 
 
 async def restore_store(run, rng):
     """Continue from a copy; operator and targets write what it lacks."""
     saved = run.store.copy()
-    with _faulty(run, *run.nodes):
+    with faulty(*run.nodes):
         try:
             await trio.sleep(rng.uniform(0.2, 1.0))
         finally:
