Relay no new connection to a target that is known to leave

What was seen: requests of a node without the notice reached the target by way of a node that had it. Change: such a node answers that the target rests, as for one that has asked for rest. Result: test_node_relays_nothing_to_a_target_that_has_told_it_of_leaving failed before and passes now.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_links.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_links.py
@@ -65,7 +65,8 @@
 class TargetLinks:
     """Connections to targets, with their links' state.
 
-    `is_resting` returns whether a target wants no requests from this node.
+    `is_resting` returns whether a target wants no requests from this node, or
+    leaves.
     `cut_off` returns the nodes that say that they reach no target.
 
     :ivar reachability: which targets this node reaches itself
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -214,6 +214,10 @@
         if current is not None:
             self.by_id[target_id] = self._with_leaving(current)
 
+    def has_left(self, target: domain.Target) -> bool:
+        """Return whether a target is known to leave."""
+        return self._departures.has_left(target)
+
     def _handle_removal(self, target: domain.Target, now: float) -> None:
         until = self._mirror.connected_at + REREGISTRATION_SECONDS
         if not self._mirror.is_connected:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -124,7 +124,7 @@
         lambda: membership.live,
         membership.data_centre_of,
         settings.data_centre,
-        lambda target: states.rest(target) > 0,
+        lambda target: states.rest(target) > 0 or targets.has_left(target),
         lambda: membership.cut_off,
     )
     relay_server = _relay.RelayServer(
--- a/tests/mustardlb_gateway/test_relayed_departures.py
+++ b/tests/mustardlb_gateway/test_relayed_departures.py
@@ -54,3 +54,27 @@
             before = len(leaving.arrivals)
             assert await site.send_requests(1, 40, 0.01) == [200] * 40
             assert len(leaving.arrivals) == before
+
+
+async def test_node_relays_nothing_to_a_target_that_has_told_it_of_leaving():
+    """Requests of a node without the notice went by way of one with it."""
+    leaving = LeavingTarget()
+    site = test_unreachable_targets.Site()
+    async with (
+        scripted.ScriptedServer(leaving.serve).running() as server,
+        site.running(nodes=2),
+    ):
+        links = [cut_links.Link(server.port) for _ in range(2)]
+        async with links[0].running(), links[1].running():
+            for by_port, link in zip(site.links_by_node, links, strict=True):
+                by_port[server.port] = link
+            spec = {'port': server.port, 'state': 'ready'}
+            site.cluster.store.put('servers', 'leaving', spec)
+            await trio.sleep(0.5)
+            leaving.is_leaving = True
+            while leaving.told_at is None:
+                await site.send_requests(1, 1)
+            await links[0].cut('reset')
+            before = len(leaving.arrivals)
+            assert await site.send_requests(0, 40, 0.02) == [200] * 40
+            assert len(leaving.arrivals) == before
