End the feed on a connection that a node has replaced

After connections had fallen silent, a hub went on encoding and sending updates on each of the old ones until the kernel closed it, for good behind a proxy that acknowledges, so that each silence added the work of all feeds.

A node's subscription now ends the feed on its earlier connection. test_no_updates_are_sent_on_replaced_connections failed before (20 nodes, virtual time: 288 messages in 5 s on silent connections) and passes now. Run with it: test_silent_connections.py, test_peers.py, test_newer_messages.py and tests/soak/test_builds.py, 65 passed.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peers.py
@@ -91,6 +91,8 @@
         self._channels: set[_peer_channel.Channel] = set()
         self._channels_by_vm: dict[str, _peer_channel.Channel] = {}
         self._connected_vms: set[str] = set()
+        # The connection with the last subscription of each node.
+        self._subscribers_by_vm: dict[str, _peer_channel.Channel] = {}
         self._nursery: trio.Nursery | None = None
 
     def alive(self) -> frozenset[str]:
@@ -262,6 +264,8 @@
             )
         except* _peer_channel.CONNECTION_ERRORS as errors:
             log.info('MLB-6304', problem=repr(errors.exceptions[0]))
+        if self._subscribers_by_vm.get(channel.vm) is channel:
+            del self._subscribers_by_vm[channel.vm]
         if relay is not None and isinstance(relay.body, _messages.Relay):
             await self._serve_relay(stream, relay.vm, relay.body)
 
@@ -288,6 +292,7 @@
                 channel.vm = message.vm
                 channel.subscriptions += 1
                 if message.body.is_wanted and self._nursery is not None:
+                    self._replace_subscriber(channel)
                     self._nursery.start_soon(
                         self._serve_subscription,
                         channel,
@@ -298,6 +303,13 @@
                 self._handle_update(channel, message, message.body)
         self._notify_changed()
 
+    def _replace_subscriber(self, channel: _peer_channel.Channel) -> None:
+        """End the feed on a node's earlier connection, which may be silent."""
+        previous = self._subscribers_by_vm.get(channel.vm)
+        if previous is not None and previous is not channel:
+            previous.subscriptions += 1
+        self._subscribers_by_vm[channel.vm] = channel
+
     def _handle_update(
         self,
         channel: _peer_channel.Channel,
--- a/tests/mustardlb_gateway/memory_network.py
+++ b/tests/mustardlb_gateway/memory_network.py
@@ -11,11 +11,13 @@
 
     :ivar is_silent: drops all that is sent, and does not tell the other end
         that one is closed
+    :ivar dropped: number of messages that were dropped
     """
 
     def __init__(self, port):
         self.port = port
         self.is_silent = False
+        self.dropped = 0
 
 
 class Stream(trio.abc.Stream):
@@ -27,6 +29,7 @@
 
     async def send_all(self, data):
         if self._link.is_silent:
+            self._link.dropped += 1
             await trio.lowlevel.checkpoint()
             return
         await self._inner.send_all(data)
--- a/tests/mustardlb_gateway/test_silent_connections.py
+++ b/tests/mustardlb_gateway/test_silent_connections.py
@@ -155,3 +155,18 @@
         await trio.sleep(spread)
         assert [n.remote_admitted for n in nodes[:-1]] == [3.0] * count
         assert all(len(node.peers.alive()) == count for node in nodes)
+
+
+async def test_no_updates_are_sent_on_replaced_connections(
+    monkeypatch, autojump_clock
+):
+    """Guards against a hub that works for each connection it ever had."""
+    network = memory_network.Network(monkeypatch)
+    nodes = peer_nodes.make_fleet('ab', 10)
+    async with peer_nodes.running(*nodes):
+        await trio.sleep(3)
+        network.silence()
+        await trio.sleep(4)
+        dropped = sum(link.dropped for link in network.links)
+        await trio.sleep(5)
+        assert sum(link.dropped for link in network.links) == dropped
