--- a/tests/mustardlb_gateway/scripted.py
+++ b/tests/mustardlb_gateway/scripted.py
@@ -6,6 +6,15 @@
 import trio
 
 
+async def serve_loopback(handler, task_status=trio.TASK_STATUS_IGNORED):
+    """Serve on a free port of one address.
+
+    A port of all addresses could be one that was drawn for a process that
+    starts later.
+    """
+    await trio.serve_tcp(handler, 0, host='127.0.0.1', task_status=task_status)
+
+
 class ScriptedServer:
     """Calls `script(connection, request, body)` for each request.
 
@@ -22,7 +31,7 @@
     @contextlib.asynccontextmanager
     async def running(self):
         async with trio.open_nursery() as nursery:
-            listeners = await nursery.start(trio.serve_tcp, self._serve, 0)
+            listeners = await nursery.start(serve_loopback, self._serve)
             self.port = listeners[0].socket.getsockname()[1]
             yield self
             nursery.cancel_scope.cancel()
--- a/tests/soak/soak_proxy.py
+++ b/tests/soak/soak_proxy.py
@@ -2,15 +2,12 @@
 
 import contextlib
 
+import scripted
 import trio
 
 DELAY_SECONDS = 0.25
 
 
-async def _serve_loopback(handler, task_status=trio.TASK_STATUS_IGNORED):
-    await trio.serve_tcp(handler, 0, host='127.0.0.1', task_status=task_status)
-
-
 class Proxy:
     """Forwards connections to a port on the loopback address.
 
@@ -28,8 +25,9 @@
     @contextlib.asynccontextmanager
     async def running(self):
         async with trio.open_nursery() as nursery:
-            # A port of all addresses could be one that a node has drawn.
-            listeners = await nursery.start(_serve_loopback, self._serve)
+            listeners = await nursery.start(
+                scripted.serve_loopback, self._serve
+            )
             self.port = listeners[0].socket.getsockname()[1]
             yield self
             nursery.cancel_scope.cancel()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -20,6 +20,7 @@
     seed: int = 1,
     count: int = 1,
     seconds: float = 20.0,
+    nodes: int = 3,
     odd: bool = False,
     root: str = str(ROOT),
 ) -> None:
@@ -34,7 +35,7 @@
     for run_seed in range(seed, seed + count):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{run_seed}-'))
         run = soaks.Soak(
-            run_seed, folder, odd_entries=odd, root=pathlib.Path(root)
+            run_seed, folder, nodes, odd_entries=odd, root=pathlib.Path(root)
         )
         violations = trio.run(run.run, seconds)
         statuses = collections.Counter(
