Drop changes that belong to a copy of an earlier epoch

That revision was of the earlier epoch and higher than the copy's new one, so that what lies between was taken for known. Change: a response is dropped if the copy's epoch has changed since the call; a watch is followed by a list.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_peer_sync.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peer_sync.py
@@ -105,7 +105,7 @@
     async def fetch(self, peers: _peers.Peers, vm: str, kind: str) -> None:
         """Fetch the changed objects of a kind from a peer."""
         mirror = self._mirrors_by_kind[kind]
-        since = mirror.revision
+        since, epoch_before = mirror.revision, mirror.epoch
         if self._latest.get(kind, (0, 0))[0] > mirror.epoch:
             since = 0
         response = await peers.request(
@@ -113,6 +113,9 @@
         )
         if not isinstance(response, _messages.Snapshot):
             return
+        if since and mirror.epoch != epoch_before:
+            # Objects unchanged since a revision of another epoch are missing.
+            return
         is_newer = mirror.merge(
             response.objects,
             response.names,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
@@ -206,10 +206,13 @@
     Raises StoreUnavailable, or RevisionCompacted if a list is required.
     """
     sent_at, before = clock(), mirror.changed_revision
+    epoch = mirror.epoch
     changes = await store.watch(mirror.kind, mirror.revision, timeout)
     if changes.epoch < mirror.epoch:
         raise ports.StoreUnavailable('the response is of an earlier epoch')
-    if not mirror.apply(changes):
+    # A peer may have sent a copy of another epoch meanwhile, and the changes
+    # after an earlier epoch's revision are not all that it lacks.
+    if mirror.epoch != epoch or not mirror.apply(changes):
         raise ports.RevisionCompacted
     if mirror.changed_revision != before:
         return sent_at
