Confirm copies of several kinds at the same time

What callers would see: old routes or targets that have left, later than allowed, while connections to the store are silent and it takes 250 ms for a response. Cause: copies of different revisions were confirmed one after the other, so that the last of four kinds waited for the responses of three others. Change: those that the first response does not confirm are confirmed at the same time. Result: test_confirm_kinds.py failed before (the fourth kind was old after 2 s) and passes now.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
@@ -147,25 +147,31 @@
     spread: abc.Callable[[], float],
 ) -> None:
     """Confirm each copy before it is too old, and replace silent watches."""
+
+    def due_in(watch: _Watch) -> float:
+        mirror = watch.mirror
+        if not mirror.is_connected or followed_at(mirror.kind) is not None:
+            return math.inf
+        seconds = confirm_seconds(mirror.freshness(), spread())
+        return mirror.confirmed_at + seconds - clock()
+
     while True:
-        due_in_by_kind = {
-            watch.mirror.kind: watch.mirror.confirmed_at
-            + confirm_seconds(watch.mirror.freshness(), spread())
-            - clock()
-            for watch in watches
-            if watch.mirror.is_connected
-            and followed_at(watch.mirror.kind) is None
-        }
-        due_in = min(due_in_by_kind.values(), default=math.inf)
-        if due_in > 0:
+        first = min(watches, key=due_in)
+        seconds = due_in(first)
+        if seconds > 0:
             await _timers.sleep(
-                min(MIN_CONFIRM_SECONDS, max(CONFIRM_STEP_SECONDS, due_in))
+                min(MIN_CONFIRM_SECONDS, max(CONFIRM_STEP_SECONDS, seconds))
             )
             continue
-        for watch in watches:
-            if due_in_by_kind.get(watch.mirror.kind) == due_in:
-                await _confirm_watch(watch, watches, store, clock)
-                break
+        await _confirm_watch(first, watches, store, clock)
+        # Copies of other revisions are not confirmed by that; one after the
+        # other they would wait for each other's responses.
+        async with trio.open_nursery() as nursery:
+            for watch in watches:
+                if due_in(watch) <= 0:
+                    nursery.start_soon(
+                        _confirm_watch, watch, watches, store, clock
+                    )
 
 
 async def _confirm_watch(
