Let targets register again after the store's restore

What callers would see: 503 for a service whose targets had registered since the copy from which the store continues, until they write again. Cause: targets that are missing after an outage may return, but a new epoch is also learnt without an outage, by a call that gets 410 or from a peer. Change: the same time is allowed after the start of an epoch. Result: the test of a restored store failed before and passes now, with test_targets and test_departures.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -89,6 +89,8 @@
         self.usage_by_id: dict[str, Usage] = {}
         self.centres_by_name: dict[str, _centres.CentreState] = {}
         self._departures = _departures.Departures(clock)
+        self._epoch = mirror.epoch
+        self._epoch_began_at = float('-inf')
         self._removal_callbacks: list[abc.Callable[[domain.Target], None]] = []
         self._registration_callbacks: list[
             abc.Callable[[domain.Target, bool], None]
@@ -137,6 +139,10 @@
                 for callback in self._registration_callbacks:
                     callback(target, not previous)
         now = self._clock()
+        if self._mirror.epoch != self._epoch:
+            # Registrations since the copy of the store's data are lost.
+            self._epoch = self._mirror.epoch
+            self._epoch_began_at = now
         for target_id, target in previous.items():
             new = current.get(target_id)
             if new is None:
@@ -215,7 +221,8 @@
             self.by_id[target_id] = self._with_leaving(current)
 
     def _handle_removal(self, target: domain.Target, now: float) -> None:
-        until = self._mirror.connected_at + REREGISTRATION_SECONDS
+        since = max(self._mirror.connected_at, self._epoch_began_at)
+        until = since + REREGISTRATION_SECONDS
         if not self._mirror.is_connected:
             until = now + REREGISTRATION_SECONDS
         may_return = until > now and target.state == domain.TargetState.READY
--- a/tests/mustardlb_gateway/test_targets.py
+++ b/tests/mustardlb_gateway/test_targets.py
@@ -99,3 +99,12 @@
     assert harness.table.pending_prefill_tokens('t1') == 300
     assert not harness.table.is_in_use('t1', adapter)
     assert harness.table.usage_by_id == {}
+
+
+def test_targets_that_a_restored_store_lacks_may_register_again(harness):
+    """Calls got 503 though the target was about to write again."""
+    harness.set_targets(builders.make_target('t1'))
+    harness.mirror.replace_all([], 1, epoch=1)
+    assert harness.ready() == {'t1'}
+    harness.now += _targets.REREGISTRATION_SECONDS + 0.1
+    assert harness.ready() == set()
