Take no page without names for a complete list of the store

Callers would see all targets removed. Cause: a page that held only objects without a readable name ended the list though more pages followed. Change: such a list fails and is asked for again.

--- a/tests/mustardlb_platform/test_store.py
+++ b/tests/mustardlb_platform/test_store.py
@@ -201,3 +201,14 @@
             ),
         )
     assert raised.group_contains(ports.StoreUnavailable)
+
+
+async def test_page_of_objects_without_names_is_no_complete_list():
+    """Guards against removing all that the next pages would have."""
+    page = response(
+        200,
+        {'items': [{'metadata': {}}], 'has_more': True, 'current_rev': 9},
+    )
+    with pytest.raises(BaseException) as raised:
+        await call_store([page], lambda store: store.list_objects('servers'))
+    assert raised.group_contains(ports.StoreUnavailable, match='no name')
