Replace the copy of a peer that is of a lost history

Nodes that began after the store continued from a copy could be moved back by a peer of an earlier release, and stay there on all nodes. Cause: such a peer tells no epoch, so that its higher revision counted as of the same epoch, and the lists of the store were refused as older.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
@@ -28,6 +28,7 @@
     :ivar revision: revision of the store, 0 before the first list
     :ivar epoch: epoch of the store that the revision belongs to
     :ivar is_in_first_epoch: whether no later epoch has begun since the start
+    :ivar is_from_peer: whether only a peer has told that there is the revision
     :ivar changed_revision: revision of the last change
     :ivar confirmed_at: time as of which all changes are known
     :ivar is_connected: whether the last call succeeded
@@ -45,6 +46,7 @@
         self.revision = 0
         self.epoch = 0
         self.is_in_first_epoch = True
+        self.is_from_peer = False
         self.changed_revision = 0
         self.confirmed_at = float('-inf')
         self.is_connected = False
@@ -85,10 +87,22 @@
             is_changed = True
         self.objects_by_name = new
         self.revision = revision
+        self.is_from_peer = source != LIST_SOURCE
         if is_changed:
             self._notify_change(revision, source)
         return True
 
+    def drop_history(self) -> None:
+        """Take any list for newer, and no peer's copy without an epoch."""
+        log.warning(
+            'MLB-6115',
+            kind=self.kind,
+            revision=self.revision,
+            epoch=self.epoch,
+        )
+        self.revision = self.changed_revision = 0
+        self.is_in_first_epoch = False
+
     def _begin_epoch(self, epoch: int, revision: int) -> None:
         if self.revision:
             self.is_in_first_epoch = False
@@ -132,6 +146,7 @@
         if changes.epoch != self.epoch:
             return False
         if changes.revision <= self.revision:
+            self.is_from_peer &= changes.revision < self.revision
             return True
         is_changed = False
         for change in changes.changes:
@@ -147,6 +162,7 @@
                 change.name, change.revision, change.spec
             )
         self.revision = changes.revision
+        self.is_from_peer = False
         if is_changed:
             self._notify_change(changes.revision, WATCH_SOURCE)
         return True
--- a/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
@@ -235,12 +235,19 @@
 
     A peer may have sent a later copy while the store sent the list, but what
     the copy had before the call is in the list, unless revisions went back
-    within an epoch. Raises StoreUnavailable in that case.
+    within an epoch. Raises StoreUnavailable in that case. If only a peer had
+    told what the copy had, it is of a lost history and is replaced.
     """
     sent_at = clock()
     epoch, revision = mirror.epoch, mirror.revision
     listing = await store.list_objects(mirror.kind)
-    if (listing.epoch, listing.revision) < (epoch, revision):
+    if (
+        mirror.is_from_peer
+        and (mirror.epoch, mirror.revision) == (epoch, revision)
+        and (listing.epoch, listing.revision) < (epoch, revision)
+    ):
+        mirror.drop_history()
+    elif (listing.epoch, listing.revision) < (epoch, revision):
         raise ports.StoreUnavailable(
             f'the list is of revision {listing.revision}, epoch '
             f'{listing.epoch}, before that of the copy'
