Count a followed copy as no newer than that of the node that is followed

Callers of nodes in large fleets could get 404 or a target that had left 0.2 s later than allowed (2.2 s of 2.0 s), and by nodes that took their copies for proved. Cause: a copy counted as of when the hub was heard, while the hub's own watch was silent and its last proof up to two seconds old. Change: a node says that it watches only while its copies are about as young as they are confirmed, and followers count that age.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
@@ -7,6 +7,7 @@
 
 from collections import abc
 import dataclasses
+import enum
 import math
 import random
 
@@ -45,6 +46,19 @@
 MAX_RETRY_SECONDS = 0.8
 
 
+# A node says that it watches the store while no copy is older by this time
+# than the age at which it is confirmed.
+TOLD_SLACK_SECONDS = 0.6
+
+
+class _Confirmation(enum.Enum):
+    """What became of a call that confirms a copy."""
+
+    DONE = enum.auto()
+    REFUSED = enum.auto()
+    SILENT = enum.auto()
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class _Watch:
     """The watch of one copy; `scope` ends the one that waits now."""
@@ -67,6 +81,17 @@
     return max(MIN_CONFIRM_SECONDS, CONFIRM_RATIO * freshness - spread)
 
 
+def told_age(freshness: float, spread: float) -> float:
+    """Return how old the copy of a node that says it watches may be."""
+    return confirm_seconds(freshness, spread) + TOLD_SLACK_SECONDS
+
+
+def is_watching(mirror: _mirror.Mirror, spread: float, now: float) -> bool:
+    """Whether a copy is followed closely enough for nodes that follow it."""
+    age = now - mirror.confirmed_at
+    return mirror.is_connected and age <= told_age(mirror.freshness(), spread)
+
+
 async def sync_mirrors(
     mirrors: abc.Iterable[_mirror.Mirror],
     store: ports.Store,
@@ -83,7 +108,9 @@
     watches = [_Watch(mirror) for mirror in mirrors]
     async with trio.open_nursery() as nursery:
         for watch in watches:
-            nursery.start_soon(_run_watch, watch, store, clock, followed_at)
+            nursery.start_soon(
+                _run_watch, watch, store, clock, followed_at, spread
+            )
         nursery.start_soon(
             _confirm_copies, watches, store, clock, followed_at, spread
         )
@@ -94,6 +121,7 @@
     store: ports.Store,
     clock: abc.Callable[[], float],
     followed_at: abc.Callable[[str], float | None],
+    spread: abc.Callable[[], float],
 ) -> None:
     mirror = watch.mirror
     retry_seconds = FIRST_RETRY_SECONDS
@@ -103,7 +131,8 @@
         if heard_at is not None:
             must_list, is_following = False, True
             mirror.is_connected = True
-            mirror.confirmed_at = max(mirror.confirmed_at, heard_at)
+            current_at = heard_at - told_age(mirror.freshness(), spread())
+            mirror.confirmed_at = max(mirror.confirmed_at, current_at)
             await _timers.sleep(FOLLOW_INTERVAL_SECONDS)
             continue
         # After an outage, or when peers are silent, the first call must return
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -214,7 +214,10 @@
             clock,
             lambda: self._buffers.is_full,
             _store_watch.Confirmer(
-                state.configurations, store, clock, CONFIRM_TIMEOUT_SECONDS
+                state.configurations,
+                store,
+                clock,
+                _store_watch.CONFIRM_TIMEOUT_SECONDS,
             ).is_fresh,
         )
         self._request_handlers = _peer_requests.Handlers(
@@ -263,7 +266,10 @@
         async def confirm(mirror: _mirror.Mirror) -> None:
             confirmed.append(
                 await _store_watch.confirm(
-                    mirror, self._store, self._clock, CONFIRM_TIMEOUT_SECONDS
+                    mirror,
+                    self._store,
+                    self._clock,
+                    _store_watch.CONFIRM_TIMEOUT_SECONDS,
                 )
             )
 
@@ -347,8 +353,7 @@
             self.settings.peer_port,
             self.settings.data_centre,
             self.settings.link_capacity,
-            self.fleet.must_watch()
-            and all(mirror.is_connected for mirror in self._mirrors),
+            self.fleet.must_watch() and self._is_watching(),
             self.is_stopping,
             self._peer_sync.revisions(),
             self._quota.admitted_costs(),
@@ -391,6 +396,14 @@
                     centre.lost_count,
                 )
 
+    def _is_watching(self) -> bool:
+        """Whether other nodes may follow this one's copies of the store."""
+        now, spread = self._clock(), self.fleet.spread_time()
+        return all(
+            _store_watch.is_watching(mirror, spread, now)
+            for mirror in self._mirrors
+        )
+
     def _followed_at(self, kind: str) -> float | None:
         """Return when peers were last heard that keep a copy up to date."""
         if self._peer_sync.is_overdue(kind):
--- a/tests/mustardlb_gateway/test_fleet_store_views.py
+++ b/tests/mustardlb_gateway/test_fleet_store_views.py
@@ -73,7 +73,10 @@
     def digest(self):
         return test_fleet.make_digest(
             self.vm,
-            is_watching=self.fleet.must_watch() and self.mirror.is_connected,
+            is_watching=self.fleet.must_watch()
+            and _store_watch.is_watching(
+                self.mirror, self.fleet.spread_time(), self.network.clock()
+            ),
         )
 
     def followed_at(self, kind):
@@ -156,6 +159,51 @@
     silence_nodes(network)
 
 
+class DeadLink(Link):
+    """Gets no response to any call."""
+
+    async def list_objects(self, kind):
+        await trio.sleep(1.5)
+        raise ports.StoreUnavailable('no response', True)
+
+    async def watch(self, kind, revision, timeout):
+        await trio.sleep(timeout or 1.5)
+        raise ports.StoreUnavailable('no response', True)
+
+
+def hubs(network):
+    return [node for node in network.nodes.values() if node.fleet.must_watch()]
+
+
+@pytest.mark.parametrize('shape', [('ab', 10), ('a', 20), ('abcd', 19)])
+@pytest.mark.parametrize('select', [hubs, lambda network: hubs(network)[:1]])
+async def test_followers_do_not_rely_on_hubs_that_lost_the_store(
+    autojump_clock, shape, select
+):
+    """Guards against a proof by what a hub says, not by what it has."""
+    async with trio.open_nursery() as nursery:
+        network = Network(shape, 2.0, nursery)
+        network.store.put(KIND, 'main', 'first')
+        for node in network.nodes.values():
+            nursery.start_soon(node.run)
+        await network.play(6)
+        lost = select(network)
+        for node in lost:
+            node.link.__class__ = DeadLink
+            node.link.silence()
+        changed_at = network.clock()
+        network.store.put(KIND, 'main', 'second')
+        others = [n for n in network.nodes.values() if n not in lost]
+        while network.clock() < changed_at + network.freshness:
+            await network.play(STEP_SECONDS)
+            for node in others:
+                assert node.has('second') or (
+                    node.mirror.confirmed_at <= changed_at + STEP_SECONDS
+                )
+        assert all(node.has('second') for node in others)
+        nursery.cancel_scope.cancel()
+
+
 async def play_change(shape, freshness, disturb):
     """Return the nodes that miss a change once it has to be in force."""
     async with trio.open_nursery() as nursery:
