Keep a watch that works while the store refuses to confirm its copy

A change came late at a node whose confirming call got 429 or 503. Cause: the waiting watch was ended, which cannot be renewed while the store refuses calls. Change: only a call without a response ends the watch; a refused one is made again after the usual delays.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
@@ -184,6 +184,7 @@
         seconds = confirm_seconds(mirror.freshness(), spread())
         return mirror.confirmed_at + seconds - clock()
 
+    retry_seconds = FIRST_RETRY_SECONDS
     while True:
         first = min(watches, key=due_in)
         seconds = due_in(first)
@@ -192,7 +193,11 @@
                 min(MIN_CONFIRM_SECONDS, max(CONFIRM_STEP_SECONDS, seconds))
             )
             continue
-        await _confirm_watch(first, watches, store, clock)
+        if not await _confirm_watch(first, watches, store, clock):
+            await trio.sleep(retry_seconds * random.uniform(0.5, 1.0))
+            retry_seconds = min(2 * retry_seconds, MAX_RETRY_SECONDS)
+            continue
+        retry_seconds = FIRST_RETRY_SECONDS
         # Copies of other revisions are not confirmed by that; one after the
         # other they would wait for each other's responses.
         async with trio.open_nursery() as nursery:
@@ -208,13 +213,21 @@
     watches: list[_Watch],
     store: ports.Store,
     clock: abc.Callable[[], float],
-) -> None:
+) -> bool:
+    """Confirm a copy, and others with it; return False if that was refused.
+
+    A watch stays if only the call was refused, since it may not be renewed
+    for as long as the store refuses calls.
+    """
     mirror = watch.mirror
     before = mirror.changed_revision
-    if not await confirm(mirror, store, clock, CONFIRM_TIMEOUT_SECONDS):
+    result = await _confirm(mirror, store, clock, CONFIRM_TIMEOUT_SECONDS)
+    if result is _Confirmation.REFUSED:
+        return False
+    if result is _Confirmation.SILENT:
         _mark_disconnected(mirror, 'the copy is not confirmed', clock())
         watch.scope.cancel()
-        return
+        return True
     if mirror.changed_revision != before:
         # The watch should have brought the change.
         log.info('MLB-6109', kind=mirror.kind, revision=mirror.revision)
@@ -228,6 +241,7 @@
             other.mirror.confirmed_at = max(
                 other.mirror.confirmed_at, mirror.confirmed_at
             )
+    return True
 
 
 async def _apply_changes(
@@ -292,16 +306,28 @@
     timeout: float,
 ) -> bool:
     """Bring a mirror up to date at once; return whether that succeeded."""
-    problem = 'no response in time'
+    result = await _confirm(mirror, store, clock, timeout)
+    return result is _Confirmation.DONE
+
+
+async def _confirm(
+    mirror: _mirror.Mirror,
+    store: ports.Store,
+    clock: abc.Callable[[], float],
+    timeout: float,
+) -> _Confirmation:
+    problem, result = 'no response in time', _Confirmation.SILENT
     with trio.move_on_after(timeout):
         try:
             current_at = await _catch_up(mirror, store, clock)
             mirror.confirmed_at = max(mirror.confirmed_at, current_at)
-            return True
+            return _Confirmation.DONE
         except ports.StoreUnavailable as error:
             problem = repr(error)
+            if not error.is_outcome_unknown:
+                result = _Confirmation.REFUSED
     log.info('MLB-6105', kind=mirror.kind, problem=problem)
-    return False
+    return result
 
 
 async def _catch_up(
