Give out higher fencing tokens in each epoch of the store

Cause: after the store continued from a copy without the lease, the node that had held it was killed, and the one that claimed it next had started since. Change: a token is above a million for each epoch of the store. A node that has not learnt the new epoch yet when it claims is the case that remains.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
@@ -38,6 +38,10 @@
 # store answers other nodes.
 UNCONFIRMED_SECONDS = 2.0
 
+# Tokens of a later epoch of the store are above all of an earlier one, of
+# which the store may have lost some and all nodes that knew them have ended.
+FENCES_PER_EPOCH = 1_000_000
+
 # Targets and other programs may read fencing tokens as signed integers.
 MAX_FENCE = 2**63 - 1
 
@@ -88,7 +92,8 @@
     """The leases held by this node.
 
     `told_fence` returns the highest fencing token for a target that another
-    node had. A store that continues from a copy may have lost that lease.
+    node had, and `epoch` that of the store. A store that continues from a copy
+    may have lost a lease.
     """
 
     def __init__(
@@ -101,7 +106,9 @@
         fences_checked: abc.Callable[[], bool],
         wall_clock: abc.Callable[[], float] = time.time,
         told_fence: abc.Callable[[str], int] = lambda target_id: 0,
+        epoch: abc.Callable[[], int] = lambda: 0,
     ) -> None:
+        self._epoch = epoch
         self._told_fence = told_fence
         self._vm = vm
         self._incarnation = incarnation
@@ -148,6 +155,7 @@
             spec['fence'] if stored else 0,
             self._own_fence_by_target.get(target_id, 0),
             self._told_fence(target_id),
+            self._epoch() * FENCES_PER_EPOCH,
         )
         is_taken_over = stored is not None and spec.get('holder') != self._vm
         taken_at = self._taken_at(spec)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_engines.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_engines.py
@@ -43,6 +43,7 @@
         lambda: settings().handover_time,
         lambda: settings().fences_checked,
         told_fence=lambda target_id: manager.highest_fence(target_id),
+        epoch=lambda: state.peer_sync.epoch,
     )
     manager = _engine_manager.EngineManager(
         vm,
--- a/tests/mustardlb_gateway/test_leases.py
+++ b/tests/mustardlb_gateway/test_leases.py
@@ -15,6 +15,7 @@
     fences_checked=True,
     incarnation=1,
     told_fence=lambda target_id: 0,
+    epoch=lambda: 0,
 ):
     return _leases.Leases(
         vm,
@@ -25,6 +26,7 @@
         lambda: fences_checked,
         lambda: 1e9 + trio.current_time(),
         told_fence,
+        epoch,
     )
 
 
@@ -220,6 +222,17 @@
     assert (await second.claim('t1')).fence == lease.fence + 2
 
 
+async def test_fencing_tokens_rise_though_nobody_remembers_the_lease(
+    autojump_clock,
+):
+    """Guards against a token given out again after a restore and restarts."""
+    store = simulated_store.SimulatedStore()
+    lease = await make_leases(store, 'vm1', epoch=lambda: 1).claim('t1')
+    store.objects_by_kind.clear()
+    later = await make_leases(store, 'vm2', epoch=lambda: 2).claim('t1')
+    assert later.fence > lease.fence
+
+
 def test_highest_fencing_token_outlives_its_holder():
     """Guards against forgetting the token of a node that has ended."""
     holders = _engine_holders.EngineHolders(frozenset)
