--- a/tests/soak/soak_nodes.py
+++ b/tests/soak/soak_nodes.py
@@ -97,6 +97,18 @@
         """Return the number of the process that ran at this time."""
         return bisect.bisect(self.starts, at)
 
+    def handles(self, number):
+        """Whether the process has set what it does on a signal.
+
+        Until then, as long as the interpreter starts, it ends by one.
+        """
+        if self.process is None or self.process.poll() is not None:
+            return False
+        status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
+        fields = dict(line.split(':', 1) for line in status.splitlines())
+        masks = int(fields['SigIgn'], 16) | int(fields['SigCgt'], 16)
+        return bool(masks >> (number - 1) & 1)
+
     def signal(self, number):
         """Send a signal to the process if it runs."""
         if self.process is not None and self.process.poll() is None:
