--- a/tests/mustardlb_platform/test_store_view.py
+++ b/tests/mustardlb_platform/test_store_view.py
@@ -91,3 +91,25 @@
         store.put(KIND, 'main', 'restored')
         proxy.set_mode('pass')
         await until_equal(mirror, 'restored')
+
+
+async def epochs_of(*eras):
+    """Return the epochs of lists whose responses state these eras."""
+    store = soak_store.HttpStore()
+    async with store.server.running():
+        client = _store.Store('127.0.0.1', store.server.port)
+        found = []
+        for era in eras:
+            store.era = era
+            found.append((await client.list_objects(KIND)).epoch)
+    return found
+
+
+async def test_epoch_out_of_range_is_no_epoch():
+    """Guards against fencing tokens that have no form in 64 bits."""
+    assert await epochs_of(3, 10**17, 10**12) == [3, 3, 3]
+
+
+async def test_late_response_does_not_lower_the_last_epoch():
+    """Guards against responses without an epoch that count as earlier."""
+    assert await epochs_of(4, 3, 10**17) == [4, 3, 4]
