Refuse messages of nodes with an epoch out of range

The same cause as for the store's responses: a node that adopts such an epoch from a peer would end when it claims a lease. Result: both cases of test_epoch_out_of_range_is_an_invalid_message failed before and pass now.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -16,6 +16,9 @@
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
 
+# Epochs of the store have at most nine digits.
+MAX_EPOCH = 999_999_999
+
 # The room of a holding has 16 bits.
 MAX_ROOM = 32_767
 
@@ -420,7 +423,7 @@
                 decoded.snapshot.revision,
                 objects,
                 tuple(decoded.snapshot.names),
-                decoded.snapshot.epoch,
+                _checked_epoch(decoded.snapshot.epoch),
             )
         case 'want':
             want = decoded.want
@@ -542,7 +545,7 @@
                     update.crashEvidence
                 ),
                 _target_observation_codec.decode_limits(update.targetLimits),
-                update.epoch,
+                _checked_epoch(update.epoch),
             )
         case _:
             return _messages.Wanted(decoded.wanted)
@@ -558,6 +561,13 @@
     }
 
 
+def _checked_epoch(epoch: int) -> int:
+    """Return an epoch of the store; raises ValueError if it is too large."""
+    if epoch > MAX_EPOCH:
+        raise ValueError(f'invalid epoch {epoch}')
+    return epoch
+
+
 def _decode_charge(charge: Any) -> _messages.Charge:
     """Decode a charge; raises ValueError if its cost is no amount."""
     if not 0 <= charge.cost < float('inf'):
@@ -598,7 +608,7 @@
         _target_observation_codec.decode_evidence(digest.crashEvidence),
         _target_observation_codec.decode_limits(digest.targetLimits),
         digest.isCutOff,
-        digest.epoch,
+        _checked_epoch(digest.epoch),
     )
 
 
--- a/tests/mustardlb_gateway/test_codec_fuzz.py
+++ b/tests/mustardlb_gateway/test_codec_fuzz.py
@@ -281,3 +281,12 @@
     assert decoded.usages[0].unread_tokens == min(count, 2**32 - 1)
     assert decoded.usages[0].window.size == 2**16 - 1
     assert decoded.holdings[0].room == 2**15 - 1
+
+
+@pytest.mark.parametrize('epoch', [10**9, 2**64 - 1])
+def test_epoch_out_of_range_is_an_invalid_message(epoch):
+    """Guards against fencing tokens that have no form in 64 bits."""
+    body = _messages.Snapshot('servers', 1, (), (), epoch)
+    data = _message_codec.encode(_messages.Message('vm1', 1, 1, body))
+    with pytest.raises(ValueError, match='epoch'):
+        _message_codec.decode(data)
