Bound the memory of the fencing tokens that a node has had

What a node remembers of its own claims grew with all targets there ever were; what others told had a bound of its own. Change: _fences.HighestFences serves both.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_engine_holders.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_engine_holders.py
@@ -4,12 +4,9 @@
 from collections import abc
 
 from mustardlb_gateway import _centres
+from mustardlb_gateway import _fences
 from mustardlb_gateway import domain
 
-# Covers several replacements of all engines of the largest fleet; the one that
-# was told of the longest ago is dropped first.
-MAX_REMEMBERED_FENCES = 8192
-
 # Recently resident adapters are recorded because an engine loads them from
 # host memory, in about a tenth of the time of a load from the weight store.
 RECENT_ADAPTERS_PER_ENGINE = 50
@@ -26,7 +23,7 @@
         self._holdings_by_target: dict[str, dict[str, _centres.Holding]] = {}
         # The live node with the highest fencing token, and its holding.
         self._holder_by_target: dict[str, tuple[str, _centres.Holding]] = {}
-        self._highest_fence_by_target: dict[str, int] = {}
+        self._fences = _fences.HighestFences()
         self._recent_by_target: dict[
             str, collections.OrderedDict[domain.AdapterName, None]
         ] = {}
@@ -40,7 +37,7 @@
                 by_vm[vm] = holding
                 known = previous.get(target_id, {}).get(vm)
                 if known is not holding:
-                    self._record_fence(target_id, holding.fence)
+                    self._fences.record(target_id, holding.fence)
                     before = known.resident if known else {}
                     # Adapters that were added or removed since.
                     self.record_resident(
@@ -71,19 +68,9 @@
         newer = (vm for vm, each in holdings.items() if each.fence > fence)
         return next(newer, None)
 
-    def _record_fence(self, target_id: str, fence: int) -> None:
-        """Remember a fencing token, also after its engine was removed.
-
-        An engine that the store has lost may register again.
-        """
-        fences = self._highest_fence_by_target
-        fences[target_id] = max(fence, fences.pop(target_id, 0))
-        if len(fences) > MAX_REMEMBERED_FENCES:
-            del fences[next(iter(fences))]
-
     def highest_fence(self, target_id: str) -> int:
         """Return the highest fencing token that a node had, 0 for none."""
-        return self._highest_fence_by_target.get(target_id, 0)
+        return self._fences.get(target_id)
 
     def record_resident(
         self, target_id: str, resident: abc.Iterable[domain.AdapterName]
--- a/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_leases.py
@@ -18,6 +18,7 @@
 import structlog
 
 from mustardlb_gateway import _amounts
+from mustardlb_gateway import _fences
 from mustardlb_gateway import ports
 
 log = structlog.get_logger()
@@ -120,7 +121,7 @@
         # Targets for which a write over another node's lease had no response.
         self._unacknowledged: set[str] = set()
         self.by_target: dict[str, Lease] = {}
-        self._own_fence_by_target: dict[str, int] = {}
+        self._own_fences = _fences.HighestFences()
 
     async def claim(self, target_id: str) -> Lease | None:
         """Claim the lease on an engine; return None if that failed."""
@@ -153,7 +154,7 @@
         spec = {} if stored is None else _readable_spec(stored)
         fence = 1 + max(
             spec['fence'] if stored else 0,
-            self._own_fence_by_target.get(target_id, 0),
+            self._own_fences.get(target_id),
             self._told_fence(target_id),
             self._epoch() * FENCES_PER_EPOCH,
         )
@@ -174,7 +175,7 @@
             written = await self._store.replace(
                 LEASE_KIND, target_id, new_spec, stored.revision
             )
-        self._own_fence_by_target[target_id] = fence
+        self._own_fences.record(target_id, fence)
         now = self._clock()
         handover_wait = self._handover_time() + HANDOVER_MARGIN_SECONDS
         if not is_taken_over and target_id not in self._unacknowledged:
--- a/tests/mustardlb_gateway/test_leases.py
+++ b/tests/mustardlb_gateway/test_leases.py
@@ -4,6 +4,7 @@
 
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _engine_holders
+from mustardlb_gateway import _fences
 from mustardlb_gateway import _leases
 
 HANDOVER_SECONDS = 3.0
@@ -242,3 +243,13 @@
     holders.apply_fleet_view({})
     holders.discard('t1')
     assert holders.highest_fence('t1') == 7
+
+
+def test_memory_of_fencing_tokens_is_bounded():
+    """Guards against memory that grows with all targets there ever were."""
+    fences = _fences.HighestFences(max_targets=2)
+    for target_id in ('t1', 't2', 't1', 't3'):
+        fences.record(target_id, 5)
+    assert [fences.get(f't{number}') for number in (1, 2, 3)] == [5, 0, 5]
+    fences.record('t1', 4)
+    assert fences.get('t1') == 5
