--- a/packages/mustardlb-gateway/mustardlb_gateway/_current_config.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_current_config.py
@@ -54,6 +54,13 @@
             return
         before = self.configuration
         if before is not None and new.version <= before.version:
+            if new.version < before.version:
+                log.info(
+                    'MLB-6116',
+                    version=new.version,
+                    current=before.version,
+                    revision=stored.revision,
+                )
             return
         self.configuration = new
         log.info(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
@@ -1,4 +1,4 @@
-"""Local copies of the store's objects, which never go back in revision."""
+"""Local copies of the store's objects, ordered by epoch and revision."""
 
 from collections import abc
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_store_watch.py
@@ -45,7 +45,6 @@
 FIRST_RETRY_SECONDS = 0.15
 MAX_RETRY_SECONDS = 0.8
 
-
 # A node says that it watches the store while no copy is older by this time
 # than the age at which it is confirmed.
 TOLD_SLACK_SECONDS = 0.6
@@ -123,6 +122,7 @@
     followed_at: abc.Callable[[str], float | None],
     spread: abc.Callable[[], float],
 ) -> None:
+    """Watch a kind, or follow peers that do, until cancelled."""
     mirror = watch.mirror
     retry_seconds = FIRST_RETRY_SECONDS
     must_list, is_following = True, False
--- a/tests/mustardlb_gateway/test_current_config.py
+++ b/tests/mustardlb_gateway/test_current_config.py
@@ -1,4 +1,5 @@
 import builders
+import structlog
 
 from mustardlb_gateway import _current_config
 from mustardlb_gateway import _mirror
@@ -48,6 +49,16 @@
     assert harness.config.configuration.version == 9
 
 
+def test_older_configuration_is_logged():
+    """Guards against a log that does not tell why a change is missing."""
+    harness = Harness()
+    harness.configure(builders.make_configuration(5))
+    with structlog.testing.capture_logs() as logs:
+        harness.configure(builders.make_configuration(4))
+    found = [each for each in logs if each['event'] == 'MLB-6116']
+    assert [(each['version'], each['current']) for each in found] == [(4, 5)]
+
+
 def test_malformed_configuration_keeps_last_one():
     harness = Harness()
     harness.configure(builders.make_configuration(5))
