Log incarnations, and the source of each departure

Cause: the logs of a node could not tell which incarnation of a target was removed, registered or sent to, whether a registration was written after its removal, and who had said that a target leaves.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_dispatch.py
@@ -285,6 +285,7 @@
             'MLB-6604',
             request=job.call.request_id,
             target=choice.target.target_id,
+            incarnation=choice.target.incarnation,
             software=choice.target.software,
             resumed=job.call.resumed_id,
             last_event=(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peer_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peer_requests.py
@@ -65,7 +65,7 @@
             )
             if body.is_leaving:
                 handlers.targets.record_departure(
-                    body.target_id, body.incarnation
+                    body.target_id, body.incarnation, message.vm
                 )
         case _messages.Observed():
             handlers.warm_up.handle_observed(message.vm, body)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -28,6 +28,11 @@
 
 FAILURE_EWMA_WEIGHT = 0.2
 
+# Sources of a departure, for the log; one that another node told has the name
+# of that node.
+RESPONSE_SOURCE = 'response'
+STORE_SOURCE = 'store'
+
 
 @dataclasses.dataclass(slots=True)
 class Health:
@@ -163,7 +168,10 @@
                 service=current[target_id].service,
                 software=current[target_id].software,
                 state=str(current[target_id].state),
+                incarnation=current[target_id].incarnation,
+                written=self._decoded_by_id[target_id][0].revision,
                 revision=self._mirror.revision,
+                epoch=self._mirror.epoch,
             )
             self._expired_by_id.pop(target_id, None)
 
@@ -190,7 +198,9 @@
         }
         for target in targets.values():
             if target.state == domain.TargetState.DRAINING:
-                self._departures.record(target.target_id, target.incarnation)
+                self._add_departure(
+                    target.target_id, target.incarnation, STORE_SOURCE
+                )
         return {
             name: self._with_leaving(target)
             for name, target in targets.items()
@@ -204,21 +214,34 @@
 
     def record_leaving(self, target: domain.Target) -> None:
         """Record that a target leaves, before the store says so."""
-        self.record_departure(target.target_id, target.incarnation)
+        self.record_departure(
+            target.target_id, target.incarnation, RESPONSE_SOURCE
+        )
+
+    def record_departure(
+        self, target_id: str, incarnation: int, source: str
+    ) -> None:
+        """Record that an incarnation of a target leaves.
+
+        :param source: who says so, for the log
+        """
+        self._add_departure(target_id, incarnation, source)
+        current = self.by_id.get(target_id)
+        if current is not None:
+            self.by_id[target_id] = self._with_leaving(current)
 
-    def record_departure(self, target_id: str, incarnation: int) -> None:
-        """Record that an incarnation of a target leaves."""
+    def _add_departure(
+        self, target_id: str, incarnation: int, source: str
+    ) -> None:
         if not self._departures.record(target_id, incarnation):
             return
-        current = self.by_id.get(target_id)
         log.info(
             'MLB-6220',
             target=target_id,
             incarnation=incarnation,
-            is_registered=current is not None,
+            is_registered=target_id in self._decoded_by_id,
+            source=source,
         )
-        if current is not None:
-            self.by_id[target_id] = self._with_leaving(current)
 
     def has_left(self, target: domain.Target) -> bool:
         """Return whether a target is known to leave."""
@@ -239,7 +262,9 @@
             'MLB-6203',
             target=target.target_id,
             reason=reason,
+            incarnation=target.incarnation,
             revision=self._mirror.revision,
+            epoch=self._mirror.epoch,
         )
         self._health_by_id.pop(target.target_id, None)
         for callback in self._removal_callbacks:
