Send nothing to a removed target that a restored store has again

Callers' requests reached targets that had gone: a target is removed from the store without a notice, or its notice is overwritten by the removal within one watch response; the store continues from an earlier copy, and all nodes take the registration that it has again for one like any other. Cause: the removal was not remembered. Change: removals are kept by incarnation, epoch and revision (_removals). After a restore, a registration that was removed before counts as one of a leaving target unless its revision shows that it was written since, or it is there for longer than the store keeps one that is not renewed (four heartbeat intervals). A target that registers again within an epoch is used at once, as before. Why that tells them apart: a revision above that of the removal, or above the first one known of the epoch, cannot come from the copy.

--- /dev/null
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_removals.py
@@ -0,0 +1,86 @@
+"""Which registrations of targets a copy of the store's data brings back.
+
+When the store continues from a copy, a registration that was removed may be
+there again although its target has not written it. The target may still serve
+but leave, so that it gets no requests until the registration is known to have
+been renewed since.
+"""
+
+from collections import abc
+import dataclasses
+
+from mustardlb_gateway import domain
+
+# Covers several replacements of all targets of the largest fleet.
+MAX_REMOVALS = 8192
+
+# The store removes a registration that is not renewed for three heartbeat
+# intervals; the fourth one is for the removal to be seen.
+RENEWAL_INTERVALS = 4
+
+# Target id and incarnation.
+_Key = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Removal:
+    """The copy of the store in which a registration was removed."""
+
+    epoch: int
+    revision: int
+
+
+class Removals:
+    """Registrations that the store has removed, by target and incarnation.
+
+    `heartbeat_interval` returns the seconds between two heartbeats of a
+    target. The longest unconfirmed removals are dropped first.
+    """
+
+    def __init__(
+        self,
+        heartbeat_interval: abc.Callable[[], float],
+        max_count: int = MAX_REMOVALS,
+    ) -> None:
+        self._heartbeat_interval = heartbeat_interval
+        self._max_count = max_count
+        self._removal_by_key: dict[_Key, _Removal] = {}
+        self._epoch = 0
+        self._epoch_revision = 0
+        self._epoch_began_at = float('-inf')
+
+    def begin_epoch(self, epoch: int, revision: int, now: float) -> None:
+        """Record the first revision of the store that is known of an epoch."""
+        self._epoch = epoch
+        self._epoch_revision = revision
+        self._epoch_began_at = now
+
+    def record(self, target: domain.Target, epoch: int, revision: int) -> None:
+        """Record that the registration of a target was removed."""
+        key = target.target_id, target.incarnation
+        self._removal_by_key.pop(key, None)
+        self._removal_by_key[key] = _Removal(epoch, revision)
+        while len(self._removal_by_key) > self._max_count:
+            del self._removal_by_key[next(iter(self._removal_by_key))]
+
+    def forget(self, target: domain.Target) -> None:
+        """Forget the removal of a target that has registered again."""
+        self._removal_by_key.pop((target.target_id, target.incarnation), None)
+
+    def is_restored(
+        self, target: domain.Target, written: int, confirmed_at: float
+    ) -> bool:
+        """Return whether a registration may be one that was removed.
+
+        :param written: revision of the registration
+        :param confirmed_at: time as of which the registration is known to be
+            there, clock seconds
+        """
+        key = target.target_id, target.incarnation
+        removal = self._removal_by_key.get(key)
+        if removal is None or removal.epoch == self._epoch:
+            return False
+        if written > min(removal.revision, self._epoch_revision):
+            return False
+        lifetime = RENEWAL_INTERVALS * self._heartbeat_interval()
+        return confirmed_at < self._epoch_began_at + lifetime
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -8,6 +8,7 @@
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _departures
 from mustardlb_gateway import _mirror
+from mustardlb_gateway import _removals
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
 
@@ -28,6 +29,8 @@
 
 FAILURE_EWMA_WEIGHT = 0.2
 
+DEFAULT_HEARTBEAT_SECONDS = 1.2
+
 # Sources of a departure, for the log; one that another node told has the name
 # of that node.
 RESPONSE_SOURCE = 'response'
@@ -80,6 +83,9 @@
         translation: ports.Translation,
         clock: abc.Callable[[], float],
         is_centre_evacuated: abc.Callable[[str], bool] = lambda name: False,
+        heartbeat_interval: abc.Callable[[], float] = (
+            lambda: DEFAULT_HEARTBEAT_SECONDS
+        ),
     ) -> None:
         self._mirror = mirror
         self._is_centre_evacuated = is_centre_evacuated
@@ -94,6 +100,8 @@
         self.usage_by_id: dict[str, Usage] = {}
         self.centres_by_name: dict[str, _centres.CentreState] = {}
         self._departures = _departures.Departures(clock)
+        self._removals = _removals.Removals(heartbeat_interval)
+        self._restored: frozenset[tuple[str, int]] = frozenset()
         self._epoch = mirror.epoch
         self._epoch_began_at = float('-inf')
         self._removal_callbacks: list[abc.Callable[[domain.Target], None]] = []
@@ -135,7 +143,18 @@
         """
         self._failure_callbacks.append(callback)
 
+    def update(self) -> None:
+        """Accept restored registrations that have been renewed by now."""
+        if self._restored:
+            self._refresh()
+
     def _refresh(self) -> None:
+        now = self._clock()
+        if self._mirror.epoch != self._epoch:
+            # Registrations since the copy of the store's data are lost.
+            self._epoch = self._mirror.epoch
+            self._epoch_began_at = now
+            self._removals.begin_epoch(self._epoch, self._mirror.revision, now)
         current = self._decode_changed()
         previous, self.by_id = self.by_id, current
         for target in current.values():
@@ -143,11 +162,6 @@
             if before is None or before.incarnation != target.incarnation:
                 for callback in self._registration_callbacks:
                     callback(target, not previous)
-        now = self._clock()
-        if self._mirror.epoch != self._epoch:
-            # Registrations since the copy of the store's data are lost.
-            self._epoch = self._mirror.epoch
-            self._epoch_began_at = now
         for target_id, target in previous.items():
             new = current.get(target_id)
             if new is None:
@@ -201,14 +215,40 @@
                 self._add_departure(
                     target.target_id, target.incarnation, STORE_SOURCE
                 )
+        self._restored = self._find_restored(targets)
         return {
             name: self._with_leaving(target)
             for name, target in targets.items()
         }
 
+    def _find_restored(
+        self, targets: abc.Mapping[str, domain.Target]
+    ) -> frozenset[tuple[str, int]]:
+        """Return the targets whose registrations may have been removed."""
+        restored = set()
+        for name, target in targets.items():
+            written = self._decoded_by_id[name][0].revision
+            if not self._removals.is_restored(
+                target, written, self._mirror.confirmed_at
+            ):
+                self._removals.forget(target)
+                continue
+            key = target.target_id, target.incarnation
+            restored.add(key)
+            if key not in self._restored:
+                log.info(
+                    'MLB-6221',
+                    target=target.target_id,
+                    incarnation=target.incarnation,
+                    written=written,
+                    revision=self._mirror.revision,
+                    epoch=self._mirror.epoch,
+                )
+        return frozenset(restored)
+
     def _with_leaving(self, target: domain.Target) -> domain.Target:
-        """Return a target as draining if it is known to leave."""
-        if not self._departures.has_left(target):
+        """Return a target as draining if it leaves or may have left."""
+        if not self.has_left(target):
             return target
         return dataclasses.replace(target, state=domain.TargetState.DRAINING)
 
@@ -244,8 +284,9 @@
         )
 
     def has_left(self, target: domain.Target) -> bool:
-        """Return whether a target is known to leave."""
-        return self._departures.has_left(target)
+        """Return whether a target leaves, or may have left."""
+        key = target.target_id, target.incarnation
+        return key in self._restored or self._departures.has_left(target)
 
     def _handle_removal(self, target: domain.Target, now: float) -> None:
         since = max(self._mirror.connected_at, self._epoch_began_at)
@@ -258,6 +299,9 @@
         self._discard(target, 'lapsed' if may_return else 'removed')
 
     def _discard(self, target: domain.Target, reason: str) -> None:
+        self._removals.record(
+            target, self._mirror.epoch, self._mirror.revision
+        )
         log.info(
             'MLB-6203',
             target=target.target_id,
@@ -295,7 +339,7 @@
             target
             for target, _ in self._expired_by_id.values()
             if target.service == service
-            and not self._departures.has_left(target)
+            and not self.has_left(target)
             and not self.is_evacuated(target)
         ]
 
@@ -309,7 +353,7 @@
 
     def is_registered(self, target: domain.Target) -> bool:
         """Return whether a target is ready, or may register again."""
-        if self._departures.has_left(target):
+        if self.has_left(target):
             return False
         current = self.by_id.get(target.target_id)
         if current is None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_state.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_state.py
@@ -74,7 +74,11 @@
             lambda: settings().version_time,
         ),
         _targets.TargetTable(
-            targets_mirror, translation, clock, evacuations.is_evacuated
+            targets_mirror,
+            translation,
+            clock,
+            evacuations.is_evacuated,
+            lambda: settings().heartbeat_interval,
         ),
         evacuations,
     )
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -246,8 +246,9 @@
     )
 
 
-def refresh(parts: TargetParts) -> None:
+def refresh(parts: TargetParts, targets: _targets.TargetTable) -> None:
     """Forget what has expired, and bring up to date what depends on time."""
+    targets.update()
     parts.pool.close_expired()
     parts.quarantine.refresh_if_due()
     parts.limits.remove_gone()
--- a/packages/mustardlb-gateway/mustardlb_gateway/settings.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/settings.py
@@ -20,6 +20,8 @@
         token than one that they have accepted
     :ivar configuration_time: time in which a configuration takes effect
     :ivar drain_time: time in which a target that leaves gets no more requests
+    :ivar heartbeat_interval: time between two renewals of a target's
+        registration
     :ivar version_time: time in which a new adapter version takes effect
     :ivar retry_ratio: permitted retries per request
     :ivar retry_slack: permitted retries of all nodes beyond that ratio
@@ -47,6 +49,7 @@
     fences_checked: bool = True
     configuration_time: float = 2.0
     drain_time: float = 2.0
+    heartbeat_interval: float = 1.2
     version_time: float = 5.0
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
--- a/tests/mustardlb_gateway/target_table.py
+++ b/tests/mustardlb_gateway/target_table.py
@@ -26,12 +26,30 @@
     def set_targets(self, *targets):
         revision = self.mirror.revision + 1
         self.mirror.replace_all(
-            [
-                ports.StoredObject(each.target_id, revision, each)
-                for each in targets
-            ],
+            [self.stored(each, revision) for each in targets],
             revision,
+            self.mirror.epoch,
         )
 
+    def restore(self, revision, *written):
+        """Continue from a copy of the store's data as of a revision.
+
+        `written` are targets and the revisions of their registrations.
+        """
+        self.mirror.replace_all(
+            [self.stored(target, at) for target, at in written],
+            revision,
+            self.mirror.epoch + 1,
+        )
+        self.confirm()
+
+    @staticmethod
+    def stored(target, revision):
+        return ports.StoredObject(target.target_id, revision, target)
+
+    def confirm(self):
+        self.mirror.confirmed_at = self.now
+        self.table.update()
+
     def ready(self):
         return {target.target_id for target in self.table.ready('llm')}
--- a/tests/soak/soak_links.py
+++ b/tests/soak/soak_links.py
@@ -141,6 +141,26 @@
     site.change()
 
 
+async def remove_before_a_restore(site):
+    """Remove two targets; continue from a copy that still has them.
+
+    They go on serving and do not write their registrations again.
+    """
+    saved = site.store.copy()
+    site.store.remove('servers', REMOVED_ID)
+    draining = site.targets_by_id[DRAINING_ID].registration('draining')
+    site.store.put('servers', DRAINING_ID, draining)
+    site.store.remove('servers', DRAINING_ID)
+    now = trio.current_time()
+    site.leavings = [
+        soak_configuration.Leaving(DRAINING_ID, now),
+        soak_configuration.Leaving(REMOVED_ID, now),
+    ]
+    await trio.sleep(SETTLE_SECONDS)
+    site.store.restore(saved)
+    site.write(NEXT_ROUTES, ('key-1', 'key-2'))
+
+
 def _write_unchanged(site):
     for _ in range(LOST_WRITE_COUNT):
         site.write(FIRST_ROUTES, FIRST_KEYS)
@@ -160,6 +180,7 @@
     'restored': change_of_a_restored_store,
     'restored_silent': change_of_a_silent_restored_store,
     'history': change_beside_dropped_history,
+    'removed_restored': remove_before_a_restore,
 }
 
 
