Record a notice of leaving that a later change of a response overwrites

A target that drained, was removed and was registered again as ready within one watch response got requests: only the last registration of a response was read. Change: the mirror reports objects that a later change of the same response replaces or removes; the table of targets reads notices from them. A node that follows a hub does not see such a notice; the hub's copy has only the last registration.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_mirror.py
@@ -16,6 +16,7 @@
 WATCH_SOURCE = 'watch'
 
 ChangeCallback = abc.Callable[[], None]
+OverwriteCallback = abc.Callable[[ports.StoredObject], None]
 
 
 class Mirror:
@@ -52,11 +53,20 @@
         self.is_connected = False
         self.connected_at = float('-inf')
         self._callbacks: list[ChangeCallback] = []
+        self._overwrite_callbacks: list[OverwriteCallback] = []
 
     def on_change(self, callback: ChangeCallback) -> None:
         """Add a function to call after each change."""
         self._callbacks.append(callback)
 
+    def on_overwritten(self, callback: OverwriteCallback) -> None:
+        """Add a function to call with objects that no copy ever has.
+
+        These are the ones that a later change of the same response replaces
+        or removes.
+        """
+        self._overwrite_callbacks.append(callback)
+
     def replace_all(
         self,
         objects: abc.Iterable[ports.StoredObject],
@@ -149,6 +159,7 @@
             self.is_from_peer &= changes.revision < self.revision
             return True
         is_changed = False
+        self._notify_overwritten(changes.changes)
         for change in changes.changes:
             current = self.objects_by_name.get(change.name)
             if current is not None and current.revision > change.revision:
@@ -167,6 +178,19 @@
             self._notify_change(changes.revision, WATCH_SOURCE)
         return True
 
+    def _notify_overwritten(self, changes: tuple[ports.Change, ...]) -> None:
+        last_by_name = {change.name: change for change in changes}
+        if len(last_by_name) == len(changes):
+            return
+        for change in changes:
+            if change.spec is None or change is last_by_name[change.name]:
+                continue
+            stored = ports.StoredObject(
+                change.name, change.revision, change.spec
+            )
+            for callback in self._overwrite_callbacks:
+                callback(stored)
+
     def _notify_change(self, revision: int, source: str) -> None:
         log.info(
             'MLB-6106',
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -110,6 +110,7 @@
         ] = []
         self._failure_callbacks: list[abc.Callable[[str, bool], None]] = []
         mirror.on_change(self._refresh)
+        mirror.on_overwritten(self._read_overwritten)
 
     @property
     def revision(self) -> int:
@@ -221,6 +222,14 @@
             for name, target in targets.items()
         }
 
+    def _read_overwritten(self, stored: ports.StoredObject) -> None:
+        """Record a notice of leaving that a later change has overwritten."""
+        target = self._translation.read_target(stored.name, stored.spec)
+        if target and target.state == domain.TargetState.DRAINING:
+            self._add_departure(
+                target.target_id, target.incarnation, STORE_SOURCE
+            )
+
     def _find_restored(
         self, targets: abc.Mapping[str, domain.Target]
     ) -> frozenset[tuple[str, int]]:
--- a/tests/mustardlb_gateway/target_table.py
+++ b/tests/mustardlb_gateway/target_table.py
@@ -43,6 +43,16 @@
         )
         self.confirm()
 
+    def apply(self, *registrations, name='t1'):
+        """Apply the changes of one watch response, None for a removal."""
+        first = self.mirror.revision + 1
+        changes = tuple(
+            ports.Change(name, first + number, registration)
+            for number, registration in enumerate(registrations)
+        )
+        revision = self.mirror.revision + len(changes)
+        self.mirror.apply(ports.Changes(changes, revision, self.mirror.epoch))
+
     @staticmethod
     def stored(target, revision):
         return ports.StoredObject(target.target_id, revision, target)
--- a/tests/mustardlb_gateway/test_departures.py
+++ b/tests/mustardlb_gateway/test_departures.py
@@ -74,6 +74,22 @@
     assert not is_sent_to(harness, target)
 
 
+@pytest.mark.parametrize('is_removed', [True, False])
+def test_notice_that_is_overwritten_within_a_response_holds(
+    harness, is_removed
+):
+    """Only the last registration of a watch response was read."""
+    target, other = builders.make_target('t1'), builders.make_target('t2')
+    draining = builders.make_target('t1', state=DRAINING)
+    harness.set_targets(target, other)
+    harness.apply(draining, *[None] * is_removed, target)
+    assert harness.ready() == {'t2'}
+    assert not is_sent_to(harness, target)
+    restarted = builders.make_target('t1', incarnation=2)
+    harness.set_targets(restarted, other)
+    assert is_sent_to(harness, restarted)
+
+
 def test_notice_of_an_earlier_incarnation_does_not_hold(harness):
     """A late notice must not take a target that has started again."""
     harness.set_targets(builders.make_target('t1', incarnation=2))
