Tell nodes with relayed connections that a target leaves

A node that relays connections learned from its own response that a target leaves. The node it relays for did not, and went on sending requests on the open connection, which the target counts as those of the relaying node. Cause: only new relays were turned away; the notice stayed with its reader. Change: RelayServer knows for whom it relays to which target, and tells these nodes of a departure at once, and again with further bytes. No message is sent where nothing is relayed.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
@@ -7,6 +7,7 @@
 like the end of a response.
 """
 
+import collections
 from collections import abc
 
 import structlog
@@ -128,6 +129,8 @@
 
     `is_evacuated` returns whether a target gets no new connections, and
     `is_overdue` whether it gets no further bytes on those that it has.
+    `has_left` returns whether a target leaves, and `tell_leaving` tells that
+    to a node.
 
     :ivar count: number of connections that are relayed now
     """
@@ -141,7 +144,16 @@
         is_evacuated: abc.Callable[[domain.Target], bool] = lambda _: False,
         is_overdue: abc.Callable[[domain.Target], bool] = lambda _: False,
         buffers: _buffers.Buffers | None = None,
+        has_left: abc.Callable[[domain.Target], bool] = lambda _: False,
+        tell_leaving: abc.Callable[
+            [str, str, int], None
+        ] = lambda vm, target_id, incarnation: None,
     ) -> None:
+        self._has_left = has_left
+        self._tell_leaving = tell_leaving
+        self._vms_by_target: dict[
+            tuple[str, int], collections.Counter[str]
+        ] = {}
         self._links = links
         self._targets = targets
         self._encode = encode
@@ -156,6 +168,9 @@
     ) -> None:
         """Connect to a target and copy bytes until either side ends."""
         self.count += 1
+        key = relay.target_id, relay.incarnation
+        vms = self._vms_by_target.setdefault(key, collections.Counter())
+        vms[vm] += 1
         server: http_client.Stream | None = None
         try:
             outcome, server = await self._connect(relay)
@@ -172,13 +187,16 @@
                 await _copy_both(
                     client,
                     server,
-                    lambda: self._may_send(relay),
+                    lambda: self._may_send(vm, relay),
                     self._buffers,
                 )
         except _peer_channel.CONNECTION_ERRORS as error:
             log.info('MLB-6305', peer=vm, problem=repr(error))
         finally:
             self.count -= 1
+            vms[vm] -= 1
+            if not +vms:
+                self._vms_by_target.pop(key, None)
             client.socket.close()
             if server is not None:
                 server.socket.close()
@@ -201,10 +219,23 @@
             target, CONNECT_TIMEOUT_SECONDS
         )
 
-    def _may_send(self, relay: _messages.Relay) -> bool:
-        """Return whether bytes of requests may still reach a target."""
+    def _may_send(self, vm: str, relay: _messages.Relay) -> bool:
+        """Return whether bytes of requests may still reach a target.
+
+        Requests to a target that leaves are not cut off, since they may run.
+        Their node is told again, as the first notice may be lost.
+        """
         target = self._targets().get(relay.target_id)
-        return target is None or not self._is_overdue(target)
+        if target is None:
+            return True
+        if target.incarnation == relay.incarnation and self._has_left(target):
+            self._tell_leaving(vm, relay.target_id, relay.incarnation)
+        return not self._is_overdue(target)
+
+    def notify_leaving(self, target_id: str, incarnation: int) -> None:
+        """Tell the nodes that have relayed connections to a target."""
+        for vm in self._vms_by_target.get((target_id, incarnation), ()):
+            self._tell_leaving(vm, target_id, incarnation)
 
 
 async def _copy_both(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -109,6 +109,7 @@
             abc.Callable[[domain.Target, bool], None]
         ] = []
         self._failure_callbacks: list[abc.Callable[[str, bool], None]] = []
+        self._departure_callbacks: list[abc.Callable[[str, int], None]] = []
         mirror.on_change(self._refresh)
         mirror.on_overwritten(self._read_overwritten)
 
@@ -144,6 +145,13 @@
         """
         self._failure_callbacks.append(callback)
 
+    def on_departure(self, callback: abc.Callable[[str, int], None]) -> None:
+        """Register a callback for each target that is found to leave.
+
+        Its arguments are the id and the incarnation of the target.
+        """
+        self._departure_callbacks.append(callback)
+
     def update(self) -> None:
         """Accept restored registrations that have been renewed by now."""
         if self._restored:
@@ -291,6 +299,8 @@
             is_registered=target_id in self._decoded_by_id,
             source=source,
         )
+        for callback in self._departure_callbacks:
+            callback(target_id, incarnation)
 
     def has_left(self, target: domain.Target) -> bool:
         """Return whether a target leaves, or may have left."""
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -135,7 +135,12 @@
         targets.is_evacuated,
         lambda target: state.evacuations.is_overdue(target.data_centre),
         buffers,
+        targets.has_left,
+        lambda vm, target_id, incarnation: peers().notify(
+            vm, _messages.Rest(target_id, incarnation, 0.0, is_leaving=True)
+        ),
     )
+    targets.on_departure(relay_server.notify_leaving)
     crash_watch = _crash_watch.CrashWatch(
         quarantine,
         store,
--- a/tests/mustardlb_gateway/test_relayed_departures.py
+++ b/tests/mustardlb_gateway/test_relayed_departures.py
@@ -78,3 +78,30 @@
             before = len(leaving.arrivals)
             assert await site.send_requests(0, 40, 0.02) == [200] * 40
             assert len(leaving.arrivals) == before
+
+
+async def test_node_with_an_open_relay_is_told_that_the_target_leaves():
+    """Further requests went over a connection that was relayed already."""
+    leaving = LeavingTarget()
+    site = test_unreachable_targets.Site()
+    async with (
+        scripted.ScriptedServer(leaving.serve).running() as server,
+        site.running(nodes=2),
+    ):
+        links = [cut_links.Link(server.port) for _ in range(2)]
+        async with links[0].running(), links[1].running():
+            for by_port, link in zip(site.links_by_node, links, strict=True):
+                by_port[server.port] = link
+            spec = {'port': server.port, 'state': 'ready'}
+            site.cluster.store.put('servers', 'leaving', spec)
+            await trio.sleep(0.5)
+            await links[0].cut('reset')
+            assert await site.send_requests(0, 20) == [200] * 20
+            assert leaving.arrivals
+            leaving.is_leaving = True
+            while leaving.told_at is None:
+                await site.send_requests(1, 1)
+            await trio.sleep(0.3)
+            before = len(leaving.arrivals)
+            assert await site.send_requests(0, 40, 0.02) == [200] * 40
+            assert len(leaving.arrivals) == before
