Admit requests that may run once to a stopping node only if they can end

Cause: in that time all requests were admitted, whether they could end or not. Requests that may be repeated are admitted as before, since the load balancer still sends them here. Tried before: by the timeout alone, which rejects what would have ended (test_request_on_a_connection_that_was_kept_alive_is_served failed); dropped.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_gateway.py
@@ -9,6 +9,7 @@
 
 from mustardlb import errors
 from mustardlb import steps
+from mustardlb_gateway import _call_durations
 from mustardlb_gateway import _charging
 from mustardlb_gateway import _dispatch
 from mustardlb_gateway import _jobs
@@ -72,8 +73,8 @@
 class StopSchedule:
     """Schedule of a planned stop, in trio time.
 
-    :ivar admit_all_until: time until which requests are admitted regardless
-        of their timeout
+    :ivar admit_all_until: time until which requests that may be repeated are
+        admitted regardless of their timeout
     :ivar deadline: time at which unfinished requests are cut off
     """
 
@@ -189,6 +190,7 @@
         self._in_flight = 0
         self._running: set[_RunningCall] = set()
         self._stop_schedule: StopSchedule | None = None
+        self._durations = _call_durations.CallDurations(clock)
 
     async def handle(
         self, request: http_server.Request, reply: http_server.Reply
@@ -324,16 +326,19 @@
 
     def _check_time_left(self, call: domain.Call, route: domain.Route) -> None:
         schedule, now = self._stop_schedule, trio.current_time()
-        if schedule is None or now < schedule.admit_all_until:
+        if schedule is None:
             return
-        if (
-            now
-            + min(
-                call.client_timeout or DEFAULT_CLIENT_TIMEOUT_SECONDS,
-                route.timeout,
-            )
-            < schedule.deadline
-        ):
+        longest = min(
+            call.client_timeout or DEFAULT_CLIENT_TIMEOUT_SECONDS,
+            route.timeout,
+        )
+        if now < schedule.admit_all_until:
+            if route.may_repeat:
+                return
+            estimate = self._durations.estimate(route.name)
+            if estimate is not None:
+                longest = min(longest, estimate)
+        if now + longest < schedule.deadline:
             return
         raise _outcomes.rejection(
             errors.Code.NODE_STOPPING,
@@ -400,7 +405,10 @@
                 return
             raise
         finally:
-            if account and admitted.charge and not job.may_have_run:
+            if job.may_have_run:
+                now = trio.current_time()
+                self._durations.record(route.name, now - job.arrived)
+            elif account and admitted.charge:
                 self._charging.refund(account, admitted.charge)
             self._log_call(job, outcome, admitted.cost)
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_planned_stop.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_planned_stop.py
@@ -10,8 +10,10 @@
 
 log = structlog.get_logger()
 
-# A stopping node still admits all requests for this time, since the load
-# balancer removes it after two failed readiness checks, one per second.
+# A stopping node still admits requests for this time, since the load balancer
+# removes it after two failed readiness checks, one per second. Those that may
+# not be repeated are admitted only if they are likely to end in time, as their
+# clients could not tell what became of them.
 DRAIN_DELAY_SECONDS = 2.7
 
 # Unfinished responses are cut off this long before the stop timeout.
--- a/tests/mustardlb_gateway/test_planned_stop.py
+++ b/tests/mustardlb_gateway/test_planned_stop.py
@@ -188,6 +188,56 @@
         assert not node.cluster.target.requests
 
 
+@pytest.mark.parametrize(
+    ('kind', 'wait', 'status'),
+    [
+        ('non_idempotent', 9, 503),
+        ('non_idempotent', 1, 200),
+        ('idempotent', 9, 200),
+    ],
+)
+async def test_request_that_may_run_once_is_taken_if_it_can_end(
+    kind, wait, status
+):
+    """It ran, and got an error of unknown outcome when the node ended."""
+    route = {'kind': kind, 'timeout': 9.0}
+    async with StoppingNode(**route).running() as node:
+        node.stop()
+        await trio.sleep(0.2)
+        stream = await node.connect()
+        await stream.send_all(
+            make_request(1).replace(b'x-wait: 3', b'x-wait: %d' % wait)
+        )
+        response = gateway_harness.Response.parse(await receive_all(stream))
+        assert response.status == status
+        assert len(node.cluster.target.requests) == (status == 200)
+
+
+async def test_request_to_a_slow_target_is_not_taken_late():
+    """Its route allows more time than is left, and its targets need it."""
+
+    async def slow(connection, head, body):
+        await trio.sleep(1.2)
+        await test_app.respond_ok(connection, head, body)
+
+    route = {'kind': 'non_idempotent', 'timeout': 9.0}
+    async with StoppingNode(slow, **route).running() as node:
+        statuses = []
+        for number, delay in enumerate((0.0, 0.1, 1.2)):
+            if number == 1:
+                node.stop()
+            await trio.sleep(delay)
+            stream = await node.connect()
+            await stream.send_all(
+                make_request(number).replace(b'x-wait: 3', b'x-wait: 9')
+            )
+            data = await receive_all(stream) if number != 1 else b''
+            if data:
+                statuses.append(gateway_harness.Response.parse(data).status)
+        assert statuses == [200, 503]
+        assert len(node.cluster.target.requests) == 2
+
+
 # A call without a target waits until its deadline, which is after the end of
 # the node.
 async def test_waiting_request_is_rejected_as_not_run(short_drain):
