Use no idle connection by way of a node that is stopping

A call sent over a connection that another node relays was cut off when that node ended, although it had told all nodes that it stops and the call came later, also calls that may not be repeated. Change: TargetLinks takes an idle relayed connection only if its node is live, and closes the others. Result: test_idle_connection_by_way_of_a_stopping_node_is_not_used failed before and passes.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_links.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_links.py
@@ -157,12 +157,7 @@
     ) -> http_client.Connection | None:
         """Return a relayed connection, None if no node reaches the target."""
         if self.reachability.is_lost(target.target_id):
-            idle = self._pool.take_idle(
-                target.target_id,
-                target.service,
-                is_relayed=True,
-                request_id=request_id,
-            )
+            idle = self._take_relayed(target, request_id)
             if idle is not None:
                 return idle
         if self.reachability.is_down(target.target_id):
@@ -171,6 +166,24 @@
             target, problem, MAX_HELPERS_ASKED, MIN_UNREACHABLE
         )
 
+    def _take_relayed(
+        self, target: domain.Target, request_id: str
+    ) -> http_client.Connection | None:
+        """Return an idle connection by way of a live node, if any.
+
+        A node that is stopping ends its relays, and the requests on them.
+        """
+        while True:
+            idle = self._pool.take_idle(
+                target.target_id,
+                target.service,
+                is_relayed=True,
+                request_id=request_id,
+            )
+            if idle is None or idle.helper in self._live_vms():
+                return idle
+            idle.close()
+
     async def _ask_helpers(
         self,
         target: domain.Target,
--- a/tests/mustardlb_gateway/test_target_links.py
+++ b/tests/mustardlb_gateway/test_target_links.py
@@ -358,3 +358,42 @@
                 ]
                 if 2 * len(reaching) > nodes:
                     assert not await fleet.believed_down(target)
+
+
+class RelayedStub:
+    """An idle connection that a node relays."""
+
+    def __init__(self, helper):
+        self.helper = helper
+        self.is_closed = False
+
+    def close(self):
+        self.is_closed = True
+
+
+class IdlePool(PoolStub):
+    """Has idle relayed connections, the next one at the end."""
+
+    def __init__(self, idle):
+        self.idle = idle
+
+    def take_idle(self, peer, group='', is_relayed=False, request_id=''):
+        return self.idle.pop() if is_relayed and self.idle else None
+
+
+# A call that was sent over an idle connection by way of a stopping node was
+# cut off when that node ended.
+async def test_idle_connection_by_way_of_a_stopping_node_is_not_used(
+    autojump_clock,
+):
+    fleet = Fleet(3)
+    node, stopping, other = fleet.node_by_vm.values()
+    target = fleet.target_by_id['t0']
+    fleet.cuts[node.name, 't0'] = 'refuse'
+    assert (await node.links.acquire(target, 'r1')).helper
+    idle = [RelayedStub(other.name), RelayedStub(stopping.name)]
+    node.links._pool = IdlePool(list(idle))
+    node.live -= {stopping.name}
+    assert (await node.links.acquire(target, 'r2')) is idle[0]
+    assert [each.is_closed for each in idle] == [False, True]
+    assert (await node.links.acquire(target, 'r3')).helper == other.name
