Infer no stream's software from what a node knew before a gap

During a release, streams that clients took up at a node that had been cut off from the store or stood still could go on at another version of software. Cause: that node took a version that it had just heard of for one at which no stream had begun yet, since it was new to it, and knew nothing of versions that had come and gone. If no other node answered, it inferred the older version. What it did not know counted as not being there. Change: a version may have begun streams from 3 s after the last time at which this node knew that it was not there. After 3 s or more without the targets a node infers nothing until it has read the saved versions again. Not covered: a gap that ends with a list equal to the copy is not noticed.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_software_history.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_software_history.py
@@ -60,7 +60,11 @@
 
 
 class SoftwareHistory:
-    """Versions that are registered or were within the life of a stream."""
+    """Versions that are registered or were within the life of a stream.
+
+    :ivar must_load: whether versions may have come and gone unseen, which the
+        saved record has
+    """
 
     def __init__(
         self,
@@ -71,7 +75,10 @@
         self._wall_clock = wall_clock
         self._started_at = clock()
         self._first_at: dict[_Key, float] = {}
+        self._possible_at: dict[_Key, float] = {}
         self._last_at: dict[_Key, float] = {}
+        self._gap_ended_at = float('-inf')
+        self.must_load = False
         self._present: frozenset[_Key] = frozenset()
         self._has_observed = False
         self._left_at: dict[_Key, float] = {}
@@ -80,9 +87,22 @@
         self._saved: Snapshot | None = None
         self._check_record_at = float('-inf')
 
-    def observe(self, targets: abc.Iterable[domain.Target]) -> None:
-        """Add the versions of all registered targets."""
+    def observe(
+        self,
+        targets: abc.Iterable[domain.Target],
+        confirmed_at: float | None = None,
+    ) -> None:
+        """Add the versions of all registered targets.
+
+        :param confirmed_at: time as of which the targets were known before,
+            clock seconds; None if they were known all the time
+        """
         now = self._clock()
+        known_at = now if confirmed_at is None else min(now, confirmed_at)
+        if self._has_observed and known_at < now - ADOPTION_SECONDS:
+            log.info('MLB-6222', seconds=round(now - known_at, 3))
+            self._gap_ended_at = now
+            self.must_load = True
         present = frozenset(
             (target.service, target.software) for target in targets
         )
@@ -92,6 +112,11 @@
         for key in present - self._first_at.keys():
             # A node that starts does not know how long they have been there.
             self._first_at[key] = now if self._has_observed else float('-inf')
+            # No node can have known of it before this one knew of none.
+            self._possible_at[key] = min(
+                self._first_at[key] + POSSIBLE_AFTER_SECONDS,
+                known_at + ADOPTION_SECONDS,
+            )
             log.info('MLB-6212', service=key[0], software=key[1])
         self._present = present
         self._has_observed = True
@@ -109,6 +134,7 @@
         except (AttributeError, TypeError, ValueError) as error:
             log.warning('MLB-6213', problem=repr(error))
             return
+        self.must_load = False
         now, wall = self._clock(), self._wall_clock()
         self._loaded_services = frozenset(service for service, _ in record)
         self._set_recorded(record)
@@ -119,6 +145,7 @@
             if age > STREAM_LIFETIME_SECONDS:
                 continue
             self._first_at.setdefault(key, float('-inf'))
+            self._possible_at.setdefault(key, float('-inf'))
             if key not in self._present:
                 self._last_at[key] = now - age
                 self._left_at[key] = round(wall, 3)
@@ -199,6 +226,7 @@
         for key, last_at in list(self._last_at.items()):
             if key not in self._present and last_at < since:
                 del self._last_at[key], self._first_at[key]
+                del self._possible_at[key]
                 self._left_at.pop(key, None)
         return frozenset(self._first_at)
 
@@ -224,8 +252,7 @@
                 software
                 for service, software in self._keys()
                 if service in services
-                and self._first_at[service, software] + POSSIBLE_AFTER_SECONDS
-                <= now
+                and self._possible_at[service, software] <= now
             ),
             self._is_complete(services),
         )
@@ -236,7 +263,10 @@
         A service that is not in the record, but had targets when this node
         started, may have had others before.
         """
-        if self._started_at <= self._clock() - STREAM_LIFETIME_SECONDS:
+        forgotten_at = self._clock() - STREAM_LIFETIME_SECONDS
+        if self.must_load and self._gap_ended_at > forgotten_at:
+            return False
+        if self._started_at <= forgotten_at:
             return True
         loaded = self._loaded_services
         return loaded is not None and not any(
--- a/packages/mustardlb-gateway/mustardlb_gateway/_software_records.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_software_records.py
@@ -43,6 +43,8 @@
     history.add_saved(await _saved_object.load(store, KIND))
     read_at = clock()
     while True:
+        if history.must_load:
+            history.add_saved(await _saved_object.load(store, KIND))
         # A node that becomes a writer then saves what it knows.
         if vm in owners.ranking(KIND)[:WRITERS]:
             if history.must_save():
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -66,7 +66,9 @@
     quarantine = _quarantine.Quarantine(clock, lambda: membership.load_age)
     software_history = _software_history.SoftwareHistory(clock)
     state.targets_mirror.on_change(
-        lambda: software_history.observe(targets.by_id.values())
+        lambda: software_history.observe(
+            targets.by_id.values(), state.targets_mirror.confirmed_at
+        )
     )
     reported_loads = _reported_loads.ReportedLoads(
         clock,
--- a/tests/mustardlb_gateway/test_stream_origins.py
+++ b/tests/mustardlb_gateway/test_stream_origins.py
@@ -223,6 +223,78 @@
     assert await fleet.find('b1', 'r1') == software
 
 
+class OutOfStep:
+    """A node that neither heard of targets nor reaches other nodes yet.
+
+    :ivar heard_at: as of when it knew the targets
+    """
+
+    def __init__(self, fleet, vm):
+        self.fleet = fleet
+        self.vm = vm
+        self.heard_at = trio.current_time()
+        fleet.cut.add(vm)
+
+    def catch_up(self):
+        """Hear of the targets; messages to other nodes still get lost."""
+        self.fleet.cut.discard(self.vm)
+        self.fleet.lost_share = 1.0
+        self.fleet.nodes[self.vm].history.observe(
+            self.fleet.targets(), self.heard_at
+        )
+
+
+# A stream went on at another version of software: a node that had been cut off
+# took the version that it had just heard of for one that began no streams.
+async def test_node_that_catches_up_does_not_infer_the_software(
+    autojump_clock, nursery
+):
+    fleet = Fleet(nursery, 7)
+    # Nodes that have just started may not know all versions.
+    await trio.sleep(_software_history.STREAM_LIFETIME_SECONDS + 1)
+    behind = OutOfStep(fleet, 'b1')
+    fleet.set_softwares('v1', 'v2')
+    await trio.sleep(4)
+    while fleet.begin('a0', 'r1') != 'v2':
+        await trio.sleep(0.1)
+    behind.catch_up()
+    assert await fleet.find('b1', 'r1') is None
+
+
+# The version had come and gone before the node caught up.
+@pytest.mark.parametrize('until_read', [0, 2])
+async def test_node_that_catches_up_knows_of_versions_that_are_gone(
+    autojump_clock, nursery, until_read
+):
+    fleet = Fleet(nursery, 7)
+    # Nodes that have just started may not know all versions.
+    await trio.sleep(_software_history.STREAM_LIFETIME_SECONDS + 1)
+    behind = OutOfStep(fleet, 'b1')
+    fleet.set_softwares('v1', 'v2')
+    await trio.sleep(4)
+    while fleet.begin('a0', 'r1') != 'v2':
+        await trio.sleep(0.1)
+    fleet.set_softwares('v1')
+    await trio.sleep(WRITE_SECONDS)
+    behind.catch_up()
+    await trio.sleep(until_read)
+    assert await fleet.find('b1', 'r1') is None
+
+
+# After the record was read, a service with one version needs no other node.
+async def test_node_that_caught_up_knows_the_only_version(
+    autojump_clock, nursery
+):
+    fleet = Fleet(nursery, 7)
+    # Nodes that have just started may not know all versions.
+    await trio.sleep(_software_history.STREAM_LIFETIME_SECONDS + 1)
+    behind = OutOfStep(fleet, 'b1')
+    await trio.sleep(4)
+    behind.catch_up()
+    await trio.sleep(1)
+    assert await fleet.find('b1', 'r1') == 'v1'
+
+
 # Streams of the time with one version are told once there is another.
 async def test_streams_that_began_before_another_version(
     autojump_clock, nursery
