Let targets of the soak leave without a notice, or say so only in responses

Nodes are judged by what they acknowledged or passed on themselves, also beside faults of the store, and stops by each request that reached a target.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,6 +10,7 @@
 import soak_clients
 import soak_configuration
 import soak_faults
+import soak_leaving
 import soak_nodes
 import soak_operator
 import soak_store
@@ -29,8 +30,8 @@
 class Soak:
     """One run with one seed.
 
-    `odd_entries` also writes entries of `servers` that no target writes. The
-    nodes run the code in the folder `root`.
+    `odd_entries` also writes entries of `servers` that no target writes, and
+    `leaving` lets targets leave in the ways of `soak_leaving`. The nodes run the code in the folder `root`.
 
     :ivar judged_count: requests at nodes that were in touch
     :ivar trace: when each fault and event began
@@ -43,6 +44,7 @@
         nodes=3,
         clients=10,
         odd_entries=False,
+        leaving=False,
         root=soak_nodes.ROOT,
     ):
         self.seed = seed
@@ -50,6 +52,7 @@
         self._node_count = nodes
         self._client_count = clients
         self._odd_entries = odd_entries
+        self._leaving = leaving
         self._root = root
         self.store = soak_store.HttpStore()
         self.operator = soak_operator.Operator(
@@ -69,6 +72,7 @@
         self.nodes = []
         self.outcomes = []
         self.leavings = []
+        self.removals = []
         self.trace = []
         self.judged_count = 0
         self._own_ends = []
@@ -89,6 +93,12 @@
                         self._root,
                     )
                 )
+            if self._leaving:
+                rng = soak_targets.make_rng(self.seed, 'graces')
+                for node in self.nodes:
+                    node.stop_grace = rng.choice(
+                        soak_leaving.STOP_GRACES_SECONDS
+                    )
             self.register_targets()
             self.operator.write()
             for node in self.nodes:
@@ -113,12 +123,21 @@
         for target in self.targets:
             self.register(target)
 
+    def restore(self, saved):
+        """Continue from a copy; write what the operator and targets wrote."""
+        self.store.restore(saved)
+        self.operator.write()
+        self.register_targets()
+
     def register(self, target):
         """Write a target's entry, or remove that of a removed one."""
+        if target.state == 'gone':
+            return
         if target.state == 'removed':
             self.store.remove('servers', target.target_id)
             return
-        fields = target.registration(target.state)
+        is_draining = target.state == 'draining'
+        fields = target.registration('draining' if is_draining else 'ready')
         self.store.put('servers', target.target_id, fields)
 
     async def _run_clients(self, seconds):
@@ -144,6 +163,8 @@
         events = soak_faults.EVENTS
         if self._odd_entries:
             events += (soak_faults.write_odd_entry,) * 2
+        if self._leaving:
+            events += soak_leaving.EVENTS
         nursery.start_soon(self._inject, 'events', events, 0.8)
         for number in itertools.count():
             await self._inject_series(f'series {number}')
@@ -206,6 +227,15 @@
             *soak_configuration.find_late_arrivals(
                 self.leavings, self.outcomes, arrivals, is_in_touch
             ),
+            *soak_leaving.find_arrivals_after_removal(
+                self.removals, self.outcomes, arrivals, nodes_by_name
+            ),
+            *soak_leaving.find_arrivals_after_notice(
+                self.record.notices, self.outcomes, arrivals, nodes_by_name
+            ),
+            *soak_leaving.find_cut_requests(
+                self.outcomes, arrivals, nodes_by_name
+            ),
             *soak_configuration.find_overdue(
                 history, self.outcomes, ended_at, is_in_touch
             ),
--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -5,7 +5,6 @@
 import signal
 
 import soak_configuration
-import soak_nodes
 import soak_targets
 import trio
 
@@ -25,16 +24,25 @@
 # No target listens there.
 UNUSED_ADDRESS = {'address': '127.0.0.1:9'}
 
+# Clients notice the end of a process with this difference.
+END_SLACK_SECONDS = 0.1
+
 # A target that has reported its leaving serves on for this long at least.
 LEAVING_SECONDS = 2.5
 
 
 @contextlib.contextmanager
-def faulty(*nodes):
-    """Record that nodes are not in touch meanwhile."""
+def faulty(*nodes, is_own=True):
+    """Record that nodes are not in touch meanwhile.
+
+    :param is_own: whether the nodes or their links are at fault, rather than
+        the store
+    """
     intervals = [[trio.current_time(), float('inf')] for _ in nodes]
     for node, interval in zip(nodes, intervals, strict=True):
         node.faults.append(interval)
+        if is_own:
+            node.own_faults.append(interval)
     try:
         yield
     finally:
@@ -65,10 +73,16 @@
 async def stop_node(run, rng):
     node = run.draw_node(rng)
     with restarted(run, node):
+        stopped_at = node.own_faults[-1][0]
         node.signal(signal.SIGTERM)
-        with trio.move_on_after(soak_nodes.STOP_GRACE_SECONDS):
-            while node.process.poll() is None:
-                await trio.sleep(0.1)
+        try:
+            with trio.move_on_after(node.stop_grace):
+                while node.process.poll() is None:
+                    await trio.sleep(0.1)
+        finally:
+            has_ended = node.process.poll() is not None
+            slack = END_SLACK_SECONDS * (1 if has_ended else -1)
+            node.stops.append((stopped_at, trio.current_time() + slack))
 
 
 async def pause_node(run, rng):
@@ -105,7 +119,7 @@
     """Let the store be down, lose responses or return stale lists."""
     name = rng.choice(['is_down', 'loses_responses', 'stale_copy'])
     value = run.store.copy()[1] if name == 'stale_copy' else True
-    with faulty(*run.nodes):
+    with faulty(*run.nodes, is_own=False):
         setattr(run.store, name, value)
         try:
             await trio.sleep(rng.uniform(0.3, 2.5))
@@ -114,20 +128,18 @@
 
 
 async def drop_history(run, rng):
-    with faulty(*run.nodes):
+    with faulty(*run.nodes, is_own=False):
         run.store.drop_history()
 
 
 async def restore_store(run, rng):
     """Continue from a copy; operator and targets write what it lacks."""
     saved = run.store.copy()
-    with faulty(*run.nodes):
+    with faulty(*run.nodes, is_own=False):
         try:
             await trio.sleep(rng.uniform(0.2, 1.0))
         finally:
-            run.store.restore(saved)
-            run.operator.write()
-            run.register_targets()
+            run.restore(saved)
 
 
 async def reload_settings(run, rng):
@@ -173,8 +185,8 @@
         run.store.watch_seconds = None
 
 
-async def drain_target(run, rng):
-    """Let a target leave and return, one of a service at a time."""
+def draw_free_target(run, rng):
+    """Return a ready target whose service has two others, else None."""
     ready = [each for each in run.targets if each.state == 'ready']
     services = [soak_targets.service_of(each.target_id) for each in ready]
     free = [
@@ -182,9 +194,14 @@
         for each in ready
         if services.count(soak_targets.service_of(each.target_id)) > 2
     ]
-    if not free:
+    return rng.choice(free) if free else None
+
+
+async def drain_target(run, rng):
+    """Let a target leave and return, one of a service at a time."""
+    target = draw_free_target(run, rng)
+    if target is None:
         return
-    target = rng.choice(free)
     target.state = rng.choice(['draining', 'removed'])
     run.register(target)
     leaving = soak_configuration.Leaving(target.target_id, trio.current_time())
--- a/tests/soak/soak_nodes.py
+++ b/tests/soak/soak_nodes.py
@@ -30,6 +30,10 @@
 
     :ivar root: folder of the repository whose code it runs
     :ivar faults: start and end of each fault, the end infinite during it
+    :ivar own_faults: those of them that are not the store's
+    :ivar stops: when it was told to stop, and until when its connections were
+        not ended by a kill
+    :ivar stop_grace: seconds from the signal to stop until it is killed
     :ivar starts: when its processes were started
     :ivar stop_count: number of faults that keep it stopped
     """
@@ -44,6 +48,9 @@
     root: pathlib.Path = ROOT
     process: subprocess.Popen | None = None
     faults: list = dataclasses.field(default_factory=list)
+    own_faults: list = dataclasses.field(default_factory=list)
+    stops: list = dataclasses.field(default_factory=list)
+    stop_grace: float = STOP_GRACE_SECONDS
     starts: list = dataclasses.field(default_factory=list)
     stop_count: int = 0
 
@@ -79,7 +86,7 @@
             'port_range': [self.peer_port, self.peer_port],
             'limits': {'max_fds': 1000, 'link_mbps': 100},
             'bounds': {
-                'grace_s': STOP_GRACE_SECONDS,
+                'grace_s': self.stop_grace,
                 'lease_ms': 1000,
                 'fencing': True,
             },
@@ -93,6 +100,16 @@
             for start, end in self.faults
         )
 
+    def is_undisturbed(self, since, until, except_at=None):
+        """Whether only the store had faults in this time.
+
+        :param except_at: start of a fault of the node that is left out
+        """
+        return all(
+            end < since or start > until or start == except_at
+            for start, end in self.own_faults
+        )
+
     def incarnation(self, at):
         """Return the number of the process that ran at this time."""
         return bisect.bisect(self.starts, at)
--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -16,6 +16,9 @@
 EVENT_COUNT = 12
 EVENT_INTERVAL_SECONDS = 0.03
 
+# The header with which a target says that it leaves.
+LEAVING_HEADER = b'server-leaving: 1\r\n'
+
 # Share of requests that fail while no target fault is injected.
 BASE_FAULT_RATE = 0.08
 
@@ -38,6 +41,16 @@
     request_id: str
     target_id: str
     at: float
+    born: int = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class Notice:
+    """A response in which a target says that it leaves."""
+
+    request_id: str
+    target_id: str
+    born: int
 
 
 class RunRecord:
@@ -47,6 +60,7 @@
         self.runs_by_id = collections.Counter()
         self.accounts_by_id = {}
         self.arrivals = []
+        self.notices = []
         self.violations = []
 
 
@@ -55,7 +69,8 @@
 
     :ivar fault_rate: share of requests that are reset or rejected
     :ivar stall_rate: share of requests that are answered late
-    :ivar state: 'ready', 'draining' or 'removed'
+    :ivar state: 'ready', 'draining' or 'removed'; 'telling' (it says only in
+        its responses that it leaves) or 'gone' (it writes nothing)
     :ivar born: number of its incarnation
     """
 
@@ -165,11 +180,17 @@
             await connection.send(_response(421, b'', request_id))
             return
         self.record.arrivals.append(
-            Arrival(request_id, self.target_id, trio.current_time())
+            Arrival(request_id, self.target_id, trio.current_time(), self.born)
         )
+        notice = b''
+        if self.state == 'telling':
+            notice = LEAVING_HEADER
+            self.record.notices.append(
+                Notice(request_id, self.target_id, self.born)
+            )
         draw = self._rng.random()
         if draw < self.fault_rate / 3:
-            not_executed = b'x-mustardlb-not-executed: 1\r\n'
+            not_executed = notice + b'x-mustardlb-not-executed: 1\r\n'
             await connection.send(
                 _response(503, b'', request_id, not_executed)
             )
@@ -181,20 +202,22 @@
             await connection.reset()
             return
         if self.is_engine:
-            await self._stream(connection, headers, adapter)
+            await self._stream(connection, headers, adapter, notice)
             return
         is_stalled = self._rng.random() < self.stall_rate
         await trio.sleep(
             STALL_SECONDS if is_stalled else self._rng.uniform(0.005, 0.04)
         )
-        await connection.send(self._complete_response(request_id))
+        await connection.send(self._complete_response(request_id, notice))
 
-    def _complete_response(self, request_id):
+    def _complete_response(self, request_id, notice):
         signature = sign(self.target_id, request_id)
         head = f'x-mustardlb-server-stamp: {self.target_id}.{signature}\r\n'
-        return _response(200, signature.encode(), request_id, head.encode())
+        return _response(
+            200, signature.encode(), request_id, notice + head.encode()
+        )
 
-    async def _stream(self, connection, headers, adapter):
+    async def _stream(self, connection, headers, adapter, notice):
         request_id = headers['x-mustardlb-request-id']
         first_event = int(headers.get('last-event-id', 0)) + 1
         signature = sign(self.target_id, request_id)
@@ -207,8 +230,9 @@
                 b'HTTP/1.1 200 OK\r\nx-mustardlb-request-id: '
                 + request_id.encode()
                 + '\r\nx-mustardlb-server-stamp: '
-                f'{self.target_id}.{signature}\r\n'
-                'transfer-encoding: chunked\r\n\r\n'.encode()
+                f'{self.target_id}.{signature}\r\n'.encode()
+                + notice
+                + b'transfer-encoding: chunked\r\n\r\n'
             )
             for number in range(first_event, EVENT_COUNT + 1):
                 await trio.sleep(EVENT_INTERVAL_SECONDS)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,7 +14,22 @@
 SECONDS = 6.0
 
 
+# Targets leave without a notice, or say so only in their responses.
+LEAVING_SEEDS = [
+    902,  # A restored store had a removed target again.
+    907,
+]
+
+LEAVING_SECONDS = 14.0
+
+
 @pytest.mark.parametrize('seed', SEEDS)
 async def test_promises_hold_under_faults(seed, tmp_path):
     run = soak.Soak(seed, tmp_path)
     assert await run.run(SECONDS) == []
+
+
+@pytest.mark.parametrize('seed', LEAVING_SEEDS)
+async def test_no_request_reaches_targets_that_have_left(seed, tmp_path):
+    run = soak.Soak(seed, tmp_path, leaving=True)
+    assert await run.run(LEAVING_SECONDS) == []
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -22,12 +22,13 @@
     seconds: float = 20.0,
     nodes: int = 3,
     odd: bool = False,
+    leaving: bool = False,
     root: str = str(ROOT),
 ) -> None:
     """Print the result of each seed; exit with 1 if any check failed.
 
-    `odd` also writes entries of targets that cannot be read. The nodes run the
-    code in the folder `root`.
+    `odd` also writes entries of targets that cannot be read, and `leaving` lets
+    targets leave without a notice. The nodes run the code in the folder `root`.
     """
     # The default action of SIGTERM would leave the gateway processes running.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -35,7 +36,12 @@
     for run_seed in range(seed, seed + count):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{run_seed}-'))
         run = soaks.Soak(
-            run_seed, folder, nodes, odd_entries=odd, root=pathlib.Path(root)
+            run_seed,
+            folder,
+            nodes,
+            odd_entries=odd,
+            leaving=leaving,
+            root=pathlib.Path(root),
         )
         violations = trio.run(run.run, seconds)
         statuses = collections.Counter(
