Keep an evacuation that the store has lost until it is written again

Configurations, keys and versions of adapters are ordered by their versions and do not go back. Change: evacuations that a new epoch of the store lacks go on for ten seconds at most, unless they are written again. Result: test_evacuation_outlasts_a_restore_until_it_is_written_again and test_lost_evacuation_ends_if_it_is_not_written_again failed before; 16 tests of evacuations pass.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_evacuations.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_evacuations.py
@@ -22,6 +22,10 @@
 # longer after it.
 ENDED_TTL_SECONDS = 600.0
 
+# The operator writes again within this time what the store has lost when it
+# continues from a copy. Until then evacuations that it lacks go on.
+REWRITE_SECONDS = 10.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndedEvacuation:
@@ -56,14 +60,28 @@
         self._started_at = clock()
         self.since_by_centre: dict[str, float] = {}
         self._ended_by_centre: dict[str, EndedEvacuation] = {}
+        self._epoch = mirror.epoch if mirror is not None else 0
+        self._lost_until_by_centre: dict[str, float] = {}
         if mirror is not None:
             mirror.on_change(lambda: self._refresh(mirror))
 
     def _refresh(self, mirror: _mirror.Mirror) -> None:
         now = self._clock()
         before = self.since_by_centre
+        if mirror.epoch != self._epoch:
+            self._epoch = mirror.epoch
+            self._lost_until_by_centre = dict.fromkeys(
+                before.keys() - mirror.objects_by_name.keys(),
+                now + REWRITE_SECONDS,
+            )
+        self._lost_until_by_centre = {
+            name: until
+            for name, until in self._lost_until_by_centre.items()
+            if until > now and name not in mirror.objects_by_name
+        }
         self.since_by_centre = {
-            name: before.get(name, now) for name in mirror.objects_by_name
+            name: before.get(name, now)
+            for name in (*mirror.objects_by_name, *self._lost_until_by_centre)
         }
         for name in self.since_by_centre.keys() - before.keys():
             log.warning('MLB-6230', data_centre=name, revision=mirror.revision)
@@ -83,6 +101,11 @@
             if ended.at > now - ENDED_TTL_SECONDS
         }
 
+    def update(self) -> None:
+        """End evacuations that the store has lost and nobody wrote again."""
+        if self._mirror is not None and self._lost_until_by_centre:
+            self._refresh(self._mirror)
+
     @property
     def is_known(self) -> bool:
         """Return whether this node knows which data centres are evacuated.
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -507,6 +507,7 @@
                 accounts = (configuration.accounts_by_name or {}).values()
                 self._quota.add_accounts(accounts, now)
             self._quota.charge_assumed_shares(now)
+            self._evacuations.update()
             _wiring_targets.refresh(self._target_parts, self.targets)
             self._permits.remove_gone()
             self._cold_permits.remove_gone()
--- a/tests/mustardlb_gateway/test_evacuations.py
+++ b/tests/mustardlb_gateway/test_evacuations.py
@@ -58,6 +58,14 @@
             self.mirror.revision + 1,
         )
 
+    def restore(self, *names):
+        """Continue from a copy of the store's data with these evacuations."""
+        self.mirror.replace_all(
+            [ports.StoredObject(name, 1, {}) for name in names],
+            1,
+            self.mirror.epoch + 1,
+        )
+
     def ready(self):
         return [target.target_id for target in self.table.ready('llm')]
 
@@ -339,3 +347,34 @@
     )
     table.set_evacuated()
     assert table.ready() == ['t1']
+
+
+# The store lost an evacuation with the data since its copy; requests went to
+# the data centre until the operator had written it again.
+def test_evacuation_outlasts_a_restore_until_it_is_written_again():
+    table = Table()
+    table.set_evacuated('b')
+    table.restore()
+    assert table.ready() == ['t1']
+    table.now += 1.0
+    table.mirror.replace_all(
+        [ports.StoredObject('b', 5, {})], 5, table.mirror.epoch
+    )
+    table.now += _evacuations.REWRITE_SECONDS
+    table.evacuations.update()
+    assert table.ready() == ['t1']
+    table.mirror.replace_all([], 6, table.mirror.epoch)
+    assert table.ready() == ['t1', 't2']
+
+
+# An evacuation that nobody writes again must not last for ever.
+def test_lost_evacuation_ends_if_it_is_not_written_again():
+    table = Table()
+    table.set_evacuated('b')
+    table.restore()
+    table.now += _evacuations.REWRITE_SECONDS - 0.1
+    table.evacuations.update()
+    assert table.ready() == ['t1']
+    table.now += 0.2
+    table.evacuations.update()
+    assert table.ready() == ['t1', 't2']
