Keep restored registrations in _removals; tell relays only of known leaving

Found on reading the diff: a node that relays would have told others, for good, that a target leaves of which only a restored registration is in doubt; and a node without a saved record of versions would have asked the store for it four times a second. Relays are now told of known departures only, and the record is read once a second and for the life of a stream at most.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
@@ -129,8 +129,8 @@
 
     `is_evacuated` returns whether a target gets no new connections, and
     `is_overdue` whether it gets no further bytes on those that it has.
-    `has_left` returns whether a target leaves, and `tell_leaving` tells that
-    to a node.
+    `is_leaving` returns whether a target is known to leave, and
+    `tell_leaving` tells that to a node.
 
     :ivar count: number of connections that are relayed now
     """
@@ -144,12 +144,12 @@
         is_evacuated: abc.Callable[[domain.Target], bool] = lambda _: False,
         is_overdue: abc.Callable[[domain.Target], bool] = lambda _: False,
         buffers: _buffers.Buffers | None = None,
-        has_left: abc.Callable[[domain.Target], bool] = lambda _: False,
+        is_leaving: abc.Callable[[domain.Target], bool] = lambda _: False,
         tell_leaving: abc.Callable[
             [str, str, int], None
         ] = lambda vm, target_id, incarnation: None,
     ) -> None:
-        self._has_left = has_left
+        self._is_leaving = is_leaving
         self._tell_leaving = tell_leaving
         self._vms_by_target: dict[
             tuple[str, int], collections.Counter[str]
@@ -228,7 +228,8 @@
         target = self._targets().get(relay.target_id)
         if target is None:
             return True
-        if target.incarnation == relay.incarnation and self._has_left(target):
+        is_same = target.incarnation == relay.incarnation
+        if is_same and self._is_leaving(target):
             self._tell_leaving(vm, relay.target_id, relay.incarnation)
         return not self._is_overdue(target)
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_removals.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_removals.py
@@ -9,8 +9,12 @@
 from collections import abc
 import dataclasses
 
+import structlog
+
 from mustardlb_gateway import domain
 
+log = structlog.get_logger()
+
 # Covers several replacements of all targets of the largest fleet.
 MAX_REMOVALS = 8192
 
@@ -45,6 +49,7 @@
         self._heartbeat_interval = heartbeat_interval
         self._max_count = max_count
         self._removal_by_key: dict[_Key, _Removal] = {}
+        self._restored: frozenset[_Key] = frozenset()
         self._epoch = 0
         self._epoch_revision = 0
         self._epoch_began_at = float('-inf')
@@ -63,20 +68,51 @@
         while len(self._removal_by_key) > self._max_count:
             del self._removal_by_key[next(iter(self._removal_by_key))]
 
-    def forget(self, target: domain.Target) -> None:
-        """Forget the removal of a target that has registered again."""
-        self._removal_by_key.pop((target.target_id, target.incarnation), None)
+    @property
+    def has_restored(self) -> bool:
+        """Return whether any registration may be one that was removed."""
+        return bool(self._restored)
 
-    def is_restored(
-        self, target: domain.Target, written: int, confirmed_at: float
-    ) -> bool:
-        """Return whether a registration may be one that was removed.
+    def is_restored(self, target: domain.Target) -> bool:
+        """Return whether a registration may be one that was removed."""
+        return (target.target_id, target.incarnation) in self._restored
 
-        :param written: revision of the registration
-        :param confirmed_at: time as of which the registration is known to be
-            there, clock seconds
+    def find_restored(
+        self,
+        registrations: abc.Iterable[tuple[domain.Target, int]],
+        revision: int,
+        confirmed_at: float,
+    ) -> None:
+        """Find the registrations that may have been removed.
+
+        Forgets the removals of all other targets that are registered.
+
+        :param registrations: each with the revision that wrote it
+        :param revision: revision of the copy
+        :param confirmed_at: time as of which they are known to be there, clock
+            seconds
         """
-        key = target.target_id, target.incarnation
+        restored = set()
+        for target, written in registrations:
+            key = target.target_id, target.incarnation
+            if not self._may_be_removed(key, written, confirmed_at):
+                self._removal_by_key.pop(key, None)
+                continue
+            restored.add(key)
+            if key not in self._restored:
+                log.info(
+                    'MLB-6221',
+                    target=target.target_id,
+                    incarnation=target.incarnation,
+                    written=written,
+                    revision=revision,
+                    epoch=self._epoch,
+                )
+        self._restored = frozenset(restored)
+
+    def _may_be_removed(
+        self, key: _Key, written: int, confirmed_at: float
+    ) -> bool:
         removal = self._removal_by_key.get(key)
         if removal is None or removal.epoch == self._epoch:
             return False
--- a/packages/mustardlb-gateway/mustardlb_gateway/_software_history.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_software_history.py
@@ -60,11 +60,7 @@
 
 
 class SoftwareHistory:
-    """Versions that are registered or were within the life of a stream.
-
-    :ivar must_load: whether versions may have come and gone unseen, which the
-        saved record has
-    """
+    """Versions that are registered or were within the life of a stream."""
 
     def __init__(
         self,
@@ -78,7 +74,6 @@
         self._possible_at: dict[_Key, float] = {}
         self._last_at: dict[_Key, float] = {}
         self._gap_ended_at = float('-inf')
-        self.must_load = False
         self._present: frozenset[_Key] = frozenset()
         self._has_observed = False
         self._left_at: dict[_Key, float] = {}
@@ -102,7 +97,6 @@
         if self._has_observed and known_at < now - ADOPTION_SECONDS:
             log.info('MLB-6222', seconds=round(now - known_at, 3))
             self._gap_ended_at = now
-            self.must_load = True
         present = frozenset(
             (target.service, target.software) for target in targets
         )
@@ -134,7 +128,7 @@
         except (AttributeError, TypeError, ValueError) as error:
             log.warning('MLB-6213', problem=repr(error))
             return
-        self.must_load = False
+        self._gap_ended_at = float('-inf')
         now, wall = self._clock(), self._wall_clock()
         self._loaded_services = frozenset(service for service, _ in record)
         self._set_recorded(record)
@@ -152,6 +146,13 @@
                 if left_at is not None:
                     self._left_at[key] = left_at
 
+    def must_load(self) -> bool:
+        """Return whether versions may have come and gone unseen.
+
+        The saved record has them.
+        """
+        return self._gap_ended_at > self._clock() - STREAM_LIFETIME_SECONDS
+
     def must_save(self) -> bool:
         """Return whether the saved record may differ from what is known."""
         if not self._has_observed:
@@ -264,7 +265,7 @@
         started, may have had others before.
         """
         forgotten_at = self._clock() - STREAM_LIFETIME_SECONDS
-        if self.must_load and self._gap_ended_at > forgotten_at:
+        if self.must_load():
             return False
         if self._started_at <= forgotten_at:
             return True
--- a/packages/mustardlb-gateway/mustardlb_gateway/_software_records.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_software_records.py
@@ -43,7 +43,8 @@
     history.add_saved(await _saved_object.load(store, KIND))
     read_at = clock()
     while True:
-        if history.must_load:
+        if history.must_load() and clock() >= read_at:
+            read_at = clock() + READ_INTERVAL_SECONDS
             history.add_saved(await _saved_object.load(store, KIND))
         # A node that becomes a writer then saves what it knows.
         if vm in owners.ranking(KIND)[:WRITERS]:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -101,7 +101,6 @@
         self.centres_by_name: dict[str, _centres.CentreState] = {}
         self._departures = _departures.Departures(clock)
         self._removals = _removals.Removals(heartbeat_interval)
-        self._restored: frozenset[tuple[str, int]] = frozenset()
         self._epoch = mirror.epoch
         self._epoch_began_at = float('-inf')
         self._removal_callbacks: list[abc.Callable[[domain.Target], None]] = []
@@ -154,7 +153,7 @@
 
     def update(self) -> None:
         """Accept restored registrations that have been renewed by now."""
-        if self._restored:
+        if self._removals.has_restored:
             self._refresh()
 
     def _refresh(self) -> None:
@@ -224,7 +223,14 @@
                 self._add_departure(
                     target.target_id, target.incarnation, STORE_SOURCE
                 )
-        self._restored = self._find_restored(targets)
+        self._removals.find_restored(
+            [
+                (target, self._decoded_by_id[name][0].revision)
+                for name, target in targets.items()
+            ],
+            self._mirror.revision,
+            self._mirror.confirmed_at,
+        )
         return {
             name: self._with_leaving(target)
             for name, target in targets.items()
@@ -238,31 +244,6 @@
                 target.target_id, target.incarnation, STORE_SOURCE
             )
 
-    def _find_restored(
-        self, targets: abc.Mapping[str, domain.Target]
-    ) -> frozenset[tuple[str, int]]:
-        """Return the targets whose registrations may have been removed."""
-        restored = set()
-        for name, target in targets.items():
-            written = self._decoded_by_id[name][0].revision
-            if not self._removals.is_restored(
-                target, written, self._mirror.confirmed_at
-            ):
-                self._removals.forget(target)
-                continue
-            key = target.target_id, target.incarnation
-            restored.add(key)
-            if key not in self._restored:
-                log.info(
-                    'MLB-6221',
-                    target=target.target_id,
-                    incarnation=target.incarnation,
-                    written=written,
-                    revision=self._mirror.revision,
-                    epoch=self._mirror.epoch,
-                )
-        return frozenset(restored)
-
     def _with_leaving(self, target: domain.Target) -> domain.Target:
         """Return a target as draining if it leaves or may have left."""
         if not self.has_left(target):
@@ -304,8 +285,11 @@
 
     def has_left(self, target: domain.Target) -> bool:
         """Return whether a target leaves, or may have left."""
-        key = target.target_id, target.incarnation
-        return key in self._restored or self._departures.has_left(target)
+        return self._removals.is_restored(target) or self.is_leaving(target)
+
+    def is_leaving(self, target: domain.Target) -> bool:
+        """Return whether a target is known to leave."""
+        return self._departures.has_left(target)
 
     def _handle_removal(self, target: domain.Target, now: float) -> None:
         since = max(self._mirror.connected_at, self._epoch_began_at)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -137,7 +137,7 @@
         targets.is_evacuated,
         lambda target: state.evacuations.is_overdue(target.data_centre),
         buffers,
-        targets.has_left,
+        targets.is_leaving,
         lambda vm, target_id, incarnation: peers().notify(
             vm, _messages.Rest(target_id, incarnation, 0.0, is_leaving=True)
         ),
--- a/tests/mustardlb_gateway/test_removals.py
+++ b/tests/mustardlb_gateway/test_removals.py
@@ -109,6 +109,6 @@
     for revision, target in enumerate(targets):
         removals.record(target, 0, 10 + revision)
     removals.begin_epoch(1, 5, 100.0)
-    assert [removals.is_restored(target, 5, 100.0) for target in targets] == [
-        False
-    ] * 5 + [True] * 4
+    removals.find_restored([(target, 5) for target in targets], 5, 100.0)
+    restored = [target for target in targets if removals.is_restored(target)]
+    assert restored == targets[-4:]
