Ask other nodes for removals that a restored store undoes

A node that started between the removal of a target and the store's return from an earlier copy took the restored registration for one like any other, and sent requests to a target whose going all other nodes had acknowledged. Cause: removals were known only to the nodes that had seen them.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_message_codec.py
@@ -12,6 +12,7 @@
 from mustardlb_gateway import _messages
 from mustardlb_gateway import _origin_codec
 from mustardlb_gateway import _reachability
+from mustardlb_gateway import _removal_codec
 from mustardlb_gateway import _target_observation_codec
 from mustardlb_gateway import domain
 from mustardlb_gateway import ports
@@ -154,6 +155,10 @@
                 'failed': _limited(body.failed, 32),
                 'isSuspended': body.is_suspended,
             }
+        case _messages.FindRemovals():
+            return 'findRemovals', None
+        case _messages.FoundRemovals():
+            return 'foundRemovals', _removal_codec.encode_found(body)
         case _messages.Subscription():
             return 'subscription', body.is_wanted
         case _messages.Update():
@@ -531,6 +536,10 @@
                 observed.failed,
                 observed.isSuspended,
             )
+        case 'findRemovals':
+            return _messages.FindRemovals()
+        case 'foundRemovals':
+            return _removal_codec.decode_found(decoded.foundRemovals)
         case 'subscription':
             return _messages.Subscription(decoded.subscription)
         case 'update':
--- a/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_messages.py
@@ -5,6 +5,7 @@
 from mustardlb_gateway import _centres
 from mustardlb_gateway import _crashes
 from mustardlb_gateway import _reachability
+from mustardlb_gateway import _removals
 from mustardlb_gateway import _software_history
 from mustardlb_gateway import _target_limits
 from mustardlb_gateway import domain
@@ -387,6 +388,18 @@
     epoch: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FindRemovals:
+    """Asks which registrations the store has removed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FoundRemovals:
+    """The response to FindRemovals: those that are not there again."""
+
+    removals: tuple[_removals.Removal, ...]
+
+
 Body = (
     Digest
     | SnapshotRequest
@@ -412,6 +425,8 @@
     | RelayResult
     | Rest
     | Observed
+    | FindRemovals
+    | FoundRemovals
     | Subscription
     | Update
 )
@@ -431,6 +446,7 @@
     FindOrigin,
     Rest,
     Observed,
+    FindRemovals,
 )
 
 RESPONSES = (
@@ -442,6 +458,7 @@
     Tried,
     ToldOrigins,
     FoundOrigin,
+    FoundRemovals,
     RelayResult,
 )
 
--- a/packages/mustardlb-gateway/mustardlb_gateway/_peer_requests.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_peer_requests.py
@@ -67,6 +67,8 @@
                 handlers.targets.record_departure(
                     body.target_id, body.incarnation, message.vm
                 )
+        case _messages.FindRemovals():
+            return _messages.FoundRemovals(handlers.targets.removals())
         case _messages.Observed():
             handlers.warm_up.handle_observed(message.vm, body)
         case _messages.Refund():
--- a/packages/mustardlb-gateway/mustardlb_gateway/_removals.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_removals.py
@@ -18,6 +18,9 @@
 # Covers several replacements of all targets of the largest fleet.
 MAX_REMOVALS = 8192
 
+# Bounds the size of a message.
+MAX_TOLD = 1024
+
 # The store removes a registration that is not renewed for three heartbeat
 # intervals; the fourth one is for the removal to be seen.
 RENEWAL_INTERVALS = 4
@@ -27,9 +30,15 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Removal:
-    """The copy of the store in which a registration was removed."""
+class Removal:
+    """A registration that was removed.
+
+    :ivar epoch: epoch of the store at the removal
+    :ivar revision: revision of the copy that does not have it any more
+    """
 
+    target_id: str
+    incarnation: int
     epoch: int
     revision: int
 
@@ -48,7 +57,7 @@
     ) -> None:
         self._heartbeat_interval = heartbeat_interval
         self._max_count = max_count
-        self._removal_by_key: dict[_Key, _Removal] = {}
+        self._removal_by_key: dict[_Key, Removal] = {}
         self._restored: frozenset[_Key] = frozenset()
         self._epoch = 0
         self._epoch_revision = 0
@@ -62,12 +71,29 @@
 
     def record(self, target: domain.Target, epoch: int, revision: int) -> None:
         """Record that the registration of a target was removed."""
-        key = target.target_id, target.incarnation
+        self.add(
+            Removal(target.target_id, target.incarnation, epoch, revision)
+        )
+
+    def add(self, removal: Removal) -> None:
+        """Add a removal; the last one of a registration counts."""
+        key = removal.target_id, removal.incarnation
         self._removal_by_key.pop(key, None)
-        self._removal_by_key[key] = _Removal(epoch, revision)
+        self._removal_by_key[key] = removal
         while len(self._removal_by_key) > self._max_count:
             del self._removal_by_key[next(iter(self._removal_by_key))]
 
+    def add_told(self, removals: abc.Iterable[Removal]) -> None:
+        """Add the removals that another node tells of, if they are new."""
+        for removal in removals:
+            key = removal.target_id, removal.incarnation
+            if key not in self._removal_by_key:
+                self.add(removal)
+
+    def latest(self) -> tuple[Removal, ...]:
+        """Return what another node is told, the last ones at the end."""
+        return tuple(self._removal_by_key.values())[-MAX_TOLD:]
+
     @property
     def has_restored(self) -> bool:
         """Return whether any registration may be one that was removed."""
--- a/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_targets.py
@@ -156,6 +156,15 @@
         if self._removals.has_restored:
             self._refresh()
 
+    def removals(self) -> tuple[_removals.Removal, ...]:
+        """Return the last registrations that the store has removed."""
+        return self._removals.latest()
+
+    def add_removals(self, removals: abc.Iterable[_removals.Removal]) -> None:
+        """Add the removals that another node has seen."""
+        self._removals.add_told(removals)
+        self._refresh()
+
     def _refresh(self) -> None:
         now = self._clock()
         if self._mirror.epoch != self._epoch:
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -25,6 +25,7 @@
 from mustardlb_gateway import _prefix_index
 from mustardlb_gateway import _quota
 from mustardlb_gateway import _registration
+from mustardlb_gateway import _removal_sync
 from mustardlb_gateway import _retry_budget
 from mustardlb_gateway import _software_history
 from mustardlb_gateway import _software_records
@@ -89,6 +90,7 @@
         self.state = state.config
         self._evacuations = state.evacuations
         self.targets = state.targets
+        self._targets_mirror = state.targets_mirror
         self._quota = _quota.Quota(
             lambda: self.settings.limit_tolerance,
             lambda: self.membership.counters_stale_after,
@@ -475,6 +477,13 @@
             nursery.start_soon(self._target_parts.crash_watch.run)
             nursery.start_soon(self._target_parts.links.run)
             nursery.start_soon(self._stream_origins.run)
+            nursery.start_soon(
+                _removal_sync.sync,
+                self._targets_mirror,
+                self.peers.request,
+                self.peers.alive,
+                self.targets.add_removals,
+            )
             nursery.start_soon(
                 _software_records.sync,
                 self._store,
--- a/packages/mustardlb/mustardlb/schema/gateway.capnp
+++ b/packages/mustardlb/mustardlb/schema/gateway.capnp
@@ -35,9 +35,18 @@
     observed @26 :Observed; # for the owner of a target; has no response
     coldPermit @27 :Cold;   # its response is `permitted`
     coldNotice @28 :Cold;   # has no response
+    findRemovals @29 :Void; # registrations that the store has removed
+    foundRemovals @30 :List(Removal);   # response to `findRemovals`
   }
 }
 
+struct Removal {
+  target @0 :Text;
+  incarnation @1 :UInt64;   # of the target
+  epoch @2 :UInt64;         # of the store at the removal
+  revision @3 :UInt64;      # of the store's copy without the registration
+}
+
 struct Rest {
   target @0 :Text;
   incarnation @1 :UInt64;   # of the target
--- a/tests/mustardlb_gateway/test_call_durations.py
+++ b/tests/mustardlb_gateway/test_call_durations.py
@@ -1,4 +1,4 @@
-"""The longest recent call of a route, by which a stopping node admits calls."""
+"""The longest recent call of a route, for the admission in a stop."""
 
 import pytest
 
--- a/tests/mustardlb_gateway/test_peers.py
+++ b/tests/mustardlb_gateway/test_peers.py
@@ -12,6 +12,7 @@
 from mustardlb_gateway import _membership
 from mustardlb_gateway import _message_codec
 from mustardlb_gateway import _messages
+from mustardlb_gateway import _removals
 from mustardlb_gateway import _software_history
 from mustardlb_gateway import _target_limits
 from mustardlb_gateway import ports
@@ -110,6 +111,8 @@
         _messages.Wanted(True),
         _messages.Wanted(False),
         _messages.Observed('t1', 2**63, 5, 2, 1, True),
+        _messages.FindRemovals(),
+        _messages.FoundRemovals((_removals.Removal('t1', 2**63, 1, 9),)),
         _messages.Subscription(True),
         _messages.Subscription(False),
         _messages.Update(
@@ -186,6 +189,10 @@
             _messages.Charge('acme', 1.0, 'a'),
             _messages.Charged(True, 0.0, 1.0),
         ),
+        (
+            _messages.FindRemovals(),
+            _messages.FoundRemovals((_removals.Removal('t1', 2, 1, 9),)),
+        ),
     ],
 )
 async def test_each_kind_of_request_gets_its_response(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,7 +31,8 @@
     """One run with one seed.
 
     `odd_entries` also writes entries of `servers` that no target writes, and
-    `leaving` lets targets leave in the ways of `soak_leaving`. The nodes run the code in the folder `root`.
+    `leaving` lets targets leave in the ways of `soak_leaving`. The nodes run
+    the code in the folder `root`.
 
     :ivar judged_count: requests at nodes that were in touch
     :ivar trace: when each fault and event began
--- a/tests/soak/soak_links.py
+++ b/tests/soak/soak_links.py
@@ -147,6 +147,26 @@
     They go on serving and do not write their registrations again.
     """
     saved = site.store.copy()
+    await _remove_two(site)
+    site.store.restore(saved)
+    site.write(NEXT_ROUTES, ('key-1', 'key-2'))
+
+
+async def restart_before_a_restore(site):
+    """As before, but a node starts between the removals and the restore."""
+    saved = site.store.copy()
+    await _remove_two(site)
+    node = site.nodes[0]
+    node.kill()
+    node.start()
+    site.healed_at = trio.current_time()
+    await soak_nodes.until_ready(node)
+    await trio.sleep(SETTLE_SECONDS)
+    site.store.restore(saved)
+    site.write(NEXT_ROUTES, ('key-1', 'key-2'))
+
+
+async def _remove_two(site):
     site.store.remove('servers', REMOVED_ID)
     draining = site.targets_by_id[DRAINING_ID].registration('draining')
     site.store.put('servers', DRAINING_ID, draining)
@@ -157,8 +177,6 @@
         soak_configuration.Leaving(REMOVED_ID, now),
     ]
     await trio.sleep(SETTLE_SECONDS)
-    site.store.restore(saved)
-    site.write(NEXT_ROUTES, ('key-1', 'key-2'))
 
 
 def _write_unchanged(site):
@@ -181,6 +199,7 @@
     'restored_silent': change_of_a_silent_restored_store,
     'history': change_beside_dropped_history,
     'removed_restored': remove_before_a_restore,
+    'removed_restarted': restart_before_a_restore,
 }
 
 
@@ -329,7 +348,11 @@
         connection, stream = idle.pop()
     else:
         connection = h11.Connection(h11.CLIENT)
-        stream = await trio.open_tcp_stream(node.host, node.front_port)
+        try:
+            stream = await trio.open_tcp_stream(node.host, node.front_port)
+        except OSError:
+            # The process is being restarted.
+            return
     outcome.sent_at = trio.current_time()
     site.outcomes.append(outcome)
     with contextlib.suppress(trio.BrokenResourceError):
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -27,8 +27,9 @@
 ) -> None:
     """Print the result of each seed; exit with 1 if any check failed.
 
-    `odd` also writes entries of targets that cannot be read, and `leaving` lets
-    targets leave without a notice. The nodes run the code in the folder `root`.
+    `odd` also writes entries of targets that cannot be read; `leaving` lets
+    targets leave without a notice, and nodes stop in calm. The nodes run the
+    code in the folder `root`.
     """
     # The default action of SIGTERM would leave the gateway processes running.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
