Test that streams begin at a new version only once all nodes know of it

The mutant of that name survived, as the version was saved meanwhile and nothing looked at the time before it is adopted. Result: the test fails with the mutant's change, and passes without.

--- a/tests/mustardlb_gateway/test_stream_origins.py
+++ b/tests/mustardlb_gateway/test_stream_origins.py
@@ -295,6 +295,20 @@
     assert await fleet.find('b1', 'r1') == 'v1'
 
 
+# Other nodes may not have heard of a version that is new to a node, although it
+# is saved already, and would take its streams for those of the other version.
+async def test_streams_begin_at_a_new_version_after_all_nodes_know_of_it(
+    autojump_clock, nursery
+):
+    fleet = Fleet(nursery, 7)
+    await trio.sleep(_software_history.STREAM_LIFETIME_SECONDS + 1)
+    fleet.set_softwares('v1', 'v2')
+    await trio.sleep(_software_history.ADOPTION_SECONDS - 0.5)
+    assert {fleet.begin('a0', f'r{n}') for n in range(20)} == {'v1'}
+    await trio.sleep(1)
+    assert {fleet.begin('a0', f's{n}') for n in range(20)} == {'v1', 'v2'}
+
+
 # Streams of the time with one version are told once there is another.
 async def test_streams_that_began_before_another_version(
     autojump_clock, nursery
