--- a/tests/mustardlb_gateway/test_stream_origins.py
+++ b/tests/mustardlb_gateway/test_stream_origins.py
@@ -295,8 +295,8 @@
     assert await fleet.find('b1', 'r1') == 'v1'
 
 
-# Other nodes may not have heard of a version that is new to a node, although it
-# is saved already, and would take its streams for those of the other version.
+# Other nodes may not have heard yet of a version that is new to a node, though
+# it is saved, and would take its streams for those of the other version.
 async def test_streams_begin_at_a_new_version_after_all_nodes_know_of_it(
     autojump_clock, nursery
 ):
