--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -95,6 +95,8 @@
                     )
                 )
             if self._leaving:
+                for target in self.targets:
+                    target.breaks_off = True
                 rng = soak_targets.make_rng(self.seed, 'graces')
                 for node in self.nodes:
                     node.stop_grace = rng.choice(
--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -72,6 +72,8 @@
     :ivar state: 'ready', 'draining' or 'removed'; 'telling' (it says only in
         its responses that it leaves) or 'gone' (it writes nothing)
     :ivar born: number of its incarnation
+    :ivar breaks_off: half of the requests that it would reset get a part of
+        their response, after which the connection is closed
     """
 
     def __init__(self, target_id, record, is_engine, rng):
@@ -82,6 +84,7 @@
         self.stall_rate = 0.0
         self.state = 'ready'
         self.born = 1
+        self.breaks_off = False
         self._rng = rng
         self._loaded = set()
         self._loading = {}
@@ -199,6 +202,12 @@
         account = headers.get('x-mustardlb-tenant', '')
         self.record.accounts_by_id[request_id] = account
         if draw < self.fault_rate:
+            if self.breaks_off and self._rng.random() < 0.5:
+                whole = self._complete_response(request_id, notice)
+                length = self._rng.randrange(len(whole))
+                await connection.send(whole[:length])
+                await connection.stream.aclose()
+                return
             await connection.reset()
             return
         if self.is_engine:
