--- a/tests/soak/soak_clients.py
+++ b/tests/soak/soak_clients.py
@@ -26,6 +26,7 @@
     :ivar is_complete: whether the response ended normally
     :ivar ended_at: end of the response or of the connection
     :ivar problem: error in the response, '' without one
+    :ivar target_id: target that signed a successful response
     """
 
     request_id: str
@@ -37,6 +38,7 @@
     is_complete: bool = False
     ended_at: float = float('inf')
     problem: str = ''
+    target_id: str = ''
 
 
 class Client:
@@ -164,6 +166,7 @@
     """Return the error in a successful response, or an empty string."""
     stamp = headers.get('x-mustardlb-server-stamp', b'.').decode()
     target_id, _, signature = stamp.rpartition('.')
+    outcome.target_id = target_id
     if signature != soak_targets.sign(target_id, outcome.request_id):
         return 'the signature is wrong for this request'
     if outcome.kind != 'stream':
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,6 +18,7 @@
 LEAVING_SEEDS = [
     902,  # A restored store had a removed target again.
     907,
+    1020,  # A check took a reset request for a notice that was passed on.
 ]
 
 LEAVING_SECONDS = 14.0
