--- /dev/null
+++ b/review/standins/replica.py
@@ -0,0 +1,232 @@
+"""A stand-in of a replica of a plain service or of an engine.
+
+    replica.py ID HOST LOG KIND MODE
+
+KIND is `plain` or `engine`. It prints the port on which it listens. Each
+request that it runs is a line in LOG. It reads a line on standard input with
+the mode in which it goes on: a name of MODES, and after a space the number N
+if only each Nth request is answered so and the others soundly. In mode `sound`
+it does just what PROTOCOL.md says of a sound replica.
+"""
+
+import asyncio
+import hashlib
+import json
+import sys
+import time
+
+import wire
+
+WORK_SECONDS = 0.03
+EVENTS = 12
+EVENT_SECONDS = 0.03
+SLOTS = 6
+ADAPTER_SLOTS = 9
+MODEL = 'base'
+
+# As many chunks of one byte as fill a read of 64 KiB.
+ONE_BYTE_CHUNKS = b'1\r\nx\r\n' * 10_922
+LARGE_CHUNK = b'8000\r\n' + b'x' * 0x8000 + b'\r\n'
+# Pace of an endless body that comes slowly: a part, and the pause after it.
+SLOW_PART = b'10000\r\n' + b'x' * 0x10000 + b'\r\n'
+SLOW_PAUSE_SECONDS = 0.03
+
+
+def stamp(replica_id, request_id):
+    text = f'{replica_id}|{request_id}'.encode()
+    return f'{replica_id}.{hashlib.blake2b(text, digest_size=8).hexdigest()}'
+
+
+class Replica:
+    def __init__(self, replica_id, log, kind, mode):
+        self.replica_id = replica_id
+        self.kind = kind
+        self.mode = mode
+        self._log = open(log, 'a', buffering=1)
+        self._adapters = {}
+        self._accepted = 0
+        self._running = 0
+        self._count = 0
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                request = await wire.read_request(reader)
+                if request is None:
+                    return
+                await self._answer(request, writer)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def _answer(self, request, writer):
+        wanted = request.headers.get('x-mustardlb-target-instance')
+        if wanted not in (None, self.replica_id):
+            writer.write(self._whole(421, b'', request))
+        elif request.target == '/-/report':
+            writer.write(self._plain(200, self._report()))
+        elif request.target == '/-/order':
+            writer.write(self._plain(self._order(json.loads(request.body)), b''))
+        else:
+            await self._draw_mode()(self, request, writer)
+
+    def _draw_mode(self):
+        name, _, interval = self.mode.partition(' ')
+        self._count += 1
+        if interval and self._count % int(interval):
+            return Replica.sound
+        return MODES[name]
+
+    def _report(self):
+        adapters = [f'{each}@1' for each in self._adapters]
+        return json.dumps(
+            {
+                'stage': 'colocated',
+                'models': [
+                    {'name': MODEL, 'version': 1, 'adapters': adapters}
+                ],
+                'busy': False,
+                'sequence': self._accepted,
+                'queued': 0,
+                'active': self._running,
+                'kv_used': 0,
+                'kv_total': 200_000,
+                'handles': 0,
+            }
+        ).encode()
+
+    def _order(self, order):
+        name = order.get('adapter')
+        if order.get('expected') not in (None, self._accepted):
+            return 409
+        if order['operation'] == 'unload':
+            self._adapters.pop(name, None)
+            self._accepted += 1
+            return 200
+        if name is None or name in self._adapters:
+            return 200
+        self._adapters[name] = 1
+        self._accepted += 1
+        return 202
+
+    def _plain(self, status, body):
+        kind = b'content-type: application/json\r\n' if body else b''
+        return (
+            b'HTTP/1.1 %d X\r\n%bcontent-length: %d\r\n\r\n'
+            % (status, kind, len(body))
+            + body
+        )
+
+    def _head(self, status, request, extra=b''):
+        request_id = request.headers.get('x-mustardlb-request-id', '')
+        return (
+            b'HTTP/1.1 %d X\r\n' % status
+            + f'x-mustardlb-request-id: {request_id}\r\n'.encode()
+            + f'x-mustardlb-server-stamp: {stamp(self.replica_id, request_id)}'
+            '\r\n'.encode()
+            + extra
+        )
+
+    def _whole(self, status, body, request, extra=b''):
+        head = self._head(status, request, extra)
+        return head + b'content-length: %d\r\n\r\n' % len(body) + body
+
+    def _note(self, what, request):
+        request_id = request.headers.get('x-mustardlb-request-id', '')
+        self._log.write(
+            f'{time.monotonic():.3f} {what} {request_id} {self.replica_id}\n'
+        )
+
+    async def sound(self, request, writer):
+        self._note('runs', request)
+        if self.kind == 'plain':
+            await asyncio.sleep(WORK_SECONDS)
+            body = f'{self.replica_id} ran it'.encode()
+            writer.write(self._whole(200, body, request))
+            return
+        adapter = request.headers.get('x-mustardlb-model', '').partition('/')[2]
+        if adapter and adapter not in self._adapters:
+            writer.write(self._whole(421, b'', request))
+            return
+        first = int(request.headers.get('last-event-id', 0)) + 1
+        writer.write(
+            self._head(200, request, b'content-type: text/event-stream\r\n')
+            + b'transfer-encoding: chunked\r\n\r\n'
+        )
+        for number in range(first, EVENTS + 1):
+            await asyncio.sleep(EVENT_SECONDS)
+            event = f'id: {number}\ndata: {"y" * 50}\n\n'.encode()
+            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+            await writer.drain()
+        writer.write(b'0\r\n\r\n')
+
+    async def _endless(self, request, writer, status, part, extra=b'', pause=0):
+        self._note(f'endless-{status}', request)
+        writer.write(
+            self._head(status, request, extra)
+            + b'transfer-encoding: chunked\r\n\r\n'
+        )
+        while True:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(pause)
+
+    async def endless_bytes(self, request, writer):
+        """The body is one byte a chunk and goes on until the caller closes."""
+        kind = b'content-type: text/event-stream\r\n'
+        kind = kind if self.kind == 'engine' else b''
+        await self._endless(request, writer, 200, ONE_BYTE_CHUNKS, kind)
+
+    async def endless_large(self, request, writer):
+        kind = b'content-type: text/event-stream\r\n'
+        kind = kind if self.kind == 'engine' else b''
+        await self._endless(request, writer, 200, LARGE_CHUNK, kind)
+
+    async def endless_rejection(self, request, writer):
+        """A rejection whose body goes on until the caller closes."""
+        await self._endless(
+            request,
+            writer,
+            503,
+            SLOW_PART,
+            b'x-mustardlb-not-executed: 1\r\n',
+            SLOW_PAUSE_SECONDS,
+        )
+
+    async def endless_slow(self, request, writer):
+        await self._endless(
+            request, writer, 200, SLOW_PART, b'', SLOW_PAUSE_SECONDS
+        )
+
+
+MODES = {
+    'sound': Replica.sound,
+    'endless_bytes': Replica.endless_bytes,
+    'endless_large': Replica.endless_large,
+    'endless_rejection': Replica.endless_rejection,
+    'endless_slow': Replica.endless_slow,
+}
+
+
+async def _read_modes(replica):
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader()
+    await loop.connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    while line := await reader.readline():
+        replica.mode = line.decode().strip()
+        replica._log.write(f'{time.monotonic():.3f} mode {replica.mode}\n')
+
+
+async def main(replica_id, host, log, kind, mode):
+    replica = Replica(replica_id, log, kind, mode)
+    server = await asyncio.start_server(replica.serve, host, 0)
+    print(server.sockets[0].getsockname()[1], flush=True)
+    await _read_modes(replica)
+
+
+if __name__ == '__main__':
+    asyncio.run(main(*sys.argv[1:]))
