--- a/review/standins/front_site.py
+++ b/review/standins/front_site.py
@@ -126,7 +126,6 @@
         self.ip = site.host(10 + number)
         self.path = site.folder / f'{self.name}.json'
         self.process = None
-        self.exits = 0
 
     def _settings(self):
         return {
@@ -212,6 +211,7 @@
     """See the module.
 
     :ivar outcomes: of all requests
+    :ivar first_copy: copy of the store from before the front machines' start
     """
 
     def __init__(self, name, seed):
@@ -244,7 +244,9 @@
             replica = Replica(self, replica_id, service, kind)
             self.replicas.append(replica)
             replica.start()
-        self.store.put('config', 'main', configuration)
+        self.configuration = configuration
+        self.write_again()
+        self.first_copy = self.store.copy()
         self.run(self._beat())
         for number, zone in enumerate(zones):
             node = Node(self, number, zone)
@@ -256,6 +258,14 @@
                 raise TimeoutError('the front machines are not ready')
             await asyncio.sleep(0.1)
 
+    def write_again(self):
+        """Write what the operator and the replicas write."""
+        self.store.put('config', 'main', self.configuration)
+        for replica in self.replicas:
+            if replica.process.poll() is None:
+                entry = replica.entry()
+                self.store.put('servers', replica.replica_id, entry)
+
     def run(self, coroutine):
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
@@ -267,7 +277,7 @@
         while True:
             for replica in self.replicas:
                 fields = replica.entry() | {'sequence': sequence}
-                if replica.process.poll() is None:
+                if replica.process.poll() is None and not self.store.is_away:
                     self.store.put('servers', replica.replica_id, fields)
             sequence += 1
             await asyncio.sleep(HEARTBEAT_SECONDS)
--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import collections
 import hashlib
 import json
 import sys
@@ -22,6 +23,7 @@
 EVENT_SECONDS = 0.03
 SLOTS = 6
 ADAPTER_SLOTS = 9
+LOAD_SECONDS = 0.25
 MODEL = 'base'
 
 # As many chunks of one byte as fill a read of 64 KiB.
@@ -43,8 +45,12 @@
         self.kind = kind
         self.mode = mode
         self._log = open(log, 'a', buffering=1)
-        self._adapters = {}
+        self._adapters = set()
+        self._loading = {}
+        self._unloading = set()
+        self._uses = collections.Counter()
         self._accepted = 0
+        self._fence = 0
         self._running = 0
         self._count = 0
 
@@ -79,14 +85,25 @@
             return Replica.sound
         return MODES[name]
 
+    def _finish_loads(self):
+        for name, due in list(self._loading.items()):
+            if time.monotonic() >= due:
+                del self._loading[name]
+                self._adapters.add(name)
+        for name in [each for each in self._unloading if not self._uses[each]]:
+            self._unloading.discard(name)
+            self._adapters.discard(name)
+
     def _report(self):
-        adapters = [f'{each}@1' for each in self._adapters]
+        self._finish_loads()
+        adapters = [f'{each}@1' for each in sorted(self._adapters)]
         return json.dumps(
             {
                 'stage': 'colocated',
                 'models': [
                     {'name': MODEL, 'version': 1, 'adapters': adapters}
                 ],
+                'coming': [f'{MODEL}/{each}@1' for each in self._loading],
                 'busy': False,
                 'sequence': self._accepted,
                 'queued': 0,
@@ -98,18 +115,38 @@
         ).encode()
 
     def _order(self, order):
+        status = self._carry_out(order)
+        self._log.write(
+            f'{time.monotonic():.3f} order {order["operation"]} '
+            f'{order.get("adapter", "")} by {order["holder"]} fence '
+            f'{order["fencing_token"]} status {status}\n'
+        )
+        return status
+
+    def _carry_out(self, order):
+        self._finish_loads()
+        if order['fencing_token'] < self._fence:
+            return 412
+        self._fence = order['fencing_token']
         name = order.get('adapter')
-        if order.get('expected') not in (None, self._accepted):
-            return 409
-        if order['operation'] == 'unload':
-            self._adapters.pop(name, None)
-            self._accepted += 1
+        is_load = order['operation'] == 'load'
+        if is_load and (name is None or name in self._adapters):
             return 200
-        if name is None or name in self._adapters:
+        if not is_load and name not in self._adapters:
             return 200
-        self._adapters[name] = 1
+        if name in self._loading or name in self._unloading:
+            return 202
+        if order.get('expected') not in (None, self._accepted):
+            return 409
         self._accepted += 1
-        return 202
+        if is_load:
+            self._loading[name] = time.monotonic() + LOAD_SECONDS
+            if len(self._adapters) + len(self._loading) > ADAPTER_SLOTS:
+                sys.exit('more adapters than slots')
+            return 202
+        self._unloading.add(name)
+        self._finish_loads()
+        return 202 if name in self._unloading else 200
 
     def _plain(self, status, body):
         kind = b'content-type: application/json\r\n' if body else b''
@@ -140,16 +177,25 @@
         )
 
     async def sound(self, request, writer):
-        self._note('runs', request)
         if self.kind == 'plain':
+            self._note('runs', request)
             await asyncio.sleep(WORK_SECONDS)
             body = f'{self.replica_id} ran it'.encode()
             writer.write(self._whole(200, body, request))
             return
         adapter = request.headers.get('x-mustardlb-model', '').partition('/')[2]
-        if adapter and adapter not in self._adapters:
+        self._finish_loads()
+        if adapter and adapter not in self._adapters - self._unloading:
             writer.write(self._whole(421, b'', request))
             return
+        self._note('runs', request)
+        self._uses[adapter] += 1
+        try:
+            await self._stream(request, writer)
+        finally:
+            self._uses[adapter] -= 1
+
+    async def _stream(self, request, writer):
         first = int(request.headers.get('last-event-id', 0)) + 1
         writer.write(
             self._head(200, request, b'content-type: text/event-stream\r\n')
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import copy
 import json
 import urllib.parse
 
@@ -15,10 +16,12 @@
 
 
 class Store:
-    """A linearizable store that loses nothing.
+    """A linearizable store that loses nothing, except in a drill.
 
     :ivar objects_by_kind: objects by name, by kind
     :ivar calls: number of calls so far
+    :ivar era: rises each time the store continues from a copy
+    :ivar is_away: every call gets 503
     """
 
     def __init__(self):
@@ -26,6 +29,9 @@
         self.objects_by_kind = {}
         self.events = []
         self.calls = 0
+        self.era = 1
+        self.is_away = False
+        self._oldest_revision = 0
         self._changed = asyncio.Event()
         self._server = None
 
@@ -62,6 +68,26 @@
             self.revision += 1
             self._record(kind, fields, True)
 
+    def copy(self):
+        """Return what `restore` takes."""
+        return self.revision, copy.deepcopy(self.objects_by_kind)
+
+    def leave(self):
+        """Be away; waiting watches end."""
+        self.is_away = True
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def restore(self, saved):
+        """Continue from a copy; revisions go back, the history is gone."""
+        self.revision, self.objects_by_kind = copy.deepcopy(saved)
+        self.events.clear()
+        self._oldest_revision = self.revision
+        self.era += 1
+        self.is_away = False
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _record(self, kind, fields, removed):
         self.events.append(
             (self.revision, kind, {'object': fields, 'removed': removed})
@@ -80,8 +106,8 @@
                 body = json.dumps(fields).encode()
                 writer.write(
                     b'HTTP/1.1 %d X\r\ncontent-type: application/json\r\n'
-                    b'store-era: 1\r\ncontent-length: %d\r\n\r\n'
-                    % (status, len(body))
+                    b'store-era: %d\r\ncontent-length: %d\r\n\r\n'
+                    % (status, self.era, len(body))
                     + body
                 )
                 await writer.drain()
@@ -91,6 +117,8 @@
             writer.close()
 
     async def _respond(self, request):
+        if self.is_away:
+            return 503, {}
         url = urllib.parse.urlsplit(request.target)
         parts = url.path.removeprefix('/-/objects/').split('/')
         kind = urllib.parse.unquote(parts[0])
@@ -118,17 +146,29 @@
         since, wait = int(query['watch']), int(query.get('wait_ms', 0)) / 1000
         loop = asyncio.get_running_loop()
         until = loop.time() + wait
-        while not self._since(kind, since) and loop.time() < until:
+        while (
+            self._has(since)
+            and not self.is_away
+            and not self._since(kind, since)
+            and loop.time() < until
+        ):
             try:
                 async with asyncio.timeout_at(until):
                     await self._changed.wait()
             except TimeoutError:
                 break
+        if self.is_away:
+            return 503, {}
+        if not self._has(since):
+            return 410, {}
         return 200, {
             'events': self._since(kind, since),
             'current_rev': self.revision,
         }
 
+    def _has(self, revision):
+        return self._oldest_revision <= revision <= self.revision
+
     def _since(self, kind, since):
         return [
             event
