--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -5,8 +5,8 @@
 KIND is `plain` or `engine`. It prints the port on which it listens. Each
 request that it runs is a line in LOG. It reads a line on standard input with
 the mode in which it goes on: a name of MODES, and after a space the number N
-if only each Nth request is answered so and the others soundly. In mode `sound`
-it does just what PROTOCOL.md says of a sound replica.
+if only each Nth request is answered so and the others soundly. In the modes
+`sound` and `long` it does just what PROTOCOL.md says of a sound replica.
 """
 
 import asyncio
@@ -21,6 +21,11 @@
 WORK_SECONDS = 0.03
 EVENTS = 12
 EVENT_SECONDS = 0.03
+EVENT_TEXT = 'y' * 50
+# The longest draft of the sheet, at the pace of four tokens an event.
+LONG_EVENTS = 52
+LONG_EVENT_SECONDS = 0.021
+LONG_EVENT_TEXT = 'y' * 240
 SLOTS = 6
 ADAPTER_SLOTS = 9
 LOAD_SECONDS = 0.25
@@ -196,17 +201,23 @@
             self._uses[adapter] -= 1
 
     async def _stream(self, request, writer):
+        events, seconds, text = EVENTS, EVENT_SECONDS, EVENT_TEXT
+        if self.mode == 'long':
+            events, seconds = LONG_EVENTS, LONG_EVENT_SECONDS
+            text = LONG_EVENT_TEXT
         first = int(request.headers.get('last-event-id', 0)) + 1
         writer.write(
             self._head(200, request, b'content-type: text/event-stream\r\n')
             + b'transfer-encoding: chunked\r\n\r\n'
         )
-        for number in range(first, EVENTS + 1):
-            await asyncio.sleep(EVENT_SECONDS)
-            event = f'id: {number}\ndata: {"y" * 50}\n\n'.encode()
+        for number in range(first, events + 1):
+            await asyncio.sleep(seconds)
+            event = f'id: {number}\ndata: {text}\n\n'.encode()
             writer.write(b'%x\r\n%b\r\n' % (len(event), event))
             await writer.drain()
         writer.write(b'0\r\n\r\n')
+        await writer.drain()
+        self._note('sent-all-of', request)
 
     async def _endless(self, request, writer, status, part, extra=b'', pause=0):
         self._note(f'endless-{status}', request)
@@ -249,6 +260,7 @@
 
 MODES = {
     'sound': Replica.sound,
+    'long': Replica.sound,
     'endless_bytes': Replica.endless_bytes,
     'endless_large': Replica.endless_large,
     'endless_rejection': Replica.endless_rejection,
