--- a/review/standins/front_site.py
+++ b/review/standins/front_site.py
@@ -69,10 +69,11 @@
 class Replica:
     """A replica process and its entry in the store."""
 
-    def __init__(self, site, replica_id, service, kind, zone='trent'):
+    def __init__(self, site, replica_id, service, kind, version='v1'):
         self._site = site
         self.replica_id, self.service, self.kind = replica_id, service, kind
-        self.zone = zone
+        self.version = version
+        self.zone = 'trent'
         self.host = site.host(100 + len(site.replicas))
         self.log = site.folder / f'{replica_id}.runs'
         self.log.touch()
@@ -100,7 +101,7 @@
             'service': self.service,
             'address': f'{self.host}:{self.port}',
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.version,
             'slots': 64 if self.kind == 'engine' else 6,
             'state': 'ready',
             'cold_remaining_ms': 0,
@@ -237,11 +238,12 @@
     async def start(self, zones, replicas, configuration):
         """Start all processes and wait until the front machines are ready.
 
-        :param replicas: (id, service, kind) of each
+        :param replicas: (id, service, kind) of each, and the version of its
+            software unless it is v1
         """
         self.store_port = await self.store.start(self.host(1))
-        for replica_id, service, kind in replicas:
-            replica = Replica(self, replica_id, service, kind)
+        for each in replicas:
+            replica = Replica(self, *each)
             self.replicas.append(replica)
             replica.start()
         self.configuration = configuration
@@ -301,7 +303,11 @@
             lines.append(f'content-length: {len(body)}')
         data = '\r\n'.join([*lines, '', '']).encode() + body
 
-        def take_head(response):
+        response = None
+
+        def take_head(received):
+            nonlocal response
+            response = received
             outcome.status, outcome.headers = response.status, response.headers
 
         writer = None
@@ -311,14 +317,14 @@
                 outcome.sent_at = now()
                 writer.write(data)
                 await writer.drain()
-                response = await wire.read_response(reader, take_head)
-                if response is not None:
-                    outcome.body = response.body
-                    outcome.is_complete = response.is_complete
+                await wire.read_response(reader, take_head)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             pass
         finally:
             outcome.ended_at = now()
+            if response is not None:
+                outcome.body = bytes(response.body)
+                outcome.is_complete = response.is_complete
             if writer is not None:
                 writer.close()
         return outcome
--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -6,7 +6,8 @@
 request that it runs is a line in LOG. It reads a line on standard input with
 the mode in which it goes on: a name of MODES, and after a space the number N
 if only each Nth request is answered so and the others soundly. In the modes
-`sound` and `long` it does just what PROTOCOL.md says of a sound replica.
+`sound`, `long` and `steady` it does just what PROTOCOL.md says of a sound
+replica.
 """
 
 import asyncio
@@ -26,6 +27,9 @@
 LONG_EVENTS = 52
 LONG_EVENT_SECONDS = 0.021
 LONG_EVENT_TEXT = 'y' * 240
+# An answer of the sheet's mean number of events, well within the pauses allowed.
+STEADY_EVENTS = 73
+STEADY_EVENT_SECONDS = 0.1
 SLOTS = 6
 ADAPTER_SLOTS = 9
 LOAD_SECONDS = 0.25
@@ -205,6 +209,8 @@
         if self.mode == 'long':
             events, seconds = LONG_EVENTS, LONG_EVENT_SECONDS
             text = LONG_EVENT_TEXT
+        if self.mode == 'steady':
+            events, seconds = STEADY_EVENTS, STEADY_EVENT_SECONDS
         first = int(request.headers.get('last-event-id', 0)) + 1
         writer.write(
             self._head(200, request, b'content-type: text/event-stream\r\n')
@@ -261,6 +267,7 @@
 MODES = {
     'sound': Replica.sound,
     'long': Replica.sound,
+    'steady': Replica.sound,
     'endless_bytes': Replica.endless_bytes,
     'endless_large': Replica.endless_large,
     'endless_rejection': Replica.endless_rejection,
--- a/review/standins/wire.py
+++ b/review/standins/wire.py
@@ -16,12 +16,13 @@
 class Response:
     """A response as far as it was received.
 
+    :ivar body: grows as it is received
     :ivar is_complete: whether its end was received
     """
 
     status: int
     headers: dict
-    body: bytes = b''
+    body: bytearray
     is_complete: bool = False
 
 
@@ -69,9 +70,9 @@
     head = await _read_head(reader)
     if head is None:
         return None
-    response = Response(int(head[0].split(' ')[1]), head[1])
-    on_head(response)
     body = bytearray()
+    response = Response(int(head[0].split(' ')[1]), head[1], body)
+    on_head(response)
     try:
         if 'chunked' in response.headers.get('transfer-encoding', ''):
             await _read_chunks(reader, body)
@@ -85,5 +86,4 @@
             response.is_complete = True
     except (asyncio.IncompleteReadError, OSError, ValueError) as error:
         body += getattr(error, 'partial', b'')
-    response.body = bytes(body)
     return response
