--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -5,7 +5,7 @@
 KIND is `plain` or `engine`. It prints the port on which it listens. Each
 request that it runs is a line in LOG. It reads a line on standard input with
 the mode in which it goes on: a name of MODES, and after a space the number N
-if only each Nth request is answered so and the others soundly. In the modes
+if only the first and each Nth request after it is answered so. In the modes
 `sound`, `long` and `steady` it does just what PROTOCOL.md says of a sound
 replica.
 """
@@ -89,8 +89,8 @@
 
     def _draw_mode(self):
         name, _, interval = self.mode.partition(' ')
-        self._count += 1
-        if interval and self._count % int(interval):
+        count, self._count = self._count, self._count + 1
+        if interval and count % int(interval):
             return Replica.sound
         return MODES[name]
 
@@ -282,7 +282,7 @@
         lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
     )
     while line := await reader.readline():
-        replica.mode = line.decode().strip()
+        replica.mode, replica._count = line.decode().strip(), 0
         replica._log.write(f'{time.monotonic():.3f} mode {replica.mode}\n')
 
 
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -103,7 +103,7 @@
                     return
                 self.calls += 1
                 status, fields = await self._respond(request)
-                body = json.dumps(fields).encode()
+                body = json.dumps(fields, separators=(",", ":")).encode()
                 writer.write(
                     b'HTTP/1.1 %d X\r\ncontent-type: application/json\r\n'
                     b'store-era: %d\r\ncontent-length: %d\r\n\r\n'
