--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Some replicas send an answer whose body does not end, a byte a chunk."""
+"""Some replicas send an answer whose body does not end, some bytes a chunk."""
 
 import asyncio
 import collections
@@ -104,7 +104,7 @@
     await asyncio.sleep(CALM_SECONDS)
     if has_trouble:
         for replica in site.replicas[:FAULTY_ENGINES]:
-            replica.set_mode(f'endless_bytes {FAULTY_INTERVAL}')
+            replica.set_mode(f'endless_small {FAULTY_INTERVAL}')
         site.note('trouble begins')
     await asyncio.sleep(FAULTY_SECONDS)
     if has_trouble:
