--- a/review/standins/front_site.py
+++ b/review/standins/front_site.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import subprocess
 import sys
@@ -359,7 +360,10 @@
         ]
 
     def write_record(self, path, began_at):
-        """Write what was sent, answered and run."""
+        """Write what was sent, answered and run; remove the folder.
+
+        With KEEP=1 the folder, with the logs of the front machines, stays.
+        """
         events = list(self.record)
         for each in self.outcomes:
             events.append(
@@ -380,6 +384,8 @@
         path.write_text(
             ''.join(f'{at - began_at:9.3f} {text}\n' for at, text in events)
         )
+        if os.environ.get('KEEP') != '1':
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     async def cancel(self):
         """End the requests, writes and calls that are under way."""
