Limit the work on received data between checkpoints

Operators of a similar system reported a machine that kept all bytes of such a response and ran out of memory.

Cause: nothing limited what a reader did with received bytes. A read of 64 KB was worked off in one step of the event loop, 6,500 chunks and more; each part of an event copied the whole unfinished event; a checkpoint alone would have left the processor to the peers that send most. Bodies of rejections were read to their end, up to 8 MB, and counted nowhere; incomplete events were counted, but not refused; what a failed attempt had buffered was no longer counted while it was still kept.

Change: connections process 64 parts between checkpoints and share turns beyond an average rate (_read_turns), for targets, reports, commands, the store and clients. Parts of one turn are joined. Events are buffered at constant cost a byte. A body in more small parts than a sound target sends, or a stream that goes on without a further event id for 1 MB, is given up and counts as a failure of the target. A rejection is one by its head; its body is discarded. Bodies of all callers count toward the limit of buffered data, and the largest responses are given up before new requests are rejected.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_buffers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_buffers.py
@@ -24,6 +24,10 @@
 MIN_CLIENT_BYTES = 65_536
 MAX_CLIENT_BYTES = 1_048_576
 
+# Responses of which more was received are given up, the largest first, before
+# new requests are rejected.
+LARGE_RESPONSE_BYTES = 1_048_576
+
 # The system's own buffers take the first part of any output at once, which
 # says little of the client.
 MIN_RATE_SECONDS = 1.0
@@ -36,13 +40,17 @@
 
     :ivar held: buffered bytes
     :ivar evictions: clients disconnected because of what was buffered for them
+    :ivar abandoned: responses given up, since they were the largest
     """
 
     def __init__(self, memory_mb: abc.Callable[[], float]) -> None:
         self._memory_mb = memory_mb
         self._outputs: set[BufferedData] = set()
+        self._large_inputs: set[BufferedData] = set()
+        self._abandoned_inputs: set[BufferedData] = set()
         self.held = 0
         self.evictions = 0
+        self.abandoned = 0
 
     @property
     def is_bounded(self) -> bool:
@@ -74,18 +82,29 @@
         return self.held > self.limit
 
     def open(
-        self, disconnect: abc.Callable[[], None] | None = None
+        self,
+        disconnect: abc.Callable[[], None] | None = None,
+        abandon: abc.Callable[[], None] | None = None,
     ) -> 'BufferedData':
         """Return a count of data that is empty.
 
         With `disconnect`, it is what a client has not read yet; the client is
-        disconnected if all data together exceeds the limit.
+        disconnected if all data together exceeds the limit. With `abandon`, it
+        is what was received of a response, which may be given up.
         """
-        return BufferedData(self, disconnect)
+        return BufferedData(self, disconnect, abandon)
 
     def change(self, holding: 'BufferedData', byte_count: int) -> None:
         """Record a change of the size of some data."""
         self.held += byte_count
+        if not holding.size:
+            self._abandoned_inputs.discard(holding)
+            self._large_inputs.discard(holding)
+        if holding.abandon is not None:
+            if holding.size > LARGE_RESPONSE_BYTES:
+                self._large_inputs.add(holding)
+            else:
+                self._large_inputs.discard(holding)
         if holding.disconnect is None:
             return
         if holding.size:
@@ -94,12 +113,33 @@
             self._outputs.discard(holding)
 
     def make_room(self) -> None:
-        """Disconnect clients, the slowest first, while there is no room."""
+        """Give up large responses and slow clients while there is no room.
+
+        A response that does not end would leave no room for new requests, so
+        that the largest ones are given up before those are rejected.
+        """
+        while self._large_inputs and self._is_full_without_abandoned:
+            self._abandon(max(self._large_inputs, key=lambda each: each.size))
         now = trio.current_time()
         while self.is_exceeded and self._outputs:
             slowest = min(self._outputs, key=lambda each: each.rate(now))
             self.evict(slowest, 'memory')
 
+    @property
+    def _is_full_without_abandoned(self) -> bool:
+        """Return whether memory is short even once some has been freed."""
+        freed = sum(each.size for each in self._abandoned_inputs)
+        return self.held - freed >= self.limit * ADMISSION_RATIO
+
+    def _abandon(self, holding: 'BufferedData') -> None:
+        log.info('MLB-6021', buffered=holding.size, held=self.held)
+        self.abandoned += 1
+        abandon, holding.abandon = holding.abandon, None
+        self._large_inputs.discard(holding)
+        self._abandoned_inputs.add(holding)
+        if abandon is not None:
+            abandon()
+
     def evict(self, holding: 'BufferedData', reason: str) -> None:
         """Disconnect a client."""
         log.info(
@@ -122,13 +162,19 @@
     :ivar size: bytes
     :ivar disconnect: disconnects the client that has not read the data yet,
         None if it is no output
+    :ivar abandon: gives up the response that is received, None if it is none
+        or is complete
     """
 
     def __init__(
-        self, buffers: Buffers, disconnect: abc.Callable[[], None] | None
+        self,
+        buffers: Buffers,
+        disconnect: abc.Callable[[], None] | None,
+        abandon: abc.Callable[[], None] | None,
     ) -> None:
         self._buffers = buffers
         self.disconnect = disconnect
+        self.abandon = abandon
         self.size = 0
         self._read = 0
         self._since = 0.0
@@ -148,9 +194,17 @@
             self._read, self._since = 0, trio.current_time()
         self.size += byte_count
         self._buffers.change(self, byte_count)
-        if self._buffers.is_exceeded:
+        if self._buffers.is_full:
             self._buffers.make_room()
 
+    def try_add(self, byte_count: int) -> bool:
+        """Record received data, unless there is no room for it."""
+        self.add(byte_count)
+        if self.has_room:
+            return True
+        self.remove(byte_count)
+        return False
+
     def remove(self, byte_count: int) -> None:
         """Record data that is no longer held."""
         byte_count = min(byte_count, self.size)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_event_stream.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_event_stream.py
@@ -43,8 +43,9 @@
 class EventSplitter:
     r"""Buffers an incomplete event until its end is received.
 
+    The cost of a byte doesn't depend on how much of its event is buffered.
+
     :ivar last_id: id of the last complete event, or None
-    :ivar partial: received bytes of the incomplete event
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda')
@@ -57,24 +58,36 @@
 
     def __init__(self, last_id: str | None = None) -> None:
         self.last_id = last_id
-        self.partial = b''
+        self._partial = bytearray()
         self._must_continue = False
 
+    @property
+    def partial(self) -> bytes:
+        """Return the received bytes of the incomplete event."""
+        return bytes(self._partial)
+
+    @property
+    def partial_size(self) -> int:
+        """Return the number of received bytes of the incomplete event."""
+        return len(self._partial)
+
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the events that are now complete.
 
         Raises ValueError if an event is too large, holds the first line of
         another response, or does not continue the interrupted stream.
         """
-        searched = max(0, len(self.partial) - _EVENT_END_BYTES + 1)
-        data = self.partial + data
+        searched = max(0, len(self._partial) - _EVENT_END_BYTES + 1)
+        self._partial += data
         end = 0
-        for found in _EVENT_END.finditer(data, searched):
+        for found in _EVENT_END.finditer(self._partial, searched):
             end = found.end()
-        self.partial = data[end:]
-        if len(self.partial) > MAX_EVENT_BYTES:
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
+        if len(self._partial) > MAX_EVENT_BYTES:
             raise ValueError('event is too large')
-        complete = data[:end]
+        if not complete:
+            return complete
         if b'HTTP/1.' in complete and _STATUS_LINE.search(complete):
             raise ValueError('another response began within the stream')
         if self._must_continue:
@@ -92,9 +105,13 @@
         :param must_continue: the client has received the events up to the
             last complete one
         """
-        self.partial = b''
+        self.discard_partial()
         self._must_continue = must_continue
 
+    def discard_partial(self) -> None:
+        """Drop the incomplete event, of which no more is received."""
+        self._partial.clear()
+
     def _check_continues(self, complete: bytes) -> None:
         """Raise ValueError unless the first event follows the last one."""
         at = 0
--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -24,6 +24,10 @@
 # Responses other than streams are buffered before they are forwarded.
 MAX_BUFFERED_RESPONSE_BYTES = 8_388_608
 
+# Comments keep a stream open. More bytes without another event id come from a
+# target that sends no answer any more.
+MAX_UNNUMBERED_BYTES = _event_stream.MAX_EVENT_BYTES
+
 # Time without data from a target after which it counts as unresponsive and a
 # call that may be repeated is sent to another target: a ratio of the latency
 # objective with a minimum. The minimum is longer for streams, whose first
@@ -139,16 +143,27 @@
                         / _prefill_queue.PREFILL_TOKENS_PER_SECOND,
                     )
 
-        job.held = self._buffers.open()
         # The encoded request, besides the body that was received.
-        job.held.add(len(job.call.body))
-        try:
-            await self._send_and_receive(job, attempt, choice, record_prefill)
-        finally:
-            job.held.close()
-            if not is_prefilled:
-                self._targets.finish_prefill(target.target_id, prefill_tokens)
-            self._targets.end_request(target.target_id, job.call.adapter)
+        request_held = self._buffers.open()
+        request_held.add(len(job.call.body))
+        with trio.CancelScope() as scope:
+            job.held = self._buffers.open(
+                abandon=lambda: _abandon(attempt, scope)
+            )
+            try:
+                await self._send_and_receive(
+                    job, attempt, choice, record_prefill
+                )
+            finally:
+                if job.splitter is not None:
+                    job.splitter.discard_partial()
+                job.held.close()
+                request_held.close()
+                if not is_prefilled:
+                    self._targets.finish_prefill(
+                        target.target_id, prefill_tokens
+                    )
+                self._targets.end_request(target.target_id, job.call.adapter)
 
     async def _send_and_receive(
         self,
@@ -296,9 +311,10 @@
         # Without an id, a rejection may be a late one of an earlier request.
         is_rejected = info.not_executed or head.status == 421
         if is_rejected and info.request_id is not None:
-            await self._receive_body(job, connection)
+            # The head says it; the body is of no use and may have no end.
             attempt.outcome = _outcomes.Outcome.NOT_RUN
             attempt.problem = f'rejected with status {head.status}'
+            await connection.discard_body()
             return
         if info.request_id is None:
             raise http_client.ExchangeFailed('the response has no request id')
@@ -315,7 +331,8 @@
                 job, attempt, target, connection, head, record_prefill
             )
             return
-        body = await self._receive_body(job, connection, job.hold)
+        body = await self._receive_body(job, connection)
+        job.complete_response()
         record_prefill()
         attempt.output_at = trio.current_time()
         if is_success:
@@ -334,12 +351,11 @@
         self,
         job: _jobs.Job,
         connection: http_client.Connection,
-        hold: abc.Callable[[int], bool] | None = None,
     ) -> bytes:
         """Return the body of a response; raises ExchangeFailed."""
         with self._response_timeout(job):
             return await connection.receive_body(
-                MAX_BUFFERED_RESPONSE_BYTES, hold
+                MAX_BUFFERED_RESPONSE_BYTES, job.hold
             )
         # Reached only after the timeout.
         raise http_client.ExchangeFailed(
@@ -484,18 +500,28 @@
             self._targets.record_response(attempt.target_id)
             if not connection.helper:
                 self._links.reachability.record_contact(attempt.target_id)
+            last_id = job.splitter.last_id
             try:
                 complete = job.splitter.feed(data)
             except ValueError as error:
                 raise http_client.ExchangeFailed(str(error)) from error
-            job.hold_event(len(job.splitter.partial))
+            if job.splitter.last_id != last_id:
+                connection.mark_progress()
+            elif connection.byte_count > MAX_UNNUMBERED_BYTES:
+                raise http_client.ExchangeFailed(
+                    'the stream goes on without a further event id'
+                )
+            if not job.hold_event(job.splitter.partial_size):
+                raise http_client.ExchangeFailed(
+                    'no memory is left for the event'
+                )
             if complete:
                 if job.first_byte is None:
                     job.first_byte = now
                 await self._begin_stream(job, target, head)
                 await job.reply.send(complete)
                 event_at = job.event_at = trio.current_time()
-        if job.splitter.partial:
+        if job.splitter.partial_size:
             raise http_client.ExchangeFailed('the last event is incomplete')
         if not is_recorded and attempt.output_at is not None:
             self._record_output(job.call, now - attempt.output_at)
@@ -526,6 +552,12 @@
         )
 
 
+def _abandon(attempt: _outcomes.Attempt, scope: trio.CancelScope) -> None:
+    """Give up a response, to make room for others."""
+    attempt.problem = 'the response was the largest when memory ran out'
+    scope.cancel()
+
+
 def _first_failure(
     group: BaseExceptionGroup[http_client.ExchangeFailed],
 ) -> http_client.ExchangeFailed:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -26,7 +26,7 @@
     :ivar arrived: when the request arrived
     :ivar deadline: when the client gets an error at the latest
     :ivar event_at: when the last event was forwarded, None before the first
-    :ivar held: what the current attempt buffers of request and response
+    :ivar held: what the current attempt buffers of a response
     :ivar expires_at: the deadline on the clock that counts suspensions
     :ivar splitter: splits the stream that is forwarded to the client into
         events, None before the stream begins
@@ -76,15 +76,24 @@
 
     def hold(self, byte_count: int) -> bool:
         """Record data of a response; return whether there is room for it."""
+        return self.held is None or self.held.try_add(byte_count)
+
+    def hold_event(self, byte_count: int) -> bool:
+        """Record the size of the incomplete event of a stream.
+
+        Returns whether there is room for it.
+        """
         if self.held is None:
             return True
-        self.held.add(byte_count)
-        return self.held.has_room
+        if byte_count > self.held.size:
+            return self.held.try_add(byte_count - self.held.size)
+        self.held.set(byte_count)
+        return True
 
-    def hold_event(self, byte_count: int) -> None:
-        """Record the size of the incomplete event of a stream."""
+    def complete_response(self) -> None:
+        """Record that a response is complete, so that it is kept."""
         if self.held is not None:
-            self.held.set(len(self.call.body) + byte_count)
+            self.held.abandon = None
 
     @property
     def abandoned_at(self) -> float:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_metrics.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_metrics.py
@@ -122,6 +122,17 @@
             name, text, labels, registry=self._gauge_registry
         )
 
+    def add_histogram(
+        self, name: str, text: str
+    ) -> prometheus_client.Histogram:
+        """Register and return a histogram of seconds."""
+        return prometheus_client.Histogram(
+            name,
+            text,
+            buckets=BUCKET_BOUNDS_SECONDS,
+            registry=self._gauge_registry,
+        )
+
     async def serve(
         self, request: http_server.Request, reply: http_server.Reply
     ) -> None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_node_gauges.py
@@ -61,6 +61,15 @@
             'Clients that were disconnected because of what was buffered for '
             'them, since the start.',
         )
+        self.shared_turns = metrics.add_gauge(
+            'mustardlb_shared_read_turns',
+            'Turns of connections whose data came in so many small parts that '
+            'they had to take turns, since the start.',
+        )
+        self._lag = metrics.add_histogram(
+            'mustardlb_loop_lag_seconds',
+            'Delay of wake-ups of the event loop.',
+        )
         self.stream_origins = metrics.add_gauge(
             'mustardlb_stream_origins',
             'Streams of the last minute whose beginning this node knows.',
@@ -76,6 +85,10 @@
             ['kind'],
         )
 
+    def observe_lag(self, seconds: float) -> None:
+        """Record by how many seconds a wake-up was late."""
+        self._lag.observe(seconds)
+
     def set_copies(
         self, mirrors: abc.Iterable[_mirror.Mirror], now: float
     ) -> None:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_links.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_links.py
@@ -142,7 +142,7 @@
             timeout = RELAY_AFTER_SECONDS
         stream = await self._network.connect(target, timeout)
         self.reachability.record_reached(target.target_id)
-        return http_client.Connection(stream)
+        return self._pool.connection(target.target_id, stream)
 
     def _helpers(self) -> list[str]:
         centre_by_vm = {
@@ -200,7 +200,9 @@
             relayed = await self._ask(vm, target)
             if relayed.stream is not None:
                 self._record_lost(target, problem, vm)
-                return http_client.Connection(relayed.stream, vm)
+                return self._pool.connection(
+                    target.target_id, relayed.stream, vm
+                )
             if relayed.outcome == _reachability.RelayOutcome.UNREACHABLE:
                 unreachable += 1
             if unreachable >= min_unreachable:
@@ -260,7 +262,10 @@
             relayed = await self._ask(helper, target)
             if relayed.stream is not None:
                 self._keep(
-                    target, http_client.Connection(relayed.stream, helper)
+                    target,
+                    self._pool.connection(
+                        target.target_id, relayed.stream, helper
+                    ),
                 )
                 return False
         else:
--- a/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_wiring_targets.py
@@ -14,6 +14,7 @@
 from mustardlb_gateway import _peers
 from mustardlb_gateway import _quarantine
 from mustardlb_gateway import _reachability
+from mustardlb_gateway import _read_turns
 from mustardlb_gateway import _relay
 from mustardlb_gateway import _reported_loads
 from mustardlb_gateway import _software_history
@@ -59,6 +60,7 @@
     is_stopping: abc.Callable[[], bool],
     clock: abc.Callable[[], float],
     buffers: _buffers.Buffers,
+    read_turns: _read_turns.ReadTurns,
 ) -> TargetParts:
     """Return the parts that know and reach the targets."""
     targets = state.targets
@@ -114,7 +116,9 @@
         warm_up=warm_up,
         record_cold=cold.record_response,
     )
-    pool = http_client.Pool(_target_links.CONNECT_TIMEOUT_SECONDS)
+    pool = http_client.Pool(
+        _target_links.CONNECT_TIMEOUT_SECONDS, read_turns, buffers
+    )
     reachability = _reachability.Reachability(clock)
     links = _target_links.TargetLinks(
         reachability,
--- a/packages/mustardlb-gateway/mustardlb_gateway/app.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/app.py
@@ -24,6 +24,7 @@
 from mustardlb_gateway import _planned_stop
 from mustardlb_gateway import _prefix_index
 from mustardlb_gateway import _quota
+from mustardlb_gateway import _read_turns
 from mustardlb_gateway import _registration
 from mustardlb_gateway import _removal_sync
 from mustardlb_gateway import _retry_budget
@@ -38,6 +39,7 @@
 from mustardlb_gateway import _wiring_state
 from mustardlb_gateway import _wiring_targets
 from mustardlb_gateway import domain
+from mustardlb_gateway import http_client
 from mustardlb_gateway import http_server
 from mustardlb_gateway import ports
 from mustardlb_gateway import settings as gateway_settings
@@ -63,6 +65,8 @@
     """A gateway node with all its components.
 
     :ivar settings: replaced by `reload`
+    :ivar buffers: counts the data that the node buffers
+    :ivar read_turns: limits the work on received data between checkpoints
     """
 
     def __init__(
@@ -78,7 +82,8 @@
         self._nursery: trio.Nursery | None = None
         self.is_stopping = False
         self._counts_changed = trio.Event()
-        self._buffers = _buffers.Buffers(lambda: self.settings.memory_mb)
+        self.buffers = _buffers.Buffers(lambda: self.settings.memory_mb)
+        self.read_turns = _read_turns.ReadTurns()
         self._retry_budgets_by_service: dict[
             str, _retry_budget.RetryBudget
         ] = {}
@@ -117,7 +122,8 @@
             lambda: self.peers,
             lambda: self.is_stopping,
             clock,
-            self._buffers,
+            self.buffers,
+            self.read_turns,
         )
         self.quarantine = self._target_parts.quarantine
         self.peers = _peers.Peers(
@@ -194,7 +200,7 @@
             self._stream_origins.record,
             self._pauses.ensure_current,
             clock,
-            self._buffers,
+            self.buffers,
             _store_watch.Confirmer(
                 state.targets_mirror, store, clock, CONFIRM_TIMEOUT_SECONDS
             ).confirm,
@@ -214,7 +220,7 @@
             self._trials.permit,
             self._stream_origins.find,
             clock,
-            lambda: self._buffers.is_full,
+            lambda: self.buffers.is_full,
             _store_watch.Confirmer(
                 state.configurations,
                 store,
@@ -295,7 +301,11 @@
             100, self.settings.max_descriptors - RESERVED_DESCRIPTORS
         )
         return http_server.Server(
-            self._handle, limits, max_connections, self._buffers
+            self._handle,
+            limits,
+            max_connections,
+            self.buffers,
+            self.read_turns,
         )
 
     async def _handle(
@@ -436,6 +446,10 @@
     ) -> _messages.Body | None:
         return await _peer_requests.handle(self._request_handlers, message)
 
+    def make_pool(self, connect_timeout: float) -> http_client.Pool:
+        """Return connections whose data counts toward the node's limits."""
+        return http_client.Pool(connect_timeout, self.read_turns, self.buffers)
+
     def is_ready(self) -> bool:
         """Return whether the node can serve new connections."""
         has_objects = all(mirror.revision for mirror in self._mirrors[:2])
@@ -509,7 +523,11 @@
 
     async def _run_maintenance(self) -> None:
         while True:
-            await _timers.sleep(MAINTENANCE_INTERVAL_SECONDS)
+            due = _timers.deadline_after(
+                MAINTENANCE_INTERVAL_SECONDS, trio.current_time()
+            )
+            await trio.sleep_until(due)
+            self._record_lag(trio.current_time() - due)
             now = self._clock()
             configuration = self.state.configuration
             if configuration is not None:
@@ -522,14 +540,19 @@
             self._cold_permits.remove_gone()
             self._update_gauges()
 
+    def _record_lag(self, seconds: float) -> None:
+        self._gauges.observe_lag(seconds)
+        self.read_turns.record_lag(seconds)
+
     def _update_gauges(self) -> None:
         gauges = self._gauges
         _wiring_targets.update_gauges(gauges, self._target_parts, self.targets)
         gauges.set_copies(self._mirrors, self._clock())
         gauges.stream_origins.set(self._stream_origins.size)
         gauges.evacuated_centres.set(len(self._evacuations.since_by_centre))
-        gauges.buffered_bytes.set(self._buffers.held)
-        gauges.slow_clients.set(self._buffers.evictions)
+        gauges.buffered_bytes.set(self.buffers.held)
+        gauges.slow_clients.set(self.buffers.evictions)
+        gauges.shared_turns.set(self.read_turns.shared_turns)
 
     def reload(self, settings: gateway_settings.Settings) -> None:
         """Apply changed settings while the node runs."""
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -16,6 +16,8 @@
 import structlog
 import trio
 
+from mustardlb_gateway import _buffers
+from mustardlb_gateway import _read_turns
 from mustardlb_gateway import _sockets
 from mustardlb_gateway import domain
 
@@ -49,11 +51,22 @@
 # the whole body.
 SMALL_BODY_BYTES = 8192
 
-# Larger responses to other requests, or more informational ones, come from a
-# peer that may go on sending until its caller closes the connection.
+# Larger or more responses to other requests, or more informational ones, come
+# from a peer that may go on sending until its caller closes the connection.
 MAX_SKIPPED_BYTES = 1_048_576
+MAX_SKIPPED_RESPONSES = 16
 MAX_INFORMATIONAL_RESPONSES = 16
 
+# A body, or what follows the last progress of a stream, may have this many
+# parts, and another one for each of these bytes.
+MAX_SMALL_PARTS = 4096
+MIN_BYTES_PER_PART = 64
+
+# The body of a response that nobody needs is read up to this size and time, so
+# that the connection can be reused.
+MAX_DISCARDED_BYTES = 65_536
+DISCARD_TIMEOUT_SECONDS = 0.1
+
 # Request ids that a connection remembers, the last ones.
 MAX_REMEMBERED_IDS = 64
 
@@ -121,11 +134,26 @@
     :ivar helper: node that relays the connection, '' for none
     :ivar data_at: when data was last received, trio time
     :ivar is_reused: whether another request was sent on it before
+    :ivar part_count: parts of the response body since the last progress
+    :ivar byte_count: bytes of the response body since the last progress
     """
 
-    def __init__(self, stream: Stream, helper: str = '') -> None:
+    def __init__(
+        self,
+        stream: Stream,
+        helper: str = '',
+        peer: str = '',
+        turns: _read_turns.ReadTurns | None = None,
+        held: _buffers.BufferedData | None = None,
+    ) -> None:
         self._stream = stream
         self.helper = helper
+        self._pacer = _read_turns.Pacer(turns or _read_turns.ReadTurns(), peer)
+        self._held = held
+        self._read_ahead: h11.Event | ExchangeFailed | None = None
+        self._received_bytes = 0
+        self.part_count = 0
+        self.byte_count = 0
         self.data_at = float('-inf')
         self._h11 = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
@@ -180,6 +208,7 @@
         sized = [*headers, (b'content-length', b'%d' % len(body))]
         if not body and method in (b'GET', b'HEAD', b'DELETE'):
             sized = headers
+        self.mark_progress()
         self._request = h11.Request(method=method, target=path, headers=sized)
         payload = self._h11.send(self._request) or b''
         if body:
@@ -205,7 +234,7 @@
 
         Raises ExchangeFailed.
         """
-        informational = 0
+        informational = skipped = 0
         may_be_late = self.is_reused
         while True:
             event = await self._next_event()
@@ -227,7 +256,11 @@
             self._update_reusable_until(head)
             if accept is None or accept(head):
                 return head
+            skipped += 1
+            if skipped > MAX_SKIPPED_RESPONSES:
+                raise ExchangeFailed('too many responses to other requests')
             await self._skip_response()
+            self.mark_progress()
             may_be_late = True
 
     async def _skip_response(self) -> None:
@@ -268,17 +301,59 @@
             trio.current_time() + max(0.3, seconds) - KEEPALIVE_MARGIN_SECONDS
         )
 
+    def mark_progress(self) -> None:
+        """Count the parts and bytes of the body from here on."""
+        self.part_count = self.byte_count = 0
+
     async def receive_data(self) -> bytes | None:
-        """Return the next part of the body, or None at its end.
+        """Return the next data of the body, or None at its end.
 
-        Raises ExchangeFailed if the body is truncated.
+        Raises ExchangeFailed if the body is truncated, or comes in more small
+        parts than a sound peer sends.
         """
         event = await self._next_event()
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
-        raise ExchangeFailed('the response body is truncated')
+        if not isinstance(event, h11.Data):
+            raise ExchangeFailed('the response body is truncated')
+        parts = [event.data, *self._received_parts()]
+        data = b''.join(parts)
+        self.part_count += len(parts)
+        self.byte_count += len(data)
+        permitted = MAX_SMALL_PARTS + self.byte_count / MIN_BYTES_PER_PART
+        if self.part_count > permitted:
+            raise ExchangeFailed('the body comes in too many small parts')
+        return data
+
+    def _received_parts(self) -> abc.Iterator[bytes]:
+        """Yield the parts of the body that can be processed in this turn."""
+        while not self._pacer.is_exhausted:
+            try:
+                event = self._parse()
+            except ExchangeFailed as error:
+                self._read_ahead = error
+                return
+            if event is h11.NEED_DATA:
+                return
+            if not isinstance(event, h11.Data):
+                self._read_ahead = event
+                return
+            yield event.data
+
+    async def discard_body(self) -> None:
+        """Read the rest of a body that nobody needs, if it is short.
+
+        A connection on which it is not complete cannot be reused.
+        """
+        discarded = 0
+        try:
+            with trio.move_on_after(DISCARD_TIMEOUT_SECONDS):
+                while (data := await self.receive_data()) is not None:
+                    discarded += len(data)
+                    if discarded > MAX_DISCARDED_BYTES:
+                        return
+        except ExchangeFailed:
+            return
 
     async def receive_body(
         self, max_bytes: int, hold: abc.Callable[[int], bool] | None = None
@@ -286,38 +361,84 @@
         """Return the rest of the body.
 
         `hold` is called with the size of each part that was received, and
-        returns whether there is memory for it. Raises ExchangeFailed if the
-        body is truncated, exceeds `max_bytes` or has no room.
+        returns whether there is memory for it; by default, the connection
+        counts the body until it is complete. Raises ExchangeFailed if the body
+        is truncated, exceeds `max_bytes` or has no room.
         """
         body = bytearray()
-        while (data := await self.receive_data()) is not None:
-            body += data
-            if len(body) > max_bytes:
-                raise ExchangeFailed('the response body is too large')
-            if hold is not None and not hold(len(data)):
-                raise ExchangeFailed('no memory is left for the response')
+        counted = 0
+        try:
+            while (data := await self.receive_data()) is not None:
+                body += data
+                if len(body) > max_bytes:
+                    raise ExchangeFailed('the response body is too large')
+                if not (hold or self._hold)(len(data)):
+                    raise ExchangeFailed('no memory is left for the response')
+                if hold is None:
+                    counted += len(data)
+        except BaseException:
+            # The traceback keeps this frame for some time.
+            body.clear()
+            raise
+        finally:
+            self._hold(-counted)
         return bytes(body)
 
+    def _hold(self, byte_count: int) -> bool:
+        """Count buffered data; return whether there is room for it."""
+        if self._held is None:
+            return True
+        if byte_count > 0:
+            return self._held.try_add(byte_count)
+        self._held.remove(-byte_count)
+        return True
+
     async def _next_event(self) -> Any:
+        event = self._read_ahead
+        if event is not None:
+            self._read_ahead = None
+            if isinstance(event, ExchangeFailed):
+                raise event
+            return event
         while True:
-            try:
-                event = self._h11.next_event()
-            except h11.RemoteProtocolError as error:
-                raise ExchangeFailed(f'malformed response: {error}') from error
+            if self._pacer.is_exhausted:
+                await self._renew_turn()
+            event = self._parse()
             if event is not h11.NEED_DATA:
                 return event
-            try:
-                data = await self._stream.receive_some(MAX_READ_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as e:
-                self.is_ended_by_peer = not self.is_closed
-                raise ExchangeFailed('the connection was reset') from e
-            self.has_response_data |= bool(data)
-            self.data_at = trio.current_time()
-            self.is_ended_by_peer = not data
-            try:
-                self._h11.receive_data(bytes(data))
-            except h11.RemoteProtocolError as error:
-                raise ExchangeFailed(f'malformed response: {error}') from error
+            await self._receive()
+
+    async def _renew_turn(self) -> None:
+        """Let other tasks run; the received data is buffered meanwhile."""
+        if not self._hold(self._received_bytes):
+            raise ExchangeFailed('no memory is left for the response')
+        try:
+            await self._pacer.renew()
+        finally:
+            self._hold(-self._received_bytes)
+
+    def _parse(self) -> Any:
+        """Return the next event; raises ExchangeFailed."""
+        self._pacer.spend()
+        try:
+            return self._h11.next_event()
+        except h11.RemoteProtocolError as error:
+            raise ExchangeFailed(f'malformed response: {error}') from error
+
+    async def _receive(self) -> None:
+        try:
+            data = await self._stream.receive_some(MAX_READ_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as e:
+            self.is_ended_by_peer = not self.is_closed
+            raise ExchangeFailed('the connection was reset') from e
+        self.has_response_data |= bool(data)
+        self.data_at = trio.current_time()
+        self.is_ended_by_peer = not data
+        self._received_bytes = len(data)
+        try:
+            self._h11.receive_data(bytes(data))
+        except h11.RemoteProtocolError as error:
+            raise ExchangeFailed(f'malformed response: {error}') from error
 
     def prepare_reuse(self) -> bool:
         """Prepare for the next request.
@@ -339,6 +460,7 @@
             self.close()
             return False
         self._h11.start_next_cycle()
+        self._read_ahead = None
         self.is_reused = True
         self._idle_since = trio.current_time()
         self.has_response_data = False
@@ -401,8 +523,15 @@
 class Pool:
     """Idle connections by peer; the most recently used is reused first."""
 
-    def __init__(self, connect_timeout: float) -> None:
+    def __init__(
+        self,
+        connect_timeout: float,
+        turns: _read_turns.ReadTurns | None = None,
+        buffers: _buffers.Buffers | None = None,
+    ) -> None:
         self._connect_timeout = connect_timeout
+        self._turns = turns or _read_turns.ReadTurns()
+        self._buffers = buffers or _buffers.Buffers(lambda: 0.0)
         self._idle_by_peer: dict[str, list[Connection]] = {}
         self._idle_limit_by_group: dict[str, IdleLimit] = {}
 
@@ -428,7 +557,15 @@
             raise ExchangeFailed(
                 f'connection failed: {error}', False
             ) from error
-        return Connection(stream)
+        return self.connection(peer, stream)
+
+    def connection(
+        self, peer: str, stream: Stream, helper: str = ''
+    ) -> Connection:
+        """Return a connection on a stream; no request was sent on it yet."""
+        return Connection(
+            stream, helper, peer, self._turns, self._buffers.open()
+        )
 
     def take_idle(
         self,
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_server.py
@@ -10,6 +10,7 @@
 import trio
 
 from mustardlb_gateway import _buffers
+from mustardlb_gateway import _read_turns
 from mustardlb_gateway import _sockets
 from mustardlb_gateway import domain
 
@@ -122,8 +123,10 @@
         limits: abc.Callable[[], domain.RequestLimits],
         max_connections: int,
         buffers: _buffers.Buffers | None = None,
+        read_turns: _read_turns.ReadTurns | None = None,
     ) -> None:
         self._handler = handler
+        self.read_turns = read_turns or _read_turns.ReadTurns()
         self.buffers = buffers or _buffers.Buffers(lambda: 0.0)
         self.limits = limits
         self._max_connections = max_connections
@@ -234,6 +237,7 @@
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
+        self._pacer = _read_turns.Pacer(server.read_turns, 'client')
         self._pipelined = bytearray()
         self._client_closed = False
         self._idle_scope: trio.CancelScope | None = None
@@ -472,6 +476,9 @@
 
     async def _next_event(self) -> Any:
         while True:
+            if self._pacer.is_exhausted:
+                await self._pacer.renew()
+            self._pacer.spend()
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as error:
--- a/tests/mustardlb_gateway/test_buffers.py
+++ b/tests/mustardlb_gateway/test_buffers.py
@@ -316,3 +316,42 @@
     buffers.open().add(700_000)
     assert sorted(disconnected) == [1, 3]
     assert buffers.held <= LIMIT
+
+
+# Some large responses that did not end made the node reject all new requests.
+async def test_largest_response_is_given_up_before_requests_are_rejected():
+    async def endless(connection, head, body):
+        if scripted.request_id(head) == b'small':
+            await connection.send(scripted.response(b'small'))
+            return
+        await connection.send(
+            b'HTTP/1.1 200 X\r\nx-signed: 1\r\nx-id: '
+            + scripted.request_id(head)
+            + b'\r\ncontent-length: 8000000\r\n\r\n'
+        )
+        while True:
+            await connection.send(b'x' * 20_000)
+            await trio.sleep(0.01)
+
+    harness = gateway_harness.Harness(PLAIN, memory_mb=MEMORY_MB)
+    async with harness.running(endless), trio.open_nursery() as nursery:
+        responses = []
+
+        async def request(number):
+            responses.append(
+                await harness.send_request(b'x-wait: 8\r\n', b'r%d' % number)
+            )
+
+        statuses = []
+        nursery.start_soon(request, 1)
+        await trio.sleep(0.3)
+        nursery.start_soon(request, 2)
+        for _ in range(40):
+            response = await harness.send_request(request_id=b'small')
+            statuses.append(response.status)
+            await trio.sleep(0.04)
+        assert set(statuses) == {200}
+        assert harness.buffers.abandoned >= 1
+        assert [each.status for each in responses] == [502] * len(responses)
+        nursery.cancel_scope.cancel()
+    assert harness.buffers.held == 0
