Take only complete rejections for true, and parse each read once

Rejections now have to be complete, and are given up above 1 MB; 256 responses to other requests are skipped. The stub of a pool in test_target_links opens connections as the pool does.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_exchange.py
@@ -313,10 +313,9 @@
         # Without an id, a rejection may be a late one of an earlier request.
         is_rejected = info.not_executed or head.status == 421
         if is_rejected and info.request_id is not None:
-            # The head says it; the body is of no use and may have no end.
+            await self._discard_body(job, connection)
             attempt.outcome = _outcomes.Outcome.NOT_RUN
             attempt.problem = f'rejected with status {head.status}'
-            await connection.discard_body()
             return
         if info.request_id is None:
             raise http_client.ExchangeFailed('the response has no request id')
@@ -364,6 +363,21 @@
             'the target stopped sending the response'
         )
 
+    async def _discard_body(
+        self, job: _jobs.Job, connection: http_client.Connection
+    ) -> None:
+        """Read the body of a rejection, which has to be complete.
+
+        Raises ExchangeFailed.
+        """
+        with self._response_timeout(job):
+            await connection.discard_body()
+            return
+        # Reached only after the timeout.
+        raise http_client.ExchangeFailed(
+            'the target stopped sending the rejection'
+        )
+
     def _record_state(
         self,
         target: domain.Target,
--- a/packages/mustardlb-gateway/mustardlb_gateway/_origin_records.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_origin_records.py
@@ -99,6 +99,8 @@
             return False
         count = 0
         for stored in listing.objects:
+            # All records of a large fleet take some tenths of a second.
+            await trio.lowlevel.checkpoint()
             is_own = stored.name == self._vm
             if is_own:
                 self._revision = stored.revision
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -51,10 +51,11 @@
 # the whole body.
 SMALL_BODY_BYTES = 8192
 
-# Larger or more responses to other requests, or more informational ones, come
-# from a peer that may go on sending until its caller closes the connection.
+# Larger bodies that nobody needs, more responses to other requests, or more
+# informational ones come from a peer that may go on sending until its caller
+# closes the connection.
 MAX_SKIPPED_BYTES = 1_048_576
-MAX_SKIPPED_RESPONSES = 16
+MAX_SKIPPED_RESPONSES = 256
 MAX_INFORMATIONAL_RESPONSES = 16
 
 # A body, or what follows the last progress of a stream, may have this many
@@ -62,11 +63,6 @@
 MAX_SMALL_PARTS = 4096
 MIN_BYTES_PER_PART = 64
 
-# The body of a response that nobody needs is read up to this size and time, so
-# that the connection can be reused.
-MAX_DISCARDED_BYTES = 65_536
-DISCARD_TIMEOUT_SECONDS = 0.1
-
 # Request ids that a connection remembers, the last ones.
 MAX_REMEMBERED_IDS = 64
 
@@ -150,7 +146,8 @@
         self.helper = helper
         self._pacer = _read_turns.Pacer(turns or _read_turns.ReadTurns(), peer)
         self._held = held
-        self._read_ahead: h11.Event | ExchangeFailed | None = None
+        # What follows the parts that were joined.
+        self._read_ahead: Any = None
         self._received_bytes = 0
         self.part_count = 0
         self.byte_count = 0
@@ -268,13 +265,7 @@
         if self._request is not None and self._request.method == b'HEAD':
             # Whether the other response has a body is not known.
             raise ExchangeFailed('a response to another request came first')
-        skipped = 0
-        while (data := await self.receive_data()) is not None:
-            skipped += len(data)
-            if skipped > MAX_SKIPPED_BYTES:
-                raise ExchangeFailed(
-                    'the response to another request is too large'
-                )
+        await self.discard_body()
         rest, _ = self._h11.trailing_data
         if self._h11.their_state is not h11.DONE or self._request is None:
             raise ExchangeFailed(
@@ -333,27 +324,21 @@
             except ExchangeFailed as error:
                 self._read_ahead = error
                 return
-            if event is h11.NEED_DATA:
-                return
             if not isinstance(event, h11.Data):
                 self._read_ahead = event
                 return
             yield event.data
 
     async def discard_body(self) -> None:
-        """Read the rest of a body that nobody needs, if it is short.
+        """Read the rest of a body that nobody needs.
 
-        A connection on which it is not complete cannot be reused.
+        Raises ExchangeFailed if the body is truncated or too large.
         """
         discarded = 0
-        try:
-            with trio.move_on_after(DISCARD_TIMEOUT_SECONDS):
-                while (data := await self.receive_data()) is not None:
-                    discarded += len(data)
-                    if discarded > MAX_DISCARDED_BYTES:
-                        return
-        except ExchangeFailed:
-            return
+        while (data := await self.receive_data()) is not None:
+            discarded += len(data)
+            if discarded > MAX_SKIPPED_BYTES:
+                raise ExchangeFailed('the body that is discarded is too large')
 
     async def receive_body(
         self, max_bytes: int, hold: abc.Callable[[int], bool] | None = None
@@ -394,11 +379,12 @@
         return True
 
     async def _next_event(self) -> Any:
-        event = self._read_ahead
-        if event is not None:
-            self._read_ahead = None
-            if isinstance(event, ExchangeFailed):
-                raise event
+        event, self._read_ahead = self._read_ahead, None
+        if isinstance(event, ExchangeFailed):
+            raise event
+        if event is h11.NEED_DATA:
+            await self._receive()
+        elif event is not None:
             return event
         while True:
             if self._pacer.is_exhausted:
--- a/tests/mustardlb_gateway/test_target_links.py
+++ b/tests/mustardlb_gateway/test_target_links.py
@@ -42,6 +42,9 @@
     def close_direct(self, peer):
         pass
 
+    def connection(self, peer, stream, helper=''):
+        return http_client.Connection(stream, helper, peer)
+
 
 class Node:
     """The links of one node, which opens connections in the fleet."""
