--- a/tests/soak/soak_clients.py
+++ b/tests/soak/soak_clients.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import re
 
 import h11
 import soak_targets
@@ -17,6 +18,10 @@
 REJECTION_STATUSES = (408, 421, 429, 503)
 
 
+# An event of comments only, or of nothing, after the end of another one.
+_EMPTY_EVENT = re.compile(rb'(?:(?<=\n\n)|\A)(?::[^\n]*\n)*\n')
+
+
 @dataclasses.dataclass
 class Outcome:
     """The result of one request.
@@ -177,6 +182,8 @@
         soak_targets.stream_event(outcome.request_id, number)
         for number in range(1, soak_targets.EVENT_COUNT + 1)
     )
+    # Faulty targets send comments and empty events, which say nothing.
+    body = _EMPTY_EVENT.sub(b'', body)
     if outcome.is_complete and body != expected:
         return 'the stream ended normally without all events'
     if not expected.startswith(body):
--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -19,6 +19,9 @@
 # The header with which a target says that it leaves.
 LEAVING_HEADER = b'server-leaving: 1\r\n'
 
+# Share of responses of a target that go on without end, while some do.
+ENDLESS_RATE = 0.2
+
 # Share of requests that fail while no target fault is injected.
 BASE_FAULT_RATE = 0.08
 
@@ -74,6 +77,8 @@
     :ivar born: number of its incarnation
     :ivar breaks_off: half of the requests that it would reset get a part of
         their response, after which the connection is closed
+    :ivar endless_form: one of `soak_endless.FORMS`, in which some responses go
+        on until the caller closes, or None
     """
 
     def __init__(self, target_id, record, is_engine, rng):
@@ -85,6 +90,7 @@
         self.state = 'ready'
         self.born = 1
         self.breaks_off = False
+        self.endless_form = None
         self._rng = rng
         self._loaded = set()
         self._loading = {}
@@ -201,6 +207,9 @@
         self.record.runs_by_id[request_id] += 1
         account = headers.get('x-mustardlb-tenant', '')
         self.record.accounts_by_id[request_id] = account
+        if self.endless_form and self._rng.random() < ENDLESS_RATE:
+            await self._send_without_end(connection, request_id)
+            return
         if draw < self.fault_rate:
             if self.breaks_off and self._rng.random() < 0.5:
                 whole = self._complete_response(request_id, notice)
@@ -219,6 +228,14 @@
         )
         await connection.send(self._complete_response(request_id, notice))
 
+    async def _send_without_end(self, connection, request_id):
+        signature = sign(self.target_id, request_id)
+        stamp = f'{self.target_id}.{signature}'
+        start, part = self.endless_form(request_id.encode(), stamp.encode())
+        await connection.send(start)
+        while True:
+            await connection.send(part)
+
     def _complete_response(self, request_id, notice):
         signature = sign(self.target_id, request_id)
         head = f'x-mustardlb-server-stamp: {self.target_id}.{signature}\r\n'
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -23,6 +23,8 @@
 
 LEAVING_SECONDS = 14.0
 
+ENDLESS_SECONDS = 10.0
+
 
 @pytest.mark.parametrize('seed', SEEDS)
 async def test_promises_hold_under_faults(seed, tmp_path):
@@ -34,3 +36,10 @@
 async def test_no_request_reaches_targets_that_have_left(seed, tmp_path):
     run = soak.Soak(seed, tmp_path, leaving=True)
     assert await run.run(LEAVING_SECONDS) == []
+
+
+# Responses that do not end kept nodes from all other work.
+@pytest.mark.parametrize('seed', [4601, 4602, 4603])
+async def test_promises_hold_beside_endless_responses(seed, tmp_path):
+    run = soak.Soak(seed, tmp_path, endless=True)
+    assert await run.run(ENDLESS_SECONDS) == []
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -23,13 +23,14 @@
     nodes: int = 3,
     odd: bool = False,
     leaving: bool = False,
+    endless: bool = False,
     root: str = str(ROOT),
 ) -> None:
     """Print the result of each seed; exit with 1 if any check failed.
 
     `odd` also writes entries of targets that cannot be read; `leaving` lets
-    targets leave without a notice, and nodes stop in calm. The nodes run the
-    code in the folder `root`.
+    targets leave without a notice, and nodes stop in calm; `endless` lets them
+    send responses without end. The nodes run the code in the folder `root`.
     """
     # The default action of SIGTERM would leave the gateway processes running.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -42,6 +43,7 @@
             nodes,
             odd_entries=odd,
             leaving=leaving,
+            endless=endless,
             root=pathlib.Path(root),
         )
         violations = trio.run(run.run, seconds)
