--- a/packages/mustardlb-gateway/mustardlb_gateway/_buffers.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_buffers.py
@@ -112,6 +112,10 @@
         else:
             self._outputs.discard(holding)
 
+    def keep(self, holding: 'BufferedData') -> None:
+        """Give up a response no more."""
+        self._large_inputs.discard(holding)
+
     def make_room(self) -> None:
         """Give up large responses and slow clients while there is no room.
 
@@ -197,6 +201,11 @@
         if self._buffers.is_full:
             self._buffers.make_room()
 
+    def complete(self) -> None:
+        """Record that the response is complete, so that it is kept."""
+        self.abandon = None
+        self._buffers.keep(self)
+
     def try_add(self, byte_count: int) -> bool:
         """Record received data, unless there is no room for it."""
         self.add(byte_count)
--- a/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_jobs.py
@@ -93,7 +93,7 @@
     def complete_response(self) -> None:
         """Record that a response is complete, so that it is kept."""
         if self.held is not None:
-            self.held.abandon = None
+            self.held.complete()
 
     @property
     def abandoned_at(self) -> float:
--- a/tests/mustardlb_gateway/test_buffers.py
+++ b/tests/mustardlb_gateway/test_buffers.py
@@ -355,3 +355,18 @@
         assert [each.status for each in responses] == [502] * len(responses)
         nursery.cancel_scope.cancel()
     assert harness.buffers.held == 0
+
+
+# A whole response, of which the client reads the rest, was given up.
+async def test_complete_response_is_not_given_up():
+    buffers = _buffers.Buffers(lambda: MEMORY_MB)
+    given_up = []
+    whole = buffers.open(abandon=lambda: given_up.append('whole'))
+    whole.add(1_100_000)
+    whole.complete()
+    other = buffers.open(abandon=lambda: given_up.append('other'))
+    other.add(500_000)
+    assert given_up == []
+    assert other.try_add(300_000)
+    assert not other.try_add(300_000)
+    assert buffers.held <= LIMIT
