--- a/tests/soak/soak_clients.py
+++ b/tests/soak/soak_clients.py
@@ -18,8 +18,8 @@
 REJECTION_STATUSES = (408, 421, 429, 503)
 
 
-# An event of comments only, or of nothing, after the end of another one.
-_EMPTY_EVENT = re.compile(rb'(?:(?<=\n\n)|\A)(?::[^\n]*\n)*\n')
+# Events of comments only, or of nothing, after the end of another one.
+_EMPTY_EVENTS = re.compile(rb'(?:(?<=\n\n)|\A)(?:(?::[^\n]*\n)*\n)+')
 
 
 @dataclasses.dataclass
@@ -183,7 +183,7 @@
         for number in range(1, soak_targets.EVENT_COUNT + 1)
     )
     # Faulty targets send comments and empty events, which say nothing.
-    body = _EMPTY_EVENT.sub(b'', body)
+    body = _EMPTY_EVENTS.sub(b'', body)
     if outcome.is_complete and body != expected:
         return 'the stream ended normally without all events'
     if not expected.startswith(body):
