Take no record of versions for certain before the targets are known

Trace: all nodes are killed, the saved record is 80 s old, as the store had taken no writes, and names v5 only; nodes that have just started read it and are asked before they have seen a target. In a node, the age of its targets forbids that inference; SoftwareHistory itself did not, which the test's nodes rely on.

SoftwareHistory now knows nothing for certain before it has observed targets. The new test fails without that ('v1' instead of nothing); with it the file passes in four of four runs.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_software_history.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_software_history.py
@@ -262,8 +262,11 @@
         """Return whether all versions that may have begun streams are known.
 
         A service that is not in the record, but had targets when this node
-        started, may have had others before.
+        started, may have had others before. The record may be old, which the
+        targets that are registered show.
         """
+        if not self._has_observed:
+            return False
         forgotten_at = self._clock() - STREAM_LIFETIME_SECONDS
         if self.must_load():
             return False
--- a/tests/mustardlb_gateway/test_fleet_restarts.py
+++ b/tests/mustardlb_gateway/test_fleet_restarts.py
@@ -278,3 +278,23 @@
         since = trio.current_time() - LIFETIME + 1
         recent = [each for each in list(began)[-12:] if at[each] > since]
         await find_all(fleet, {each: began[each] for each in recent})
+
+
+# Nodes that had not seen the targets yet took the version of an old record for
+# the only one, though streams had begun at others since it was saved.
+async def test_record_is_not_certain_before_the_targets_are_known(
+    autojump_clock, nursery
+):
+    fleet = make_fleet(nursery)
+    await trio.sleep(5)
+    fleet.store.is_down = True
+    fleet.set_softwares('v2', 'v3')
+    await trio.sleep(LIFETIME + 10)
+    began = begin_all(fleet, 'r')
+    names = kill_all(fleet)
+    fleet.store.is_down = False
+    start_all(fleet, names, 2, 0.5)
+    await trio.sleep(0.1)
+    assert set(await find_all(fleet, began)) == {None}
+    await trio.sleep(1)
+    assert set(await find_all(fleet, began)) == {None}
