--- a/packages/mustardlb-gateway/mustardlb_gateway/_origin_records.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_origin_records.py
@@ -40,7 +40,7 @@
 
 RETRY_SECONDS = 0.5
 
-# Streams in one object, the last ones: some 100 KB.
+# Streams of one version in an object, the last ones: some 100 KB.
 MAX_SAVED_STREAMS = 6000
 
 _HASH_DIGITS = 16
--- a/tests/mustardlb_gateway/test_endless_responses.py
+++ b/tests/mustardlb_gateway/test_endless_responses.py
@@ -259,7 +259,7 @@
     assert 0 < counter.most <= MAX_PARTS_PER_STEP
 
 
-# Each part of an event copied all that had come before it: 13 s for 1 MB.
+# Each part of an event copied all that had come before it.
 def test_cost_of_an_event_grows_with_its_size_only():
     began = time.process_time()
     splitter = _event_stream.EventSplitter()
