--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -141,6 +141,8 @@
         self.objects = {}
         self.events = []
         self.oldest = 0
+        self.answers = asyncio.Event()
+        self.answers.set()
         self._changed = asyncio.Event()
         self.server = Server(address, self._respond)
 
@@ -188,7 +190,12 @@
         self._wake()
 
     async def _respond(self, method, path, headers, body, writer):
+        if not self.answers.is_set():
+            # Silent: nothing is done, and nothing more comes on this channel.
+            await asyncio.sleep(3600)
         status, fields = await self._call(method, path, body)
+        if not self.answers.is_set():
+            await asyncio.sleep(3600)
         own = [('content-type', 'application/json')]
         if self.era is not None:
             own.append(('Store-Era', self.era))
@@ -253,14 +260,16 @@
         self.site, self.service, self.zone = site, service, zone
         self.name = name or f'i-{service}-{next(_numbers)}'
         self.slots, self.spec, self.run = slots, spec, run
-        self.born = int(time.time() * 1000)
+        self.born = 0
         self.state = 'ready'
+        self.software = 'v1'
         self.sequence = 0
         self.server = Server('127.0.0.1', self._respond)
         self.reports = None
         self._beat = None
 
     async def start(self):
+        self.born = int(time.time() * 1000)
         await self.server.start(self.server.port)
         self._beat = asyncio.ensure_future(self._run_heartbeat())
 
@@ -281,7 +290,8 @@
         fields = {
             'service': self.service,
             'address': f'127.0.0.1:{self.server.port}', 'zone': self.zone,
-            'version': 'v1', 'slots': self.slots, 'state': self.state,
+            'version': self.software, 'slots': self.slots,
+            'state': self.state,
             'cold_remaining_ms': 0, 'sequence': self.sequence,
             'born': self.born,
         }  # fmt: skip
@@ -289,6 +299,8 @@
 
     async def _run_heartbeat(self):
         while True:
+            # A write waits while the store is silent.
+            await self.site.store.answers.wait()
             self.register()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
@@ -478,18 +490,19 @@
         name, _, value = line.partition(':')
         headers[name.strip().lower()] = value.strip()
     status = int(first.split(' ')[1])
+    body = b''
     try:
         if 'content-length' in headers:
             length = int(headers['content-length'])
             return status, headers, await reader.readexactly(length)
-        body = b''
         while True:
             size = int(await reader.readuntil(b'\r\n'), 16)
             body += (await reader.readexactly(size + 2))[:-2]
             if not size:
                 return status, headers, body
     except (asyncio.IncompleteReadError, ConnectionError, ValueError):
-        return status, headers, None
+        # What had arrived of the body is kept under the key None.
+        return status, headers | {None: body}, None
 
 
 class Site:
