--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -41,10 +41,13 @@
     return f'127.{1 + pid // 250 % 250}.{1 + pid % 250}.{number}'
 
 
-def free_port(address):
-    with socket.socket() as found:
-        found.bind((address, 0))
-        return found.getsockname()[1]
+def free_ports(address, count):
+    """Return ports of which no two are the same."""
+    with contextlib.ExitStack() as stack:
+        found = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in found:
+            each.bind((address, 0))
+        return [each.getsockname()[1] for each in found]
 
 
 async def read_message(reader):
@@ -374,8 +377,7 @@
         self.site, self.number, self.zone = site, number, zone
         self.name = f'front-{zone}-{number}'
         self.host = host(10 + number)
-        ports = [free_port(self.host) for _ in range(4)]
-        self.front, self.ready, self.control, self.peer = ports
+        self.front, self.ready, self.peer = free_ports(self.host, 3)
         self.process = None
         self.starts = 0
 
@@ -441,7 +443,8 @@
         until = time.monotonic() + seconds
         while not await self.is_ready():
             if time.monotonic() > until:
-                raise CannotRun(f'{self.name} does not become ready')
+                end = self.log_text()[-400:]
+                raise CannotRun(f'{self.name} does not become ready: {end}')
             await asyncio.sleep(0.1)
 
     def log_text(self):
