--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -97,6 +97,9 @@
 
     async def stop(self):
         self._server.close()
+        self.reset_channels()
+
+    def reset_channels(self):
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -147,7 +150,7 @@
         self.answers = asyncio.Event()
         self.answers.set()
         self._changed = asyncio.Event()
-        self.server = Server(address, self._respond)
+        self.server = Server(address, self.respond)
 
     def put(self, kind, name, spec):
         """Write an object; its return is the acknowledgement."""
@@ -192,7 +195,7 @@
         self.oldest = self.revision
         self._wake()
 
-    async def _respond(self, method, path, headers, body, writer):
+    async def respond(self, method, path, headers, body, writer):
         if not self.answers.is_set():
             # Silent: nothing is done, and nothing more comes on this channel.
             await asyncio.sleep(3600)
