--- a/review/10/case.py
+++ b/review/10/case.py
@@ -15,9 +15,9 @@
 STABILITY_SECONDS = site.BOUNDS['stability_window_ms'] / 1000
 ADAPTERS = 400
 CLIENTS_PER_NODE = 6
-COPY_AGE_SECONDS = 5.0
+COPY_AGE_SECONDS = 6.0
 AWAY_SECONDS = 1.0
-CUT_SECONDS = 3.0
+CUT_SECONDS = 4.0
 
 
 async def draft(client, rng):
@@ -74,7 +74,7 @@
 
 async def run(is_disrupted):
     """Return the number of turns that break the rule, None if none ran."""
-    async with site.Site(FOLDER, engines=2, links=True) as here:
+    async with site.Site(FOLDER, engines=4, links=True) as here:
         for number, node in enumerate(here.nodes):
             for each in range(CLIENTS_PER_NODE):
                 rng = random.Random(100 * number + each)
