--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # checks that this Python compiles them. Nothing is written.
 set -eu
 cd "$(dirname "$0")"
-python3 - lib-2/*.py $(ls -d [6-9]/case.py 10/case.py 2>/dev/null) <<'EOF'
+python3 - lib-2/*.py lib-3/*.py $(ls -d [6-9]/case.py 10/case.py quota-*/case.py 2>/dev/null) <<'EOF'
 import sys
 
 assert sys.version_info >= (3, 11), sys.version
