Keep a reset known that a write has met first

What callers saw: a target that answered a long upload at once, without a length, and reset the connection before its response was complete. Clients got the part as a whole response, streams an end like that of a whole one.

Cause: a large request is written by one task while another reads the response. Linux reports a reset to one system call only. If that was the write, whose failure is rightly no failure of the response, the next read returned the end of the stream, and without a length that is the end of the body.

Change: connections to targets and to the store remember that a write has met a reset, and a read then fails instead of returning the end. The write goes straight to the socket, since trio's stream lets other tasks run between a failed system call and its exception. Linux fails a write with EPIPE if the peer had ended its side before, so a whole response that ends early without a length is still whole; responses with a length or chunks don't need the end.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_target_network.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_target_network.py
@@ -2,9 +2,7 @@
 
 from collections import abc
 
-import trio
-
-from mustardlb_gateway import _sockets
+from mustardlb_gateway import _reset_aware
 from mustardlb_gateway import _target_links
 from mustardlb_gateway import domain
 
@@ -22,9 +20,9 @@
 
     async def connect(
         self, target: domain.Target, timeout: float
-    ) -> trio.SocketStream:
+    ) -> _reset_aware.ResetAwareStream:
         """Connect to a target; raises OSError."""
-        return await _sockets.connect(target.host, target.port, timeout)
+        return await _reset_aware.connect(target.host, target.port, timeout)
 
     async def relay(
         self, vm: str, target: domain.Target
--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -18,6 +18,7 @@
 
 from mustardlb_gateway import _buffers
 from mustardlb_gateway import _read_turns
+from mustardlb_gateway import _reset_aware
 from mustardlb_gateway import _sockets
 from mustardlb_gateway import domain
 
@@ -538,7 +539,9 @@
         if idle is not None:
             return idle
         try:
-            stream = await _sockets.connect(host, port, self._connect_timeout)
+            stream = await _reset_aware.connect(
+                host, port, self._connect_timeout
+            )
         except OSError as error:
             raise ExchangeFailed(
                 f'connection failed: {error}', False
