Forward a response that a target ends before the request

What callers saw: nothing was reported. In a test, the attempt at a target that answered a relayed upload whole, and closed with the rest unread, failed without its response.

Cause: the relaying node stopped copying both ways as soon as its write to the target failed, and closed the connection to the other node with unread bytes of the request, which resets it.

Change: after a failed write the response is still read to its end, the rest of the request is dropped, and the connection stays open for up to a second until the other node has closed it.

--- a/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/_relay.py
@@ -40,6 +40,10 @@
 
 MAX_READ_BYTES = 65_536
 
+# After the end of a response, the other node has this time to read it and to
+# close the connection.
+LINGER_SECONDS = 1.0
+
 _LOST = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -245,11 +249,15 @@
     may_send: abc.Callable[[], bool],
     buffers: _buffers.Buffers,
 ) -> None:
-    """Copy bytes both ways until either side ends."""
+    """Copy bytes both ways until either side ends.
+
+    A target may respond before it has read the whole request, so a failed
+    write to it leaves its response to be read.
+    """
     held, request_held = buffers.open(), buffers.open()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(
-            _copy,
+            _copy_request,
             client,
             server,
             nursery.cancel_scope,
@@ -265,26 +273,42 @@
             await client.send_eof()
         except _LOST as error:
             log.info('MLB-6309', problem=repr(error))
+            nursery.cancel_scope.cancel()
         finally:
             held.close()
             request_held.close()
-        nursery.cancel_scope.cancel()
+        nursery.cancel_scope.deadline = min(
+            nursery.cancel_scope.deadline,
+            trio.current_time() + LINGER_SECONDS,
+        )
 
 
-async def _copy(
-    source: trio.SocketStream,
-    sink: http_client.Stream,
+async def _copy_request(
+    client: trio.SocketStream,
+    server: http_client.Stream,
     scope: trio.CancelScope,
     may_send: abc.Callable[[], bool],
     held: _buffers.BufferedData,
 ) -> None:
+    """Copy a request until the node that sends it closes the connection.
+
+    What a target no longer reads is dropped: closing the connection with
+    unread bytes would reset it, and cut off the response.
+    """
+    is_writable = True
     try:
-        while data := await source.receive_some(MAX_READ_BYTES):
+        while data := await client.receive_some(MAX_READ_BYTES):
             if not may_send():
                 log.info('MLB-6309', problem='the target is evacuated')
                 break
+            if not is_writable:
+                continue
             held.set(len(data))
-            await sink.send_all(data)
+            try:
+                await server.send_all(data)
+            except _LOST as error:
+                log.info('MLB-6309', problem=repr(error))
+                is_writable = False
             held.close()
     except _LOST as error:
         log.info('MLB-6309', problem=repr(error))
