Reject a response head with a line that is no field

What callers saw: a target in trouble sent a head in which the name of a field began with a blank or a control byte. Clients got the line as a part of the field before it, or a body that began within the head.

Cause: h11 joins a line that begins with a blank or a tab to the line before it (an obsolete line folding), and takes an empty line that ends with a line feed alone for the end of a head whose other lines end with CRLF. Both are lenient readings that RFC 9112 permits, but of a target's fault they make another response.

Change: the bytes of each response head, interim ones included, are checked before h11 decodes them: no line begins with a blank, and all lines end alike. Heads with bare line feeds only are still accepted. A rejected response is a malformed one, so the attempt fails with 502 or goes to another target.

--- a/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
+++ b/packages/mustardlb-gateway/mustardlb_gateway/http_client.py
@@ -16,6 +16,7 @@
 import structlog
 import trio
 
+from mustardlb import response_heads
 from mustardlb_gateway import _buffers
 from mustardlb_gateway import _read_turns
 from mustardlb_gateway import _reset_aware
@@ -154,6 +155,7 @@
         self.byte_count = 0
         self.data_at = float('-inf')
         self._h11 = h11.Connection(h11.CLIENT)
+        self._heads = response_heads.HeadScanner()
         self._request: h11.Request | None = None
         self._unsent = b''
         self._reusable_until = 0.0
@@ -207,6 +209,7 @@
         if not body and method in (b'GET', b'HEAD', b'DELETE'):
             sized = headers
         self.mark_progress()
+        self._heads.begin()
         self._request = h11.Request(method=method, target=path, headers=sized)
         payload = self._h11.send(self._request) or b''
         if body:
@@ -280,8 +283,9 @@
             if name == b'content-length' and int(value):
                 self._h11.send(h11.Data(data=bytes(int(value))))
         self._h11.send(h11.EndOfMessage())
+        self._heads.begin()
         if rest:
-            self._h11.receive_data(rest)
+            self._feed(rest)
 
     def _update_reusable_until(self, head: Head) -> None:
         seconds = DEFAULT_KEEPALIVE_SECONDS
@@ -422,9 +426,14 @@
         self.data_at = trio.current_time()
         self.is_ended_by_peer = not data
         self._received_bytes = len(data)
+        self._feed(bytes(data))
+
+    def _feed(self, data: bytes) -> None:
+        """Pass received bytes to the parser; raises ExchangeFailed."""
         try:
-            self._h11.receive_data(bytes(data))
-        except h11.RemoteProtocolError as error:
+            self._heads.feed(data)
+            self._h11.receive_data(data)
+        except (ValueError, h11.RemoteProtocolError) as error:
             raise ExchangeFailed(f'malformed response: {error}') from error
 
     def prepare_reuse(self) -> bool:
