Close the caller's connection when a response breaks off

What callers saw, in tests of mustardlbd: a response to a long upload that broke off after its head left the connection open, and the caller waited until its own timeout. A caller that speaks HTTP/1.0 got an orderly end, which is the end of its response.

Cause: the application's end is told to hypercorn's stream, which puts a notification into the queue of the application. Nothing reads that queue any more, and it was full of the body of the request. HTTP/1.0 has no chunks, so the end of the connection is all that marks the end of a response.

Change: a response that the application has not finished closes the connection without the notification, and with a reset for HTTP/1.0. The reader of the connection, which may wait for the same queue, is cancelled.

--- a/packages/mustardlbd/mustardlbd/_http1.py
+++ b/packages/mustardlbd/mustardlbd/_http1.py
@@ -1,6 +1,9 @@
 """Hypercorn's HTTP/1.1 protocol with JSON errors and without upgrades."""
 
+import dataclasses
+
 import h11
+import hypercorn.events
 from hypercorn.protocol import events
 from hypercorn.protocol import h11 as hypercorn_h11
 from hypercorn.protocol import http_stream
@@ -26,9 +29,37 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class Aborted(hypercorn.events.Event):
+    """The response broke off, and the connection has to be closed.
+
+    :ivar must_reset: whether the caller takes an orderly end of the connection
+        for that of the response
+    """
+
+    must_reset: bool
+
+
 class Http1(hypercorn_h11.H11Protocol):
     """HTTP/1.1 with JSON errors and without WebSocket and h2c upgrades."""
 
+    async def stream_send(self, event: events.Event) -> None:
+        """Pass an event of the application on to the caller."""
+        connection = self.connection
+        if not (
+            isinstance(event, events.StreamClosed)
+            and isinstance(connection, h11.Connection)
+            and connection.our_state is h11.SEND_BODY
+        ):
+            await super().stream_send(event)
+            return
+        # The application has ended, so that nothing would take the
+        # notification out of a queue that is full of the request's body.
+        self.stream = None
+        # A response to HTTP/1.0 has no chunks.
+        must_reset = connection.their_http_version == b'1.0'
+        await self.send(Aborted(must_reset))
+
     async def reject_incomplete_request(self) -> None:
         """Respond with 408 if only a part of the request headers arrived."""
         if self.stream is not None or not self.connection.trailing_data[0]:
--- a/packages/mustardlbd/mustardlbd/_http_connection.py
+++ b/packages/mustardlbd/mustardlbd/_http_connection.py
@@ -3,6 +3,7 @@
 import dataclasses
 import os
 import ssl
+import struct
 from typing import Any
 
 import hypercorn.config
@@ -24,6 +25,9 @@
 # Limits the graceful close of a connection.
 CLOSE_TIMEOUT_SECONDS = 2.0
 
+# The value of SO_LINGER with which closing a socket resets its connection.
+_RESET_WHEN_CLOSED = struct.pack('ii', 1, 0)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerSettings:
@@ -69,6 +73,7 @@
         self._stream = stream
         self._send_lock = trio.Lock()
         self._idle = worker_context.TrioSingleTask()
+        self._reading = trio.CancelScope()
         self._tasks = task_group.TaskGroup()
         self._protocol: _http1.Http1 | _http2.Http2
         # Direct writes are only possible without TLS, whose records trio's
@@ -86,7 +91,8 @@
                 self._protocol = self._make_protocol(is_h2)
                 await self._protocol.initiate()
                 await self._idle.restart(self._tasks, self._idle_timeout)
-                await self._read()
+                with self._reading:
+                    await self._read()
                 # Otherwise a closed connection would stay until its timeout.
                 await self._idle.stop()
         except (OSError, trio.BrokenResourceError, trio.TooSlowError):
@@ -106,9 +112,8 @@
         return self._stream.selected_alpn_protocol() == 'h2'
 
     def _make_protocol(self, is_h2: bool) -> _http1.Http1 | _http2.Http2:
-        stream: Any = self._stream
-        is_tls = isinstance(stream, trio.SSLStream)
-        raw = (stream.transport_stream if is_tls else stream).socket
+        is_tls = isinstance(self._stream, trio.SSLStream)
+        raw = self._raw_socket()
         protocol_class: Any = _http2.Http2 if is_h2 else _http1.Http1
         return protocol_class(
             self._app,
@@ -138,6 +143,13 @@
         elif isinstance(event, hypercorn.events.Closed):
             await self._close()
             await self._handle(hypercorn.events.Closed())
+        elif isinstance(event, _http1.Aborted):
+            if event.must_reset:
+                self._reset()
+            else:
+                await self._close()
+            # The reader may wait for an application that has ended.
+            self._reading.cancel()
         elif isinstance(event, hypercorn.events.Updated):
             await self._mark_idle(event.idle)
 
@@ -194,6 +206,26 @@
             await self._handle(hypercorn.events.RawData(bytes(data)))
         await self._handle(hypercorn.events.Closed())
 
+    def _reset(self) -> None:
+        """Close the connection with a reset; unsent data is dropped."""
+        self._fileno = -1
+        raw = self._raw_socket()
+        if raw.fileno() >= 0:
+            raw.setsockopt(
+                trio.socket.SOL_SOCKET,
+                trio.socket.SO_LINGER,
+                _RESET_WHEN_CLOSED,
+            )
+            raw.close()
+
+    def _raw_socket(self) -> trio.socket.SocketType:
+        stream: Any = self._stream
+        is_tls = isinstance(stream, trio.SSLStream)
+        socket: trio.socket.SocketType = (
+            stream.transport_stream if is_tls else stream
+        ).socket
+        return socket
+
     async def _close(self) -> None:
         self._fileno = -1
         with trio.move_on_after(CLOSE_TIMEOUT_SECONDS):
--- a/tests/mustardlb_gateway/early_target.py
+++ b/tests/mustardlb_gateway/early_target.py
@@ -27,6 +27,7 @@
         of the request unread) or 'keep' (reads the rest of the request)
     :ivar sent: share of the body that is sent
     :ivar pause: seconds between the response and the end
+    :ivar extra: further lines of the head
     """
 
     framing: str
@@ -34,10 +35,12 @@
     sent: float = 1.0
     pause: float = 0.0
     body: bytes = BODY
+    extra: tuple[bytes, ...] = ()
 
     def encode(self, request_id):
         """Return what is sent of the response."""
         lines = [b'HTTP/1.1 200 OK', b'x-signed: 1', b'x-id: ' + request_id]
+        lines += self.extra
         framed = self.body
         if self.framing == 'length':
             lines.append(b'content-length: %d' % len(framed))
@@ -103,7 +106,8 @@
         self.request_count += 1
         lines = head.lower().split(b'\r\n')
         request_id = next(
-            line[5:].strip() for line in lines if line.startswith(b'x-id:')
+            (line[5:].strip() for line in lines if line.startswith(b'x-id:')),
+            b'',
         )
         await stream.send_all(reply.encode(request_id))
         await trio.sleep(reply.pause)
--- a/tests/mustardlb_gateway/test_early_relayed_responses.py
+++ b/tests/mustardlb_gateway/test_early_relayed_responses.py
@@ -10,6 +10,7 @@
 import builders
 import early_target
 import pytest
+import scripted
 import trio
 
 from mustardlb import frames
@@ -52,11 +53,7 @@
         await server.serve(stream, message.vm, message.body)
 
     async with trio.open_nursery() as nursery:
-        listeners = await nursery.start(
-            lambda task_status: trio.serve_tcp(
-                serve, 0, host='127.0.0.1', task_status=task_status
-            )
-        )
+        listeners = await nursery.start(scripted.serve_loopback, serve)
         port = listeners[0].socket.getsockname()[1]
         vm = _centres.Vm('vm2', '127.0.0.1', port, 'a', 0.0)
 
--- a/tests/mustardlb_gateway/test_early_responses.py
+++ b/tests/mustardlb_gateway/test_early_responses.py
@@ -39,7 +39,8 @@
     stream = await trio.open_tcp_stream('127.0.0.1', harness.port)
     await stream.send_all(
         b'POST /x/ HTTP/1.1\r\nhost: h\r\nconnection: close\r\nx-id: %b\r\n'
-        b'content-length: %d\r\n\r\n' % (request_id, early_target.UPLOAD_BYTES)
+        b'content-length: %d\r\n\r\n'
+        % (request_id, early_target.UPLOAD_BYTES)
         + b'x' * early_target.UPLOAD_BYTES
     )
     data = b''
@@ -106,7 +107,9 @@
         'none', end, sent, pause, body=early_target.EVENTS
     )
     for response in await upload_to(
-        make_stream_route(False), reply, count=REQUEST_COUNT_BY_DELAY[read_delay]
+        make_stream_route(False),
+        reply,
+        count=REQUEST_COUNT_BY_DELAY[read_delay],
     ):
         assert not (response.status == 200 and response.is_complete)
 
--- a/tests/mustardlb_gateway/test_odd_heads.py
+++ b/tests/mustardlb_gateway/test_odd_heads.py
@@ -238,9 +238,7 @@
 ODD_STATUSES += [b'', b'abc', b'-20', b'+20', b'2 0', b'20\0', b'\x02200']
 
 
-@pytest.mark.parametrize(
-    ('route', 'body'), [(WHOLE, BODY), (STREAM, EVENTS)]
-)
+@pytest.mark.parametrize(('route', 'body'), [(WHOLE, BODY), (STREAM, EVENTS)])
 async def test_response_with_an_odd_status_is_rejected(route, body):
     """A status below 100, or not of three digits, is none."""
 
