Keep a reset known in the clients of httpx, too

What callers saw, in tests: mustardlbd passed a part of a response without a length on as a whole one, and the clients of the object API and of engines took a part for the whole (a write counted as done, a part of a cached prefix was exported).

Cause: the same as at the gateway. httpcore goes on to read the response after a failed write, which has consumed the report of the reset.

Change: one transport for all clients of the platform and of targets, whose connections fail a read at the end if a write has met a reset. mustardlbd's own streams are built on it.

--- a/packages/mustardlb/mustardlb/engine.py
+++ b/packages/mustardlb/mustardlb/engine.py
@@ -13,6 +13,8 @@
 import httpx
 import msgspec
 
+from mustardlb import http_transport
+
 # Headers of completion requests.
 REQUEST_ID_HEADER = 'X-Request-Id'
 PRIORITY_HEADER = 'X-Priority'
@@ -189,7 +191,10 @@
         self, url: str, timeout: float = CALL_TIMEOUT_SECONDS
     ) -> None:
         self._client = httpx.AsyncClient(
-            base_url=url, timeout=timeout, trust_env=False
+            base_url=url,
+            transport=http_transport.make_transport(False),
+            timeout=timeout,
+            trust_env=False,
         )
 
     async def close(self) -> None:
--- a/packages/mustardlb/mustardlb/http_object_api.py
+++ b/packages/mustardlb/mustardlb/http_object_api.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from mustardlb import endpoint_tls
+from mustardlb import http_transport
 from mustardlb import object_api
 
 CALL_TIMEOUT_SECONDS = 3.0
@@ -32,10 +33,13 @@
         self._timeout = timeout
         self._client = httpx.AsyncClient(
             base_url=url,
-            verify=endpoint_tls.httpx_verify(url, authority),
+            transport=http_transport.make_transport(
+                endpoint_tls.httpx_verify(url, authority),
+                MAX_CONNECTIONS,
+                max_idle=None,
+            ),
             timeout=timeout,
             trust_env=False,
-            limits=httpx.Limits(max_connections=MAX_CONNECTIONS),
         )
 
     async def close(self) -> None:
--- a/packages/mustardlb/mustardlb/http_vm_list.py
+++ b/packages/mustardlb/mustardlb/http_vm_list.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from mustardlb import endpoint_tls
+from mustardlb import http_transport
 from mustardlb import vm_list
 
 CALL_TIMEOUT_SECONDS = 3.0
@@ -27,7 +28,9 @@
     ) -> None:
         self._client = httpx.AsyncClient(
             base_url=url,
-            verify=endpoint_tls.httpx_verify(url, authority),
+            transport=http_transport.make_transport(
+                endpoint_tls.httpx_verify(url, authority)
+            ),
             timeout=timeout,
             trust_env=False,
         )
--- a/packages/mustardlb/mustardlb/weight_store.py
+++ b/packages/mustardlb/mustardlb/weight_store.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from mustardlb import endpoint_tls
+from mustardlb import http_transport
 
 # Up to this number of concurrent loads in the fleet, each runs at full speed.
 MAX_FULL_SPEED_LOADS = 8
@@ -55,7 +56,9 @@
     ) -> None:
         self._client = httpx.AsyncClient(
             base_url=url,
-            verify=endpoint_tls.httpx_verify(url, authority),
+            transport=http_transport.make_transport(
+                endpoint_tls.httpx_verify(url, authority)
+            ),
             timeout=timeout,
             trust_env=False,
         )
--- a/packages/mustardlbd/mustardlbd/_target_client.py
+++ b/packages/mustardlbd/mustardlbd/_target_client.py
@@ -6,11 +6,11 @@
 import ssl
 from typing import Any
 
-import httpcore
 import httpx
 import trio
 
 from mustardlb import errors
+from mustardlb import http_transport
 from mustardlb import steps
 from mustardlbd import _target_streams
 
@@ -123,16 +123,13 @@
     context: ssl.SSLContext, max_idle: int | None
 ) -> httpx.AsyncHTTPTransport:
     """Return a transport; `max_idle` of None keeps all connections."""
-    transport = httpx.AsyncHTTPTransport(verify=context, trust_env=False)
-    # httpx accepts no network backend, so its pool is replaced by one.
-    transport._pool = httpcore.AsyncConnectionPool(
-        ssl_context=context,
+    return http_transport.make_transport(
+        context,
         max_connections=None,
-        max_keepalive_connections=max_idle,
-        keepalive_expiry=KEEPALIVE_SECONDS,
-        network_backend=_target_streams.Backend(),
+        max_idle=max_idle,
+        keepalive=KEEPALIVE_SECONDS,
+        backend=_target_streams.make_backend(),
     )
-    return transport
 
 
 @contextlib.contextmanager
--- a/packages/mustardlbd/mustardlbd/_target_streams.py
+++ b/packages/mustardlbd/mustardlbd/_target_streams.py
@@ -8,27 +8,28 @@
 from collections import abc
 import math
 import os
-import ssl
 from typing import Any
 
 import httpcore
 import httpx
 import trio
 
+from mustardlb import http_transport
+
 Flush = abc.Callable[[], abc.Awaitable[None]]
 Write = abc.Callable[[bytes], abc.Awaitable[None]]
 
 
-class _Stream(httpcore.AsyncNetworkStream):
-    """A TCP connection that delegates all but reading to httpcore.
+class _Stream(http_transport.CheckedStream):
+    """A TCP connection that waits before it reads.
 
     :ivar before_wait: called before each wait, once httpcore has consumed
         all data read so far; the code that sets it enforces the read timeout
     """
 
     def __init__(self, inner: httpcore.AsyncNetworkStream) -> None:
+        super().__init__(inner)
         self.before_wait: Flush | None = None
-        self._inner = inner
         self._socket = inner.get_extra_info('socket')
 
     async def read(
@@ -48,53 +49,18 @@
         while True:
             try:
                 await trio.lowlevel.wait_readable(self._socket)
-                return os.read(self._socket.fileno(), max_bytes)
+                data = os.read(self._socket.fileno(), max_bytes)
             except BlockingIOError:
                 # The socket became readable, but no data is left to read.
                 continue
             except (OSError, trio.ClosedResourceError) as error:
                 raise httpcore.ReadError(str(error)) from error
+            return self.check(data)
+
 
-    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Write the whole buffer."""
-        await self._inner.write(buffer, timeout)
-
-    async def aclose(self) -> None:
-        """Close the connection."""
-        await self._inner.aclose()
-
-    async def start_tls(
-        self,
-        ssl_context: ssl.SSLContext,
-        server_hostname: str | None = None,
-        timeout: float | None = None,
-    ) -> httpcore.AsyncNetworkStream:
-        """Return httpcore's own TLS stream over this connection."""
-        return await self._inner.start_tls(
-            ssl_context, server_hostname, timeout
-        )
-
-    def get_extra_info(self, info: str) -> Any:
-        """Return information about the connection to httpcore."""
-        return self._inner.get_extra_info(info)
-
-
-class Backend(httpcore.TrioBackend):
-    """httpcore's trio backend, using _Stream for connections."""
-
-    async def connect_tcp(
-        self,
-        host: str,
-        port: int,
-        timeout: float | None = None,
-        local_address: str | None = None,
-        socket_options: abc.Iterable[Any] | None = None,
-    ) -> httpcore.AsyncNetworkStream:
-        """Open a connection."""
-        inner = await super().connect_tcp(
-            host, port, timeout, local_address, socket_options
-        )
-        return _Stream(inner)
+def make_backend() -> http_transport.Backend:
+    """Return a backend for connections to targets."""
+    return http_transport.Backend(_Stream)
 
 
 async def forward_body(
--- a/tests/mustardlbd/test_broken_responses.py
+++ b/tests/mustardlbd/test_broken_responses.py
@@ -75,7 +75,7 @@
 
 @pytest.mark.parametrize('end', ['reset', 'unread'])
 @pytest.mark.parametrize('pause', [0.0, 0.05])
-@pytest.mark.parametrize('framing', ['length', 'chunked'])
+@pytest.mark.parametrize('framing', ['none', 'length', 'chunked'])
 async def test_part_of_an_early_response_is_not_a_whole_one(
     site, framing, end, pause
 ):
