Check response heads in the clients of httpx, too

What callers saw, in tests: mustardlbd joined a header line that begins with a blank to the field before it, and so did the clients of the object API, the VM list and the weight store; a line that begins with a line feed ended the head.

Cause and change: as at the gateway; the transport passes the received bytes through the same scanner.

Odd statuses were rejected before.

--- a/packages/mustardlb/mustardlb/http_transport.py
+++ b/packages/mustardlb/mustardlb/http_transport.py
@@ -1,6 +1,7 @@
 """HTTP transport that notices broken responses, for clients of httpx.
 
-httpcore reads on after a failed write of the request; see `resets`.
+httpcore reads on after a failed write of the request, and h11 decodes heads
+leniently; see `resets` and `response_heads`.
 """
 
 from collections import abc
@@ -11,6 +12,7 @@
 import httpx
 
 from mustardlb import resets
+from mustardlb import response_heads
 
 # The limits of httpx.
 MAX_CONNECTIONS = 100
@@ -23,6 +25,7 @@
 
     def __init__(self, inner: httpcore.AsyncNetworkStream) -> None:
         self._inner = inner
+        self._heads = response_heads.HeadScanner()
         self._is_reset = False
 
     async def read(
@@ -37,10 +40,15 @@
             raise httpcore.ReadError(
                 'the connection was reset while data was sent'
             )
+        try:
+            self._heads.feed(data)
+        except ValueError as error:
+            raise httpcore.RemoteProtocolError(str(error)) from error
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write a part of a request, all of which precedes its response."""
+        self._heads.begin()
         try:
             await self._inner.write(buffer, timeout)
         except httpcore.WriteError as error:
--- a/tests/mustardlb/test_broken_responses.py
+++ b/tests/mustardlb/test_broken_responses.py
@@ -13,7 +13,10 @@
 
 from mustardlb import engine
 from mustardlb import http_object_api
+from mustardlb import http_vm_list
 from mustardlb import object_api
+from mustardlb import vm_list
+from mustardlb import weight_store
 
 UPLOAD = b'x' * early_target.UPLOAD_BYTES
 VERSION = b'etag: "7"'
@@ -82,3 +85,55 @@
         with trio.fail_after(5), pytest.raises(engine.EngineUnavailable):
             await client.export_kv(UPLOAD.decode())
         await client.close()
+
+
+def respond_json(body, odd_line, status=b'200'):
+    lines = [b'HTTP/1.1 %b OK' % status, VERSION, b'x-other: 1', odd_line]
+    lines.append(b'content-length: %d' % len(body))
+    return b'\r\n'.join([*lines, b'', body])
+
+
+ODD_LINES = [b' x-odd: 1', b'\tx-odd: 1', b'\nx-odd: 1', b'\0x-odd: 1']
+ODD_LINES += [b'x odd: 1', b'x-odd : 1', b'x-odd\x0b: 1']
+
+
+@pytest.mark.parametrize('odd_line', ODD_LINES)
+async def test_odd_heads_of_services_are_rejected(odd_line):
+    """The line was joined to the field before it."""
+    async with answering(respond_json(b'{"vms": []}', odd_line)) as url:
+        vms = http_vm_list.HttpVmList(url)
+        with pytest.raises(vm_list.VmListUnavailable):
+            await vms.list_vms()
+        await vms.close()
+        api = http_object_api.HttpObjectApi(url)
+        with pytest.raises(object_api.ApiUnavailable):
+            await api.get('a')
+        await api.close()
+    transit = b'{"in_transit": 0, "most_in_transit": 0, "loads": 0}'
+    async with answering(respond_json(transit, odd_line)) as url:
+        store = weight_store.HttpWeightStore(url)
+        with pytest.raises(weight_store.WeightStoreUnavailable):
+            await store.transit_report()
+        await store.close()
+
+
+@pytest.mark.parametrize('status', [b'000', b'099', b'20', b'2000', b''])
+async def test_odd_statuses_of_services_are_rejected(status):
+    respond = respond_json(b'{"vms": []}', b'x-sound: 1', status)
+    async with answering(respond) as url:
+        vms = http_vm_list.HttpVmList(url)
+        with pytest.raises(vm_list.VmListUnavailable):
+            await vms.list_vms()
+        await vms.close()
+        api = http_object_api.HttpObjectApi(url)
+        with pytest.raises(object_api.ApiUnavailable):
+            await api.get('a')
+        await api.close()
+
+
+async def test_sound_head_is_accepted():
+    respond = respond_json(b'{"vms": []}', b'x-sound: 1')
+    async with answering(respond) as url:
+        vms = http_vm_list.HttpVmList(url)
+        assert await vms.list_vms() == ()
+        await vms.close()
--- a/tests/mustardlbd/test_broken_responses.py
+++ b/tests/mustardlbd/test_broken_responses.py
@@ -122,3 +122,50 @@
             with trio.fail_after(5), pytest.raises(trio.BrokenResourceError):
                 while await stream.receive_some(65536):
                     pass
+
+
+async def get_from(node, responses):
+    """Return the responses of a node to targets' responses, in order."""
+    unsent = list(responses)
+
+    async def script(connection, head, body):
+        await connection.send(unsent.pop(0))
+        await connection.stream.aclose()
+
+    server = scripted.ScriptedServer(script)
+    async with server.running():
+        node.front.add_target('desk-1', f'http://127.0.0.1:{server.port}')
+        return [
+            await node.client.post('/x', headers=node.front.headers())
+            for _ in responses
+        ]
+
+
+def respond(lines, status=b'200'):
+    body = early_target.BODY
+    start = b'HTTP/1.1 %b OK' % status
+    length = b'content-length: %d' % len(body)
+    return b'\r\n'.join([start, b'x-other: 1', *lines, length, b'', body])
+
+
+async def test_response_with_an_odd_field_name_is_rejected(site):
+    """The line was joined to the field before it, or began the body."""
+    odd_lines = [
+        line % odd
+        for odd in (b' ', b'\t', b'\n', b'\r', b'\0', b'\x0b', b'\x7f')
+        for line in (b'%bx-odd: 1', b'x-%bodd: 1', b'x-odd%b: 1')
+    ]
+    async with site() as node:
+        responses = await get_from(node, [respond([o]) for o in odd_lines])
+        assert [each.status_code for each in responses] == [502] * len(
+            odd_lines
+        )
+        (sound,) = await get_from(node, [respond([b'x-sound: 1'])])
+        assert (sound.status_code, sound.headers['x-sound']) == (200, '1')
+
+
+async def test_response_with_an_odd_status_is_rejected(site):
+    statuses = [b'000', b'099', b'20', b'2000', b'', b'abc', b'-20']
+    async with site() as node:
+        responses = await get_from(node, [respond([], s) for s in statuses])
+    assert [each.status_code for each in responses] == [502] * len(statuses)
