--- a/tests/mustardlb_gateway/scripted.py
+++ b/tests/mustardlb_gateway/scripted.py
@@ -18,12 +18,16 @@
 class ScriptedServer:
     """Calls `script(connection, request, body)` for each request.
 
+    `handle_head(connection, request)`, if any, is called before the body is
+    read; it returns whether it has responded and ended the connection.
+
     :ivar requests: (head, body) of each complete request
     :ivar opened: number of accepted connections
     """
 
-    def __init__(self, script):
+    def __init__(self, script, handle_head=None):
         self.script = script
+        self.handle_head = handle_head
         self.requests = []
         self.opened = 0
         self.port = 0
@@ -38,7 +42,7 @@
 
     async def _serve(self, stream):
         self.opened += 1
-        connection = Connection(stream)
+        connection = Connection(stream, self.handle_head)
         # A connection closed within a request is treated like a reset.
         with contextlib.suppress(
             trio.BrokenResourceError,
@@ -55,8 +59,9 @@
 
 
 class Connection:
-    def __init__(self, stream):
+    def __init__(self, stream, handle_head=None):
         self.stream = stream
+        self._handle_head = handle_head
         self._h11 = h11.Connection(h11.SERVER)
 
     async def read_request(self):
@@ -67,6 +72,8 @@
                 self._h11.receive_data(await self.stream.receive_some(65536))
             elif isinstance(event, h11.Request):
                 head = event
+                if self._handle_head and await self._handle_head(self, head):
+                    return None
             elif isinstance(event, h11.Data):
                 body += event.data
             elif isinstance(event, h11.EndOfMessage):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
 
 import soak_clients
 import soak_configuration
+import soak_early
 import soak_endless
 import soak_faults
 import soak_leaving
@@ -33,7 +34,8 @@
 
     `odd_entries` also writes entries of `servers` that no target writes, and
     `leaving` lets targets leave in the ways of `soak_leaving`, and `endless`
-    lets them send responses without end. The nodes run the code in the folder
+    lets them send responses without end. With `early`, targets answer long
+    uploads before they have read them. The nodes run the code in the folder
     `root`.
 
     :ivar judged_count: requests at nodes that were in touch
@@ -50,8 +52,10 @@
         leaving=False,
         root=soak_nodes.ROOT,
         endless=False,
+        early=False,
     ):
         self._endless = endless
+        self._early = early
         self.seed = seed
         self._folder = folder
         self._node_count = nodes
@@ -159,6 +163,7 @@
                     self.operator,
                     soak_targets.make_rng(self.seed, f'client{number}'),
                     self.outcomes,
+                    soak_early.UPLOAD_SHARE if self._early else 0.0,
                 )
                 nursery.start_soon(client.run)
             with trio.move_on_after(seconds):
@@ -174,6 +179,8 @@
             events += soak_leaving.EVENTS
         if self._endless:
             events += soak_endless.EVENTS
+        if self._early:
+            events += soak_early.EVENTS
         nursery.start_soon(self._inject, 'events', events, 0.8)
         for number in itertools.count():
             await self._inject_series(f'series {number}')
--- a/tests/soak/soak_clients.py
+++ b/tests/soak/soak_clients.py
@@ -5,6 +5,7 @@
 import re
 
 import h11
+import soak_early
 import soak_targets
 import trio
 
@@ -32,6 +33,7 @@
     :ivar ended_at: end of the response or of the connection
     :ivar problem: error in the response, '' without one
     :ivar target_id: target that signed a successful response
+    :ivar body_bytes: size of the request's body, unless its method is GET
     """
 
     request_id: str
@@ -44,12 +46,17 @@
     ended_at: float = float('inf')
     problem: str = ''
     target_id: str = ''
+    body_bytes: int = 100
 
 
 class Client:
-    """Opens one connection at a time and sends several requests on each."""
+    """Opens one connection at a time and sends several requests on each.
 
-    def __init__(self, name, nodes, operator, rng, outcomes):
+    A share of the requests has long bodies, `upload_share`.
+    """
+
+    def __init__(self, name, nodes, operator, rng, outcomes, upload_share=0.0):
+        self._upload_share = upload_share
         self._name = name
         self._nodes = nodes
         self._operator = operator
@@ -100,6 +107,8 @@
             node.name,
             trio.current_time(),
         )
+        if self._upload_share and self._rng.random() < self._upload_share:
+            outcome.body_bytes = soak_early.UPLOAD_BYTES
         self._outcomes.append(outcome)
         return outcome
 
@@ -154,7 +163,7 @@
         *extra_headers,
     ]
     method = 'GET' if outcome.kind == 'get' else 'POST'
-    body = b'' if outcome.kind == 'get' else b'x' * 100
+    body = b'' if outcome.kind == 'get' else b'x' * outcome.body_bytes
     if body:
         headers.append(('content-length', str(len(body))))
     data = connection.send(
--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -16,6 +16,9 @@
 EVENT_COUNT = 12
 EVENT_INTERVAL_SECONDS = 0.03
 
+# Longer request bodies may be answered before they are read.
+LONG_BODY_BYTES = 1_000_000
+
 # The header with which a target says that it leaves.
 LEAVING_HEADER = b'server-leaving: 1\r\n'
 
@@ -79,6 +82,8 @@
         their response, after which the connection is closed
     :ivar endless_form: one of `soak_endless.FORMS`, in which some responses go
         on until the caller closes, or None
+    :ivar respond_early: `soak_early.respond` while long uploads are answered
+        before they are read, or None
     """
 
     def __init__(self, target_id, record, is_engine, rng):
@@ -91,6 +96,7 @@
         self.born = 1
         self.breaks_off = False
         self.endless_form = None
+        self.respond_early = None
         self._rng = rng
         self._loaded = set()
         self._loading = {}
@@ -98,7 +104,7 @@
         self._accepted_count = 0
         self._fence = 0
         self._holder = ''
-        self.server = scripted.ScriptedServer(self._serve)
+        self.server = scripted.ScriptedServer(self._serve, self._serve_head)
 
     def registration(self, state='ready'):
         """Return the object with which the target registers in the store."""
@@ -131,6 +137,49 @@
         else:
             await self._serve_request(connection, headers)
 
+    async def _serve_head(self, connection, head):
+        """Respond to a long upload early; return whether that was done."""
+        headers = {k.decode(): v.decode() for k, v in head.headers}
+        is_upload = int(headers.get('content-length', 0)) > LONG_BODY_BYTES
+        adapter = headers.get('x-mustardlb-model', '').partition('/')[2]
+        if (
+            self.respond_early is None
+            or not is_upload
+            or headers.get('x-mustardlb-target-instance') != self.target_id
+            or (self.is_engine and adapter not in self._loaded)
+        ):
+            return False
+        request_id = headers['x-mustardlb-request-id']
+        self._record_arrival(request_id)
+        self._record_run(headers)
+        signature = sign(self.target_id, request_id)
+        parts = [signature[:9].encode(), signature[9:].encode()]
+        if self.is_engine:
+            first_event = int(headers.get('last-event-id', 0)) + 1
+            parts = [
+                stream_event(request_id, number)
+                for number in range(first_event, EVENT_COUNT + 1)
+            ]
+        await self.respond_early(
+            connection.stream,
+            request_id,
+            f'{self.target_id}.{signature}',
+            parts,
+            self._rng,
+        )
+        return True
+
+    def _record_arrival(self, request_id):
+        self.record.arrivals.append(
+            Arrival(request_id, self.target_id, trio.current_time(), self.born)
+        )
+
+    def _record_run(self, headers):
+        request_id = headers['x-mustardlb-request-id']
+        self.record.runs_by_id[request_id] += 1
+        account = headers.get('x-mustardlb-tenant', '')
+        self.record.accounts_by_id[request_id] = account
+
     def _report(self):
         self._finish_loads()
         adapters = [f'{name}@1' for name in self._loaded]
@@ -188,9 +237,7 @@
         if self.is_engine and adapter not in self._loaded:
             await connection.send(_response(421, b'', request_id))
             return
-        self.record.arrivals.append(
-            Arrival(request_id, self.target_id, trio.current_time(), self.born)
-        )
+        self._record_arrival(request_id)
         notice = b''
         if self.state == 'telling':
             notice = LEAVING_HEADER
@@ -204,9 +251,7 @@
                 _response(503, b'', request_id, not_executed)
             )
             return
-        self.record.runs_by_id[request_id] += 1
-        account = headers.get('x-mustardlb-tenant', '')
-        self.record.accounts_by_id[request_id] = account
+        self._record_run(headers)
         if self.endless_form and self._rng.random() < ENDLESS_RATE:
             await self._send_without_end(connection, request_id)
             return
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -27,6 +27,8 @@
 
 ENDLESS_SECONDS = 10.0
 
+EARLY_SECONDS = 10.0
+
 
 @pytest.mark.parametrize('seed', SEEDS)
 async def test_promises_hold_under_faults(seed, tmp_path):
@@ -67,3 +69,10 @@
 async def test_promises_hold_beside_endless_responses(seed, tmp_path):
     run = soak.Soak(seed, tmp_path, endless=True)
     assert await run.run(ENDLESS_SECONDS) == []
+
+
+# Parts of responses to long uploads were passed on as whole ones.
+@pytest.mark.parametrize('seed', [5200, 5202])
+async def test_promises_hold_beside_early_responses(seed, tmp_path):
+    run = soak.Soak(seed, tmp_path, early=True)
+    assert await run.run(EARLY_SECONDS) == []
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -24,13 +24,15 @@
     odd: bool = False,
     leaving: bool = False,
     endless: bool = False,
+    early: bool = False,
     root: str = str(ROOT),
 ) -> None:
     """Print the result of each seed; exit with 1 if any check failed.
 
     `odd` also writes entries of targets that cannot be read; `leaving` lets
     targets leave without a notice, and nodes stop in calm; `endless` lets them
-    send responses without end. The nodes run the code in the folder `root`.
+    send responses without end; `early` lets them answer long uploads before
+    they have read them. The nodes run the code in the folder `root`.
     """
     # The default action of SIGTERM would leave the gateway processes running.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -44,6 +46,7 @@
             odd_entries=odd,
             leaving=leaving,
             endless=endless,
+            early=early,
             root=pathlib.Path(root),
         )
         violations = trio.run(run.run, seconds)
