Read the rest of a request whose response came first

What callers saw, in tests of mustardlbd: a caller that sends a long upload before it reads got no response that the target had sent early and whole, and waited until its own timeout (20 s).

Cause: the response ends the application, whose queue is full of the body of the request. hypercorn waits for room in it before it closes the connection, and nothing reads the connection any more.

Change: the connection ends its side after the response, discards what still comes for up to 2 s and is then closed.

Measured: 3 cases of test_broken_responses.py fail before, at a limit of 5 s, and none after.

--- a/packages/mustardlbd/mustardlbd/_http1.py
+++ b/packages/mustardlbd/mustardlbd/_http1.py
@@ -40,6 +40,11 @@
     must_reset: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class RequestUnread(hypercorn.events.Event):
+    """The response is complete, and a part of the request was not read."""
+
+
 class Http1(hypercorn_h11.H11Protocol):
     """HTTP/1.1 with JSON errors and without WebSocket and h2c upgrades."""
 
@@ -49,13 +54,18 @@
         if not (
             isinstance(event, events.StreamClosed)
             and isinstance(connection, h11.Connection)
-            and connection.our_state is h11.SEND_BODY
+            and h11.SEND_BODY in connection.states.values()
         ):
             await super().stream_send(event)
             return
         # The application has ended, so that nothing would take the
         # notification out of a queue that is full of the request's body.
-        self.stream = None
+        if self.stream is not None:
+            self.stream.closed = True
+            self.stream = None
+        if connection.our_state is not h11.SEND_BODY:
+            await self.send(RequestUnread())
+            return
         # A response to HTTP/1.0 has no chunks.
         must_reset = connection.their_http_version == b'1.0'
         await self.send(Aborted(must_reset))
--- a/packages/mustardlbd/mustardlbd/_http_connection.py
+++ b/packages/mustardlbd/mustardlbd/_http_connection.py
@@ -74,6 +74,7 @@
         self._send_lock = trio.Lock()
         self._idle = worker_context.TrioSingleTask()
         self._reading = trio.CancelScope()
+        self._is_request_unread = False
         self._tasks = task_group.TaskGroup()
         self._protocol: _http1.Http1 | _http2.Http2
         # Direct writes are only possible without TLS, whose records trio's
@@ -93,6 +94,8 @@
                 await self._idle.restart(self._tasks, self._idle_timeout)
                 with self._reading:
                     await self._read()
+                if self._is_request_unread:
+                    await self._discard_request()
                 # Otherwise a closed connection would stay until its timeout.
                 await self._idle.stop()
         except (OSError, trio.BrokenResourceError, trio.TooSlowError):
@@ -150,6 +153,9 @@
                 await self._close()
             # The reader may wait for an application that has ended.
             self._reading.cancel()
+        elif isinstance(event, _http1.RequestUnread):
+            self._is_request_unread = True
+            self._reading.cancel()
         elif isinstance(event, hypercorn.events.Updated):
             await self._mark_idle(event.idle)
 
@@ -206,6 +212,20 @@
             await self._handle(hypercorn.events.RawData(bytes(data)))
         await self._handle(hypercorn.events.Closed())
 
+    async def _discard_request(self) -> None:
+        """Read the rest of a request that has its response.
+
+        Closing a connection with unread bytes resets it, and a caller that is
+        still sending may lose the response.
+        """
+        self._fileno = -1
+        if not isinstance(self._stream, trio.SocketStream):
+            return
+        with trio.move_on_after(CLOSE_TIMEOUT_SECONDS):
+            await self._stream.send_eof()
+            while await self._stream.receive_some(MAX_READ_BYTES):
+                pass
+
     def _reset(self) -> None:
         """Close the connection with a reset; unsent data is dropped."""
         self._fileno = -1
--- a/tests/mustardlbd/test_broken_responses.py
+++ b/tests/mustardlbd/test_broken_responses.py
@@ -102,6 +102,25 @@
         assert await upload_to(node, reply) == (200, early_target.BODY)
 
 
+@pytest.mark.parametrize(
+    ('framing', 'end'),
+    [('none', 'eof then close'), ('length', 'reset'), ('chunked', 'unread')],
+)
+async def test_whole_early_response_reaches_a_caller_that_reads_last(
+    site, framing, end
+):
+    """The rest of the request was not read, and the caller waited."""
+    reply = early_target.Reply(framing, end, 1.0, 0.05)
+    target = early_target.EarlyTarget(reply)
+    async with site() as node, target.running():
+        node.front.add_target('desk-1', f'http://127.0.0.1:{target.port}')
+        with trio.fail_after(5):
+            response = await node.client.post(
+                '/upload', content=UPLOAD, headers=node.front.headers()
+            )
+    assert (response.status_code, response.content) == (200, early_target.BODY)
+
+
 async def test_broken_off_response_to_http_1_0_is_reset(site):
     """The orderly end of the connection was that of the response."""
 
