Check response heads in the command line's client, too

What operators saw, in a test: the command line took a response of a node whose head had a line that begins with a blank or a line feed.

Cause and change: as in the other clients of httpx, whose transport it now has.

Measured: 2 cases of test_broken_responses.py fail before, none after.

--- a/packages/mustardlb-cli/mustardlb_cli/_site.py
+++ b/packages/mustardlb-cli/mustardlb_cli/_site.py
@@ -11,6 +11,7 @@
 
 from mustardlb import documents
 from mustardlb import http_object_api
+from mustardlb import http_transport
 from mustardlb import http_vm_list
 from mustardlb import object_api
 from mustardlb import settings
@@ -65,7 +66,9 @@
             loaded.vm_list.authority,
         )
         admin = httpx.AsyncClient(
-            verify=_tls_context(loaded.admin_tls),
+            transport=http_transport.make_transport(
+                _tls_context(loaded.admin_tls)
+            ),
             trust_env=False,
             timeout=ADMIN_TIMEOUT_SECONDS,
         )
