Keep no bytes of a head that is checked

Cause: the check of heads kept the bytes of a head until its end, as the decoder does, so that heads without end were held twice.

Change: lines are checked as they are received, and only two bytes, the start of the head and the form of its line ends are kept.

Sound and odd heads are checked in parts of 1 to 100 bytes.

--- a/packages/mustardlb/mustardlb/response_heads.py
+++ b/packages/mustardlb/mustardlb/response_heads.py
@@ -10,64 +10,82 @@
 
 _HEAD_END = re.compile(rb'\n\r?\n')
 
-# Bytes of an end of which the rest may follow.
-_PARTIAL_END_BYTES = 2
+# The start of an end of a head, of which the rest may follow.
+_TAIL_BYTES = 2
 
 _INFORMATIONAL = re.compile(rb'HTTP/1\.[01] 1')
-
-
-def check_head(head: bytes) -> None:
-    r"""Raise ValueError if a decoder may take a line of a head for another.
-
-    All lines have to end like the first one.
-
-    >>> check_head(b'HTTP/1.1 200 OK\r\na: b\r\n\r\n')
-    >>> check_head(b'HTTP/1.1 200 OK\r\na: b\r\n c: d\r\n\r\n')
-    Traceback (most recent call last):
-    ValueError: a header line begins with a blank
-    >>> check_head(b'HTTP/1.1 200 OK\r\na: b\r\n\nc: d\r\n\r\n')
-    Traceback (most recent call last):
-    ValueError: the lines of the head have different ends
-    """
-    if b'\n ' in head or b'\n\t' in head:
-        raise ValueError('a header line begins with a blank')
-    line_count, crlf_count = head.count(b'\n'), head.count(b'\r\n')
-    if crlf_count not in (0, line_count):
-        raise ValueError('the lines of the head have different ends')
+_START_BYTES = len(b'HTTP/1.1 1')
 
 
 class HeadScanner:
     r"""Checks the heads of a response in the bytes that are received.
 
+    No line may begin with a blank, and all have to end like the first one.
     Informational responses, which come before, are checked as well; what
-    follows the last head is ignored.
+    follows the last head is ignored. No head is kept, as the decoder does.
 
     >>> scanner = HeadScanner()
     >>> scanner.feed(b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\na')
     >>> scanner.feed(b': b\r\n\r\n body')
+    >>> HeadScanner().feed(b'HTTP/1.1 200 OK\r\na: b\r\n c: d')
+    Traceback (most recent call last):
+    ValueError: a header line begins with a blank
+    >>> HeadScanner().feed(b'HTTP/1.1 200 OK\r\na: b\r\n\nc: d')
+    Traceback (most recent call last):
+    ValueError: the lines of the head have different ends
     """
 
     def __init__(self) -> None:
-        self._received = bytearray()
-        self._is_done = False
+        self.begin()
 
     def begin(self) -> None:
         """Expect the head of the next response."""
-        self._received.clear()
         self._is_done = False
+        self._begin_head()
+
+    def _begin_head(self) -> None:
+        self._start = b''
+        self._tail = b''
+        # Whether the first line ended with CRLF, None before its end.
+        self._has_crlf: bool | None = None
 
     def feed(self, data: bytes | bytearray) -> None:
-        """Check received bytes; raises ValueError, see `check_head`."""
+        """Check received bytes; raises ValueError if a head is malformed."""
         if self._is_done:
             return
-        searched = max(0, len(self._received) - _PARTIAL_END_BYTES)
-        self._received += data
-        while found := _HEAD_END.search(self._received, searched):
-            head = bytes(self._received[: found.end()])
-            check_head(head)
-            if not _INFORMATIONAL.match(head):
-                self._is_done = True
-                self._received.clear()
+        window = self._tail + bytes(data)
+        begin, checked = 0, len(self._tail)
+        while found := _HEAD_END.search(window, begin):
+            self._check_lines(window, begin, checked, found.end())
+            self._is_done = not _INFORMATIONAL.match(self._start)
+            self._begin_head()
+            if self._is_done:
                 return
-            del self._received[: found.end()]
-            searched = 0
+            begin = checked = found.end()
+        self._check_lines(window, begin, checked, len(window))
+        self._tail = window[max(begin, len(window) - _TAIL_BYTES) :]
+
+    def _check_lines(
+        self, window: bytes, begin: int, checked: int, end: int
+    ) -> None:
+        """Check the lines whose ends are between two places of the window.
+
+        :param begin: start of the head, or of its bytes that are known
+        """
+        missing = _START_BYTES - len(self._start)
+        self._start += window[checked : min(end, checked + missing)]
+        before = max(begin, checked - 1)
+        if (
+            window.find(b'\n ', before, end) >= 0
+            or window.find(b'\n\t', before, end) >= 0
+        ):
+            raise ValueError('a header line begins with a blank')
+        line_count = window.count(b'\n', checked, end)
+        if not line_count:
+            return
+        if self._has_crlf is None:
+            first = window.index(b'\n', checked)
+            self._has_crlf = window[first - 1 : first] == b'\r'
+        crlf_count = window.count(b'\r\n', before, end)
+        if crlf_count != (line_count if self._has_crlf else 0):
+            raise ValueError('the lines of the head have different ends')
--- a/tests/mustardlb_gateway/test_odd_heads.py
+++ b/tests/mustardlb_gateway/test_odd_heads.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import tracemalloc
 
 import builders
 import gateway_harness
@@ -263,3 +264,44 @@
         with pytest.raises(ValueError, match='different ends'):
             scanner.feed(head[:place])
             scanner.feed(head[place:])
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'HTTP/1.1 200 OK\r\na: b\r\n c: d\r\n\r\n',
+        b'HTTP/1.1 200 OK\na: b\n\tc: d\n\n',
+        b'HTTP/1.1 100 X\r\n\r\nHTTP/1.1 200 OK\r\na: b\n\r\n',
+        b'HTTP/1.1 100 X\r\n c: d\r\n\r\n',
+    ],
+)
+@pytest.mark.parametrize('part_bytes', [1, 2, 3, 5, 100])
+def test_scanner_checks_a_head_in_parts(head, part_bytes):
+    scanner = response_heads.HeadScanner()
+    with pytest.raises(ValueError, match='head'):
+        for start in range(0, len(head), part_bytes):
+            scanner.feed(head[start : start + part_bytes])
+
+
+@pytest.mark.parametrize('end', [b'\n', b'\r\n'])
+@pytest.mark.parametrize('part_bytes', [1, 2, 3, 5, 100])
+def test_scanner_accepts_a_sound_head_in_parts(end, part_bytes):
+    """What follows the last head is not checked."""
+    lines = [b'HTTP/1.1 100 X', b'a: b', b'', b'HTTP/1.1 200 OK', b'c: d']
+    head = end.join([*lines, b'', b'a\r\nb\n c'])
+    scanner = response_heads.HeadScanner()
+    for start in range(0, len(head), part_bytes):
+        scanner.feed(head[start : start + part_bytes])
+
+
+def test_scanner_keeps_no_head():
+    """A head without an end was held twice, here and in the decoder."""
+    scanner = response_heads.HeadScanner()
+    tracemalloc.start()
+    try:
+        for _ in range(50):
+            scanner.feed(b'a: b\r\n' * 10_000)
+        held, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert held < 10_000
